--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab
+SEEDS ?= 20
+
+.PHONY: install test format demo history model measure capacity
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt $(PACKAGES:%=-e packages/%)
+	touch $@
+
+test: install
+	$(BIN)/black --quiet --check packages features
+	$(BIN)/ruff check --quiet packages features
+	$(BIN)/python -m quinceferry_lab.verdict
+
+format: install
+	$(BIN)/black --quiet packages features
+	$(BIN)/ruff check --quiet --fix packages features
+
+demo: install
+	$(BIN)/python -m quinceferry_lab.demo
+
+history: install
+	$(BIN)/python -m quinceferry_lab.history --seeds $(SEEDS)
+
+model: install
+	$(BIN)/python -m quinceferry_lab.modelcheck
+
+measure: install
+	$(BIN)/python -m quinceferry_lab.measure
+
+capacity: install
+	$(BIN)/python -m quinceferry_lab.capacity
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks and fixtures shared by all features."""
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/__init__.py
@@ -0,0 +1,1 @@
+"""Client and command line of the router fleet."""
--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of the router fleet; performs no I/O."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/__init__.py
@@ -0,0 +1,1 @@
+"""Router daemon."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -0,0 +1,79 @@
+"""Shared state of one router, read and written by its controllers.
+
+Each field has one writing controller, named beside it; all others only read.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from quinceferry_core.adapters import LoadReport
+from quinceferry_core.membership import Member
+from quinceferry_core.models import (
+    Configuration,
+    IncarnationId,
+    UpstreamId,
+    VmId,
+    VmRecord,
+)
+
+
+class RouterState(Enum):
+    """Life-cycle state of this router."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+    FENCED = "fenced"
+
+
+@dataclass(slots=True)
+class Identity:
+    """Who this router is; the incarnation is empty until the router has joined."""
+
+    vm: VmId
+    zone: str
+    address: str
+    incarnation: IncarnationId = IncarnationId("")
+    fencing: int = 0
+
+
+@dataclass(slots=True)
+class KvHealth:
+    """Whether the key-value service answers; ``changed_at`` is in monotonic seconds."""
+
+    available: bool = True
+    changed_at: float = 0.0
+
+
+@dataclass(slots=True)
+class UpstreamStatus:
+    """What this router knows of one upstream; times are in monotonic seconds."""
+
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    leaving: bool = False
+    leaving_since: float = 0.0
+    failures: int = 0
+    failed_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """Everything the controllers of one router share."""
+
+    identity: Identity
+    """Written by the membership controller."""
+    state: RouterState = RouterState.STARTING
+    """Written by the membership and shutdown controllers."""
+    configuration: Configuration = field(default_factory=Configuration)
+    """Written by the configuration controller."""
+    accepted_revision: int = 0
+    """Written by the configuration controller."""
+    members_by_incarnation: dict[IncarnationId, Member] = field(default_factory=dict)
+    """Routers with a live lease; written by the membership controller."""
+    vms_by_id: dict[VmId, VmRecord] = field(default_factory=dict)
+    """Written by the VM list controller."""
+    upstreams_by_id: dict[UpstreamId, UpstreamStatus] = field(default_factory=dict)
+    """Written by the load controller; ``leaving`` also by the VM list controller."""
+    kv: KvHealth = field(default_factory=KvHealth)
+    """Written by the KV health wrapper."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/controllers.py
@@ -0,0 +1,44 @@
+"""Life-cycle hooks of the parts of an application."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+
+class Controller(Protocol):
+    """A part of the application with its own background work."""
+
+    async def start(self) -> None:
+        """Acquire resources and start background tasks."""
+
+    async def stop(self) -> None:
+        """Stop background tasks and release resources; idempotent."""
+
+
+class TaskGroupController:
+    """Base of controllers that own background tasks."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+        """Run a coroutine until it ends or the controller stops.
+
+        :param work: the coroutine to run.
+        :param name: task name shown in diagnostics.
+        :return: the task, which the controller owns.
+        """
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def start(self) -> None:
+        """Start nothing; subclasses spawn their loops here."""
+
+    async def stop(self) -> None:
+        """Cancel all background tasks and wait for their end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/quinceferry-lab/src/quinceferry_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, history checks, model checks and measurements."""
--- /dev/null
+++ b/packages/quinceferry-standins/src/quinceferry_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams."""
