Add the messages of the operator API

Cause: server and client need one typed description of each call. Change: msgspec structs in the core package, with patterns and bounds, unknown fields refused. Conclusion: they sit in core and not in the daemon, so the command line needs no server library.

--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
@@ -0,0 +1,294 @@
+"""Messages of the operator API, shared by the server and by its client.
+
+Each call is ``POST /operator/v1/<MessageName>`` with the message as its JSON body. Unknown fields
+are refused, so that a misspelt one is not silently ignored.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+OPERATOR_PATH = "/operator/v1"
+"""Path under which every operator call is served."""
+
+OperationName = Annotated[
+    str,
+    Meta(
+        pattern="^[A-Za-z0-9_.-]{1,64}$",
+        description="Chosen by the operator; a repeat with the same one gives the first answer.",
+    ),
+]
+Revision = Annotated[int, Meta(ge=0, description="Revision of the configuration.")]
+Name = Annotated[str, Meta(pattern="^[A-Za-z0-9_.-]{1,64}$")]
+ModelName = Annotated[
+    str,
+    Meta(
+        pattern="^[A-Za-z0-9_./-]{1,128}(:[A-Za-z0-9_.-]{1,64})?(@[A-Za-z0-9_.-]{1,64})?$",
+        description="model[:adapter][@version]",
+    ),
+]
+KeyHash = Annotated[
+    str,
+    Meta(
+        pattern="^[0-9a-f]{64}$",
+        description="Hexadecimal SHA-256 digest of a workspace key; the key itself is never sent.",
+    ),
+]
+TokenCount = Annotated[int, Meta(ge=0, description="Number of tokens.")]
+PriorityName = Literal["high", "normal", "low"]
+ChangeState = Literal["proposed", "accepted"]
+
+
+class Message(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Base of all requests."""
+
+
+class Change(Message, frozen=True, kw_only=True):
+    """Base of all requests that change something."""
+
+    operation_id: OperationName
+    expected_revision: Revision
+
+
+class WorkspaceLimits(Message, frozen=True, kw_only=True):
+    """Limits of a workspace over the whole fleet; zero means unlimited."""
+
+    requests_per_second: Annotated[float, Meta(ge=0)] = 0.0
+    tokens_per_second: Annotated[float, Meta(ge=0)] = 0.0
+    concurrent_streams: Annotated[int, Meta(ge=0)] = 0
+
+
+class CreateWorkspace(Change, frozen=True, kw_only=True):
+    """Create a workspace; its budget is empty until a top-up."""
+
+    workspace: Name
+    key_hash: KeyHash
+    models: list[ModelName] = []
+    services: list[Name] = []
+    priority: PriorityName = "normal"
+    limits: WorkspaceLimits = WorkspaceLimits()
+
+
+class UpdateWorkspace(Change, frozen=True, kw_only=True):
+    """Change a workspace; fields that are null or absent keep their value."""
+
+    workspace: Name
+    models: list[ModelName] | None = None
+    services: list[Name] | None = None
+    priority: PriorityName | None = None
+    limits: WorkspaceLimits | None = None
+
+
+class RotateWorkspaceKey(Change, frozen=True, kw_only=True):
+    """Replace the key of a workspace; the newest previous one may stay valid beside it."""
+
+    workspace: Name
+    key_hash: KeyHash
+    keep_previous: bool = False
+
+
+class RegisterModel(Change, frozen=True, kw_only=True):
+    """Add a model, or replace its description."""
+
+    name: Annotated[str, Meta(pattern="^[A-Za-z0-9_./-]{1,128}$")]
+    min_bytes_per_token: Annotated[float, Meta(gt=0)] = 1.0
+    default_output_tokens: Annotated[int, Meta(ge=1)] = 256
+    max_output_tokens: Annotated[int, Meta(ge=1)] = 4096
+
+
+class RegisterUpstream(Change, frozen=True, kw_only=True):
+    """Add an upstream, or replace its description."""
+
+    upstream: Name
+    address: Annotated[str, Meta(pattern="^https?://[^/]+$")]
+    zone: Name
+    checks_fencing: Annotated[
+        bool, Meta(description="Whether the upstream refuses an order with an old fencing number.")
+    ]
+    kind: Literal["engine", "service"] = "engine"
+    vm: str = ""
+    service: str = ""
+
+
+class RemoveUpstream(Change, frozen=True, kw_only=True):
+    """Remove an upstream; requests in progress there go on."""
+
+    upstream: Name
+
+
+class TopUp(Change, frozen=True, kw_only=True):
+    """Add prepaid tokens to a workspace.
+
+    Top-ups commute, so the expected revision is a minimum here: a router that has not applied it
+    yet refuses.
+    """
+
+    workspace: Name
+    tokens: Annotated[int, Meta(gt=0, description="Number of tokens to add.")]
+
+
+class Drain(Change, frozen=True, kw_only=True):
+    """Stop a router gracefully; the expected revision is a minimum, as in a top-up."""
+
+    router: Annotated[str, Meta(min_length=1, description="Incarnation of the router.")]
+
+
+class GetBalance(Message, frozen=True, kw_only=True):
+    """Read the budget of a workspace."""
+
+    workspace: Name
+
+
+class ListBills(Message, frozen=True, kw_only=True):
+    """Read one page of the bills of a workspace."""
+
+    workspace: Name
+    cursor: str = ""
+
+
+class GetChange(Message, frozen=True, kw_only=True):
+    """Read the state of a configuration change."""
+
+    operation_id: OperationName
+
+
+class GetStatus(Message, frozen=True, kw_only=True):
+    """Read the state of the answering router."""
+
+
+class ListRouters(Message, frozen=True, kw_only=True):
+    """List the routers of the fleet."""
+
+
+class ChangeReply(Struct, frozen=True, kw_only=True):
+    """State of a configuration change.
+
+    ``accepted`` means that every router which may serve has applied it; until then
+    ``awaited_routers`` names the incarnations that have not.
+    """
+
+    operation_id: str
+    revision: int
+    state: ChangeState
+    awaited_routers: list[str] = []
+
+
+class BalanceReply(Struct, frozen=True, kw_only=True):
+    """Budget of a workspace, in tokens.
+
+    ``outstanding`` tokens are held by routers and not yet billed.
+    """
+
+    workspace: str
+    granted: int
+    spent: int
+    outstanding: int
+
+
+class BillReply(Struct, frozen=True, kw_only=True):
+    """Bill of one request; ``tokens`` counts prompt and output together."""
+
+    request_id: str
+    tokens: int
+
+
+class ListBillsReply(Struct, frozen=True, kw_only=True):
+    """One page of bills; the cursor is empty on the last page."""
+
+    workspace: str
+    bills: list[BillReply] = []
+    cursor: str = ""
+
+
+class RouterReply(Struct, frozen=True, kw_only=True):
+    """One router of the fleet."""
+
+    router: str
+    vm: str
+    zone: str
+    address: str
+    state: str
+    applied_revision: int
+
+
+class ListRoutersReply(Struct, frozen=True, kw_only=True):
+    """Routers of the fleet, by incarnation."""
+
+    routers: list[RouterReply] = []
+
+
+class UpstreamReply(Struct, frozen=True, kw_only=True):
+    """What the answering router knows of one upstream."""
+
+    upstream: str
+    zone: str
+    kind: str
+    leaving: bool
+    running: int
+    waiting: int
+    loaded: list[str] = []
+
+
+class StatusReply(Struct, frozen=True, kw_only=True):
+    """State of the answering router.
+
+    ``revision`` is the one it applies; ``accepted_revision`` is in force everywhere.
+    """
+
+    router: str
+    vm: str
+    zone: str
+    address: str
+    state: str
+    revision: int
+    accepted_revision: int
+    kv_available: bool
+    open_requests: int
+    memory_bytes: int
+    workspaces: list[str] = []
+    models: list[str] = []
+    upstreams: list[UpstreamReply] = []
+
+
+class DrainReply(Struct, frozen=True, kw_only=True):
+    """Answer to a drain; the router leaves the list when it has ended."""
+
+    operation_id: str
+    router: str
+    state: str
+
+
+class OperatorFailure(Struct, frozen=True, kw_only=True):
+    """Why a call was refused or failed.
+
+    ``code`` is stable and meant for programs. ``revision`` is the current one after a conflict, and
+    ``changed_by`` the operations that came between. ``retry_after_seconds`` is zero when a retry
+    cannot help.
+    """
+
+    code: str
+    detail: str
+    revision: int = 0
+    changed_by: list[str] = []
+    awaited_routers: list[str] = []
+    retry_after_seconds: float = 0.0
+    step: str = ""
+    peer: str = ""
+
+
+REPLIES_BY_MESSAGE: dict[type[Message], type[Struct]] = {
+    CreateWorkspace: ChangeReply,
+    UpdateWorkspace: ChangeReply,
+    RotateWorkspaceKey: ChangeReply,
+    RegisterModel: ChangeReply,
+    RegisterUpstream: ChangeReply,
+    RemoveUpstream: ChangeReply,
+    GetChange: ChangeReply,
+    TopUp: BalanceReply,
+    GetBalance: BalanceReply,
+    ListBills: ListBillsReply,
+    GetStatus: StatusReply,
+    ListRouters: ListRoutersReply,
+    Drain: DrainReply,
+}
+"""Type of the answer to each call."""
