--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/queues.py
@@ -0,0 +1,185 @@
+"""Bounded queue of requests, by priority, fair between workspaces, earliest deadline first.
+
+Higher priorities go first, but one departure in ``LOWER_CLASS_PERIOD`` goes to the lowest waiting
+class, so that none starves. Within a class the workspaces share by tokens (start-time fair
+queueing); within a workspace the earliest deadline goes first.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from quinceferry_core.models import Priority, WorkspaceId
+
+LOWER_CLASS_PERIOD = 16
+"""One in this many departures goes to the lowest waiting class."""
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, eq=False)
+class Waiting(Generic[T]):
+    """One waiting request; ``deadline`` and ``entered_at`` are in monotonic seconds."""
+
+    item: T
+    workspace: WorkspaceId
+    priority: Priority
+    tokens: int
+    deadline: float
+    entered_at: float
+
+
+@dataclass(slots=True)
+class _Lane(Generic[T]):
+    """Requests of one workspace in one class."""
+
+    finish_tag: float = 0.0
+    heap: list[tuple[float, int, Waiting[T]]] = field(default_factory=list)
+
+
+class FairQueue(Generic[T]):
+    """Waiting requests of one pool of upstreams.
+
+    :param max_entries: requests that may wait at once.
+    :param max_workspace_share: part of the queue that one workspace may fill.
+    """
+
+    def __init__(self, max_entries: int, max_workspace_share: float = 0.5) -> None:
+        self._max_entries = max_entries
+        self._max_per_workspace = max(1, int(max_entries * max_workspace_share))
+        self._lanes_by_class: dict[Priority, dict[WorkspaceId, _Lane[T]]] = {
+            priority: {} for priority in Priority
+        }
+        self._virtual_time_by_class = {priority: 0.0 for priority in Priority}
+        self._kept_tags_by_class: dict[Priority, dict[WorkspaceId, float]] = {
+            priority: {} for priority in Priority
+        }
+        self._count_by_workspace: dict[WorkspaceId, int] = {}
+        self._tokens_by_class = {priority: 0 for priority in Priority}
+        self._count = 0
+        self._sequence = 0
+        self._departures = 0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return self._count
+
+    def tokens_ahead(self, priority: Priority) -> int:
+        """Return the tokens waiting in this class and all above it."""
+        return sum(tokens for other, tokens in self._tokens_by_class.items() if other <= priority)
+
+    def has_room(self, workspace: WorkspaceId) -> bool:
+        """Return whether a request of this workspace may wait."""
+        if self._count >= self._max_entries:
+            return False
+        return self._count_by_workspace.get(workspace, 0) < self._max_per_workspace
+
+    def workspace_is_full(self, workspace: WorkspaceId) -> bool:
+        """Return whether this workspace fills its own part of the queue."""
+        return self._count_by_workspace.get(workspace, 0) >= self._max_per_workspace
+
+    def push(self, waiting: Waiting[T]) -> None:
+        """Add a request; the caller has checked the room."""
+        lane = self._open_lane(waiting.priority, waiting.workspace)
+        self._sequence += 1
+        heapq.heappush(lane.heap, (waiting.deadline, self._sequence, waiting))
+        self._count_in(waiting, 1)
+
+    def peek(self) -> Waiting[T] | None:
+        """Return the request that leaves next, or None."""
+        found = self._next_lane()
+        return found[1].heap[0][2] if found else None
+
+    def pop(self) -> Waiting[T] | None:
+        """Remove and return the request that leaves next, or None."""
+        found = self._next_lane()
+        if found is None:
+            return None
+        priority, lane = found
+        _, _, waiting = heapq.heappop(lane.heap)
+        self._departures += 1
+        self._virtual_time_by_class[priority] = lane.finish_tag
+        lane.finish_tag += max(1, waiting.tokens)
+        self._count_in(waiting, -1)
+        self._drop_if_empty(waiting)
+        return waiting
+
+    def evict_below(self, priority: Priority) -> Waiting[T] | None:
+        """Remove the latest deadline of the lowest class below a priority, or return None."""
+        for lower in sorted(Priority, reverse=True):
+            if lower <= priority:
+                return None
+            entries = [
+                entry for lane in self._lanes_by_class[lower].values() for entry in lane.heap
+            ]
+            if entries:
+                waiting = max(entries)[2]
+                self.remove(waiting)
+                return waiting
+        return None
+
+    def remove(self, waiting: Waiting[T]) -> bool:
+        """Remove a request that gave up; return whether it was waiting."""
+        lane = self._lanes_by_class[waiting.priority].get(waiting.workspace)
+        if lane is None:
+            return False
+        kept = [entry for entry in lane.heap if entry[2] is not waiting]
+        if len(kept) == len(lane.heap):
+            return False
+        lane.heap = kept
+        heapq.heapify(lane.heap)
+        self._count_in(waiting, -1)
+        self._drop_if_empty(waiting)
+        return True
+
+    def overdue(self, now: float, max_wait_seconds: float) -> list[Waiting[T]]:
+        """Remove and return the requests that waited too long or are past their deadline."""
+        late = [
+            waiting
+            for lanes in self._lanes_by_class.values()
+            for lane in lanes.values()
+            for _, _, waiting in lane.heap
+            if now >= waiting.deadline or now - waiting.entered_at >= max_wait_seconds
+        ]
+        for waiting in late:
+            self.remove(waiting)
+        return late
+
+    def _next_lane(self) -> tuple[Priority, _Lane[T]] | None:
+        classes = [priority for priority in sorted(Priority) if self._lanes_by_class[priority]]
+        if not classes:
+            return None
+        lowest_turn = (self._departures + 1) % LOWER_CLASS_PERIOD == 0
+        priority = classes[-1] if lowest_turn else classes[0]
+        lanes = self._lanes_by_class[priority].values()
+        return priority, min(lanes, key=lambda lane: (lane.finish_tag, lane.heap[0][:2]))
+
+    def _count_in(self, waiting: Waiting[T], change: int) -> None:
+        self._count += change
+        self._tokens_by_class[waiting.priority] += change * waiting.tokens
+        count = self._count_by_workspace.get(waiting.workspace, 0) + change
+        if count:
+            self._count_by_workspace[waiting.workspace] = count
+        else:
+            self._count_by_workspace.pop(waiting.workspace, None)
+
+    def _open_lane(self, priority: Priority, workspace: WorkspaceId) -> _Lane[T]:
+        lanes = self._lanes_by_class[priority]
+        if workspace not in lanes:
+            kept_tag = self._kept_tags_by_class[priority].pop(workspace, 0.0)
+            lanes[workspace] = _Lane(max(self._virtual_time_by_class[priority], kept_tag))
+        return lanes[workspace]
+
+    def _drop_if_empty(self, waiting: Waiting[T]) -> None:
+        """Drop an empty lane, but keep its tag while others of its class wait.
+
+        Without the tag, a workspace that empties its lane between requests would jump the others.
+        """
+        lanes = self._lanes_by_class[waiting.priority]
+        if lanes[waiting.workspace].heap:
+            return
+        lane = lanes.pop(waiting.workspace)
+        kept_tags = self._kept_tags_by_class[waiting.priority]
+        kept_tags[waiting.workspace] = lane.finish_tag
+        if not lanes:
+            kept_tags.clear()
--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/routing.py
@@ -0,0 +1,245 @@
+"""Choice of an upstream from lagging load reports, own history and believed cache content.
+
+All functions are pure but for :class:`SentLedger`, which remembers what this router sent.
+"""
+
+import hashlib
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from quinceferry_core.adapters import LoadReport
+from quinceferry_core.models import ModelRef, RequestId, UpstreamId
+
+HISTORY_SECONDS = 10.0
+"""How long ended requests are remembered, to compare them with late reports."""
+GROWTH_SMOOTHING = 0.3
+"""Weight of the latest report in the smoothed growth of other routers' load."""
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """One request that this router sent; times are in monotonic seconds.
+
+    ``prefill_tokens`` are the prompt tokens not expected in the engine's cache.
+    """
+
+    prefill_tokens: int
+    sent_at: float
+    first_token_at: float | None = None
+    ended_at: float | None = None
+
+    def in_flight_at(self, instant: float) -> bool:
+        """Return whether the request was at the upstream at that time."""
+        return self.sent_at <= instant and (self.ended_at is None or self.ended_at > instant)
+
+    def prefilling_at(self, instant: float) -> bool:
+        """Return whether the request waited for its first token at that time."""
+        started = self.first_token_at is not None and self.first_token_at <= instant
+        return self.in_flight_at(instant) and not started
+
+
+@dataclass(slots=True)
+class SentLedger:
+    """What this router has at one upstream, and had at the time of a late report."""
+
+    in_flight_by_id: dict[RequestId, SentRequest] = field(default_factory=dict)
+    long_in_flight: int = 0
+    _ended: deque[SentRequest] = field(default_factory=deque)
+
+    def sent(self, request_id: RequestId, prefill_tokens: int, now: float) -> None:
+        """Note a dispatch."""
+        self.in_flight_by_id[request_id] = SentRequest(prefill_tokens, now)
+
+    def first_token(self, request_id: RequestId, now: float) -> None:
+        """Note the first token of an answer; later ones change nothing."""
+        request = self.in_flight_by_id.get(request_id)
+        if request is not None and request.first_token_at is None:
+            request.first_token_at = now
+
+    def ended(self, request_id: RequestId, now: float) -> None:
+        """Note that a request is no longer at the upstream."""
+        request = self.in_flight_by_id.pop(request_id, None)
+        if request is None:
+            return
+        request.ended_at = now
+        self._ended.append(request)
+        while self._ended and now - (self._ended[0].ended_at or now) > HISTORY_SECONDS:
+            self._ended.popleft()
+
+    def in_flight(self) -> int:
+        """Return how many requests are there now."""
+        return len(self.in_flight_by_id)
+
+    def in_flight_at(self, instant: float) -> int:
+        """Return how many requests were there at an earlier time."""
+        return sum(request.in_flight_at(instant) for request in self._all())
+
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens sent whose first token has not come."""
+        waiting = (r for r in self.in_flight_by_id.values() if r.first_token_at is None)
+        return sum(request.prefill_tokens for request in waiting)
+
+    def prefill_tokens_at(self, instant: float) -> int:
+        """Return the same for an earlier time."""
+        return sum(r.prefill_tokens for r in self._all() if r.prefilling_at(instant))
+
+    def _all(self) -> list[SentRequest]:
+        return [*self.in_flight_by_id.values(), *self._ended]
+
+
+@dataclass(slots=True, frozen=True)
+class CorrectedLoad:
+    """Load of one upstream now, as well as this router can tell.
+
+    ``others`` and ``others_tokens`` are what the report holds beyond this router's own requests.
+    """
+
+    slots: int
+    occupied: int
+    queued_tokens: int
+    others: int = 0
+    others_tokens: int = 0
+
+
+def correct_load(
+    report: LoadReport | None,
+    sampled_at: float,
+    now: float,
+    ledger: SentLedger,
+    *,
+    routers: int,
+    prefill_rate: float,
+    default_slots: int,
+) -> CorrectedLoad:
+    """Correct a late report by what this router sent and saw end since.
+
+    A report below what this router alone had there is wrong; then all routers are assumed to have
+    sent as much as this one.
+
+    :param sampled_at: when the engine took the report, in monotonic seconds.
+    :param routers: live routers, this one included.
+    :param prefill_rate: prompt tokens the engine reads a second.
+    :param default_slots: slots of an upstream that reports none.
+    """
+    own_now = ledger.in_flight()
+    own_tokens_now = ledger.prefill_tokens()
+    if report is None:
+        return CorrectedLoad(default_slots, own_now, own_tokens_now)
+    own_then = ledger.in_flight_at(sampled_at)
+    reported = report.running + report.waiting
+    slots = max(1, report.running + report.free_slots) if _has_slots(report) else default_slots
+    if reported < own_then // 2:
+        return CorrectedLoad(slots, own_now * routers, own_tokens_now * routers)
+    others = max(0, reported - own_then)
+    drained = prefill_rate * max(0.0, now - sampled_at)
+    others_tokens = max(0, report.queued_tokens - ledger.prefill_tokens_at(sampled_at))
+    others_tokens_now = int(max(0.0, others_tokens - drained))
+    return CorrectedLoad(
+        slots, others + own_now, others_tokens_now + own_tokens_now, others, others_tokens_now
+    )
+
+
+def smoothed_growth(previous: float, before: int, after: int, elapsed: float) -> float:
+    """Return the smoothed growth of other routers' requests at an upstream, in requests a second.
+
+    A fall counts as no growth: what others free, anyone may take.
+    """
+    latest = max(0.0, (after - before) / elapsed) if elapsed > 0 else 0.0
+    return previous + GROWTH_SMOOTHING * (latest - previous)
+
+
+def free_room(load: CorrectedLoad, own: int, routers: int, growth_since_report: float) -> float:
+    """Return how many requests this router may still send to an upstream.
+
+    The free slots less what the others are expected to have taken since the report; but never less
+    than this router's equal part of all slots, so that no router starves behind quicker ones.
+
+    :param own: requests that this router has there.
+    :param growth_since_report: requests that others are expected to have added.
+    """
+    free = load.slots - load.occupied - growth_since_report
+    guaranteed = load.slots / max(1, routers) - own
+    return max(free, guaranteed)
+
+
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """An upstream that may take the request, with all that its cost depends on."""
+
+    upstream: UpstreamId
+    load: CorrectedLoad
+    cached_tokens: int = 0
+    same_zone: bool = True
+    failing: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class CostModel:
+    """Converts a candidate's state into expected seconds to the first token."""
+
+    prefill_rate: float
+    other_zone_penalty_seconds: float
+    slot_wait_seconds: float = 1.0
+    failing_penalty_seconds: float = 10.0
+
+    def cost(self, candidate: Candidate, prompt_tokens: int) -> float:
+        """Return the expected seconds until the first token."""
+        load = candidate.load
+        uncached = max(1, prompt_tokens - candidate.cached_tokens)
+        seconds = (load.queued_tokens + uncached) / self.prefill_rate
+        excess = max(0, load.occupied + 1 - load.slots)
+        seconds += self.slot_wait_seconds * excess / load.slots
+        if not candidate.same_zone:
+            seconds += self.other_zone_penalty_seconds
+        if candidate.failing:
+            seconds += self.failing_penalty_seconds
+        return seconds
+
+
+def sample_candidates(
+    candidates: Sequence[Candidate],
+    home_order: Sequence[UpstreamId],
+    count: int,
+    rng: random.Random,
+) -> list[Candidate]:
+    """Choose which candidates are compared: a random few, the best cached, the prefix's homes.
+
+    Random samples keep routers that read the same report from all choosing the same upstream. The
+    homes of a prefix let routers that never met agree where it is cached.
+
+    :param home_order: the first upstreams in the prefix's own ranking.
+    :param count: random candidates to compare.
+    """
+    chosen = {c.upstream: c for c in rng.sample(list(candidates), min(count, len(candidates)))}
+    best_cached = max(candidates, key=lambda candidate: candidate.cached_tokens)
+    if best_cached.cached_tokens:
+        chosen[best_cached.upstream] = best_cached
+    for candidate in candidates:
+        if candidate.upstream in home_order:
+            chosen[candidate.upstream] = candidate
+    return list(chosen.values())
+
+
+def rendezvous_order(key: str, upstreams: Sequence[UpstreamId]) -> list[UpstreamId]:
+    """Rank upstreams by a hash with a key: the same on every router, and stable as sets change."""
+    return sorted(upstreams, key=lambda upstream: _rank(key, upstream))
+
+
+def model_is_loaded(wanted: ModelRef, loaded: Sequence[ModelRef]) -> bool:
+    """Return whether a loaded model serves a request; an unnamed version accepts any."""
+    return any(
+        held.model == wanted.model
+        and held.adapter == wanted.adapter
+        and (not wanted.version or held.version == wanted.version)
+        for held in loaded
+    )
+
+
+def _has_slots(report: LoadReport) -> bool:
+    return report.running + report.free_slots > 0
+
+
+def _rank(key: str, upstream: UpstreamId) -> bytes:
+    return hashlib.blake2b(f"{key}\0{upstream}".encode(), digest_size=8).digest()
--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from quinceferry_core.adapters import LoadReport
+from quinceferry_core.limits import LimitClaim
 from quinceferry_core.membership import Member
 from quinceferry_core.models import (
     Configuration,
@@ -75,5 +76,10 @@
     """Written by the VM list controller."""
     upstreams_by_id: dict[UpstreamId, UpstreamStatus] = field(default_factory=dict)
     """Written by the load controller; ``leaving`` also by the VM list controller."""
+    leaving_upstreams: set[UpstreamId] = field(default_factory=set)
+    """Upstreams that this router itself saw leave, for its heartbeat record; written by the load
+    controller."""
+    limit_claims: tuple[LimitClaim, ...] = ()
+    """Claims for the heartbeat record; written by the limit share controller."""
     kv: KvHealth = field(default_factory=KvHealth)
     """Written by the KV health wrapper."""
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -33,9 +33,11 @@
 class BudgetSettings:
     """Allotments of prepaid tokens, table ``[budgets]``."""
 
-    allotment_horizon_seconds: float = 60.0
+    allotment_horizon_seconds: float = 900.0
     min_allotment_tokens: int = 4096
-    max_allotment_share: float = 0.25
+    max_allotment_share: float = 0.125
+    outage_cover_seconds: float = 600.0
+    idle_return_seconds: float = 300.0
     settle_wait_seconds: float = 2.0
 
 
@@ -44,22 +46,52 @@
     """Group commit of bills, table ``[journal]``."""
 
     min_commit_interval_seconds: float = 0.05
+    commit_patience_seconds: float = 1.0
     max_batch_entries: int = 2048
 
 
 @dataclass(slots=True, frozen=True)
 class RoutingSettings:
-    """Choice of upstream and admission, table ``[routing]``."""
+    """Choice of upstream and admission, table ``[routing]``.
+
+    ``load_interval_seconds`` is stretched so that load and cache polls together stay below
+    ``max_polls_per_second``. Requests of at least ``long_prompt_tokens`` may use only
+    ``long_work_share`` of an engine's slots.
+    """
 
     load_interval_seconds: float = 1.0
+    load_report_lag_seconds: float = 0.5
+    max_polls_per_second: float = 6.0
+    max_active_upstreams: int = 12
+    max_report_age_seconds: float = 2.5
+    max_queued_requests: int = 256
+    max_workspace_queue_share: float = 0.5
+    max_queue_wait_seconds: float = 10.0
+    sampled_candidates: int = 3
+    prefill_tokens_per_second: float = 8000.0
+    long_prompt_tokens: int = 8192
+    long_work_share: float = 0.5
+    default_slots: int = 16
+    other_zone_penalty_seconds: float = 0.005
 
 
 @dataclass(slots=True, frozen=True)
 class StreamSettings:
-    """Deadlines and buffers of streams, table ``[streams]``."""
+    """Deadlines, buffers and retries of streams, table ``[streams]``.
+
+    ``max_buffered_chunks`` bounds what is held for a slow reader; one that takes nothing for
+    ``reader_timeout_seconds`` counts as gone. Retries in excess of ``max_attempts`` for one request,
+    or of ``retry_share`` of all requests, are not made.
+    """
 
     progress_timeout_seconds: float = 10.0
     max_buffered_chunks: int = 256
+    reader_timeout_seconds: float = 60.0
+    cancel_timeout_seconds: float = 2.0
+    max_attempts: int = 6
+    retry_share: float = 0.2
+    min_backoff_seconds: float = 0.05
+    max_backoff_seconds: float = 2.0
 
 
 @dataclass(slots=True, frozen=True)
