--- a/packages/quinceferry-core/src/quinceferry_core/adapters.py
+++ b/packages/quinceferry-core/src/quinceferry_core/adapters.py
@@ -177,8 +177,15 @@
         :raises UpstreamUnknownRequestError: the upstream never began it, or forgot it.
         """
 
-    async def cancel(self, upstream: UpstreamSpec, request_id: RequestId) -> int | None:
-        """Stop a run; return the tokens it used in all, or None if the upstream does not know."""
+    async def cancel(
+        self, upstream: UpstreamSpec, request_id: RequestId, workspace: WorkspaceId | None = None
+    ) -> int | None:
+        """Stop the latest run of a request; a repeat returns the same use.
+
+        :param workspace: owner of the request; two workspaces may use the same identifier, and
+            without it such a request counts as unknown.
+        :return: the tokens it used in all, or None if the upstream does not know it.
+        """
 
     async def load(self, upstream: UpstreamSpec) -> LoadReport:
         """Read the load report."""
