Join the fleet under fenced incarnations and judge absence by proof

A lease alone tells neither that a router stopped nor that it may go on. The lasting incarnation record decides: it changes by compare-and-swap only, a resumed router finds itself closed there, and a router that shows itself again makes a close that was prepared before fail.

--- a/packages/quinceferry-core/src/quinceferry_core/membership.py
+++ b/packages/quinceferry-core/src/quinceferry_core/membership.py
@@ -15,8 +15,9 @@
 
 
 class MemberState(Enum):
-    """Whether a member takes new requests."""
+    """Whether a member takes new requests; only one that is serving is named in answers."""
 
+    STARTING = "starting"
     SERVING = "serving"
     STOPPING = "stopping"
 
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
@@ -0,0 +1,97 @@
+"""This router's heartbeat record and the lease that it lives under."""
+
+from dataclasses import replace
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvStore
+from quinceferry_core.exceptions import FencedError, KvUnavailableError, LeaseLostError
+from quinceferry_core.membership import Member, member_key
+from quinceferryd.members import MemberView
+
+
+class Beat(Enum):
+    """What the renewal of the lease found."""
+
+    RENEWED = "renewed"
+    NO_ANSWER = "no_answer"
+    LEASE_LOST = "lease_lost"
+
+
+class OwnHeartbeat:
+    """Writes the heartbeat record when it changed, and renews its lease.
+
+    :param kv: the key-value service.
+    :param view: view of all members, which shows this router's own record at once.
+    :param ttl_seconds: lifetime of the lease without renewal.
+    """
+
+    def __init__(self, kv: KvStore, view: MemberView, ttl_seconds: float) -> None:
+        self._kv = kv
+        self._view = view
+        self._ttl_seconds = ttl_seconds
+        self._lease = ""
+        self._written: Member | None = None
+        self.member: Member | None = None
+        """The record as this router wants it; None before joining."""
+
+    def set(self, member: Member) -> None:
+        """Replace the wanted record; :meth:`write` publishes it."""
+        self.member = member
+        self._view.set_own(member)
+
+    def change(self, **changes: Any) -> None:
+        """Change fields of the wanted record; :meth:`write` publishes them."""
+        self.set(replace(self._required(), **changes))
+
+    async def renew(self) -> Beat:
+        """Renew the lease."""
+        if not self._lease:
+            return Beat.LEASE_LOST
+        try:
+            await self._kv.keep_alive(self._lease)
+        except LeaseLostError:
+            return Beat.LEASE_LOST
+        except KvUnavailableError:
+            return Beat.NO_ANSWER
+        return Beat.RENEWED
+
+    async def bind(self) -> None:
+        """Write the record under a new lease."""
+        self._lease = ""
+        lease = await self._kv.grant_lease(self._ttl_seconds)
+        await self._put(lease)
+        self._lease = lease
+
+    async def write(self) -> None:
+        """Write the record, unless it stands so already."""
+        if self._written != self.member:
+            await self._put(self._lease)
+
+    async def end(self) -> None:
+        """End the lease, and the record with it."""
+        if self._lease:
+            await self._kv.revoke_lease(self._lease)
+        self._lease = ""
+
+    def forget(self) -> None:
+        """Drop the record of an incarnation that was closed."""
+        self._view.clear_own()
+        self._lease = ""
+        self._written = None
+        self.member = None
+
+    async def _put(self, lease: str) -> None:
+        member = self._required()
+        key = member_key(member.incarnation)
+        entry = await self._kv.get(key)
+        version = entry.version if entry else ABSENT_VERSION
+        await self._kv.put_if(key, msgspec.json.encode(member), version, lease)
+        self._written = member
+
+    def _required(self) -> Member:
+        if self.member is None:
+            raise FencedError("not a member", step="heartbeat.write")
+        return self.member
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/incarnations.py
@@ -0,0 +1,136 @@
+"""This router's lasting incarnation record, changed by compare-and-swap alone."""
+
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.exceptions import FencedError, KvConflictError
+from quinceferry_core.membership import FENCING_KEY, IncarnationRecord, incarnation_key
+from quinceferry_core.models import IncarnationId
+from quinceferryd.blackboard import Identity
+
+
+class OwnIncarnation:
+    """Creates and updates the record of the running incarnation.
+
+    Every method may be repeated after a lost answer: a fencing number drawn in vain is skipped, and
+    a record with this router's number can only be its own.
+
+    :param kv: the key-value service.
+    """
+
+    def __init__(self, kv: KvStore) -> None:
+        self._kv = kv
+        self._version = ABSENT_VERSION
+        self.record: IncarnationRecord | None = None
+        """The record as last read or written; None before creation."""
+
+    async def create(self, identity: Identity, **fields: Any) -> IncarnationRecord:
+        """Draw a fencing number and write the record.
+
+        :param identity: VM, zone and address of this router.
+        :param fields: initial values of further fields.
+        :raises KvUnavailableError: no answer came; call again.
+        :raises KvConflictError: an earlier attempt was closed meanwhile; call again.
+        """
+        if self.record is None:
+            fencing = await self._draw_fencing()
+            self.record = _new_record(identity, fencing, fields)
+        key = incarnation_key(self.record.incarnation)
+        value = msgspec.json.encode(self.record)
+        try:
+            entry = await self._kv.put_if(key, value, ABSENT_VERSION)
+        except KvConflictError:
+            entry = await self._kv.get(key)
+            if entry is None or entry.value != value:
+                self.forget()
+                raise
+        self._version = entry.version
+        return self.record
+
+    async def update(self, **changes: Any) -> None:
+        """Change fields of the record; nothing is written when they hold already.
+
+        :param changes: new values by field name.
+        :raises FencedError: another router has closed the incarnation.
+        :raises KvUnavailableError: no answer came; the same call may be repeated.
+        """
+        while True:
+            wanted = replace(self._required(), **changes)
+            if wanted == self.record or await self._swap(wanted):
+                return
+
+    async def touch(self) -> None:
+        """Write the record unchanged, so that a close prepared before it fails.
+
+        :raises FencedError: the close came first.
+        """
+        while not await self._swap(self._required()):
+            continue
+
+    async def read(self) -> None:
+        """Read the record again.
+
+        :raises FencedError: it is closed or gone.
+        """
+        key = incarnation_key(self._required().incarnation)
+        entry = await self._kv.get(key)
+        stored = _decode(entry)
+        if entry is None or stored is None or stored.closed_by:
+            closer = stored.closed_by if stored else ""
+            raise FencedError("incarnation is closed", step="incarnation.read", peer=closer)
+        self.record = stored
+        self._version = entry.version
+
+    def forget(self) -> None:
+        """Drop the record, so that the next creation draws a new number."""
+        self.record = None
+        self._version = ABSENT_VERSION
+
+    async def _draw_fencing(self) -> int:
+        """Add one to the fleet's fencing counter and return it."""
+        while True:
+            entry = await self._kv.get(FENCING_KEY)
+            drawn = int(entry.value) + 1 if entry else 1
+            version = entry.version if entry else ABSENT_VERSION
+            try:
+                await self._kv.put_if(FENCING_KEY, str(drawn).encode(), version)
+            except KvConflictError:
+                continue
+            return drawn
+
+    async def _swap(self, wanted: IncarnationRecord) -> bool:
+        """Write the record; after a conflict read it again and return False."""
+        key = incarnation_key(wanted.incarnation)
+        try:
+            entry = await self._kv.put_if(key, msgspec.json.encode(wanted), self._version)
+        except KvConflictError:
+            await self.read()
+            return False
+        self.record = wanted
+        self._version = entry.version
+        return True
+
+    def _required(self) -> IncarnationRecord:
+        if self.record is None:
+            raise FencedError("not a member", step="incarnation.update")
+        return self.record
+
+
+def _new_record(identity: Identity, fencing: int, fields: dict[str, Any]) -> IncarnationRecord:
+    """Return the first record of an incarnation."""
+    return IncarnationRecord(
+        incarnation=IncarnationId(f"{identity.vm}-{fencing}"),
+        vm=identity.vm,
+        zone=identity.zone,
+        fencing=fencing,
+        address=identity.address,
+        **fields,
+    )
+
+
+def _decode(entry: KvEntry | None) -> IncarnationRecord | None:
+    """Read an incarnation record."""
+    return msgspec.json.decode(entry.value, type=IncarnationRecord) if entry else None
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -0,0 +1,251 @@
+"""Joins the fleet, keeps the lease alive and notices when this incarnation was closed.
+
+Safety never rests on the lease: it only tells others that this router is probably alive. What a
+router may still do is decided by its lasting incarnation record.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from quinceferry_core.adapters import KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import FencedError, KvError
+from quinceferry_core.membership import IncarnationRecord, Member, MemberState
+from quinceferry_core.models import IncarnationId
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.heartbeats import Beat, OwnHeartbeat
+from quinceferryd.incarnations import OwnIncarnation
+from quinceferryd.members import MemberView
+from quinceferryd.settings import MembershipSettings
+
+RETRY_SECONDS = 1.0
+"""Mean pause after a failed attempt to join."""
+
+_HEARTBEAT_JITTER = 0.1
+
+FencedHook = Callable[[IncarnationId], Awaitable[None]]
+"""Called with the fenced incarnation; returns when nothing more is done under its name."""
+JoinHook = Callable[[], Awaitable[None]]
+"""Called in a join, after the incarnation record is written and before requests are taken."""
+
+
+class MembershipController(TaskGroupController):
+    """Owns the identity, the lease and the two records of this router.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading the heartbeats of many routers.
+    :param settings: lease and heartbeat times.
+    :param on_fenced: called when this incarnation turns out to be closed; the controller joins
+        again under a new one when it returns.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: random.Random,
+        settings: MembershipSettings,
+        on_fenced: FencedHook | None = None,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self.view = MemberView(blackboard, kv, clock, settings.lease_ttl_seconds)
+        self._incarnation = OwnIncarnation(kv)
+        self._heartbeat = OwnHeartbeat(kv, self.view, settings.lease_ttl_seconds)
+        self._join_hooks: list[JoinHook] = []
+        self._is_listening = False
+        self._has_left = False
+        self.on_fenced = on_fenced
+        self.joins = 0
+        self.leases_lost = 0
+
+    @property
+    def record(self) -> IncarnationRecord | None:
+        """Return this router's incarnation record as last written; None before joining."""
+        return self._incarnation.record
+
+    @property
+    def member(self) -> Member | None:
+        """Return this router's heartbeat record; None before joining."""
+        return self._heartbeat.member
+
+    def add_join_hook(self, hook: JoinHook) -> None:
+        """Have every join run the hook before this router takes requests."""
+        self._join_hooks.append(hook)
+
+    async def start(self) -> None:
+        """Join in the background, retrying until the key-value service answers."""
+        self.spawn(self._run(), "membership")
+        self.spawn(self.view.run(), "members-watch")
+
+    def report_listening(self) -> None:
+        """Note that this process owns its listening address; recorded at the next heartbeat."""
+        self._is_listening = True
+
+    def report_fenced(self) -> None:
+        """Note that a write showed this incarnation to be closed; it is left within a heartbeat."""
+        self._blackboard.state = RouterState.FENCED
+
+    async def join(self) -> None:
+        """Become a member under a new incarnation; repeated calls continue where one failed.
+
+        :raises KvError: a step failed; call again.
+        :raises FencedError: another router closed the incarnation meanwhile.
+        """
+        record = await self._incarnation.create(
+            self._blackboard.identity,
+            listening=self._is_listening,
+            vm_listed=self._is_vm_listed(),
+        )
+        self._blackboard.identity.incarnation = record.incarnation
+        self._blackboard.identity.fencing = record.fencing
+        self._heartbeat.set(_new_member(record))
+        await self._heartbeat.bind()
+        for hook in self._join_hooks:
+            await hook()
+        self._heartbeat.change(state=MemberState.SERVING)
+        await self._heartbeat.write()
+        self._blackboard.state = RouterState.SERVING
+        self.joins += 1
+
+    async def update_record(self, **changes: Any) -> None:
+        """Change fields of the lasting incarnation record.
+
+        :param changes: new values by field name.
+        :raises FencedError: another router has closed the incarnation.
+        :raises KvUnavailableError: no answer came; the same call may be repeated.
+        """
+        try:
+            await self._incarnation.update(**changes)
+        except FencedError:
+            self.report_fenced()
+            raise
+
+    async def update_member(self, **changes: Any) -> None:
+        """Change fields of the heartbeat record; heartbeats repeat a write that failed.
+
+        :param changes: new values by field name.
+        """
+        if self.member is None:
+            return
+        self._heartbeat.change(**changes)
+        try:
+            await self._heartbeat.write()
+        except KvError:
+            return
+
+    async def leave(self) -> None:
+        """Record that this incarnation serves no more, and end the lease.
+
+        :raises KvUnavailableError: no answer came; call again.
+        """
+        self._has_left = True
+        if self.record is None:
+            return
+        try:
+            await self._incarnation.update(left=True)
+        except FencedError:
+            return
+        await self._heartbeat.end()
+
+    async def heartbeat(self) -> None:
+        """Renew the lease once; after its loss, find out whether this incarnation was closed.
+
+        :raises FencedError: it was.
+        :raises KvUnavailableError: a later step got no answer.
+        """
+        if self._blackboard.state is RouterState.FENCED:
+            raise FencedError("incarnation is closed", step="membership.heartbeat")
+        match await self._heartbeat.renew():
+            case Beat.LEASE_LOST:
+                self.leases_lost += 1
+                await self._take_new_lease()
+            case Beat.RENEWED:
+                await self._heartbeat.write()
+            case Beat.NO_ANSWER:
+                return
+        listed = self._is_vm_listed()
+        await self._incarnation.update(listening=self._is_listening, vm_listed=listed)
+
+    async def _run(self) -> None:
+        while not self._has_left:
+            try:
+                await self._join_until_done()
+                await self._beat_until_left()
+            except FencedError:
+                await self._abandon_incarnation()
+        await self._wait_for_stop()
+
+    async def _join_until_done(self) -> None:
+        while True:
+            try:
+                return await self.join()
+            except KvError:
+                await self._clock.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
+
+    async def _beat_until_left(self) -> None:
+        while not self._has_left:
+            spread = self._rng.uniform(1.0 - _HEARTBEAT_JITTER, 1.0 + _HEARTBEAT_JITTER)
+            await self._clock.sleep(self._settings.heartbeat_interval_seconds * spread)
+            await self._beat()
+
+    async def _beat(self) -> None:
+        if self._has_left:
+            return
+        try:
+            await self.heartbeat()
+        except KvError:
+            return
+
+    async def _wait_for_stop(self) -> None:
+        while True:
+            await self._clock.sleep(self._settings.lease_ttl_seconds)
+
+    async def _abandon_incarnation(self) -> None:
+        """Stop serving under the closed incarnation; unless stopping, join as a new one next."""
+        self._blackboard.state = RouterState.FENCED
+        if self.on_fenced is not None:
+            await self.on_fenced(self._blackboard.identity.incarnation)
+        if self.member is not None and self.member.state is MemberState.STOPPING:
+            self._has_left = True
+            return
+        self._heartbeat.forget()
+        self._incarnation.forget()
+        self._blackboard.identity.incarnation = IncarnationId("")
+        self._blackboard.state = RouterState.STARTING
+
+    async def _take_new_lease(self) -> None:
+        """Show this incarnation as alive again, unless it has been closed meanwhile.
+
+        The heartbeat record is written before the incarnation record is rewritten. A closer reads
+        the incarnation record first, then looks for the heartbeat record, then swaps: either it
+        finds the heartbeat, or its swap fails, or ours does.
+        """
+        await self._incarnation.read()
+        await self._heartbeat.bind()
+        await self._incarnation.touch()
+
+    def _is_vm_listed(self) -> bool:
+        """Tell whether this router's VM was seen in the VM list, now or before."""
+        was_listed = self.record is not None and self.record.vm_listed
+        return was_listed or self._blackboard.identity.vm in self._blackboard.vms_by_id
+
+
+def _new_member(record: IncarnationRecord) -> Member:
+    """Return the first heartbeat record of an incarnation."""
+    return Member(
+        incarnation=record.incarnation,
+        vm=record.vm,
+        zone=record.zone,
+        address=record.address,
+        fencing=record.fencing,
+        state=MemberState.STARTING,
+    )
