--- a/features/steps/kv_standin.py
+++ b/features/steps/kv_standin.py
@@ -11,9 +11,10 @@
     KvUnavailableError,
     LeaseLostError,
 )
+from quinceferry_core.kv_calls import KvCallKind
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
-from quinceferry_standins.kv_faults import KvCallKind, KvLimits
+from quinceferry_standins.kv_faults import KvLimits
 
 KEY = "budgets/choir"
 OLD = b"old"
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv.py
@@ -9,7 +9,8 @@
 from quinceferry_core.adapters import KvEntry, WatchBatch
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvUnavailableError
-from quinceferry_standins.kv_faults import CallFate, KvCallKind, KvFaults, KvLimits, call_kind
+from quinceferry_core.kv_calls import KvCallKind, call_kind
+from quinceferry_standins.kv_faults import CallFate, KvFaults, KvLimits
 from quinceferry_standins.kv_service import KvService
 from quinceferry_standins.kv_state import PEER
 
@@ -108,7 +109,7 @@
         await self._admit(call)
         await self._clock.sleep(self._draw_leg())
         batch = await self._wait_for_batch(prefix, cursor, deadline)
-        await self._answer(self._restart(call), CallFate.SERVED)
+        await self._answer(self._restart(call), CallFate.SERVED, self._draw_leg())
         return batch
 
     async def _wait_for_batch(self, prefix: str, cursor: int, deadline: float) -> WatchBatch:
@@ -143,7 +144,10 @@
         await self._admit(call)
         fate = self._draw_fate(call)
         request_leg = self._draw_leg()
-        if fate is not CallFate.REFUSED and request_leg > self.timeout_seconds:
+        answer_leg = self._draw_leg()
+        if fate is CallFate.SERVED and request_leg + answer_leg > self.timeout_seconds:
+            fate = CallFate.ANSWER_LOST
+        if fate is CallFate.ANSWER_LOST and request_leg > self.timeout_seconds:
             self._service.run_late(request_leg, operation)
             await self._time_out(call)
         await self._clock.sleep(min(request_leg, self.timeout_seconds))
@@ -155,7 +159,7 @@
             return operation()
         finally:
             # A lost answer hides the result and the error alike.
-            await self._answer(call, fate)
+            await self._answer(call, fate, answer_leg)
 
     async def _admit(self, call: _Call) -> None:
         if self._is_cut_off():
@@ -163,11 +167,8 @@
         if not self._service.admit(call.writes):
             raise call.unavailable("rate limit exceeded")
 
-    async def _answer(self, call: _Call, fate: CallFate) -> None:
-        answer_leg = self._draw_leg()
-        arrives_at = self._now() + answer_leg
-        is_late = arrives_at > call.started_at + self.timeout_seconds
-        if fate is CallFate.ANSWER_LOST or is_late:
+    async def _answer(self, call: _Call, fate: CallFate, answer_leg: float) -> None:
+        if fate is CallFate.ANSWER_LOST:
             await self._time_out(call)
         await self._clock.sleep(answer_leg)
         if self._is_cut_off():
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv_faults.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv_faults.py
@@ -1,4 +1,4 @@
-"""Faults, limits and call counts of the stand-in key-value service."""
+"""Faults and limits of the stand-in key-value service."""
 
 import random
 from dataclasses import dataclass
@@ -85,26 +85,3 @@
         if self.lose_probability > 0.0 and rng.random() < self.lose_probability:
             return CallFate.ANSWER_LOST
         return CallFate.SERVED
-
-
-@dataclass(slots=True, frozen=True)
-class KvCallKind:
-    """Key of the call counts: first path element of the key, or ``lease``, and the method."""
-
-    purpose: str
-    verb: str
-
-
-LEASE_PURPOSE = "lease"
-"""Purpose of calls that name a lease instead of a key."""
-
-
-def call_kind(verb: str, key: str) -> KvCallKind:
-    """Return the counting key of one call.
-
-    :param verb: method name, such as ``put_if``.
-    :param key: the key or prefix named by the call; empty for lease calls.
-    :return: the counting key.
-    """
-    purpose = key.partition("/")[0] or LEASE_PURPOSE
-    return KvCallKind(purpose, verb)
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv_service.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv_service.py
@@ -7,7 +7,8 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvError
-from quinceferry_standins.kv_faults import KvCallKind, KvFaults, KvLimits
+from quinceferry_core.kv_calls import KvCallKind
+from quinceferry_standins.kv_faults import KvFaults, KvLimits
 from quinceferry_standins.kv_state import KvState
 from quinceferry_standins.rates import TokenBucket
 
--- a/packages/quinceferry-standins/src/quinceferry_standins/weights.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/weights.py
@@ -37,11 +37,14 @@
         self._clock = clock
         self._bytes_per_second = bytes_per_second
         self._bytes_by_model = dict(bytes_by_model or {})
+        self._clients_by_name: dict[str, FakeWeightClient] = {}
         self._turn = asyncio.Lock()
 
     def connect(self, name: str) -> "FakeWeightClient":
-        """Return a new connection for one client, such as an engine."""
-        return FakeWeightClient(self, name)
+        """Return the connection of one client, such as an engine."""
+        if name not in self._clients_by_name:
+            self._clients_by_name[name] = FakeWeightClient(self, name)
+        return self._clients_by_name[name]
 
     def size_of(self, model: ModelRef) -> int:
         """Return the size of a model's weights in bytes."""
