Add the client library and the command line

Cause: operators and callers had no way to call the fleet. Change: an asyncio client that keeps the address answer for its ttl, repeats a request under one request id and the first ticket, honours Retry-After with jitter and splices repeated streams; an operator client that repeats a change under one operation id; a click command line over both. Limits are flat fields, so that an update changes only those it names.

--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/attempts.py
@@ -0,0 +1,145 @@
+"""Repeating one caller request safely: same request id, same ticket, another address."""
+
+import random
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import httpx
+
+from quinceferry.addresses import AddressAnswer, AddressBook, base_url
+from quinceferry.exceptions import (
+    AnswerBrokenError,
+    OutcomeUnknownError,
+    RefusedError,
+    RequestError,
+    RouterUnreachableError,
+)
+from quinceferry.retries import RetryPolicy
+from quinceferry_core.clocks import Clock
+
+REQUEST_ID_HEADER = "Idempotency-Key"
+TICKET_HEADER = "X-Quinceferry-Ticket"
+NON_IDEMPOTENT_HEADER = "X-Quinceferry-Non-Idempotent"
+PRIORITY_HEADER = "X-Quinceferry-Priority"
+
+
+@dataclass(slots=True, frozen=True)
+class CallerCall:
+    """One request as it is sent, whatever the attempt."""
+
+    method: str
+    path: str
+    content: bytes
+    request_id: str = field(default_factory=lambda: uuid.uuid4().hex)
+    idempotent: bool = True
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class Attempts:
+    """Decides where each attempt of one call goes and whether another may follow.
+
+    The ticket of the first attempt stays with the request: a later one might name another home,
+    which would know nothing of the earlier attempts.
+
+    :param call: the call.
+    :param book: address answers.
+    :param policy: number of attempts and delays.
+    :param clock: waits between attempts.
+    :param generator: source of jitter.
+    """
+
+    def __init__(
+        self,
+        call: CallerCall,
+        book: AddressBook,
+        policy: RetryPolicy,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self._call = call
+        self._book = book
+        self._policy = policy
+        self._clock = clock
+        self._generator = generator
+        self._ticket: str | None = None
+        self._may_have_begun = False
+        self.made = 0
+
+    async def next_request(self, http: httpx.AsyncClient) -> httpx.Request:
+        """Build the next attempt."""
+        answer = await self._addresses()
+        if self._ticket is None:
+            self._ticket = answer.ticket
+        address = answer.addresses[self.made % len(answer.addresses)]
+        self.made += 1
+        return http.build_request(
+            self._call.method,
+            f"{base_url(address)}{self._call.path}",
+            content=self._call.content,
+            headers=self._headers(),
+        )
+
+    async def after(self, error: RequestError) -> None:
+        """Wait before another attempt, or raise when none may follow.
+
+        :param error: how the last attempt failed.
+        """
+        if isinstance(error, RouterUnreachableError | AnswerBrokenError):
+            self._book.forget()
+        self._may_have_begun |= _may_have_begun(error)
+        retry_after = _retry_after_seconds(error)
+        if retry_after is None or self.made >= self._policy.max_attempts:
+            raise self._final(error)
+        delay = self._policy.delay_seconds(self.made, retry_after, self._generator)
+        await self._clock.sleep(delay)
+
+    async def _addresses(self) -> AddressAnswer:
+        """Read the addresses; routers that can't be reached are asked again."""
+        while True:
+            try:
+                answer = await self._book.read()
+            except (RouterUnreachableError, RefusedError) as error:
+                self.made += 1
+                await self.after(error)
+                continue
+            if answer.addresses:
+                return answer
+            self._book.forget()
+            self.made += 1
+            await self.after(RouterUnreachableError("no router takes requests", step="address"))
+
+    def _headers(self) -> dict[str, str]:
+        """Return the headers of every attempt."""
+        headers = {REQUEST_ID_HEADER: self._call.request_id, **self._call.headers}
+        headers[NON_IDEMPOTENT_HEADER] = "false" if self._call.idempotent else "true"
+        if self._ticket:
+            headers[TICKET_HEADER] = self._ticket
+        return headers
+
+    def _final(self, error: RequestError) -> RequestError:
+        """Return what the caller is told; silence after a send never becomes "not run"."""
+        if isinstance(error, RefusedError) or self._call.idempotent or not self._may_have_begun:
+            return error
+        return OutcomeUnknownError(
+            error.detail,
+            reason="no_answer",
+            outcome="unknown",
+            request=error.request,
+            response=error.response,
+            step=error.step,
+        )
+
+
+def _may_have_begun(error: RequestError) -> bool:
+    """Tell whether an upstream may have begun the request in a failed attempt."""
+    if isinstance(error, RefusedError):
+        return error.outcome != "not_run"
+    return not isinstance(error.__cause__, httpx.ConnectError | httpx.ConnectTimeout)
+
+
+def _retry_after_seconds(error: RequestError) -> float | None:
+    """Return the least delay before another attempt, or None when none may follow."""
+    if isinstance(error, RefusedError):
+        return error.retry_after_seconds or None
+    return 0.0
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/client.py
@@ -0,0 +1,269 @@
+"""Client of the callers' interface."""
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from types import TracebackType
+from typing import Any, Self
+
+import httpx
+import msgspec
+
+from quinceferry.addresses import AddressAnswer, AddressBook
+from quinceferry.attempts import PRIORITY_HEADER, Attempts, CallerCall
+from quinceferry.events import Piece, Splice, Usage, read_piece, read_pieces
+from quinceferry.exceptions import AnswerBrokenError, RequestError, RouterUnreachableError
+from quinceferry.refusals import is_refusal, read_refusal
+from quinceferry.retries import RetryPolicy
+from quinceferry_core.clocks import Clock, SystemClock
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+SERVICE_PATH = "/services"
+CONNECT_TIMEOUT_SECONDS = 3.0
+READ_TIMEOUT_SECONDS = 120.0
+"""Longest silence of a router before an attempt counts as failed."""
+MAX_CONNECTIONS = 512
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of a model."""
+
+    request_id: str
+    text: str
+    finish_reason: str = ""
+    usage: Usage | None = None
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """A whole answer of a plain service."""
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Client:
+    """Sends the requests of one workspace.
+
+    Failed attempts are repeated at another router under the same request id and ticket, so a
+    request is run and billed once however often it is sent.
+
+    :param routers: base URLs of some routers of the fleet.
+    :param key: the workspace's key.
+    :param zone: availability zone of this caller, or empty.
+    """
+
+    def __init__(
+        self,
+        routers: Sequence[str],
+        key: str,
+        *,
+        zone: str = "",
+        policy: RetryPolicy | None = None,
+        clock: Clock | None = None,
+        generator: random.Random | None = None,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        self._policy = policy or RetryPolicy()
+        self._clock = clock or SystemClock()
+        self._generator = generator or random.Random()
+        self._http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=httpx.Timeout(READ_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS),
+            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
+            transport=transport,
+            trust_env=False,
+        )
+        self._book = AddressBook(self._http, routers, self._clock, self._generator, zone)
+
+    async def __aenter__(self) -> Self:
+        """Return the client itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connections."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def addresses(self) -> AddressAnswer:
+        """Return which addresses to use; cached for as long as the answer holds."""
+        return await self._book.read()
+
+    async def ask(self, model: str, prompt: str, **options: Any) -> Answer:
+        """Ask a model and return its whole answer.
+
+        :param model: ``model[:adapter][@version]``.
+        :param prompt: what the model reads, as the only message of a chat.
+        :param options: as for :func:`model_call`.
+        :raises RefusedError: the fleet refused the request.
+        :raises RouterUnreachableError: no router answered.
+        """
+        call = model_call(model, prompt, stream=False, **options)
+        response = await self._send(call)
+        try:
+            piece = read_piece(response.content)
+        except msgspec.DecodeError as error:
+            detail = f"unreadable answer: {error}"
+            raise AnswerBrokenError(
+                detail, request=response.request, response=response, step="ask"
+            ) from error
+        return Answer(call.request_id, piece.text, piece.finish_reason, piece.usage)
+
+    async def stream(self, model: str, prompt: str, **options: Any) -> AsyncIterator[Piece]:
+        """Ask a model and return the pieces of its answer as they come.
+
+        When an attempt breaks off, the next one begins anew and the text already returned is left
+        out. Parameters and errors are those of :meth:`ask`.
+
+        :raises AnswerBrokenError: a repeated answer does not begin with the text returned before.
+        """
+        call = model_call(model, prompt, stream=True, **options)
+        attempts = self._attempts(call)
+        splice = Splice()
+        while True:
+            splice.begin()
+            try:
+                async for piece in self._pieces(attempts):
+                    fresh = splice.take(piece)
+                    if fresh is None:
+                        break
+                    yield fresh
+                else:
+                    return
+            except RequestError as error:
+                await attempts.after(error)
+                continue
+            raise AnswerBrokenError("a repeated answer differs from its first part", step="stream")
+
+    async def call_service(
+        self,
+        service: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        method: str = "POST",
+        content_type: str = "application/json",
+        idempotent: bool = False,
+        request_id: str = "",
+    ) -> ServiceAnswer:
+        """Call a plain service through the fleet.
+
+        :param service: its name.
+        :param path: path below the service's root, beginning with a slash.
+        :param idempotent: whether the call may run more than once.
+        :return: the service's own answer, whatever its status.
+        :raises OutcomeUnknownError: a non-idempotent call may or may not have run.
+        """
+        named = {"request_id": request_id} if request_id else {}
+        call = CallerCall(
+            method,
+            f"{SERVICE_PATH}/{service}{path}",
+            body,
+            idempotent=idempotent,
+            headers={"Content-Type": content_type},
+            **named,
+        )
+        response = await self._send(call)
+        kind = response.headers.get("content-type", "")
+        return ServiceAnswer(call.request_id, response.status_code, kind, response.content)
+
+    async def _send(self, call: CallerCall) -> httpx.Response:
+        """Send a call until it has a whole answer."""
+        attempts = self._attempts(call)
+        while True:
+            request = await attempts.next_request(self._http)
+            try:
+                return await self._send_once(request)
+            except RequestError as error:
+                await attempts.after(error)
+
+    async def _send_once(self, request: httpx.Request) -> httpx.Response:
+        """Send one attempt."""
+        try:
+            response = await self._http.send(request)
+        except httpx.TransportError as error:
+            raise _no_answer(request, error) from error
+        if is_refusal(response):
+            raise read_refusal(response, response.content, step="send")
+        return response
+
+    async def _pieces(self, attempts: Attempts) -> AsyncIterator[Piece]:
+        """Send one attempt and return the pieces of its answer."""
+        request = await attempts.next_request(self._http)
+        try:
+            response = await self._http.send(request, stream=True)
+        except httpx.TransportError as error:
+            raise _no_answer(request, error) from error
+        try:
+            if response.is_error:
+                raise read_refusal(response, await response.aread(), step="stream")
+            async for piece in read_pieces(response):
+                yield piece
+        except httpx.TransportError as error:
+            raise AnswerBrokenError(
+                f"the stream broke: {type(error).__name__} {error}",
+                request=request,
+                response=response,
+                step="stream",
+            ) from error
+        finally:
+            await response.aclose()
+
+    def _attempts(self, call: CallerCall) -> Attempts:
+        """Return the attempts of a new call."""
+        return Attempts(call, self._book, self._policy, self._clock, self._generator)
+
+
+def model_call(
+    model: str,
+    prompt: str,
+    *,
+    stream: bool,
+    max_tokens: int | None = None,
+    chat: bool = True,
+    idempotent: bool = True,
+    priority: str = "",
+    request_id: str = "",
+    extra: dict[str, Any] | None = None,
+) -> CallerCall:
+    """Return the call that asks a model.
+
+    :param stream: whether the answer comes in pieces.
+    :param max_tokens: greatest number of output tokens; the model's default if absent.
+    :param chat: whether to ask as a chat or as a text completion.
+    :param idempotent: whether the request may run more than once.
+    :param priority: ``high``, ``normal`` or ``low``; the workspace's own if empty.
+    :param request_id: name of the request; a new one if empty.
+    :param extra: further fields of the body.
+    """
+    document: dict[str, Any] = {"model": model, "stream": stream, **(extra or {})}
+    if chat:
+        document["messages"] = [{"role": "user", "content": prompt}]
+    else:
+        document["prompt"] = prompt
+    if max_tokens is not None:
+        document["max_tokens"] = max_tokens
+    if stream:
+        document["stream_options"] = {"include_usage": True}
+    headers = {"Content-Type": "application/json"}
+    if priority:
+        headers[PRIORITY_HEADER] = priority
+    named = {"request_id": request_id} if request_id else {}
+    path = CHAT_PATH if chat else COMPLETION_PATH
+    content = msgspec.json.encode(document)
+    return CallerCall("POST", path, content, idempotent=idempotent, headers=headers, **named)
+
+
+def _no_answer(request: httpx.Request, error: httpx.TransportError) -> RouterUnreachableError:
+    """Return the error of an attempt without an answer."""
+    detail = f"no answer: {type(error).__name__} {error}"
+    return RouterUnreachableError(detail, request=request, step="send")
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/configuration.py
@@ -0,0 +1,74 @@
+"""Configuration of the command line, from flags, environment and a TOML file, in that order."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+
+DEFAULT_PATH = Path.home() / ".config" / "quinceferry" / "client.toml"
+"""Read when no other file is named, if it exists."""
+
+_KEYS = frozenset({"routers", "operator_key", "workspace_key", "zone"})
+
+
+@dataclass(slots=True, frozen=True)
+class ClientConfiguration:
+    """Where the fleet is and which keys to show it."""
+
+    routers: tuple[str, ...]
+    operator_key: str = ""
+    workspace_key: str = ""
+    zone: str = ""
+
+    def require_routers(self) -> tuple[str, ...]:
+        """Return the routers, or end the command."""
+        if not self.routers:
+            raise click.UsageError("name a router: --router, QUINCEFERRY_ROUTERS or the file")
+        return self.routers
+
+    def require_operator_key(self) -> str:
+        """Return the operators' key, or end the command."""
+        if not self.operator_key:
+            raise click.UsageError("give the operators' key: QUINCEFERRY_OPERATOR_KEY or the file")
+        return self.operator_key
+
+    def require_workspace_key(self) -> str:
+        """Return the workspace's key, or end the command."""
+        if not self.workspace_key:
+            raise click.UsageError("give a workspace key: QUINCEFERRY_WORKSPACE_KEY or the file")
+        return self.workspace_key
+
+
+def read_file(path: Path | None) -> dict[str, Any]:
+    """Read the configuration file.
+
+    :param path: the file, or None for the default one, which may be absent.
+    :return: its keys.
+    :raises click.UsageError: it can't be read or holds unknown or ill-typed keys.
+    """
+    if path is None and not DEFAULT_PATH.exists():
+        return {}
+    source = path or DEFAULT_PATH
+    try:
+        table = tomllib.loads(source.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise click.UsageError(f"{source}: {error}") from error
+    faults = [f"{source}: {key}: {reason}" for key, reason in _faults(table)]
+    if faults:
+        raise click.UsageError("\n".join(faults))
+    return table
+
+
+def _faults(table: dict[str, Any]) -> list[tuple[str, str]]:
+    """Return all faults of a file, each with its key."""
+    faults = [(key, "unknown key") for key in table if key not in _KEYS]
+    for key in sorted(_KEYS & table.keys()):
+        value = table[key]
+        if key == "routers":
+            if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+                faults.append((key, "must be a list of texts"))
+        elif not isinstance(value, str):
+            faults.append((key, "must be a text"))
+    return faults
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/drains.py
@@ -0,0 +1,73 @@
+"""Following a router's graceful stop."""
+
+from collections.abc import Callable
+from typing import Any
+
+from quinceferry.exceptions import ChangePendingError, OperatorCallError, RouterUnreachableError
+from quinceferry.operators import OperatorClient
+from quinceferry_core.operator_messages import (
+    Drain,
+    DrainReply,
+    GetStatus,
+    ListRouters,
+    ListRoutersReply,
+    RouterReply,
+)
+
+POLL_SECONDS = 1.0
+"""Time between two looks at the router."""
+LEFT = "left"
+"""State of a router that has left the fleet."""
+
+
+async def follow_drain(
+    client: OperatorClient,
+    router: str,
+    options: dict[str, Any],
+    show: Callable[[str], None],
+    timeout_seconds: float,
+) -> DrainReply:
+    """Drain a router and show its progress.
+
+    :param router: its incarnation or VM.
+    :param options: operation id and expected revision, if given.
+    :param show: receives one line for each change of state.
+    :param timeout_seconds: longest wait for its end; zero does not wait.
+    :return: the last known state.
+    :raises ChangePendingError: the router has not left in time.
+    """
+    target = _find(await client.call(ListRouters()), router)
+    incarnation = target.router if target else router
+    reply: DrainReply = await client.change(Drain, router=incarnation, **options)
+    if not timeout_seconds:
+        return reply
+    waited = 0.0
+    shown = ""
+    while waited < timeout_seconds:
+        target = _find(await client.call(ListRouters()), incarnation)
+        if target is None:
+            return DrainReply(operation_id=reply.operation_id, router=incarnation, state=LEFT)
+        line = await _progress(client, target)
+        if line != shown:
+            show(line)
+            shown = line
+        await client.pause(POLL_SECONDS)
+        waited += POLL_SECONDS
+    raise ChangePendingError(f"{incarnation} has not left yet", (incarnation,))
+
+
+def _find(listed: ListRoutersReply, name: str) -> RouterReply | None:
+    """Return the router of an incarnation or VM name."""
+    for router in listed.routers:
+        if name in (router.router, router.vm):
+            return router
+    return None
+
+
+async def _progress(client: OperatorClient, target: RouterReply) -> str:
+    """Describe how far a router's stop has come, by its own word if it still answers."""
+    try:
+        status = await client.call(GetStatus(), router=target.address)
+    except (OperatorCallError, RouterUnreachableError):
+        return f"{target.router}: {target.state}"
+    return f"{status.router}: {status.state}, {status.open_requests} requests open"
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/events.py
@@ -0,0 +1,132 @@
+"""Reading a streamed answer: server-sent events of an OpenAI-style completion."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+import msgspec
+
+from quinceferry.exceptions import AnswerBrokenError
+from quinceferry.refusals import read_refusal
+
+DONE = "[DONE]"
+"""Data of the event that ends a whole answer."""
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Tokens of one answer."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+    @property
+    def total_tokens(self) -> int:
+        """Return prompt and output tokens together."""
+        return self.prompt_tokens + self.completion_tokens
+
+
+class Piece(msgspec.Struct, frozen=True):
+    """A piece of an answer's text, or its end."""
+
+    text: str = ""
+    finish_reason: str = ""
+    usage: Usage | None = None
+
+
+class Splice:
+    """Joins the pieces of repeated answers to one request, so that no text is returned twice."""
+
+    __slots__ = ("_position", "_returned")
+
+    def __init__(self) -> None:
+        self._returned = ""
+        self._position = 0
+
+    def begin(self) -> None:
+        """Expect an answer from its beginning."""
+        self._position = 0
+
+    def take(self, piece: Piece) -> Piece | None:
+        """Return what of a piece is new, or None when it differs from what was returned before.
+
+        A piece without new text is returned for its finish reason and usage.
+        """
+        known = self._returned[self._position : self._position + len(piece.text)]
+        if not piece.text.startswith(known):
+            return None
+        fresh = piece.text[len(known) :]
+        self._position += len(piece.text)
+        self._returned += fresh
+        return Piece(fresh, piece.finish_reason, piece.usage)
+
+
+class _Message(msgspec.Struct):
+    """Text of a chat, whole or in pieces."""
+
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    """The single choice of an answer or event."""
+
+    text: str | None = None
+    delta: _Message | None = None
+    message: _Message | None = None
+    finish_reason: str | None = None
+
+
+class _Document(msgspec.Struct):
+    """A whole answer, or the data of one event."""
+
+    choices: list[_Choice] = []
+    usage: Usage | None = None
+
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def read_piece(document: bytes | str) -> Piece:
+    """Read a whole answer or the data of one event.
+
+    :raises msgspec.DecodeError: it is malformed.
+    """
+    body = _decoder.decode(document)
+    if not body.choices:
+        return Piece(usage=body.usage)
+    choice = body.choices[0]
+    message = choice.delta or choice.message or _Message()
+    return Piece(choice.text or message.content or "", choice.finish_reason or "", body.usage)
+
+
+async def read_pieces(response: httpx.Response) -> AsyncIterator[Piece]:
+    """Read the pieces of a streamed answer.
+
+    :raises RefusedError: the router ended the stream with an error.
+    :raises AnswerBrokenError: the stream ended without its last event, or is malformed.
+    """
+    event = ""
+    async for line in response.aiter_lines():
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        match field:
+            case "event":
+                event = value
+            case "data" if event == "error":
+                raise read_refusal(response, value.encode(), step="stream")
+            case "data" if value == DONE:
+                return
+            case "data":
+                yield _read_event(response, value)
+    raise _broken(response, "the stream ended early")
+
+
+def _read_event(response: httpx.Response, data: str) -> Piece:
+    """Read the data of one event."""
+    try:
+        return read_piece(data)
+    except msgspec.DecodeError as error:
+        raise _broken(response, f"malformed event: {error}") from error
+
+
+def _broken(response: httpx.Response, detail: str) -> AnswerBrokenError:
+    """Return the error of a stream that can't be read on."""
+    return AnswerBrokenError(detail, request=response.request, response=response, step="stream")
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/operators.py
@@ -0,0 +1,194 @@
+"""Client of the operator API."""
+
+import random
+import secrets
+import time
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Any, Self
+
+import httpx
+import msgspec
+
+from quinceferry.addresses import base_url
+from quinceferry.exceptions import (
+    AnswerBrokenError,
+    ChangePendingError,
+    OperatorCallError,
+    RevisionConflictError,
+    RouterUnreachableError,
+)
+from quinceferry.retries import RetryPolicy
+from quinceferry_core.clocks import Clock, SystemClock
+from quinceferry_core.operator_messages import (
+    OPERATOR_PATH,
+    REPLIES_BY_MESSAGE,
+    Change,
+    ChangeReply,
+    GetChange,
+    GetStatus,
+    Message,
+    OperatorFailure,
+)
+
+OPERATOR_TIMEOUT_SECONDS = 15.0
+"""Time allowed for one attempt of a call."""
+CHANGE_POLL_SECONDS = 0.2
+"""Time between two looks at a change that is not accepted yet."""
+REVISION_CONFLICT = "revision_conflict"
+"""Code of a failure whose expected revision was not the current one."""
+
+
+class OperatorClient:
+    """Calls the operator API at any router that answers.
+
+    Every attempt of a call carries the same message, thus the same operation id, so a change whose
+    answer was lost is not made twice.
+
+    :param routers: base URLs of routers, such as ``http://10.0.0.1:7700``.
+    :param key: the operators' bearer key.
+    """
+
+    def __init__(
+        self,
+        routers: Sequence[str],
+        key: str,
+        *,
+        policy: RetryPolicy | None = None,
+        clock: Clock | None = None,
+        generator: random.Random | None = None,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        self._routers = [base_url(router) for router in routers]
+        self._policy = policy or RetryPolicy()
+        self._clock = clock or SystemClock()
+        self._generator = generator or random.Random()
+        self._http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
+            timeout=OPERATOR_TIMEOUT_SECONDS,
+            transport=transport,
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Return the client itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connections."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def call(self, message: Message, *, router: str = "") -> Any:
+        """Make one call and return its typed answer.
+
+        :param message: the call.
+        :param router: the only router to ask; empty for any.
+        :return: the answer, of the type that ``REPLIES_BY_MESSAGE`` names.
+        :raises OperatorCallError: the call was refused, and a retry would not help.
+        :raises RouterUnreachableError: no router answered.
+        """
+        routers = [base_url(router)] if router else self._routers
+        attempt = 0
+        while True:
+            address = routers[attempt % len(routers)]
+            attempt += 1
+            try:
+                return await self._attempt(address, message)
+            except (OperatorCallError, RouterUnreachableError) as error:
+                retry_after = _retry_after_seconds(error)
+                if retry_after is None or attempt >= self._policy.max_attempts:
+                    raise
+            delay = self._policy.delay_seconds(attempt, retry_after, self._generator)
+            await self._clock.sleep(delay)
+
+    async def change(self, kind: type[Change], **fields: Any) -> Any:
+        """Make a change at the current revision, under a new operation id.
+
+        :param kind: type of the change.
+        :param fields: its fields; ``operation_id`` and ``expected_revision`` may be given.
+        :return: the answer to the change.
+        """
+        fields.setdefault("operation_id", new_operation_id())
+        if "expected_revision" not in fields:
+            fields["expected_revision"] = await self.revision()
+        return await self.call(kind(**fields))
+
+    async def revision(self) -> int:
+        """Return the revision that the answering router applies."""
+        status = await self.call(GetStatus())
+        return status.revision
+
+    async def wait_accepted(self, change: ChangeReply, timeout_seconds: float) -> ChangeReply:
+        """Wait until a change is in force everywhere.
+
+        :param change: the answer to the change.
+        :param timeout_seconds: longest wait.
+        :raises ChangePendingError: some routers have not applied it yet.
+        """
+        deadline = self._clock.monotonic() + timeout_seconds
+        while change.state != "accepted":
+            if self._clock.monotonic() >= deadline:
+                awaited = tuple(change.awaited_routers)
+                raise ChangePendingError(f"not in force yet at {', '.join(awaited)}", awaited)
+            await self._clock.sleep(CHANGE_POLL_SECONDS)
+            change = await self.call(GetChange(operation_id=change.operation_id))
+        return change
+
+    async def pause(self, seconds: float) -> None:
+        """Wait on the client's clock."""
+        await self._clock.sleep(seconds)
+
+    async def _attempt(self, address: str, message: Message) -> Any:
+        """Send a call to one router."""
+        url = f"{address}{OPERATOR_PATH}/{type(message).__name__}"
+        try:
+            response = await self._http.post(url, content=msgspec.json.encode(message))
+        except httpx.TransportError as error:
+            detail = f"no answer: {type(error).__name__} {error}"
+            request = httpx.Request("POST", url)
+            raise RouterUnreachableError(detail, request=request, step="operator.call") from error
+        if response.is_success:
+            return _decode(response, REPLIES_BY_MESSAGE[type(message)])
+        failure = _read_failure(response)
+        kind = RevisionConflictError if failure.code == REVISION_CONFLICT else OperatorCallError
+        raise kind(failure, request=response.request, response=response)
+
+
+def new_operation_id() -> str:
+    """Return an operation id that sorts by time and is never used again."""
+    return f"op-{int(time.time()):010d}-{secrets.token_hex(6)}"
+
+
+def _decode(response: httpx.Response, kind: type[msgspec.Struct]) -> msgspec.Struct:
+    """Read a typed answer."""
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.DecodeError as error:
+        detail = f"unreadable answer: {error}"
+        raise AnswerBrokenError(
+            detail, request=response.request, response=response, step="operator.decode"
+        ) from error
+
+
+def _read_failure(response: httpx.Response) -> OperatorFailure:
+    """Read why a call failed; a body that is not ours is kept as detail."""
+    try:
+        return msgspec.json.decode(response.content, type=OperatorFailure)
+    except msgspec.DecodeError:
+        return OperatorFailure(code=f"http_{response.status_code}", detail=response.text[:200])
+
+
+def _retry_after_seconds(error: OperatorCallError | RouterUnreachableError) -> float | None:
+    """Return how long to wait at least before a retry, or None when none can help."""
+    if isinstance(error, RouterUnreachableError):
+        return 0.0
+    return error.failure.retry_after_seconds or None
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/refusals.py
@@ -0,0 +1,77 @@
+"""Reading why a router refused a request or broke off its answer."""
+
+import httpx
+import msgspec
+
+from quinceferry.exceptions import OutcomeUnknownError, RefusedError
+
+OUTCOME_UNKNOWN = "unknown"
+GATEWAY_STATUSES = frozenset({502, 503, 504})
+"""Statuses that are worth a retry even when their body is not a router's."""
+FOREIGN_RETRY_SECONDS = 0.5
+"""Delay before such a retry."""
+
+
+REFUSAL_HEADER = "x-should-retry"
+"""Header of every error that comes from a router and not from a plain service behind it."""
+
+
+class _ErrorBody(msgspec.Struct):
+    """What a router says of a refusal."""
+
+    message: str = ""
+    reason: str = ""
+    outcome: str = ""
+    retry_after_seconds: float = 0.0
+    step: str = ""
+
+
+class _ErrorDocument(msgspec.Struct):
+    """Body of an error response, or data of an error event."""
+
+    error: _ErrorBody
+
+
+def is_refusal(response: httpx.Response) -> bool:
+    """Tell a router's error from an error that a plain service answered with."""
+    return response.is_error and REFUSAL_HEADER in response.headers
+
+
+def read_refusal(response: httpx.Response, document: bytes, *, step: str) -> RefusedError:
+    """Return the error that a router's document stands for.
+
+    :param response: the response that carried it.
+    :param document: the body, or the data of an error event in a stream.
+    :param step: what the client was doing.
+    """
+    try:
+        body = msgspec.json.decode(document, type=_ErrorDocument).error
+    except msgspec.DecodeError:
+        body = _foreign_body(response, document)
+    kind = OutcomeUnknownError if body.outcome == OUTCOME_UNKNOWN else RefusedError
+    return kind(
+        body.message,
+        reason=body.reason,
+        outcome=body.outcome,
+        retry_after_seconds=max(body.retry_after_seconds, _retry_after_header(response)),
+        request=response.request,
+        response=response,
+        step=body.step or step,
+    )
+
+
+def _foreign_body(response: httpx.Response, document: bytes) -> _ErrorBody:
+    """Describe an error whose body is not a router's; nothing is known of its outcome."""
+    retry = FOREIGN_RETRY_SECONDS if response.status_code in GATEWAY_STATUSES else 0.0
+    return _ErrorBody(
+        message=document[:200].decode(errors="replace"),
+        reason=f"http_{response.status_code}",
+        outcome=OUTCOME_UNKNOWN,
+        retry_after_seconds=retry,
+    )
+
+
+def _retry_after_header(response: httpx.Response) -> float:
+    """Return the seconds of a ``Retry-After`` header; zero when it is absent or a date."""
+    text = response.headers.get("retry-after", "")
+    return float(text) if text.isdigit() else 0.0
--- a/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
+++ b/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
@@ -34,7 +34,8 @@
         description="Hexadecimal SHA-256 digest of a workspace key; the key itself is never sent.",
     ),
 ]
-TokenCount = Annotated[int, Meta(ge=0, description="Number of tokens.")]
+Rate = Annotated[float, Meta(ge=0)]
+StreamCount = Annotated[int, Meta(ge=0)]
 PriorityName = Literal["high", "normal", "low"]
 ChangeState = Literal["proposed", "accepted"]
 
@@ -50,23 +51,20 @@
     expected_revision: Revision
 
 
-class WorkspaceLimits(Message, frozen=True, kw_only=True):
-    """Limits of a workspace over the whole fleet; zero means unlimited."""
-
-    requests_per_second: Annotated[float, Meta(ge=0)] = 0.0
-    tokens_per_second: Annotated[float, Meta(ge=0)] = 0.0
-    concurrent_streams: Annotated[int, Meta(ge=0)] = 0
-
-
 class CreateWorkspace(Change, frozen=True, kw_only=True):
-    """Create a workspace; its budget is empty until a top-up."""
+    """Create a workspace; its budget is empty until a top-up.
+
+    Limits hold over the whole fleet; zero means unlimited.
+    """
 
     workspace: Name
     key_hash: KeyHash
     models: list[ModelName] = []
     services: list[Name] = []
     priority: PriorityName = "normal"
-    limits: WorkspaceLimits = WorkspaceLimits()
+    requests_per_second: Rate = 0.0
+    tokens_per_second: Rate = 0.0
+    concurrent_streams: StreamCount = 0
 
 
 class UpdateWorkspace(Change, frozen=True, kw_only=True):
@@ -76,7 +74,9 @@
     models: list[ModelName] | None = None
     services: list[Name] | None = None
     priority: PriorityName | None = None
-    limits: WorkspaceLimits | None = None
+    requests_per_second: Rate | None = None
+    tokens_per_second: Rate | None = None
+    concurrent_streams: StreamCount | None = None
 
 
 class RotateWorkspaceKey(Change, frozen=True, kw_only=True):
@@ -176,20 +176,29 @@
 class BalanceReply(Struct, frozen=True, kw_only=True):
     """Budget of a workspace, in tokens.
 
-    ``outstanding`` tokens are held by routers and not yet billed.
+    ``granted`` = ``settled`` + ``withheld`` + ``held_by_routers`` + ``free``. Routers spend from
+    what they hold. Withheld tokens count as spent until it is proven what became of them.
     """
 
     workspace: str
     granted: int
-    spent: int
-    outstanding: int
+    settled: int
+    withheld: int
+    held_by_routers: int
+    free: int
 
 
 class BillReply(Struct, frozen=True, kw_only=True):
-    """Bill of one request; ``tokens`` counts prompt and output together."""
+    """Bill of one request; ``tokens`` counts prompt and output together.
+
+    ``estimated`` when no upstream could tell the use, ``partial`` when the answer was cut.
+    """
 
     request_id: str
     tokens: int
+    paid_by: str
+    estimated: bool = False
+    partial: bool = False
 
 
 class ListBillsReply(Struct, frozen=True, kw_only=True):
