--- a/packages/quinceferry-core/src/quinceferry_core/membership.py
+++ b/packages/quinceferry-core/src/quinceferry_core/membership.py
@@ -27,7 +27,9 @@
     """Heartbeat record of a live incarnation, stored under its lease.
 
     ``leaving_upstreams`` are those that this router saw leave; ``limit_claims`` are its parts of
-    the workspaces' limits.
+    the workspaces' limits. ``applied_revision`` is that at the last write; the confirmed one stands
+    in the incarnation record. ``stop_step`` names the step of a graceful stop in progress, and
+    ``open_streams`` counts the requests in progress when the record was written.
     """
 
     incarnation: IncarnationId
@@ -39,11 +41,8 @@
     applied_revision: int = 0
     leaving_upstreams: tuple[UpstreamId, ...] = ()
     limit_claims: tuple[LimitClaim, ...] = ()
-    """Revision at the last write; the confirmed one stands in the incarnation record."""
     stop_step: str = ""
-    """Step of a graceful stop in progress."""
     open_streams: int = 0
-    """Requests in progress when the record was last written during a stop."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,8 +66,6 @@
     closed_by: IncarnationId = IncarnationId("")
     address: str = ""
     applied_revision: int = 0
-    leaving_upstreams: tuple[UpstreamId, ...] = ()
-    limit_claims: tuple[LimitClaim, ...] = ()
     listening: bool = False
     vm_listed: bool = False
     left: bool = False
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -53,6 +53,7 @@
         if self._own is not None:
             self._blackboard.members_by_incarnation.pop(self._own.incarnation, None)
         self._own = None
+        self._blackboard.limit_claims_read = None
 
     async def run(self) -> None:
         """Follow the records until cancelled."""
@@ -96,8 +97,10 @@
             return
         member = msgspec.json.decode(entry.value, type=Member)
         self._missing.discard(member.incarnation)
-        if self._own is None or member.incarnation != self._own.incarnation:
-            self._blackboard.members_by_incarnation[member.incarnation] = member
+        if self._own is not None and member.incarnation == self._own.incarnation:
+            self._blackboard.limit_claims_read = member.limit_claims
+            return
+        self._blackboard.members_by_incarnation[member.incarnation] = member
 
     def _remove(self, incarnation: IncarnationId) -> None:
         if self._own is not None and incarnation == self._own.incarnation:
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -24,6 +24,7 @@
 """Mean pause after a failed attempt to join."""
 
 _HEARTBEAT_JITTER = 0.1
+_LEAVING_CHECK_SECONDS = 0.5
 
 FencedHook = Callable[[IncarnationId], Awaitable[None]]
 """Called with the fenced incarnation; returns when nothing more is done under its name."""
@@ -107,7 +108,7 @@
         )
         self._blackboard.identity.incarnation = record.incarnation
         self._blackboard.identity.fencing = record.fencing
-        self._heartbeat.set(_new_member(record))
+        self._heartbeat.set(_new_member(record, self._blackboard))
         await self._heartbeat.bind()
         for hook in self._join_hooks:
             await hook()
@@ -169,6 +170,7 @@
                 self.leases_lost += 1
                 await self._take_new_lease()
             case Beat.RENEWED:
+                self._heartbeat.change(limit_claims=self._blackboard.limit_claims)
                 await self._heartbeat.write()
             case Beat.NO_ANSWER:
                 return
@@ -194,9 +196,19 @@
     async def _beat_until_left(self) -> None:
         while not self._has_left:
             spread = self._rng.uniform(1.0 - _HEARTBEAT_JITTER, 1.0 + _HEARTBEAT_JITTER)
-            await self._clock.sleep(self._settings.heartbeat_interval_seconds * spread)
+            interval = self._settings.heartbeat_interval_seconds * spread
+            await self._publish_leaving_for(interval)
             await self._beat()
 
+    async def _publish_leaving_for(self, seconds: float) -> None:
+        """Wait, publishing at once when an upstream begins to leave."""
+        ends_at = self._clock.monotonic() + seconds
+        while (remaining := ends_at - self._clock.monotonic()) > 0:
+            await self._clock.sleep(min(remaining, _LEAVING_CHECK_SECONDS))
+            leaving = tuple(sorted(self._blackboard.leaving_upstreams))
+            if self.member is not None and leaving != self.member.leaving_upstreams:
+                await self.update_member(leaving_upstreams=leaving)
+
     async def _beat(self) -> None:
         if self._has_left:
             return
@@ -239,7 +251,7 @@
         return was_listed or self._blackboard.identity.vm in self._blackboard.vms_by_id
 
 
-def _new_member(record: IncarnationRecord) -> Member:
+def _new_member(record: IncarnationRecord, blackboard: Blackboard) -> Member:
     """Return the first heartbeat record of an incarnation."""
     return Member(
         incarnation=record.incarnation,
@@ -248,4 +260,6 @@
         address=record.address,
         fencing=record.fencing,
         state=MemberState.STARTING,
+        leaving_upstreams=tuple(sorted(blackboard.leaving_upstreams)),
+        limit_claims=blackboard.limit_claims,
     )
