Serve callers and peers over HTTP

Cause: the router had no wire. Change: OpenAI-style caller interface, plain service pass-through, signed peer calls that stream events as JSON lines, a server that ends only when told, bounds on request bodies. Reasons for refusals at the edge and PeerNotBegunError are added to the core.

--- a/packages/quinceferry-core/src/quinceferry_core/exceptions.py
+++ b/packages/quinceferry-core/src/quinceferry_core/exceptions.py
@@ -45,6 +45,10 @@
     """Another router could not be reached, or its connection broke."""
 
 
+class PeerNotBegunError(PeerUnavailableError):
+    """The other router never received the call, or refused it before it began."""
+
+
 class UpstreamError(QuinceferryError):
     """An upstream failed."""
 
--- a/packages/quinceferry-core/src/quinceferry_core/models.py
+++ b/packages/quinceferry-core/src/quinceferry_core/models.py
@@ -162,8 +162,8 @@
     """One request of a caller, after authentication and validation.
 
     ``body`` is the caller's JSON document or service payload, passed on unchanged but for the
-    output cap. ``prompt`` is the text that the model reads. ``path`` and ``method`` are used by
-    plain services only.
+    output cap. ``prompt`` is the text that the model reads. ``path``, ``method`` and
+    ``content_type`` are used by plain services only.
     """
 
     workspace: WorkspaceId
@@ -181,6 +181,7 @@
     method: str = "POST"
     path: str = ""
     forwarded: bool = False
+    content_type: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/quinceferry-core/src/quinceferry_core/outcomes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/outcomes.py
@@ -56,6 +56,12 @@
     ROUTER_STOPPING = "router_stopping"
     ROUTER_NOT_READY = "router_not_ready"
     REQUEST_ID_REUSED = "request_id_reused"
+    UNAUTHENTICATED = "unauthenticated"
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+    REQUEST_NOT_FOUND = "request_not_found"
+    SERVICE_NOT_ATTACHED = "service_not_attached"
+    MEMORY_FULL = "memory_full"
     INTERNAL = "internal"
 
 
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/answers.py
@@ -0,0 +1,96 @@
+"""Answers of model engines in the form that OpenAI client libraries read."""
+
+import msgspec
+
+from quinceferry_core.models import RequestKind, Usage
+from quinceferry_core.outcomes import Failed
+from quinceferryd.refusals import error_document
+
+DONE = b"data: [DONE]\n\n"
+"""Last line of a complete streamed answer."""
+
+_EVENT_END = b"\n\n"
+_encode = msgspec.json.Encoder().encode
+
+
+class UsageDocument(msgspec.Struct, frozen=True):
+    """Tokens of one answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class AnswerFormat:
+    """Renders the answer of one request.
+
+    The constant parts are encoded once, so that a streamed token costs one small encoding.
+
+    :param kind: chat or text completion.
+    :param request_id: the request's identifier.
+    :param model: the model as the caller named it.
+    :param created: wall-clock time of the request, in seconds since 1970.
+    """
+
+    def __init__(self, kind: RequestKind, request_id: str, model: str, created: int) -> None:
+        self._chat = kind is RequestKind.CHAT
+        self._head = {
+            "id": f"{'chatcmpl' if self._chat else 'cmpl'}-{request_id}",
+            "created": created,
+            "model": model,
+        }
+        self._chunk_object = "chat.completion.chunk" if self._chat else "text_completion"
+        head = _encode({**self._head, "object": self._chunk_object})[:-1]
+        field = b'"delta":{"content":' if self._chat else b'"text":'
+        self._before_text = b"data: " + head + b',"choices":[{"index":0,' + field
+        close = b"}" if self._chat else b""
+        self._after_text = close + b',"logprobs":null,"finish_reason":null}]}' + _EVENT_END
+
+    def first(self) -> bytes:
+        """Return the event that opens a streamed answer; empty for a text completion."""
+        if not self._chat:
+            return b""
+        delta = {"role": "assistant", "content": ""}
+        return self._event([{"index": 0, "delta": delta, "finish_reason": None}])
+
+    def chunk(self, text: str) -> bytes:
+        """Return the event of one piece of text."""
+        return self._before_text + _encode(text) + self._after_text
+
+    def last(self, finish_reason: str) -> bytes:
+        """Return the event that ends the text."""
+        piece = {"delta": {}} if self._chat else {"text": ""}
+        return self._event([{"index": 0, **piece, "finish_reason": finish_reason}])
+
+    def usage(self, usage: Usage) -> bytes:
+        """Return the event with the usage."""
+        return self._event([], usage=_usage_document(usage))
+
+    def whole(self, text: str, finish_reason: str, usage: Usage) -> bytes:
+        """Return the document of a whole answer."""
+        message = {"role": "assistant", "content": text}
+        piece = {"message": message} if self._chat else {"text": text}
+        choice = {"index": 0, **piece, "logprobs": None, "finish_reason": finish_reason}
+        return _encode(
+            {
+                **self._head,
+                "object": "chat.completion" if self._chat else "text_completion",
+                "choices": [choice],
+                "usage": _usage_document(usage),
+            }
+        )
+
+    def _event(self, choices: list[object], **fields: object) -> bytes:
+        """Return one event."""
+        document = {**self._head, "object": self._chunk_object, "choices": choices, **fields}
+        return b"data: " + _encode(document) + _EVENT_END
+
+
+def error_event(failed: Failed, request_id: str) -> bytes:
+    """Return the event that ends a streamed answer which broke off."""
+    return b"event: error\ndata: " + error_document(failed, request_id) + _EVENT_END
+
+
+def _usage_document(usage: Usage) -> UsageDocument:
+    """Return the usage as callers read it."""
+    return UsageDocument(usage.prompt_tokens, usage.output_tokens, usage.total)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
@@ -0,0 +1,155 @@
+"""Calls to other routers over HTTP."""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Generator
+from contextlib import aclosing, contextmanager
+
+import httpx
+import msgspec
+
+from quinceferry_core.adapters import RecallReply
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
+from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
+from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
+from quinceferryd import wire
+from quinceferryd.peer_api import (
+    FORWARD_PATH,
+    KEEP_ALIVE_SECONDS,
+    OUTCOME_PATH,
+    RECALL_PATH,
+    OutcomeQuestion,
+)
+from quinceferryd.signatures import SIGNATURE_HEADER, Signer
+
+SILENCE_TIMEOUT_SECONDS = 3 * KEEP_ALIVE_SECONDS
+"""A connection without a byte for so long is lost."""
+CONNECT_TIMEOUT_SECONDS = 2.0
+"""Time to open a connection within the region."""
+CALL_TIMEOUT_SECONDS = 3.0
+"""Time to answer a short call."""
+
+_IDLE_SECONDS = 10.0
+_MAX_IDLE_CONNECTIONS = 16
+
+
+class HttpPeers:
+    """Peer client over HTTP; implements :class:`quinceferry_core.adapters.PeerClient`.
+
+    :param fleet_secret: secret shared by all routers of the fleet.
+    :param clock: source of the time put into signatures.
+    """
+
+    def __init__(self, fleet_secret: str, clock: Clock) -> None:
+        self._signer = Signer(fleet_secret)
+        self._clock = clock
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=_IDLE_SECONDS,
+        )
+        self._http = httpx.AsyncClient(limits=limits, trust_env=False)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    async def forward(
+        self, address: str, request: CallerRequest
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        """Have a peer run a request; yields its events up to the last.
+
+        Closing the generator closes the connection, which cancels the request at the peer.
+
+        :param address: ``host:port`` of the peer.
+        :raises PeerNotBegunError: the peer did not begin the request.
+        :raises PeerUnavailableError: the connection broke or went silent before the last event.
+        """
+        ended = False
+        body = wire.encode_request(request)
+        timeout = httpx.Timeout(SILENCE_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS)
+        with _peer_errors("peer.forward", address):
+            async with self._http.stream(
+                "POST",
+                f"http://{address}{FORWARD_PATH}",
+                content=body,
+                headers=self._headers(FORWARD_PATH, body),
+                timeout=timeout,
+            ) as response:
+                _check_status(response, "peer.forward", address)
+                async with aclosing(_lines(response.aiter_raw())) as lines:
+                    async for line in lines:
+                        event = wire.decode_event(line)
+                        ended = ended or not isinstance(event, Chunk)
+                        yield event
+        if not ended:
+            raise PeerUnavailableError("answer ended early", step="peer.forward", peer=address)
+
+    async def ask_outcome(
+        self, address: str, workspace: WorkspaceId, request_id: RequestId
+    ) -> Outcome | None:
+        """Ask what became of a request; None when the peer has never seen it.
+
+        :raises PeerUnavailableError: no answer came.
+        """
+        question = msgspec.json.encode(OutcomeQuestion(workspace, request_id))
+        with _peer_errors("peer.ask_outcome", address):
+            reply = await self._call(address, OUTCOME_PATH, question, "peer.ask_outcome")
+            return wire.decode_outcome(reply)
+
+    async def recall(self, address: str, workspace: WorkspaceId, wanted: int) -> RecallReply:
+        """Ask a peer to return its unused tokens to the budget record.
+
+        :raises PeerUnavailableError: no answer came; tokens may have been returned.
+        """
+        body = wire.encode_recall_request(wire.RecallRequest(workspace, wanted))
+        with _peer_errors("peer.recall", address):
+            reply = await self._call(address, RECALL_PATH, body, "peer.recall")
+            return wire.decode_recall_reply(reply)
+
+    async def _call(self, address: str, path: str, body: bytes, step: str) -> bytes:
+        """Make a short call and return the body of its reply."""
+        response = await self._http.post(
+            f"http://{address}{path}",
+            content=body,
+            headers=self._headers(path, body),
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+        _check_status(response, step, address)
+        return response.content
+
+    def _headers(self, path: str, body: bytes) -> dict[str, str]:
+        """Return the signed headers of a call."""
+        now = self._clock.now().timestamp()
+        signature = self._signer.sign("POST", path, body, now)
+        return {SIGNATURE_HEADER: signature, "content-type": "application/json"}
+
+
+@contextmanager
+def _peer_errors(step: str, address: str) -> Generator[None, None, None]:
+    """Turn errors of the HTTP library and of decoding into those of the exception tree."""
+    try:
+        yield
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise PeerNotBegunError(repr(error), step=step, peer=address) from error
+    except (httpx.HTTPError, msgspec.DecodeError) as error:
+        raise PeerUnavailableError(repr(error), step=step, peer=address) from error
+
+
+def _check_status(response: httpx.Response, step: str, address: str) -> None:
+    """Raise unless the peer accepted the call."""
+    if response.status_code == httpx.codes.OK:
+        return
+    detail = f"status {response.status_code}"
+    if response.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
+        raise PeerNotBegunError(detail, step=step, peer=address)
+    raise PeerUnavailableError(detail, step=step, peer=address)
+
+
+async def _lines(pieces: AsyncIterator[bytes]) -> AsyncGenerator[bytes, None]:
+    """Split pieces of a body into its non-empty lines; a last line without an end is dropped."""
+    rest = b""
+    async for piece in pieces:
+        *lines, rest = (rest + piece).split(b"\n")
+        for line in lines:
+            if line:
+                yield line
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/relays.py
@@ -0,0 +1,194 @@
+"""Relays of an answer's events to a caller, one class for each form of answer."""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import Protocol
+
+from quinceferry_core.outcomes import (
+    AnswerEvent,
+    Chunk,
+    Failed,
+    Finished,
+    RefusalReason,
+    Run,
+    Unknown,
+)
+from quinceferryd.answers import DONE, AnswerFormat, error_event
+from quinceferryd.refusals import (
+    JSON_HEADER,
+    error_document,
+    error_headers,
+    error_status,
+    request_id_header,
+)
+from quinceferryd.responses import Header, ReaderStalledError, ResponseWriter
+
+_EVENT_STREAM_HEADERS: list[Header] = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-store"),
+]
+_DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class AnswerSink(Protocol):
+    """Writes an answer to the caller."""
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Take a piece of the answer."""
+
+    async def finish(self, finished: Finished) -> None:
+        """Write the end of a whole answer."""
+
+    async def fail(self, failed: Failed) -> None:
+        """Write a refusal or failure."""
+
+
+async def relay_events(events: AsyncGenerator[AnswerEvent, None], sink: AnswerSink) -> None:
+    """Pull events one at a time into a sink, until the generator ends.
+
+    The generator runs on after its last event, so that it can settle the request.
+
+    :param events: closed in every case, which cancels the request unless it has ended.
+    """
+    ended = False
+    async with aclosing(events):
+        try:
+            async for event in events:
+                ended = ended or not isinstance(event, Chunk)
+                await _write_event(event, sink)
+        except ReaderStalledError:
+            raise
+        except Exception as error:
+            if ended:
+                raise
+            await sink.fail(_internal(f"internal error: {type(error).__name__}"))
+            raise
+    if not ended:
+        await sink.fail(_internal("the answer ended early"))
+
+
+async def _write_event(event: AnswerEvent, sink: AnswerSink) -> None:
+    """Write one event."""
+    match event:
+        case Chunk():
+            await sink.chunk(event)
+        case Finished():
+            await sink.finish(event)
+        case Failed():
+            await sink.fail(event)
+
+
+def _internal(detail: str) -> Failed:
+    """Return a failure after which nothing is known of the request."""
+    return Failed(RefusalReason.INTERNAL, Unknown(), detail=detail)
+
+
+async def write_failure(writer: ResponseWriter, failed: Failed, request_id: str = "") -> None:
+    """Write a refusal or failure as a whole response."""
+    document = error_document(failed, request_id)
+    await writer.respond(error_status(failed), error_headers(failed, request_id), document)
+
+
+class StreamedAnswer:
+    """Server-sent events, one for each chunk.
+
+    :param include_usage: whether the usage is sent before the end.
+    """
+
+    def __init__(
+        self, writer: ResponseWriter, form: AnswerFormat, request_id: str, include_usage: bool
+    ) -> None:
+        self._writer = writer
+        self._form = form
+        self._request_id = request_id
+        self._include_usage = include_usage
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Write a piece of the answer."""
+        await self._writer.write(await self._opening() + self._form.chunk(chunk.text))
+
+    async def finish(self, finished: Finished) -> None:
+        """Write the end of a whole answer."""
+        usage = self._form.usage(finished.usage) if self._include_usage else b""
+        body = await self._opening() + self._form.last(finished.reason) + usage + DONE
+        await self._writer.finish(body)
+
+    async def fail(self, failed: Failed) -> None:
+        """Write an error response, or an error event when pieces were already sent."""
+        if self._writer.started:
+            await self._writer.finish(error_event(failed, self._request_id))
+        else:
+            await write_failure(self._writer, failed, self._request_id)
+
+    async def _opening(self) -> bytes:
+        """Write the headers before the first event, and return what precedes that event."""
+        if self._writer.started:
+            return b""
+        headers = [*_EVENT_STREAM_HEADERS, *request_id_header(self._request_id)]
+        await self._writer.start(200, headers)
+        return self._form.first()
+
+
+class WholeAnswer:
+    """One JSON document, written at the end."""
+
+    def __init__(self, writer: ResponseWriter, form: AnswerFormat, request_id: str) -> None:
+        self._writer = writer
+        self._form = form
+        self._request_id = request_id
+        self._pieces: list[str] = []
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Keep a piece of the answer; the request's output cap bounds them."""
+        self._pieces.append(chunk.text)
+
+    async def finish(self, finished: Finished) -> None:
+        """Write the whole answer."""
+        body = self._form.whole("".join(self._pieces), finished.reason, finished.usage)
+        await self._writer.respond(200, [JSON_HEADER, *request_id_header(self._request_id)], body)
+
+    async def fail(self, failed: Failed) -> None:
+        """Write an error response."""
+        await write_failure(self._writer, failed, self._request_id)
+
+
+class ServiceAnswer:
+    """Response of a plain service, written at the end, when its status is known.
+
+    :param max_bytes: greatest size of the response's body.
+    """
+
+    def __init__(self, writer: ResponseWriter, request_id: str, max_bytes: int) -> None:
+        self._writer = writer
+        self._request_id = request_id
+        self._free_bytes = max_bytes
+        self._pieces: list[bytes] = []
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Keep a piece of the body; pieces over the bound are dropped."""
+        self._free_bytes -= len(chunk.data)
+        if self._free_bytes >= 0:
+            self._pieces.append(chunk.data)
+
+    async def finish(self, finished: Finished) -> None:
+        """Write the whole response, or say that it was too large."""
+        if self._free_bytes < 0:
+            await self.fail(_too_large(finished))
+            return
+        content_type = (finished.content_type or _DEFAULT_CONTENT_TYPE).encode()
+        headers = [(b"content-type", content_type), *request_id_header(self._request_id)]
+        await self._writer.respond(finished.status, headers, b"".join(self._pieces))
+
+    async def fail(self, failed: Failed) -> None:
+        """Write an error response."""
+        await write_failure(self._writer, failed, self._request_id)
+
+
+def _too_large(finished: Finished) -> Failed:
+    """Return the failure of a service call that ran but whose response is not relayed."""
+    return Failed(
+        RefusalReason.UPSTREAM_FAILED,
+        Run(finished.usage),
+        detail="the service ran the request, but its response is too large to relay",
+        step="caller_api.relay",
+    )
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/server.py
@@ -0,0 +1,189 @@
+"""HTTP server of the daemon, embedded so that the application decides when it ends."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Generator, Sequence
+from typing import Any
+
+import uvicorn
+from litestar import Litestar, MediaType, Request, Response, get
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException
+from litestar.types import ControllerRouterHandler
+
+from quinceferry_core.outcomes import Failed, RefusalReason, Unknown
+from quinceferryd.blackboard import RouterState
+from quinceferryd.bodies import BodyMemory
+from quinceferryd.caller_api import CallerApi, caller_routes
+from quinceferryd.interfaces import RouterApplication
+from quinceferryd.peer_api import PeerApi, peer_routes
+from quinceferryd.refusals import error_document, error_headers, error_status, refusal
+
+HttpRequest = Request[Any, Any, Any]
+
+KEEP_ALIVE_SECONDS = 30
+"""How long an idle connection stays open; longer than our own clients keep one."""
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+
+_CLOSE_GRACE_SECONDS = 5
+_TICK_SECONDS = 1.0
+_REASONS_BY_STATUS = {
+    404: RefusalReason.REQUEST_NOT_FOUND,
+    413: RefusalReason.OVERSIZED,
+    500: RefusalReason.INTERNAL,
+}
+
+
+def build_app(
+    application: RouterApplication, handlers: Sequence[ControllerRouterHandler] = ()
+) -> Litestar:
+    """Return the ASGI application with all HTTP interfaces of a router.
+
+    :param application: the router.
+    :param handlers: further route handlers, such as the operators'.
+    """
+    bodies = BodyMemory(application.settings.callers.max_total_body_bytes)
+    state = {
+        "application": application,
+        "caller_api": CallerApi(application, bodies),
+        "peer_api": PeerApi(application),
+    }
+    return Litestar(
+        route_handlers=[caller_routes(), peer_routes(), _health, _ready, *handlers],
+        state=State(state, deep_copy=False),
+        exception_handlers={HTTPException: _on_http_error, Exception: _on_error},
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+class EmbeddedServer(uvicorn.Server):
+    """Server that leaves signals to the daemon.
+
+    :param app: the ASGI application.
+    :param reader_timeout_seconds: how long a response may wait for its reader.
+    """
+
+    def __init__(self, app: Litestar, reader_timeout_seconds: float) -> None:
+        config = uvicorn.Config(
+            app,
+            log_config=None,
+            log_level="warning",
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            ws="none",
+            server_header=False,
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            timeout_graceful_shutdown=int(reader_timeout_seconds) + _CLOSE_GRACE_SECONDS,
+        )
+        super().__init__(config)
+        self._stopping = asyncio.Event()
+
+    def request_stop(self) -> None:
+        """Have the server finish the responses in progress and end."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self) -> None:
+        """Wait for the stop; the library's own loop would wake ten times a second."""
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._stopping.wait(), _TICK_SECONDS)
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Install no signal handlers."""
+        yield
+
+
+class HttpServer:
+    """Listens on a socket and serves an ASGI application; a life-cycle hook.
+
+    :param app: the ASGI application.
+    :param host: address to listen on.
+    :param port: port to listen on; zero takes a free one.
+    :param reader_timeout_seconds: how long a response may wait for its reader.
+    """
+
+    def __init__(self, app: Litestar, host: str, port: int, reader_timeout_seconds: float) -> None:
+        self._server = EmbeddedServer(app, reader_timeout_seconds)
+        self._host = host
+        self._port = port
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port in use."""
+        return self._port
+
+    async def start(self) -> None:
+        """Listen and serve.
+
+        :raises OSError: the address can't be bound.
+        """
+        listener = _listen(self._host, self._port)
+        self._port = listener.getsockname()[1]
+        self._task = asyncio.create_task(self._server.serve([listener]), name="http-server")
+
+    async def stop(self) -> None:
+        """Accept no more connections, finish the responses in progress and return."""
+        self._server.request_stop()
+        if self._task is not None:
+            await self._task
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Return a listening socket."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError:
+        listener.close()
+        raise
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+@get("/health", media_type=MediaType.TEXT)
+async def _health(request: HttpRequest) -> Response[str]:
+    """Tell whether the process works; a fenced router must be replaced."""
+    fenced = request.app.state.application.blackboard.state is RouterState.FENCED
+    return Response("fenced" if fenced else "ok", status_code=503 if fenced else 200)
+
+
+@get("/ready", media_type=MediaType.TEXT)
+async def _ready(request: HttpRequest) -> Response[str]:
+    """Tell whether the router takes new callers."""
+    state = request.app.state.application.blackboard.state
+    if state is RouterState.SERVING:
+        return Response("ready")
+    return Response(state.value, status_code=503, headers={"retry-after": "1"})
+
+
+def _on_http_error(request: HttpRequest, error: HTTPException) -> Response[bytes]:
+    """Answer a request that no handler took."""
+    reason = _REASONS_BY_STATUS.get(error.status_code, RefusalReason.MALFORMED)
+    return _error_response(refusal(reason, error.detail), error.status_code)
+
+
+def _on_error(request: HttpRequest, error: Exception) -> Response[bytes]:
+    """Answer a request whose handler broke; nothing is known of what it did."""
+    failed = Failed(RefusalReason.INTERNAL, Unknown(), detail="internal error")
+    return _error_response(failed, error_status(failed))
+
+
+def _error_response(failed: Failed, status: int) -> Response[bytes]:
+    """Return the response of an error."""
+    headers = {name.decode(): value.decode() for name, value in error_headers(failed)}
+    return Response(
+        error_document(failed),
+        status_code=status,
+        headers=headers,
+        media_type=MediaType.JSON,
+    )
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -48,6 +48,16 @@
     min_commit_interval_seconds: float = 0.05
     commit_patience_seconds: float = 1.0
     max_batch_entries: int = 2048
+    fold_interval_seconds: float = 300.0
+
+
+@dataclass(slots=True, frozen=True)
+class RecoverySettings:
+    """Recovery of incarnations that are gone, table ``[recovery]``."""
+
+    check_interval_seconds: float = 10.0
+    absence_seconds: float = 20.0
+    wind_up_seconds: float = 120.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,9 +71,9 @@
 
     load_interval_seconds: float = 1.0
     load_report_lag_seconds: float = 0.5
-    max_polls_per_second: float = 6.0
+    max_polls_per_second: float = 6.5
     max_active_upstreams: int = 12
-    max_report_age_seconds: float = 2.5
+    max_report_age_seconds: float = 3.0
     max_queued_requests: int = 256
     max_workspace_queue_share: float = 0.5
     max_queue_wait_seconds: float = 10.0
@@ -80,8 +90,8 @@
     """Deadlines, buffers and retries of streams, table ``[streams]``.
 
     ``max_buffered_chunks`` bounds what is held for a slow reader; one that takes nothing for
-    ``reader_timeout_seconds`` counts as gone. Retries in excess of ``max_attempts`` for one request,
-    or of ``retry_share`` of all requests, are not made.
+    ``reader_timeout_seconds`` counts as gone. Retries beyond ``max_attempts`` of one request, or
+    beyond ``retry_share`` of all requests, are not made.
     """
 
     progress_timeout_seconds: float = 10.0
@@ -117,6 +127,20 @@
     max_drain_seconds: float = 300.0
 
 
+@dataclass(slots=True, frozen=True)
+class CallerSettings:
+    """Bounds of the caller interface, table ``[callers]``.
+
+    ``max_total_body_bytes`` bounds all request bodies held at once.
+    """
+
+    max_body_bytes: int = 1024 * 1024
+    max_total_body_bytes: int = 4 * 1024 * 1024
+    max_service_response_bytes: int = 1024 * 1024
+    default_deadline_seconds: float = 120.0
+    max_deadline_seconds: float = 600.0
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All settings of one daemon."""
@@ -125,8 +149,10 @@
     platform: PlatformSettings
     budgets: BudgetSettings = field(default_factory=BudgetSettings)
     journal: JournalSettings = field(default_factory=JournalSettings)
+    recovery: RecoverySettings = field(default_factory=RecoverySettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     streams: StreamSettings = field(default_factory=StreamSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     addresses: AddressSettings = field(default_factory=AddressSettings)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
+    callers: CallerSettings = field(default_factory=CallerSettings)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/wire.py
@@ -0,0 +1,224 @@
+"""Wire form of requests, answers and outcomes between routers.
+
+A forwarded request is one JSON document. Its answer is a sequence of lines, each one JSON object
+with a ``type`` tag; an empty line only shows that the connection is alive.
+"""
+
+from typing import assert_never
+
+import msgspec
+
+from quinceferry_core.adapters import RecallReply
+from quinceferry_core.models import CallerRequest, Usage, WorkspaceId
+from quinceferry_core.outcomes import (
+    AnswerEvent,
+    Chunk,
+    Failed,
+    Finished,
+    NotRun,
+    NotRunProof,
+    Outcome,
+    RefusalReason,
+    Run,
+    Unknown,
+)
+
+KEEP_ALIVE_LINE = b"\n"
+"""Line without an event."""
+
+
+class WireNotRun(msgspec.Struct, frozen=True, tag="not_run"):
+    """Wire form of :class:`NotRun`."""
+
+    proof: NotRunProof
+
+
+class WireRun(msgspec.Struct, frozen=True, tag="run"):
+    """Wire form of :class:`Run`."""
+
+    usage: Usage
+
+
+class WireUnknown(msgspec.Struct, frozen=True, tag="unknown"):
+    """Wire form of :class:`Unknown`."""
+
+
+WireOutcome = WireNotRun | WireRun | WireUnknown
+
+
+class WireChunk(msgspec.Struct, frozen=True, tag="chunk"):
+    """Wire form of :class:`Chunk`."""
+
+    offset: int
+    tokens: int
+    text: str
+    data: bytes = b""
+
+
+class WireFinished(msgspec.Struct, frozen=True, tag="finished"):
+    """Wire form of :class:`Finished`."""
+
+    usage: Usage
+    reason: str
+    status: int
+    content_type: str
+
+
+class WireFailed(msgspec.Struct, frozen=True, tag="failed"):
+    """Wire form of :class:`Failed`."""
+
+    reason: RefusalReason
+    outcome: WireOutcome
+    retry_after_seconds: float
+    detail: str
+    step: str
+    peer: str
+
+
+WireEvent = WireChunk | WireFinished | WireFailed
+
+
+class OutcomeReply(msgspec.Struct, frozen=True):
+    """Answer to a question about an outcome; None when the request was never seen."""
+
+    outcome: WireOutcome | None
+
+
+class RecallRequest(msgspec.Struct, frozen=True):
+    """Asks a router to return unused tokens of a workspace."""
+
+    workspace: WorkspaceId
+    wanted: int
+
+
+_encoder = msgspec.json.Encoder()
+_request_decoder = msgspec.json.Decoder(CallerRequest)
+_event_decoder = msgspec.json.Decoder(WireEvent)
+_outcome_decoder = msgspec.json.Decoder(OutcomeReply)
+_recall_request_decoder = msgspec.json.Decoder(RecallRequest)
+_recall_reply_decoder = msgspec.json.Decoder(RecallReply)
+
+
+def encode_request(request: CallerRequest) -> bytes:
+    """Encode a request to forward."""
+    return _encoder.encode(request)
+
+
+def decode_request(document: bytes) -> CallerRequest:
+    """Decode a forwarded request.
+
+    :raises msgspec.DecodeError: the document is malformed.
+    """
+    return _request_decoder.decode(document)
+
+
+def encode_event(event: AnswerEvent) -> bytes:
+    """Encode one event as a line."""
+    return _encoder.encode(_wire_event(event)) + b"\n"
+
+
+def decode_event(line: bytes) -> AnswerEvent:
+    """Decode one non-empty line.
+
+    :raises msgspec.DecodeError: the line is malformed.
+    """
+    match _event_decoder.decode(line):
+        case WireChunk() as chunk:
+            return Chunk(chunk.offset, chunk.tokens, chunk.text, chunk.data)
+        case WireFinished() as end:
+            return Finished(end.usage, end.reason, end.status, end.content_type)
+        case WireFailed() as end:
+            return Failed(
+                end.reason,
+                _core_outcome(end.outcome),
+                end.retry_after_seconds,
+                end.detail,
+                end.step,
+                end.peer,
+            )
+
+
+def encode_outcome(outcome: Outcome | None) -> bytes:
+    """Encode what became of a request."""
+    return _encoder.encode(OutcomeReply(None if outcome is None else _wire_outcome(outcome)))
+
+
+def decode_outcome(document: bytes) -> Outcome | None:
+    """Decode what became of a request.
+
+    :raises msgspec.DecodeError: the document is malformed.
+    """
+    reply = _outcome_decoder.decode(document)
+    return None if reply.outcome is None else _core_outcome(reply.outcome)
+
+
+def encode_recall_request(request: RecallRequest) -> bytes:
+    """Encode a request to return tokens."""
+    return _encoder.encode(request)
+
+
+def decode_recall_request(document: bytes) -> RecallRequest:
+    """Decode a request to return tokens.
+
+    :raises msgspec.DecodeError: the document is malformed.
+    """
+    return _recall_request_decoder.decode(document)
+
+
+def encode_recall_reply(reply: RecallReply) -> bytes:
+    """Encode how many tokens were returned."""
+    return _encoder.encode(reply)
+
+
+def decode_recall_reply(document: bytes) -> RecallReply:
+    """Decode how many tokens were returned.
+
+    :raises msgspec.DecodeError: the document is malformed.
+    """
+    return _recall_reply_decoder.decode(document)
+
+
+def _wire_event(event: AnswerEvent) -> WireEvent:
+    """Return the wire form of an event."""
+    match event:
+        case Chunk():
+            return WireChunk(event.offset, event.tokens, event.text, event.data)
+        case Finished():
+            return WireFinished(event.usage, event.reason, event.status, event.content_type)
+        case Failed():
+            return WireFailed(
+                event.reason,
+                _wire_outcome(event.outcome),
+                event.retry_after_seconds,
+                event.detail,
+                event.step,
+                event.peer,
+            )
+        case _:
+            assert_never(event)
+
+
+def _wire_outcome(outcome: Outcome) -> WireOutcome:
+    """Return the wire form of an outcome."""
+    match outcome:
+        case NotRun():
+            return WireNotRun(outcome.proof)
+        case Run():
+            return WireRun(outcome.usage)
+        case Unknown():
+            return WireUnknown()
+        case _:
+            assert_never(outcome)
+
+
+def _core_outcome(outcome: WireOutcome) -> Outcome:
+    """Return the outcome of a wire form."""
+    match outcome:
+        case WireNotRun():
+            return NotRun(outcome.proof)
+        case WireRun():
+            return Run(outcome.usage)
+        case WireUnknown():
+            return Unknown()
+        case _:
+            assert_never(outcome)
