--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/budgets.py
@@ -0,0 +1,188 @@
+"""Budget record of one workspace and the transitions that keep it from being overspent.
+
+The record is the only lasting account of prepaid tokens. Each transition returns a new record,
+which its caller writes by compare-and-swap. ``settled``, ``withheld`` and all allotments together
+never exceed ``granted``.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.models import IncarnationId, OperationId, WorkspaceId
+
+BUDGET_PREFIX = "budgets/"
+TOP_UP_PREFIX = "topups/"
+MAX_PENDING_TOP_UPS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Allotment:
+    """Tokens that one incarnation may spend.
+
+    ``drawn`` is cumulative: tokens drawn less tokens returned, including those already spent.
+    ``spent`` is the holder's last report and only informs. ``outage_tokens`` is the part that the
+    incarnation may spend before recording it in its journal; a closed journal alone does not prove
+    this part unspent. ``sequence`` numbers the holder's operations on this record. A closed
+    allotment belongs to a closed incarnation and can no longer grow.
+    """
+
+    drawn: int = 0
+    spent: int = 0
+    outage_tokens: int = 0
+    sequence: int = 0
+    closed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class BudgetRecord:
+    """Budget of one workspace, in tokens.
+
+    ``settled`` counts tokens spent by incarnations that have left, ``withheld`` those that may have
+    been spent and that nobody can account for. ``pending_top_ups`` holds operation ids of top-ups
+    whose own record is not yet marked as applied.
+    """
+
+    workspace: WorkspaceId
+    granted: int = 0
+    settled: int = 0
+    withheld: int = 0
+    allotments_by_incarnation: dict[IncarnationId, Allotment] = field(default_factory=dict)
+    pending_top_ups: tuple[OperationId, ...] = ()
+
+    @property
+    def outstanding(self) -> int:
+        """Return the tokens in allotments, spent or not."""
+        return sum(allotment.drawn for allotment in self.allotments_by_incarnation.values())
+
+    @property
+    def free(self) -> int:
+        """Return the tokens in no allotment, not settled and not withheld."""
+        return self.granted - self.settled - self.withheld - self.outstanding
+
+
+@dataclass(slots=True, frozen=True)
+class TopUpRecord:
+    """One top-up, kept for good so that a repeated call is recognised."""
+
+    operation: OperationId
+    tokens: int
+    applied: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class BudgetShortfall:
+    """The record holds too few free tokens."""
+
+    wanted: int
+    free: int
+
+
+@dataclass(slots=True, frozen=True)
+class DrawPolicy:
+    """How much a router draws at once.
+
+    ``horizon_seconds`` of its own demand, at most ``max_share`` of the free tokens, and at least
+    ``min_tokens`` while the budget is not nearly spent.
+    """
+
+    horizon_seconds: float
+    min_tokens: int
+    max_share: float
+
+
+def budget_key(workspace: WorkspaceId) -> str:
+    """Return the key of a workspace's budget record."""
+    return f"{BUDGET_PREFIX}{workspace}"
+
+
+def top_up_key(workspace: WorkspaceId, operation: OperationId) -> str:
+    """Return the key of one top-up."""
+    return f"{TOP_UP_PREFIX}{workspace}/{operation}"
+
+
+def draw_size(
+    record: BudgetRecord, wanted: int, tokens_per_second: float, policy: DrawPolicy
+) -> int:
+    """Decide how many tokens to draw.
+
+    The share of the free tokens shrinks as the budget empties, so that the last tokens are not held
+    by routers that do not need them.
+
+    :param wanted: tokens needed now; always drawn when they are free.
+    :param tokens_per_second: this router's recent demand.
+    :return: tokens to draw, or zero when fewer than wanted are free.
+    """
+    if record.free < wanted:
+        return 0
+    target = max(policy.min_tokens, int(tokens_per_second * policy.horizon_seconds))
+    share = int(record.free * policy.max_share)
+    return max(wanted, min(target, share))
+
+
+def resize(
+    record: BudgetRecord, incarnation: IncarnationId, wanted: Allotment
+) -> Result[BudgetRecord, BudgetShortfall]:
+    """Replace an open allotment; more tokens come from the free ones, fewer go back to them.
+
+    :param wanted: the new allotment; the holder has already given up what it returns.
+    """
+    held = record.allotments_by_incarnation.get(incarnation, Allotment())
+    growth = wanted.drawn - held.drawn
+    if growth > max(0, record.free):
+        return Failure(BudgetShortfall(growth, record.free))
+    return Success(_with_allotment(record, incarnation, wanted))
+
+
+def close(record: BudgetRecord, incarnation: IncarnationId, kept: int) -> BudgetRecord:
+    """Close an allotment and free all but ``kept`` of its tokens; never raises it."""
+    held = record.allotments_by_incarnation.get(incarnation)
+    if held is None:
+        return record
+    drawn = min(held.drawn, kept)
+    changed = replace(held, drawn=drawn, closed=True)
+    return _with_allotment(record, incarnation, changed)
+
+
+def retire(
+    record: BudgetRecord, incarnation: IncarnationId, spent: int, withheld: int = 0
+) -> BudgetRecord:
+    """Replace an allotment by what was spent of it; the rest becomes free.
+
+    :param withheld: tokens that may have been spent without a record.
+    """
+    held = record.allotments_by_incarnation.get(incarnation)
+    if held is None:
+        return record
+    others = dict(record.allotments_by_incarnation)
+    del others[incarnation]
+    settled = min(spent, held.drawn)
+    unknown = min(withheld, held.drawn - settled)
+    return replace(
+        record,
+        settled=record.settled + settled,
+        withheld=record.withheld + unknown,
+        allotments_by_incarnation=others,
+    )
+
+
+def top_up(record: BudgetRecord, operation: OperationId, tokens: int) -> BudgetRecord:
+    """Grant tokens once for each operation id."""
+    if operation in record.pending_top_ups:
+        return record
+    pending = (*record.pending_top_ups, operation)
+    return replace(record, granted=record.granted + tokens, pending_top_ups=pending)
+
+
+def forget_top_up(record: BudgetRecord, operation: OperationId) -> BudgetRecord:
+    """Drop an operation id whose own record is marked as applied."""
+    pending = tuple(known for known in record.pending_top_ups if known != operation)
+    return replace(record, pending_top_ups=pending)
+
+
+def _with_allotment(
+    record: BudgetRecord, incarnation: IncarnationId, allotment: Allotment
+) -> BudgetRecord:
+    """Return the record with one allotment replaced."""
+    allotments = {**record.allotments_by_incarnation, incarnation: allotment}
+    return replace(record, allotments_by_incarnation=allotments)
--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/ledgers.py
@@ -0,0 +1,88 @@
+"""A router's own account of the allotment it holds for one workspace."""
+
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.models import RequestId
+
+DEMAND_HALF_LIFE_SECONDS = 60.0
+
+
+@dataclass(slots=True, frozen=True)
+class LedgerShortfall:
+    """The allotment holds too few unspent tokens."""
+
+    wanted: int
+    available: int
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Tokens drawn, reserved and spent by one incarnation for one workspace.
+
+    ``unrecorded`` counts tokens reserved or spent whose journal entry is not yet committed; it
+    never exceeds ``outage_tokens``.
+    """
+
+    drawn: int = 0
+    spent: int = 0
+    outage_tokens: int = 0
+    unrecorded: int = 0
+    reserved_by_request: dict[RequestId, int] = field(default_factory=dict)
+    reserved: int = 0
+    demand_tokens_per_second: float = 0.0
+    demand_at: float = 0.0
+
+    @property
+    def available(self) -> int:
+        """Return the tokens neither spent nor reserved."""
+        return self.drawn - self.spent - self.reserved
+
+    def reserve(self, request: RequestId, tokens: int) -> Result[int, LedgerShortfall]:
+        """Set tokens aside for a request before it is dispatched.
+
+        :return: the tokens reserved.
+        """
+        if tokens > self.available:
+            return Failure(LedgerShortfall(tokens, self.available))
+        self.reserved_by_request[request] = self.reserved_by_request.get(request, 0) + tokens
+        self.reserved += tokens
+        return Success(tokens)
+
+    def settle(self, request: RequestId, used: int) -> int:
+        """Replace a reservation by the tokens used.
+
+        :param used: tokens used; at most the reservation is charged.
+        :return: the tokens charged.
+        """
+        held = self.reserved_by_request.pop(request, 0)
+        charged = min(used, held)
+        self.reserved -= held
+        self.spent += charged
+        return charged
+
+    def enter_unrecorded(self, tokens: int) -> bool:
+        """Count tokens as used before their journal entry is committed.
+
+        :return: False when the part meant for outages does not cover them.
+        """
+        if self.unrecorded + tokens > self.outage_tokens:
+            return False
+        self.unrecorded += tokens
+        return True
+
+    def leave_unrecorded(self, tokens: int) -> None:
+        """Stop counting tokens whose journal entry has been committed."""
+        self.unrecorded -= tokens
+
+    def note_demand(self, tokens: int, now: float) -> None:
+        """Update the moving average of demand.
+
+        :param now: monotonic seconds.
+        """
+        elapsed = max(0.0, now - self.demand_at)
+        self.demand_at = now
+        decay = 0.5 ** (elapsed / DEMAND_HALF_LIFE_SECONDS)
+        self.demand_tokens_per_second *= decay
+        self.demand_tokens_per_second += tokens * 0.693 / DEMAND_HALF_LIFE_SECONDS
--- a/packages/quinceferry-core/src/quinceferry_core/outcomes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/outcomes.py
@@ -1,5 +1,6 @@
 """Outcomes of a request and the events of its answer."""
 
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -106,3 +107,6 @@
 
 
 AnswerEvent = Chunk | Finished | Failed
+
+AnswerStream = AsyncGenerator[AnswerEvent, None]
+"""Events of one answer; the last is a ``Finished`` or ``Failed``."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -0,0 +1,174 @@
+"""The journal and the allotments of each incarnation that this process has been."""
+
+import asyncio
+from random import Random
+
+import msgspec
+
+from quinceferry_core.adapters import KvStore
+from quinceferry_core.backoffs import Backoff
+from quinceferry_core.budgets import budget_key, retire
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
+from quinceferry_core.journals import Begin, Entry, Settle
+from quinceferry_core.models import IncarnationId, WorkspaceId
+from quinceferryd.allotments import AllotmentController, Holding, decode_budget
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.journal import JournalWriter
+from quinceferryd.settings import BudgetSettings, JournalSettings
+
+
+class Account:
+    """Journal and allotments of one incarnation.
+
+    ``open_requests`` counts requests that were begun with it and are not settled.
+    """
+
+    def __init__(self, journal: JournalWriter, allotments: AllotmentController) -> None:
+        self.journal = journal
+        self.allotments = allotments
+        self.open_requests = 0
+        self.closed = False
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        """Return the incarnation that the account belongs to."""
+        return self.journal.incarnation
+
+    async def start(self) -> None:
+        """Start the journal and the allotments."""
+        await self.journal.start()
+        await self.allotments.start()
+
+    async def stop(self) -> None:
+        """Stop both; nothing is flushed."""
+        await self.allotments.stop()
+        await self.journal.stop()
+
+
+class AccountController(TaskGroupController):
+    """Opens an account at each join and winds up the account of a closed incarnation.
+
+    A closed incarnation's requests may still be in progress. Their settlements go to the journal of
+    the incarnation that follows, with the origin that paid. Once all are settled, this process
+    knows exactly what the closed incarnation spent, and frees the rest.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: Random,
+        budgets: BudgetSettings,
+        journal: JournalSettings,
+    ) -> None:
+        super().__init__()
+        self.current: Account | None = None
+        self.former: list[Account] = []
+        self._blackboard = blackboard
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._budget_settings = budgets
+        self._journal_settings = journal
+        self._carried: list[Settle] = []
+
+    async def open(self) -> None:
+        """Open the account of the incarnation that has just joined."""
+        incarnation = self._blackboard.identity.incarnation
+        if self.current is not None and self.current.incarnation == incarnation:
+            return
+        journal = JournalWriter(
+            incarnation, self._kv, self._clock, self._rng, self._journal_settings, self._note_fenced
+        )
+        allotments = AllotmentController(
+            incarnation, self._kv, self._clock, self._rng, self._budget_settings, self._note_fenced
+        )
+        self.current = Account(journal, allotments)
+        await self.current.start()
+        for entry in self._carried:
+            journal.append(entry)
+        self._carried.clear()
+
+    async def close(self, incarnation: IncarnationId) -> None:
+        """Stop starting requests under a closed incarnation."""
+        account = self.current
+        if account is None or account.incarnation != incarnation:
+            return
+        self.current = None
+        account.closed = True
+        account.journal.fence()
+        self._carry(account.journal.take_uncommitted())
+        self.former.append(account)
+        if account.open_requests == 0:
+            self.spawn(self._wind_up(account), f"wind up {incarnation}")
+
+    def settle(self, account: Account, entry: Settle) -> asyncio.Future[None] | None:
+        """Record a settlement, in the successor's journal if the account is closed.
+
+        :return: a future that ends when the settlement is durable, if it is known which.
+        """
+        account.open_requests -= 1
+        if not account.closed:
+            return account.journal.append(entry)
+        self._carry([entry])
+        if account.open_requests == 0:
+            self.spawn(self._wind_up(account), f"wind up {account.incarnation}")
+        return None
+
+    async def leave(self) -> None:
+        """Flush the journal and settle all allotments, at a planned stop."""
+        account = self.current
+        if account is None:
+            return
+        await account.journal.flush()
+        for workspace, holding in account.allotments.holdings_by_workspace.items():
+            await self._retire(account.incarnation, workspace, holding)
+
+    async def stop(self) -> None:
+        """Stop the account's background work."""
+        await super().stop()
+        if self.current is not None:
+            await self.current.stop()
+        for account in self.former:
+            await account.stop()
+
+    def _note_fenced(self) -> None:
+        """Note that a write met a closed journal or allotment."""
+        self._blackboard.state = RouterState.FENCED
+
+    def _carry(self, entries: list[Entry]) -> None:
+        """Keep settlements for the journal of the next incarnation."""
+        settlements = [entry for entry in entries if not isinstance(entry, Begin)]
+        if self.current is None:
+            self._carried.extend(settlements)
+            return
+        for entry in settlements:
+            self.current.journal.append(entry)
+
+    async def _wind_up(self, account: Account) -> None:
+        """Free what a closed incarnation did not spend."""
+        await account.stop()
+        for workspace, holding in account.allotments.holdings_by_workspace.items():
+            await self._retire(account.incarnation, workspace, holding)
+        self.former.remove(account)
+
+    async def _retire(
+        self, incarnation: IncarnationId, workspace: WorkspaceId, holding: Holding
+    ) -> None:
+        """Replace one allotment by what was spent of it, however often it has to be tried."""
+        backoff = Backoff(self._rng)
+        while True:
+            try:
+                entry = await self._kv.get(budget_key(workspace))
+                record = decode_budget(workspace, entry)
+                if entry is None or incarnation not in record.allotments_by_incarnation:
+                    return
+                changed = retire(record, incarnation, holding.ledger.spent)
+                value = msgspec.json.encode(changed)
+                await self._kv.put_if(entry.key, value, entry.version)
+                return
+            except (KvConflictError, KvUnavailableError):
+                await self._clock.sleep(backoff.next_seconds())
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/allotments.py
@@ -0,0 +1,331 @@
+"""Allotments of prepaid tokens held by this incarnation."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore, RecallReply
+from quinceferry_core.backoffs import Backoff
+from quinceferry_core.budgets import (
+    Allotment,
+    BudgetRecord,
+    BudgetShortfall,
+    DrawPolicy,
+    budget_key,
+    draw_size,
+    resize,
+)
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import FencedError, KvConflictError, KvUnavailableError
+from quinceferry_core.ledgers import Ledger
+from quinceferry_core.models import IncarnationId, RequestId, WorkspaceId
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.settings import BudgetSettings
+
+MAX_CAS_TRIES = 12
+MIN_REFILL_INTERVAL_SECONDS = 5.0
+_DRAW_STEP = "budget.draw"
+
+
+@dataclass(slots=True, frozen=True)
+class BudgetUnreachable:
+    """The key-value service did not answer, so no tokens could be drawn."""
+
+    wanted: int
+
+
+ReserveError = BudgetShortfall | BudgetUnreachable
+
+
+@dataclass(slots=True)
+class Holding:
+    """What this incarnation holds of one workspace's budget.
+
+    ``sequence`` numbers the last operation tried on the budget record; ``unresolved`` means that
+    its answer was lost. ``record`` is the record as last read. Times are in monotonic seconds.
+    """
+
+    ledger: Ledger = field(default_factory=Ledger)
+    sequence: int = 0
+    record: BudgetRecord | None = None
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    settled: asyncio.Event = field(default_factory=asyncio.Event)
+    unresolved: bool = False
+    refilling: bool = False
+    refilled_at: float = float("-inf")
+    used_at: float = 0.0
+
+
+class AllotmentController(TaskGroupController):
+    """Draws, refills and returns allotments for one incarnation.
+
+    :param on_fenced: called when a budget record shows that this incarnation was closed.
+    """
+
+    def __init__(
+        self,
+        incarnation: IncarnationId,
+        kv: KvStore,
+        clock: Clock,
+        rng: Random,
+        settings: BudgetSettings,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self.incarnation = incarnation
+        self.holdings_by_workspace: dict[WorkspaceId, Holding] = {}
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._on_fenced = on_fenced
+        self._policy = DrawPolicy(
+            settings.allotment_horizon_seconds,
+            settings.min_allotment_tokens,
+            settings.max_allotment_share,
+        )
+
+    async def start(self) -> None:
+        """Start the loop that returns idle allotments."""
+        self.spawn(self._return_idle_forever(), "allotments")
+
+    def ledger(self, workspace: WorkspaceId) -> Ledger:
+        """Return the ledger of a workspace."""
+        return self._holding(workspace).ledger
+
+    async def reserve(
+        self, workspace: WorkspaceId, request: RequestId, tokens: int
+    ) -> Result[int, ReserveError]:
+        """Reserve tokens for a request, drawing more when the allotment is short.
+
+        :return: the tokens reserved, or why there are too few.
+        """
+        holding = self._holding(workspace)
+        holding.used_at = self._clock.monotonic()
+        holding.ledger.note_demand(tokens, self._clock.monotonic())
+        if isinstance(holding.ledger.reserve(request, tokens), Success):
+            self._refill_if_low(workspace, holding)
+            return Success(tokens)
+        async with holding.lock:
+            reserved = holding.ledger.reserve(request, tokens)
+            if isinstance(reserved, Success):
+                return reserved
+            drawn = await self._draw(workspace, holding, tokens)
+        if isinstance(drawn, Failure):
+            return drawn
+        return holding.ledger.reserve(request, tokens).alt(
+            lambda short: BudgetShortfall(short.wanted, short.available)
+        )
+
+    def settle(self, workspace: WorkspaceId, request: RequestId, used: int) -> int:
+        """Replace a request's reservation by its use; return the tokens charged."""
+        holding = self._holding(workspace)
+        charged = holding.ledger.settle(request, used)
+        holding.settled.set()
+        holding.settled = asyncio.Event()
+        return charged
+
+    async def wait_settled(self, workspace: WorkspaceId, timeout_seconds: float) -> bool:
+        """Wait for the next settlement of a workspace.
+
+        :return: whether one came in time.
+        """
+        event = self._holding(workspace).settled
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def recall(self, workspace: WorkspaceId, wanted: int) -> RecallReply:
+        """Return unused tokens to the budget record because a peer lacks them.
+
+        :param wanted: tokens the peer lacks; as much as is unused goes back, up to this.
+        """
+        holding = self.holdings_by_workspace.get(workspace)
+        if holding is None:
+            return RecallReply(0, 0)
+        async with holding.lock:
+            returned = min(wanted, holding.ledger.available)
+            if returned > 0:
+                returned = await self._give_back(workspace, holding, returned)
+            return RecallReply(returned, holding.ledger.available)
+
+    async def return_all(self) -> None:
+        """Return every unused token, at a planned stop."""
+        for workspace, holding in self.holdings_by_workspace.items():
+            async with holding.lock:
+                if holding.ledger.available > 0 or holding.ledger.outage_tokens > 0:
+                    await self._give_back(workspace, holding, holding.ledger.available)
+
+    def _holding(self, workspace: WorkspaceId) -> Holding:
+        """Return the holding of a workspace, creating it."""
+        return self.holdings_by_workspace.setdefault(workspace, Holding())
+
+    async def _draw(
+        self, workspace: WorkspaceId, holding: Holding, wanted: int
+    ) -> Result[None, ReserveError]:
+        """Draw until ``wanted`` tokens are available; the caller holds the lock."""
+        backoff = Backoff(self._rng)
+        for _ in range(MAX_CAS_TRIES):
+            try:
+                entry, record = await self._read(workspace, holding)
+                missing = wanted - holding.ledger.available
+                if missing <= 0:
+                    return Success(None)
+                rate = holding.ledger.demand_tokens_per_second
+                tokens = draw_size(record, missing, rate, self._policy)
+                if tokens == 0:
+                    return Failure(BudgetShortfall(missing, max(0, record.free)))
+                await self._write(workspace, holding, entry, record, tokens)
+                return Success(None)
+            except KvConflictError:
+                await self._clock.sleep(backoff.next_seconds())
+            except KvUnavailableError:
+                return Failure(BudgetUnreachable(wanted))
+        return Failure(BudgetUnreachable(wanted))
+
+    async def _give_back(self, workspace: WorkspaceId, holding: Holding, tokens: int) -> int:
+        """Return tokens; the caller holds the lock.
+
+        The ledger is debited before the write: a lost answer then leaves tokens unused, never used
+        twice.
+
+        :return: the tokens known to be back in the record.
+        """
+        debited = 0
+        for _ in range(MAX_CAS_TRIES):
+            try:
+                entry, record = await self._read(workspace, holding)
+                if debited == 0:
+                    debited = min(tokens, holding.ledger.available)
+                    holding.ledger.drawn -= debited
+                await self._write(workspace, holding, entry, record, 0)
+                return debited
+            except KvConflictError:
+                continue
+            except KvUnavailableError:
+                return 0
+        return 0
+
+    async def _read(
+        self, workspace: WorkspaceId, holding: Holding
+    ) -> tuple[KvEntry | None, BudgetRecord]:
+        """Read the record and take over what it says of operations with lost answers."""
+        entry = await self._kv.get(budget_key(workspace))
+        record = decode_budget(workspace, entry)
+        holding.record = record
+        mine = record.allotments_by_incarnation.get(self.incarnation)
+        if mine is None:
+            return entry, record
+        if mine.closed:
+            self._on_fenced()
+            raise FencedError("the allotment was closed", step=_DRAW_STEP, peer=workspace)
+        holding.unresolved = False
+        if mine.sequence == holding.sequence:
+            holding.ledger.drawn = mine.drawn
+            holding.ledger.outage_tokens = mine.outage_tokens
+        return entry, record
+
+    async def _write(
+        self,
+        workspace: WorkspaceId,
+        holding: Holding,
+        entry: KvEntry | None,
+        record: BudgetRecord,
+        tokens: int,
+    ) -> None:
+        """Write the allotment with ``tokens`` more than the ledger holds, and take it over."""
+        ledger = holding.ledger
+        holding.sequence += 1
+        holding.unresolved = True
+        drawn = ledger.drawn + tokens
+        wanted = Allotment(drawn, ledger.spent, 0, holding.sequence)
+        changed = resize(record, self.incarnation, wanted).unwrap()
+        outage_tokens = self._outage_target(holding, changed, tokens)
+        wanted = replace(wanted, outage_tokens=outage_tokens)
+        changed = resize(record, self.incarnation, wanted).unwrap()
+        # The part for outages shrinks here before it shrinks in the record, and grows after it.
+        ledger.outage_tokens = min(ledger.outage_tokens, outage_tokens)
+        version = entry.version if entry else ABSENT_VERSION
+        await self._kv.put_if(budget_key(workspace), msgspec.json.encode(changed), version)
+        holding.unresolved = False
+        holding.record = changed
+        ledger.drawn = drawn
+        ledger.outage_tokens = outage_tokens
+
+    def _outage_target(self, holding: Holding, record: BudgetRecord | None, extra: int = 0) -> int:
+        """Return how many tokens may be spent unrecorded during an outage.
+
+        None while the budget is nearly spent: such tokens are lost to the workspace if this router
+        fails.
+        """
+        ledger = holding.ledger
+        floor = ledger.unrecorded
+        if record is None or record.free < self._settings.min_allotment_tokens:
+            return floor
+        cover = int(ledger.demand_tokens_per_second * self._settings.outage_cover_seconds)
+        cover = max(cover, self._settings.min_allotment_tokens)
+        return max(floor, min(cover, ledger.available + extra + floor))
+
+    def _refill_if_low(self, workspace: WorkspaceId, holding: Holding) -> None:
+        """Start a refill when less than half of the target is left."""
+        if holding.refilling or holding.record is None:
+            return
+        if holding.ledger.available * 2 >= self._target(holding, holding.record):
+            return
+        now = self._clock.monotonic()
+        if now - holding.refilled_at < MIN_REFILL_INTERVAL_SECONDS:
+            return
+        holding.refilled_at = now
+        holding.refilling = True
+        self.spawn(self._refill(workspace, holding), f"refill {workspace}")
+
+    def _target(self, holding: Holding, record: BudgetRecord) -> int:
+        """Return how many unused tokens this router should hold."""
+        return draw_size(record, 0, holding.ledger.demand_tokens_per_second, self._policy)
+
+    async def _refill(self, workspace: WorkspaceId, holding: Holding) -> None:
+        """Draw up to the target ahead of demand; the next request tries again if this fails."""
+        try:
+            async with holding.lock:
+                entry, record = await self._read(workspace, holding)
+                missing = self._target(holding, record) - holding.ledger.available
+                if 0 < missing <= record.free:
+                    await self._write(workspace, holding, entry, record, missing)
+        except (FencedError, KvConflictError, KvUnavailableError):
+            return
+        finally:
+            holding.refilling = False
+
+    async def _return_idle_forever(self) -> None:
+        """Return the tokens of workspaces that send nothing here any more."""
+        idle_seconds = self._settings.idle_return_seconds
+        while True:
+            await self._clock.sleep(idle_seconds / 2)
+            now = self._clock.monotonic()
+            for workspace, holding in list(self.holdings_by_workspace.items()):
+                idle = now - holding.used_at >= idle_seconds
+                if holding.unresolved or (idle and holding.ledger.available > 0):
+                    await self._return_idle(workspace, holding, idle)
+
+    async def _return_idle(self, workspace: WorkspaceId, holding: Holding, idle: bool) -> None:
+        """Return one workspace's unused tokens, or only resolve an operation with a lost answer."""
+        try:
+            async with holding.lock:
+                tokens = holding.ledger.available if idle else 0
+                await self._give_back(workspace, holding, tokens)
+        except FencedError:
+            return
+
+
+def decode_budget(workspace: WorkspaceId, entry: KvEntry | None) -> BudgetRecord:
+    """Decode a budget record; an absent one is empty."""
+    if entry is None:
+        return BudgetRecord(workspace)
+    return msgspec.json.decode(entry.value, type=BudgetRecord)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/folds.py
@@ -0,0 +1,129 @@
+"""Folds old journal slots of this incarnation into segments of bills."""
+
+from random import Random
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferry_core.journals import (
+    JOURNAL_PREFIX,
+    JournalState,
+    RequestKey,
+    Segment,
+    Settle,
+    Slot,
+    segment_key,
+    slot_number,
+)
+from quinceferry_core.models import IncarnationId
+from quinceferryd.accounts import AccountController
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.settings import JournalSettings
+from quinceferryd.verdicts import read_journal, read_segments
+
+MIN_SLOTS = 64
+"""Fewer slots are not worth a segment."""
+MAX_BILLS = 4000
+"""Bills in one segment; keeps its value well below the service's limit of one megabyte."""
+
+
+class JournalFolder(TaskGroupController):
+    """Keeps the number of keys in this incarnation's journal small.
+
+    A slot is folded once every request that it begins is settled. The segment is written before the
+    slots are deleted; until then both hold the same bills, which count once.
+    """
+
+    def __init__(
+        self,
+        accounts: AccountController,
+        kv: KvStore,
+        clock: Clock,
+        rng: Random,
+        settings: JournalSettings,
+    ) -> None:
+        super().__init__()
+        self._accounts = accounts
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._folded_commits = 0
+
+    async def start(self) -> None:
+        """Start folding at intervals."""
+        self.spawn(self._run(), "journal folder")
+
+    async def fold(self, incarnation: IncarnationId) -> int:
+        """Fold what can be folded once; return how many slots were.
+
+        :raises KvError: the key-value service did not answer; call again.
+        """
+        entries = await self._kv.list(f"{JOURNAL_PREFIX}{incarnation}/")
+        folded = await read_segments(self._kv, incarnation)
+        # Slots below the last segment's end are left over from a fold that was interrupted.
+        chosen = [entry for entry in entries if slot_number(entry.key) < folded.next_slot]
+        whole = await read_journal(self._kv, incarnation)
+        more, segment = _plan(incarnation, entries[len(chosen) :], folded, whole)
+        if segment is not None:
+            await self._write(segment_key(incarnation, segment.first_slot), segment)
+            chosen += more
+        for entry in chosen:
+            await self._kv.delete_if(entry.key, entry.version)
+        return len(chosen)
+
+    async def _run(self) -> None:
+        """Fold whenever enough slots have come since the last time."""
+        while True:
+            interval = self._settings.fold_interval_seconds
+            await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
+            account = self._accounts.current
+            if account is None or account.journal.commits - self._folded_commits < MIN_SLOTS:
+                continue
+            try:
+                self._folded_commits = account.journal.commits
+                await self.fold(account.incarnation)
+            except KvError:
+                continue
+
+    async def _write(self, key: str, segment: Segment) -> None:
+        """Create a segment; an earlier try with a lost answer may have created it."""
+        value = msgspec.json.encode(segment)
+        try:
+            await self._kv.put_if(key, value, ABSENT_VERSION)
+        except KvConflictError:
+            found = await self._kv.get(key)
+            if found is None or found.value != value:
+                raise
+
+
+def _plan(
+    incarnation: IncarnationId,
+    entries: list[KvEntry],
+    folded: JournalState,
+    whole: JournalState,
+) -> tuple[list[KvEntry], Segment | None]:
+    """Choose the longest run of oldest slots without an unsettled request.
+
+    :param entries: slots after the folded part.
+    :param folded: the folded part of the journal, which is continued.
+    :param whole: the whole journal, which tells the unsettled requests.
+    """
+    chosen: list[KvEntry] = []
+    bills: list[Settle] = []
+    first = folded.next_slot
+    for entry in entries:
+        slot = msgspec.json.decode(entry.value, type=Slot)
+        keys = {RequestKey(item.workspace, item.request) for item in slot.entries}
+        if slot.closed_by or keys & whole.begins_by_request.keys():
+            break
+        if len(bills) + len(slot.entries) > MAX_BILLS:
+            break
+        chosen.append(entry)
+        bills.extend(item for item in slot.entries if isinstance(item, Settle))
+        folded.apply_slot(slot_number(entry.key), slot, incarnation)
+    if len(chosen) < MIN_SLOTS:
+        return [], None
+    return chosen, Segment(first, folded.next_slot, tuple(bills), folded.spent_by_workspace)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -0,0 +1,265 @@
+"""The path of a caller's request through one router."""
+
+import hashlib
+from contextlib import aclosing
+from random import Random
+
+from quinceferry_core.adapters import PeerClient
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import PeerUnavailableError
+from quinceferry_core.journals import RequestKey
+from quinceferry_core.models import CallerRequest, RequestId, Ticket, WorkspaceId
+from quinceferry_core.outcomes import (
+    AnswerEvent,
+    AnswerStream,
+    Chunk,
+    Failed,
+    NotRun,
+    Outcome,
+    RefusalReason,
+    Run,
+    Unknown,
+)
+from quinceferryd.accounts import AccountController
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.execution import NEVER_SENT, Executor, not_ready
+from quinceferryd.forwards import forward
+from quinceferryd.runs import RequestRun, RunStore
+from quinceferryd.verdicts import JournalVerdicts
+
+HOME_RETRY_SECONDS = 2.0
+"""When to ask the home of a request again."""
+_OPEN_STATES = (RouterState.SERVING, RouterState.STOPPING)
+
+
+class Pipeline(TaskGroupController):
+    """Joins repeated requests, sends those of another home there, and runs the others."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        accounts: AccountController,
+        executor: Executor,
+        verdicts: JournalVerdicts,
+        peers: PeerClient,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self.runs = RunStore(clock)
+        self.open_requests = 0
+        self._blackboard = blackboard
+        self._accounts = accounts
+        self._executor = executor
+        self._verdicts = verdicts
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+
+    async def submit(self, request: CallerRequest) -> AnswerStream:
+        """Return the events of a request's answer, the last one a ``Finished`` or ``Failed``.
+
+        Closing the iterator early means that the caller has left.
+        """
+        self.open_requests += 1
+        try:
+            async with aclosing(self._route(request)) as events:
+                async for event in events:
+                    yield event
+        finally:
+            self.open_requests -= 1
+
+    async def outcome(self, workspace: WorkspaceId, request_id: RequestId) -> Outcome | None:
+        """Return what became of a request here; None when this process has never seen it."""
+        return self.runs.outcome(RequestKey(workspace, request_id))
+
+    def _route(self, request: CallerRequest) -> AnswerStream:
+        """Choose how to answer a request."""
+        key = RequestKey(request.workspace, request.request_id)
+        known = self.runs.find(key)
+        if known is not None and self._answers(known, request):
+            return self._follow(known, request)
+        refusal = self._ticket_refusal(request)
+        if refusal is not None:
+            return _only(refusal)
+        ticket = request.ticket
+        if ticket is None or ticket.home == self._blackboard.identity.incarnation:
+            return self._run(key, request)
+        if request.forwarded:
+            return self._run_forwarded(key, request, ticket)
+        if request.idempotent:
+            return self._run_unless_known_at(key, request, ticket)
+        return self._forward_home(request, ticket)
+
+    def _answers(self, known: RequestRun, request: CallerRequest) -> bool:
+        """Tell whether a known run answers a repeated request.
+
+        The answer of an idempotent request that broke off or whose text was dropped is run again;
+        its bill replaces the earlier one.
+        """
+        if not request.idempotent or known.outcome is None:
+            return True
+        return isinstance(known.outcome, Run) and not known.text_dropped
+
+    def _follow(self, known: RequestRun, request: CallerRequest) -> AnswerStream:
+        """Answer a repeated request from the run of the first."""
+        if known.fingerprint != _fingerprint(request):
+            detail = "the request id was used for another request"
+            return _only(Failed(RefusalReason.REQUEST_ID_REUSED, NEVER_SENT, detail=detail))
+        if known.text_dropped and known.outcome is not None:
+            detail = "the answer is no longer stored"
+            return _only(
+                Failed(RefusalReason.REQUEST_ID_REUSED, known.outcome, 0.0, detail, "replay")
+            )
+        return self._read(known)
+
+    def _ticket_refusal(self, request: CallerRequest) -> Failed | None:
+        """Refuse a non-idempotent request that names no home."""
+        ticket = request.ticket
+        if ticket is None:
+            if request.idempotent:
+                return None
+            detail = "a non-idempotent request needs the ticket of an address answer"
+            return Failed(RefusalReason.TICKET_REQUIRED, NEVER_SENT, detail=detail)
+        if ticket.workspace != request.workspace:
+            detail = "the ticket was issued to another workspace"
+            return Failed(RefusalReason.TICKET_INVALID, NEVER_SENT, detail=detail)
+        if not request.idempotent and ticket.expires_at < self._clock.now():
+            detail = "the ticket has expired, and so has the memory of its requests"
+            return Failed(RefusalReason.TICKET_INVALID, Unknown(), detail=detail)
+        return None
+
+    async def _run(self, key: RequestKey, request: CallerRequest) -> AnswerStream:
+        """Run a request here and return its answer."""
+        if self._blackboard.state not in _OPEN_STATES or self._accounts.current is None:
+            yield not_ready("submit")
+            return
+        run = self.runs.begin(key, _fingerprint(request), request.idempotent)
+        run.task = self.spawn(self._execute(run, request), f"request {key.request}")
+        async with aclosing(self._read(run)) as events:
+            async for event in events:
+                yield event
+
+    async def _execute(self, run: RequestRun, request: CallerRequest) -> None:
+        """Run a request to its end and store what came of it."""
+        try:
+            await self._executor.execute(run, request)
+        finally:
+            if run.outcome is None:
+                detail = "the request was stopped"
+                run.publish(Failed(RefusalReason.INTERNAL, Unknown(), detail=detail))
+            self.runs.finish(run)
+
+    async def _read(self, run: RequestRun) -> AnswerStream:
+        """Return a run's events.
+
+        The last reader to leave early stops an idempotent run. Another runs to its end: its caller
+        can only learn the answer from this one.
+        """
+        run.readers += 1
+        try:
+            async for event in run.follow():
+                yield event
+        finally:
+            run.readers -= 1
+            is_unread = run.readers == 0 and run.outcome is None
+            if is_unread and run.idempotent and run.task is not None:
+                run.task.cancel()
+
+    async def _run_forwarded(
+        self, key: RequestKey, request: CallerRequest, ticket: Ticket
+    ) -> AnswerStream:
+        """Answer a request that a peer sent here."""
+        if request.idempotent:
+            async with aclosing(self._run(key, request)) as events:
+                async for event in events:
+                    yield event
+            return
+        # The home was an earlier incarnation of this process or is none of it. Nothing new runs
+        # under it: another router may already have told the caller so.
+        yield await self._judge(request, ticket)
+
+    async def _run_unless_known_at(
+        self, key: RequestKey, request: CallerRequest, ticket: Ticket
+    ) -> AnswerStream:
+        """Join an idempotent request at the router that has it, or run it here."""
+        address = self._address_of(ticket)
+        if address and await self._is_known_at(address, key):
+            started = False
+            try:
+                async with aclosing(forward(self._peers, address, request)) as events:
+                    async for event in events:
+                        started = started or isinstance(event, Chunk)
+                        yield event
+                return
+            except PeerUnavailableError as error:
+                if started:
+                    yield _home_failure(error, Unknown())
+                    return
+        async with aclosing(self._run(key, request)) as events:
+            async for event in events:
+                yield event
+
+    async def _is_known_at(self, address: str, key: RequestKey) -> bool:
+        """Ask a peer whether it has seen a request; an unreachable one counts as no."""
+        try:
+            outcome = await self._peers.ask_outcome(address, key.workspace, key.request)
+        except PeerUnavailableError:
+            return False
+        return outcome is not None
+
+    async def _forward_home(self, request: CallerRequest, ticket: Ticket) -> AnswerStream:
+        """Have the home of a non-idempotent request run it or tell its outcome."""
+        address = self._address_of(ticket)
+        if not address:
+            yield await self._judge(request, ticket)
+            return
+        try:
+            async with aclosing(forward(self._peers, address, request)) as events:
+                async for event in events:
+                    yield event
+        except PeerUnavailableError as error:
+            yield _home_failure(error, Unknown())
+
+    async def _judge(self, request: CallerRequest, ticket: Ticket) -> Failed:
+        """Tell what became of a non-idempotent request whose home is gone."""
+        key = RequestKey(request.workspace, request.request_id)
+        outcome = await self._verdicts.outcome(ticket, key)
+        if isinstance(outcome, NotRun):
+            detail = "its home has left without running it; ask for a new address"
+            return Failed(RefusalReason.HOME_GONE, outcome, HOME_RETRY_SECONDS, detail)
+        detail = "its home is gone and may have run it"
+        return Failed(RefusalReason.HOME_GONE, outcome, 0.0, detail)
+
+    def _address_of(self, ticket: Ticket) -> str:
+        """Return the address of a ticket's home while it is a member, else nothing."""
+        member = self._blackboard.members_by_incarnation.get(ticket.home)
+        return member.address if member else ""
+
+
+def _home_failure(error: PeerUnavailableError, outcome: Outcome) -> Failed:
+    """Return the failure of a request whose home cannot be reached."""
+    return Failed(
+        RefusalReason.HOME_GONE,
+        outcome,
+        HOME_RETRY_SECONDS,
+        str(error),
+        step="forward",
+        peer=error.peer,
+    )
+
+
+def _fingerprint(request: CallerRequest) -> bytes:
+    """Return a digest of what makes a repeated request the same one."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (str(request.target), request.method, request.path, request.prompt):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.digest()
+
+
+async def _only(event: AnswerEvent) -> AnswerStream:
+    """Return a single event."""
+    yield event
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/runs.py
@@ -0,0 +1,151 @@
+"""Requests that this process runs or has run, with their answers.
+
+A repeated request id joins the run in progress or receives the stored answer again.
+"""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from quinceferry_core.clocks import Clock
+from quinceferry_core.journals import RequestKey
+from quinceferry_core.outcomes import (
+    AnswerEvent,
+    AnswerStream,
+    Chunk,
+    Failed,
+    Finished,
+    NotRun,
+    Outcome,
+    Run,
+    Unknown,
+)
+
+ANSWER_RETENTION_SECONDS = 300.0
+"""How long a finished answer is replayed."""
+MAX_STORED_BYTES = 8 * 1024 * 1024
+"""Text of finished answers kept in all; the oldest are dropped first."""
+OUTCOME_RETENTION_SECONDS = 7200.0
+"""How long an outcome is known after its answer was dropped; longer than a ticket lives."""
+
+
+@dataclass(slots=True, eq=False)
+class RequestRun:
+    """One request with the events of its answer so far."""
+
+    key: RequestKey
+    fingerprint: bytes
+    idempotent: bool = True
+    events: list[AnswerEvent] = field(default_factory=list)
+    outcome: Outcome | None = None
+    readers: int = 0
+    finished_at: float = 0.0
+    stored_bytes: int = 0
+    text_dropped: bool = False
+    task: asyncio.Task[None] | None = None
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def publish(self, event: AnswerEvent) -> None:
+        """Add an event and wake all readers; the last event sets the outcome."""
+        if self.outcome is not None:
+            return
+        self.events.append(event)
+        match event:
+            case Chunk():
+                self.stored_bytes += len(event.text) + len(event.data)
+            case Finished(usage=usage):
+                self.outcome = Run(usage)
+            case Failed(outcome=outcome):
+                self.outcome = outcome
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def follow(self) -> AnswerStream:
+        """Return all events from the first on, waiting for new ones.
+
+        A slow reader holds up nobody: its position moves through the stored events, whose number
+        the request's output cap bounds.
+        """
+        position = 0
+        while True:
+            while position < len(self.events):
+                yield self.events[position]
+                position += 1
+            if self.outcome is not None:
+                return
+            await self._changed.wait()
+
+
+class RunStore:
+    """Runs of this process by request key, bounded in time and size."""
+
+    def __init__(self, clock: Clock, max_stored_bytes: int = MAX_STORED_BYTES) -> None:
+        self._clock = clock
+        self._max_stored_bytes = max_stored_bytes
+        self._runs_by_key: dict[RequestKey, RequestRun] = {}
+        self._with_text: OrderedDict[RequestKey, RequestRun] = OrderedDict()
+        self._without_text: OrderedDict[RequestKey, RequestRun] = OrderedDict()
+        self._stored_bytes = 0
+
+    def __len__(self) -> int:
+        """Return how many runs are known."""
+        return len(self._runs_by_key)
+
+    def find(self, key: RequestKey) -> RequestRun | None:
+        """Return the run of a request, if it is known."""
+        self._expire()
+        return self._runs_by_key.get(key)
+
+    def begin(self, key: RequestKey, fingerprint: bytes, idempotent: bool = True) -> RequestRun:
+        """Start a run; a known run of the same key is replaced."""
+        self._forget(key)
+        run = RequestRun(key, fingerprint, idempotent)
+        self._runs_by_key[key] = run
+        return run
+
+    def finish(self, run: RequestRun) -> None:
+        """Store a finished run; one that did not run is forgotten, so that it may be retried."""
+        if self._runs_by_key.get(run.key) is not run:
+            return
+        if isinstance(run.outcome, NotRun):
+            del self._runs_by_key[run.key]
+            return
+        run.finished_at = self._clock.monotonic()
+        self._with_text[run.key] = run
+        self._stored_bytes += run.stored_bytes
+        self._expire()
+
+    def outcome(self, key: RequestKey) -> Outcome | None:
+        """Return what became of a request; ``Unknown`` while it runs, None if never seen."""
+        run = self.find(key)
+        if run is None:
+            return None
+        return run.outcome if run.outcome is not None else Unknown()
+
+    def _expire(self) -> None:
+        """Drop texts and outcomes that are too old or too many."""
+        now = self._clock.monotonic()
+        while self._with_text:
+            key, run = next(iter(self._with_text.items()))
+            is_recent = now - run.finished_at < ANSWER_RETENTION_SECONDS
+            if is_recent and self._stored_bytes <= self._max_stored_bytes:
+                break
+            del self._with_text[key]
+            self._stored_bytes -= run.stored_bytes
+            self._without_text[key] = run
+            run.events = [event for event in run.events if not isinstance(event, Chunk)]
+            run.text_dropped = True
+        while self._without_text:
+            key, run = next(iter(self._without_text.items()))
+            if now - run.finished_at < OUTCOME_RETENTION_SECONDS:
+                break
+            self._forget(key)
+
+    def _forget(self, key: RequestKey) -> None:
+        """Drop all that is known of a request."""
+        run = self._runs_by_key.pop(key, None)
+        if run is None:
+            return
+        if self._with_text.pop(key, None) is not None:
+            self._stored_bytes -= run.stored_bytes
+        self._without_text.pop(key, None)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/shortages.py
@@ -0,0 +1,176 @@
+"""What a router does when its allotment does not cover a request."""
+
+import asyncio
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.adapters import PeerClient
+from quinceferry_core.budgets import BudgetShortfall
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import PeerUnavailableError
+from quinceferry_core.membership import Member
+from quinceferry_core.models import CallerRequest, WorkspaceId
+from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason
+from quinceferryd.accounts import Account
+from quinceferryd.allotments import BudgetUnreachable, ReserveError
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.settings import BudgetSettings
+
+MAX_RECALL_ROUNDS = 3
+BUSY_RETRY_SECONDS = 2.0
+"""When to ask again while tokens are reserved for requests in progress."""
+UNREACHABLE_RETRY_SECONDS = 5.0
+"""When to ask again while the budget record or a router that holds tokens cannot be reached."""
+
+
+@dataclass(slots=True, frozen=True)
+class Reserved:
+    """The request's tokens are reserved here."""
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardTo:
+    """Another router holds tokens; the request should run there."""
+
+    members: tuple[Member, ...]
+
+
+Cover = Reserved | ForwardTo
+
+
+@dataclass(slots=True)
+class _Recalled:
+    """What the peers answered to a recall."""
+
+    returned: int = 0
+    still_held: int = 0
+    unreachable: int = 0
+
+
+class ShortageHandler:
+    """Finds tokens for a request beyond this router's own allotment.
+
+    While the key-value service answers, peers return unused tokens to the budget record, from which
+    this router draws them. During an outage no token can move safely, so the request moves instead.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        peers: PeerClient,
+        clock: Clock,
+        settings: BudgetSettings,
+    ) -> None:
+        self._blackboard = blackboard
+        self._peers = peers
+        self._clock = clock
+        self._settings = settings
+        self._locks_by_workspace: dict[WorkspaceId, asyncio.Lock] = {}
+
+    async def cover(
+        self, account: Account, request: CallerRequest, tokens: int
+    ) -> Result[Cover, Failed]:
+        """Reserve tokens for a request, here or at a peer.
+
+        :return: where the request can run, or a truthful refusal.
+        """
+        give_up_at = self._clock.monotonic() + self._settings.settle_wait_seconds
+        while True:
+            reserved = await self._reserve(account, request, tokens)
+            if isinstance(reserved, Success):
+                return Success(Reserved())
+            match reserved.failure():
+                case BudgetUnreachable():
+                    return self._forward(account, request)
+                case BudgetShortfall():
+                    recalled = await self._recall_once(account, request.workspace, tokens)
+                    if recalled.returned > 0:
+                        continue
+            wait = give_up_at - self._clock.monotonic()
+            workspace = request.workspace
+            if wait <= 0 or not await account.allotments.wait_settled(workspace, wait):
+                return Failure(self._refusal(account, request, recalled))
+
+    async def _reserve(
+        self, account: Account, request: CallerRequest, tokens: int
+    ) -> Result[int, ReserveError]:
+        """Reserve from the own allotment or the budget record."""
+        return await account.allotments.reserve(request.workspace, request.request_id, tokens)
+
+    async def _recall_once(
+        self, account: Account, workspace: WorkspaceId, tokens: int
+    ) -> _Recalled:
+        """Ask peers for unused tokens until enough have come back; one recall at a time."""
+        lock = self._locks_by_workspace.setdefault(workspace, asyncio.Lock())
+        async with lock:
+            recalled = _Recalled()
+            wanted = tokens - account.allotments.ledger(workspace).available
+            for member in self._holders(account, workspace):
+                if recalled.returned >= wanted:
+                    break
+                await self._recall_from(member, workspace, wanted - recalled.returned, recalled)
+            return recalled
+
+    async def _recall_from(
+        self, member: Member, workspace: WorkspaceId, wanted: int, recalled: _Recalled
+    ) -> None:
+        """Ask one peer for unused tokens."""
+        try:
+            reply = await self._peers.recall(member.address, workspace, wanted)
+        except PeerUnavailableError:
+            recalled.unreachable += 1
+            return
+        recalled.returned += reply.returned
+        recalled.still_held += reply.still_held
+
+    def _forward(self, account: Account, request: CallerRequest) -> Result[Cover, Failed]:
+        """Choose peers that may run the request while no token can move."""
+        may_move = request.idempotent and not request.forwarded
+        holders = self._holders(account, request.workspace) if may_move else []
+        if holders:
+            return Success(ForwardTo(tuple(holders)))
+        return Failure(
+            Failed(
+                RefusalReason.BUDGET_UNREACHABLE,
+                NotRun(NotRunProof.NEVER_SENT),
+                UNREACHABLE_RETRY_SECONDS,
+                "the budget record cannot be reached and this router's allotment is used up",
+                step="budget.reserve",
+            )
+        )
+
+    def _holders(self, account: Account, workspace: WorkspaceId) -> list[Member]:
+        """Return live peers that held tokens when the record was last read, most first."""
+        holding = account.allotments.holdings_by_workspace.get(workspace)
+        if holding is None or holding.record is None:
+            return []
+        unspent_by_incarnation = {
+            incarnation: allotment.drawn - allotment.spent
+            for incarnation, allotment in holding.record.allotments_by_incarnation.items()
+            if incarnation != account.incarnation and not allotment.closed
+        }
+        members = self._blackboard.members_by_incarnation
+        live = [name for name in unspent_by_incarnation if name in members]
+        live.sort(key=lambda name: (-unspent_by_incarnation[name], name))
+        return [members[name] for name in live]
+
+    def _refusal(self, account: Account, request: CallerRequest, recalled: _Recalled) -> Failed:
+        """Tell whether the budget is spent, in use or partly out of reach."""
+        ledger = account.allotments.ledger(request.workspace)
+        record = account.allotments.holdings_by_workspace[request.workspace].record
+        others = 0
+        if record is not None:
+            held = record.allotments_by_incarnation.get(account.incarnation)
+            others = record.outstanding - (held.drawn if held else 0)
+        if recalled.unreachable and others > 0:
+            reason, retry = RefusalReason.BUDGET_UNREACHABLE, UNREACHABLE_RETRY_SECONDS
+            detail = "a router that holds a part of the budget cannot be reached"
+        elif ledger.reserved > 0 or others > 0:
+            reason, retry = RefusalReason.BUDGET_SPENT, BUSY_RETRY_SECONDS
+            detail = "the rest of the budget is reserved for requests in progress"
+        else:
+            reason, retry = RefusalReason.BUDGET_SPENT, 0.0
+            detail = "the budget does not cover the prompt and the output cap"
+        proof = NotRun(NotRunProof.NEVER_SENT)
+        return Failed(reason, proof, retry, detail, step="budget.reserve")
