--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -14,8 +14,8 @@
     zone: str
     host: str
     port: int
-    fleet_secret: str
-    operator_key: str
+    fleet_secret: str = field(repr=False)
+    operator_key: str = field(repr=False)
     region: str = ""
 
 
