--- a/features/fixtures_routing.py
+++ b/features/fixtures_routing.py
@@ -1,6 +1,7 @@
 """Routers with real scheduling and streams over stand-in engines, on virtual time."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from quinceferry_core.models import (
@@ -99,19 +100,21 @@
     seed: int = 0
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     streaming: StreamSettings = field(default_factory=StreamSettings)
+    wrap: Callable = lambda upstreams: upstreams
 
     def __post_init__(self) -> None:
         clock = VirtualClock()
         identity = Identity(VmId(self.name), "a", self.name, IncarnationId(self.name), 1)
         self.blackboard = Blackboard(identity, configuration=self.site.configuration)
         self.upstreams = FakeUpstreams(clock, self.site.engines_by_id)
+        self.client = self.wrap(self.upstreams)
         rng = random.Random(self.seed)
         self.scheduler = Scheduler(self.blackboard, clock, rng, self.routing)
         self.loads = LoadController(
-            self.blackboard, self.upstreams, self.scheduler, clock, rng, self.routing
+            self.blackboard, self.client, self.scheduler, clock, rng, self.routing
         )
         self.streams = StreamRunner(
-            self.upstreams, self.scheduler, self.blackboard, clock, rng, self.streaming
+            self.client, self.scheduler, self.blackboard, clock, rng, self.streaming
         )
 
     async def start(self, warm_up_seconds: float = 3.0) -> None:
