Tighten the tests of the stand-in key-value service

Of 30 deliberate faults put into a scratch copy, the tests missed three: waking a waiting watch, an outage under a new watch, and the VM client's status check, which the decoder repeats. The first two are caught now. The stand-in servers keep idle connections longer than clients do, because a call sent on a connection that is being closed looks like an outage.

--- a/features/kv_standin.feature
+++ b/features/kv_standin.feature
@@ -49,6 +49,7 @@
     Given a stand-in KV
     When the KV is out
     Then every KV method reports that no answer came, naming its step and peer
+    And every KV method has waited for its timeout and no longer
 
   Scenario: A partition cuts off one client only
     Given a stand-in KV
--- a/features/steps/kv_standin.py
+++ b/features/steps/kv_standin.py
@@ -183,6 +183,7 @@
         await kv.put_if(KEY, NEW, ABSENT_VERSION)
         await kv.put_if("config/a", NEW, ABSENT_VERSION)
         first = await waiting
+        context.woken_at = VirtualClock().monotonic()
         entry = await kv.get("config/a")
         await kv.delete_if("config/a", entry.version)
         second = await kv.watch("config/", first.cursor, 60.0)
@@ -196,6 +197,7 @@
 def check_watched(context):
     start, first, second, third = context.batches
     assert start.events == third.events == (), context.batches
+    assert context.woken_at < 2.0, context.woken_at
     assert [(event.key, event.entry is None) for event in first.events] == [("config/a", False)]
     assert [(event.key, event.entry is None) for event in second.events] == [("config/a", True)]
     assert not any(batch.reset for batch in context.batches), context.batches
@@ -231,7 +233,7 @@
         "grant_lease": lambda: kv.grant_lease(1.0),
         "keep_alive": lambda: kv.keep_alive("lease-1"),
         "revoke_lease": lambda: kv.revoke_lease("lease-1"),
-        "watch": lambda: kv.watch("budgets/", -1, 1.0),
+        "watch": lambda: kv.watch("budgets/", 0, 60.0),
     }
 
 
@@ -241,9 +243,10 @@
         kv = context.build_kv()
         kv.faults.outage = True
         calls = _calls_of(kv.connect("router"))
-        return {verb: await _error_of(call()) for verb, call in calls.items()}
+        context.errors_by_verb = {verb: await _error_of(call()) for verb, call in calls.items()}
+        context.elapsed = VirtualClock().monotonic()
 
-    context.errors_by_verb = run_virtual(call_all())
+    run_virtual(call_all())
 
 
 @then("every KV method reports that no answer came, naming its step and peer")
@@ -254,6 +257,12 @@
         assert error.peer, verb
 
 
+@then("every KV method has waited for its timeout and no longer")
+def check_outage_waits(context):
+    waits = context.elapsed / len(context.errors_by_verb)
+    assert abs(waits - TIMEOUT_SECONDS) < 1e-6, context.elapsed
+
+
 @when("one KV client is partitioned")
 def partition_client(context):
     async def call_both():
--- a/packages/quinceferry-standins/src/quinceferry_standins/serving.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/serving.py
@@ -11,6 +11,10 @@
 _GRACE_SECONDS = 1
 """How long requests in progress may go on after a stop; then they are cut."""
 
+_KEEP_ALIVE_SECONDS = 75
+"""How long an idle connection stays open; longer than clients keep one, so that they never send on
+a connection that is being closed."""
+
 
 def listen(host: str, port: int) -> socket.socket:
     """Return a listening socket.
@@ -34,6 +38,7 @@
         app,
         log_level="warning",
         access_log=False,
+        timeout_keep_alive=_KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=_GRACE_SECONDS,
     )
     return uvicorn.Server(config)
