Serve the operator API and commit its schema

Cause: operators had no interface. Change: 13 calls on litestar under /operator/v1, own bearer key, typed failures with code, step and peer; changes are derived from the newest configuration, and their fingerprint leaves the expected revision out, so that a repeat may carry a newer one. The schema is generated by 'make schema', committed, served from the file and compared with the routes by a feature. Conclusion: the calls wait for the service behind them to be wired.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab
 SEEDS ?= 20
 
-.PHONY: install test format demo history model measure capacity
+.PHONY: install test format schema demo history model measure capacity
 
 install: $(VENV)/.installed
 
@@ -22,6 +22,9 @@
 	$(BIN)/black --quiet packages features
 	$(BIN)/ruff check --quiet --fix packages features
 
+schema: install
+	$(BIN)/python -m quinceferryd.operator_schema
+
 demo: install
 	$(BIN)/python -m quinceferry_lab.demo
 
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_api.py
@@ -0,0 +1,289 @@
+"""HTTP interface for operators: one path for each call, described by the committed schema."""
+
+from collections.abc import Callable
+from importlib.resources import files
+from typing import Any, Protocol
+
+from litestar import Response, Router, get, post
+from litestar.connection import ASGIConnection
+from litestar.exceptions import HTTPException, NotAuthorizedException
+from litestar.handlers import BaseRouteHandler
+from litestar.openapi import ResponseSpec
+from returns.result import Failure, Result, Success
+
+from quinceferry_core import operator_messages as messages
+from quinceferry_core.bills import Balance, BillPage
+from quinceferry_core.configuration import ChangeBuilder, ChangeStatus, ConfigurationConflict
+from quinceferry_core.exceptions import QuinceferryError
+from quinceferry_core.membership import Member
+from quinceferry_core.models import IncarnationId, OperationId, WorkspaceId
+from quinceferry_core.operator_messages import OPERATOR_PATH, REPLIES_BY_MESSAGE
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.budgets import TopUpRejected
+from quinceferryd.keys import opens
+from quinceferryd.operator_changes import builder_of, fingerprint_of
+from quinceferryd.operator_failures import (
+    RETRY_SECONDS,
+    OperatorCallError,
+    call_failure,
+    conflict_failure,
+    on_call_failure,
+    on_http_error,
+    on_unavailable,
+)
+from quinceferryd.operator_views import balance_reply, bills_reply, router_reply, status_reply
+from quinceferryd.settings import Settings
+
+SCHEMA_FILE = "operator-schema.json"
+"""Name of the committed schema, beside this module."""
+
+_FAILURE_STATUSES = (400, 401, 404, 409, 503)
+
+
+class OperatorService(Protocol):
+    """What the calls need of the fleet."""
+
+    async def propose(
+        self,
+        change: ChangeBuilder,
+        expected_revision: int,
+        operation_id: OperationId,
+        fingerprint: str = "",
+    ) -> Result[ChangeStatus, ConfigurationConflict]:
+        """Enter a change into the configuration, once for each operation id.
+
+        :raises QuinceferryError: it is not known whether it was entered.
+        """
+
+    async def status_of_operation(self, operation_id: OperationId) -> ChangeStatus | None:
+        """Return how far a change has come; None when it was never entered."""
+
+    async def drain(
+        self, incarnation: IncarnationId, operation_id: OperationId
+    ) -> Result[Member, str]:
+        """Have a router stop gracefully."""
+
+
+class BudgetService(Protocol):
+    """What the calls need of budgets."""
+
+    async def top_up(
+        self, workspace: WorkspaceId, tokens: int, operation: OperationId
+    ) -> Result[Balance, TopUpRejected]:
+        """Grant tokens, once for each operation id."""
+
+    async def balance(self, workspace: WorkspaceId) -> Balance:
+        """Read a workspace's balance."""
+
+    async def bills(self, workspace: WorkspaceId, cursor: str = "") -> BillPage:
+        """Read a page of a workspace's bills."""
+
+
+class RequestCounter(Protocol):
+    """Counts the requests in progress at this router."""
+
+    open_requests: int
+
+
+class OperatedRouter(Protocol):
+    """One router, seen from its operators' interface."""
+
+    settings: Settings
+    blackboard: Blackboard
+    operators: OperatorService
+    budgets: BudgetService
+    pipeline: RequestCounter
+
+
+class OperatorApi:
+    """Handles the calls of operators.
+
+    :param application: the router.
+    """
+
+    def __init__(self, application: OperatedRouter) -> None:
+        self._application = application
+        self._blackboard = application.blackboard
+
+    async def change(self, data: messages.Change) -> messages.ChangeReply:
+        """Change the configuration."""
+        self._check_ready()
+        changed = await self._application.operators.propose(
+            builder_of(data),
+            data.expected_revision,
+            OperationId(data.operation_id),
+            fingerprint_of(data),
+        )
+        match changed:
+            case Success(status):
+                return _change_reply(data.operation_id, status)
+            case Failure(conflict):
+                raise conflict_failure(conflict)
+        raise AssertionError("a result is a success or a failure")
+
+    async def get_change(self, data: messages.GetChange) -> messages.ChangeReply:
+        """Tell how far a change has come."""
+        self._check_ready()
+        operation = OperationId(data.operation_id)
+        status = await self._application.operators.status_of_operation(operation)
+        if status is None:
+            raise call_failure("not_found", f"operation {data.operation_id} is not known")
+        return _change_reply(data.operation_id, status)
+
+    async def top_up(self, data: messages.TopUp) -> messages.BalanceReply:
+        """Add prepaid tokens to a workspace."""
+        self._check_applied(data)
+        workspace = self._workspace(data.workspace)
+        granted = await self._application.budgets.top_up(
+            workspace, data.tokens, OperationId(data.operation_id)
+        )
+        match granted:
+            case Success(balance):
+                return balance_reply(balance)
+            case Failure(TopUpRejected(detail=detail, unknown=True)):
+                raise call_failure("outcome_unknown", detail, retry_after_seconds=RETRY_SECONDS)
+            case Failure(rejected):
+                raise call_failure("operation_reused", rejected.detail)
+        raise AssertionError("a result is a success or a failure")
+
+    async def get_balance(self, data: messages.GetBalance) -> messages.BalanceReply:
+        """Read the budget of a workspace."""
+        workspace = self._workspace(data.workspace)
+        return balance_reply(await self._application.budgets.balance(workspace))
+
+    async def list_bills(self, data: messages.ListBills) -> messages.ListBillsReply:
+        """Read a page of the bills of a workspace."""
+        workspace = self._workspace(data.workspace)
+        page = await self._application.budgets.bills(workspace, data.cursor)
+        return bills_reply(workspace, page)
+
+    async def get_status(self, data: messages.GetStatus) -> messages.StatusReply:
+        """Tell the state of this router, in any of its states."""
+        return status_reply(self._blackboard, self._application.pipeline.open_requests)
+
+    async def list_routers(self, data: messages.ListRouters) -> messages.ListRoutersReply:
+        """List the routers of the fleet."""
+        self._check_ready()
+        members = self._blackboard.members_by_incarnation
+        routers = [router_reply(members[incarnation]) for incarnation in sorted(members)]
+        return messages.ListRoutersReply(routers=routers)
+
+    async def drain(self, data: messages.Drain) -> messages.DrainReply:
+        """Stop a router gracefully."""
+        self._check_applied(data)
+        drained = await self._application.operators.drain(
+            IncarnationId(data.router), OperationId(data.operation_id)
+        )
+        match drained:
+            case Success(member):
+                return messages.DrainReply(
+                    operation_id=data.operation_id, router=data.router, state=member.state.value
+                )
+            case Failure(detail):
+                raise call_failure("not_found", detail)
+        raise AssertionError("a result is a success or a failure")
+
+    async def authenticate(self, connection: ASGIConnection[Any, Any, Any, Any], _: Any) -> None:
+        """Refuse a connection without the operators' key."""
+        authorization = connection.headers.get("authorization", "")
+        if not opens(authorization, self._application.settings.router.operator_key):
+            raise NotAuthorizedException("the operators' key is wrong or missing")
+
+    def _check_ready(self) -> None:
+        """Refuse a call before this router has joined, when it knows nothing of the fleet."""
+        if self._blackboard.state is RouterState.STARTING:
+            detail = "this router has not joined the fleet yet"
+            raise call_failure("router_not_ready", detail, retry_after_seconds=RETRY_SECONDS)
+
+    def _check_applied(self, data: messages.Change) -> None:
+        """Refuse a change when this router has not yet applied the revision it builds on."""
+        self._check_ready()
+        applied = self._blackboard.configuration.revision
+        if applied < data.expected_revision:
+            raise call_failure(
+                "revision_not_applied",
+                f"this router applies revision {applied}",
+                revision=applied,
+                retry_after_seconds=RETRY_SECONDS,
+            )
+
+    def _workspace(self, name: str) -> WorkspaceId:
+        """Return the identifier of a workspace that exists."""
+        self._check_ready()
+        workspace = WorkspaceId(name)
+        if workspace not in self._blackboard.configuration.workspaces_by_id:
+            raise call_failure("not_found", f"workspace {name} does not exist")
+        return workspace
+
+
+def build_operator_routes(application: OperatedRouter) -> list[Router]:
+    """Return the operators' routes of a router.
+
+    :param application: the router.
+    """
+    api = OperatorApi(application)
+    handlers = [_handler(kind, _method_of(api, kind)) for kind in REPLIES_BY_MESSAGE]
+    router = Router(
+        OPERATOR_PATH,
+        route_handlers=[*handlers, _schema],
+        guards=[api.authenticate],
+        exception_handlers={
+            OperatorCallError: on_call_failure,
+            QuinceferryError: on_unavailable,
+            HTTPException: on_http_error,
+        },
+    )
+    return [router]
+
+
+@get("/schema.json", include_in_schema=False)
+async def _schema() -> Response[bytes]:
+    """Serve the committed schema; it is read when asked for, so that it holds no memory."""
+    document = files(__package__).joinpath(SCHEMA_FILE).read_bytes()
+    return Response(document, media_type="application/json")
+
+
+def _method_of(api: OperatorApi, kind: type[messages.Message]) -> Callable[..., Any]:
+    """Return what handles a call."""
+    methods_by_message: dict[type[messages.Message], Callable[..., Any]] = {
+        messages.GetChange: api.get_change,
+        messages.TopUp: api.top_up,
+        messages.GetBalance: api.get_balance,
+        messages.ListBills: api.list_bills,
+        messages.GetStatus: api.get_status,
+        messages.ListRouters: api.list_routers,
+        messages.Drain: api.drain,
+    }
+    return methods_by_message.get(kind, api.change)
+
+
+def _handler(kind: type[messages.Message], method: Callable[..., Any]) -> BaseRouteHandler:
+    """Return the route handler of one call, typed with its own message and reply."""
+
+    async def handle(data: Any) -> Any:
+        return await method(data)
+
+    handle.__name__ = kind.__name__
+    handle.__annotations__ = {"data": kind, "return": REPLIES_BY_MESSAGE[kind]}
+    return post(
+        f"/{kind.__name__}",
+        status_code=200,
+        operation_id=kind.__name__,
+        summary=(kind.__doc__ or "").partition("\n")[0],
+        responses={
+            status: ResponseSpec(
+                messages.OperatorFailure, description="Refused or failed", generate_examples=False
+            )
+            for status in _FAILURE_STATUSES
+        },
+    )(handle)
+
+
+def _change_reply(operation_id: str, status: ChangeStatus) -> messages.ChangeReply:
+    """Return the answer to a change."""
+    return messages.ChangeReply(
+        operation_id=operation_id,
+        revision=status.revision,
+        state=status.state.value,
+        awaited_routers=[router.incarnation for router in status.awaited],
+    )
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_schema.py
@@ -0,0 +1,51 @@
+"""Writes the operators' schema from the routes themselves.
+
+Run ``python -m quinceferryd.operator_schema`` after a change of the messages, and commit the file.
+"""
+
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import msgspec
+from litestar import Litestar
+from litestar.openapi import OpenAPIConfig
+from litestar.openapi.spec import Components, SecurityScheme
+
+from quinceferryd.operator_api import SCHEMA_FILE, OperatedRouter, build_operator_routes
+
+SCHEMA_PATH = Path(__file__).with_name(SCHEMA_FILE)
+"""Where the committed schema is."""
+
+_KEY_SCHEME = "operatorKey"
+
+
+def schema_document(routes: list[Any]) -> bytes:
+    """Return the OpenAPI 3.1 document of the operators' routes.
+
+    :param routes: what ``build_operator_routes`` returned.
+    """
+    scheme = SecurityScheme(type="http", scheme="bearer", description="The operators' key.")
+    config = OpenAPIConfig(
+        title="quinceferry operator API",
+        version="1",
+        description=(
+            "Each call is a POST with a JSON message. A change carries an operation id, under "
+            "which it may be repeated safely, and the revision it was decided on."
+        ),
+        components=Components(security_schemes={_KEY_SCHEME: scheme}),
+        security=[{_KEY_SCHEME: []}],
+    )
+    app = Litestar(routes, openapi_config=config, logging_config=None)
+    document = msgspec.json.encode(app.openapi_schema.to_schema(), order="sorted")
+    return msgspec.json.format(document, indent=2) + b"\n"
+
+
+def main() -> None:
+    """Write the committed schema."""
+    routes = build_operator_routes(cast(OperatedRouter, SimpleNamespace(blackboard=None)))
+    SCHEMA_PATH.write_bytes(schema_document(routes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_views.py
@@ -0,0 +1,102 @@
+"""What operators are shown of a router, of budgets and of bills."""
+
+import os
+
+from quinceferry_core import operator_messages as messages
+from quinceferry_core.bills import Balance, BillPage
+from quinceferry_core.membership import Member
+from quinceferry_core.models import UpstreamSpec, WorkspaceId
+from quinceferryd.blackboard import Blackboard, UpstreamStatus
+
+_MEMORY_FILE = "/proc/self/statm"
+_RESIDENT_PAGES_FIELD = 1
+
+
+def status_reply(blackboard: Blackboard, open_requests: int) -> messages.StatusReply:
+    """Return the state of this router.
+
+    :param open_requests: requests in progress here.
+    """
+    identity = blackboard.identity
+    configuration = blackboard.configuration
+    return messages.StatusReply(
+        router=identity.incarnation,
+        vm=identity.vm,
+        zone=identity.zone,
+        address=identity.address,
+        state=blackboard.state.value,
+        revision=configuration.revision,
+        accepted_revision=blackboard.accepted_revision,
+        kv_available=blackboard.kv.available,
+        open_requests=open_requests,
+        memory_bytes=resident_bytes(),
+        workspaces=sorted(configuration.workspaces_by_id),
+        models=sorted(configuration.models_by_name),
+        upstreams=[
+            _upstream_reply(spec, blackboard.upstreams_by_id.get(spec.id, UpstreamStatus()))
+            for spec in configuration.upstreams_by_id.values()
+        ],
+    )
+
+
+def router_reply(member: Member) -> messages.RouterReply:
+    """Return one router of the fleet."""
+    return messages.RouterReply(
+        router=member.incarnation,
+        vm=member.vm,
+        zone=member.zone,
+        address=member.address,
+        state=member.state.value,
+        applied_revision=member.applied_revision,
+    )
+
+
+def balance_reply(balance: Balance) -> messages.BalanceReply:
+    """Return the budget of a workspace."""
+    return messages.BalanceReply(
+        workspace=balance.workspace,
+        granted=balance.granted,
+        settled=balance.settled,
+        withheld=balance.withheld,
+        held_by_routers=balance.held_by_routers,
+        free=balance.free,
+    )
+
+
+def bills_reply(workspace: WorkspaceId, page: BillPage) -> messages.ListBillsReply:
+    """Return a page of bills."""
+    bills = [
+        messages.BillReply(
+            request_id=bill.request,
+            tokens=bill.tokens,
+            paid_by=bill.paid_by,
+            estimated=bill.estimated,
+            partial=bill.partial,
+        )
+        for bill in page.bills
+    ]
+    return messages.ListBillsReply(workspace=workspace, bills=bills, cursor=page.next_cursor)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process; zero where the system does not tell."""
+    try:
+        with open(_MEMORY_FILE) as file:
+            fields = file.read().split()
+    except OSError:
+        return 0
+    return int(fields[_RESIDENT_PAGES_FIELD]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _upstream_reply(spec: UpstreamSpec, status: UpstreamStatus) -> messages.UpstreamReply:
+    """Return what this router knows of an upstream."""
+    report = status.report
+    return messages.UpstreamReply(
+        upstream=spec.id,
+        zone=spec.zone,
+        kind=spec.kind.value,
+        leaving=status.leaving or bool(report and report.leaving),
+        running=report.running if report else 0,
+        waiting=report.waiting if report else 0,
+        loaded=[str(model) for model in report.loaded] if report else [],
+    )
