Let a client's user see each failed attempt

Cause: the demo and load tools must count broken streams that the client repeats by itself. Change: a hook on the client, called with the error of each failed attempt. Conclusion: none.

--- a/packages/quinceferry-cli/src/quinceferry/attempts.py
+++ b/packages/quinceferry-cli/src/quinceferry/attempts.py
@@ -2,7 +2,7 @@
 
 import random
 import uuid
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import httpx
@@ -23,6 +23,9 @@
 NON_IDEMPOTENT_HEADER = "X-Quinceferry-Non-Idempotent"
 PRIORITY_HEADER = "X-Quinceferry-Priority"
 
+FailureHook = Callable[[RequestError], None]
+"""Receives the error of a failed attempt."""
+
 
 @dataclass(slots=True, frozen=True)
 class CallerCall:
@@ -47,6 +50,7 @@
     :param policy: number of attempts and delays.
     :param clock: waits between attempts.
     :param generator: source of jitter.
+    :param on_failure: called with the error of each failed attempt.
     """
 
     def __init__(
@@ -56,8 +60,10 @@
         policy: RetryPolicy,
         clock: Clock,
         generator: random.Random,
+        on_failure: FailureHook | None = None,
     ) -> None:
         self._call = call
+        self._on_failure = on_failure
         self._book = book
         self._policy = policy
         self._clock = clock
@@ -85,6 +91,8 @@
 
         :param error: how the last attempt failed.
         """
+        if self._on_failure is not None:
+            self._on_failure(error)
         if isinstance(error, RouterUnreachableError | AnswerBrokenError):
             self._book.forget()
         self._may_have_begun |= _may_have_begun(error)
--- a/packages/quinceferry-cli/src/quinceferry/client.py
+++ b/packages/quinceferry-cli/src/quinceferry/client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from quinceferry.addresses import AddressAnswer, AddressBook
-from quinceferry.attempts import PRIORITY_HEADER, Attempts, CallerCall
+from quinceferry.attempts import PRIORITY_HEADER, Attempts, CallerCall, FailureHook
 from quinceferry.events import Piece, Splice, Usage, read_piece, read_pieces
 from quinceferry.exceptions import AnswerBrokenError, RequestError, RouterUnreachableError
 from quinceferry.refusals import is_refusal, read_refusal
@@ -52,6 +52,8 @@
     :param routers: base URLs of some routers of the fleet.
     :param key: the workspace's key.
     :param zone: availability zone of this caller, or empty.
+    :param on_failed_attempt: called with the error of each failed attempt, also of those that are
+        repeated.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         key: str,
         *,
         zone: str = "",
+        on_failed_attempt: FailureHook | None = None,
         policy: RetryPolicy | None = None,
         clock: Clock | None = None,
         generator: random.Random | None = None,
@@ -75,6 +78,7 @@
             transport=transport,
             trust_env=False,
         )
+        self._on_failed_attempt = on_failed_attempt
         self._book = AddressBook(self._http, routers, self._clock, self._generator, zone)
 
     async def __aenter__(self) -> Self:
@@ -220,7 +224,14 @@
 
     def _attempts(self, call: CallerCall) -> Attempts:
         """Return the attempts of a new call."""
-        return Attempts(call, self._book, self._policy, self._clock, self._generator)
+        return Attempts(
+            call,
+            self._book,
+            self._policy,
+            self._clock,
+            self._generator,
+            self._on_failed_attempt,
+        )
 
 
 def model_call(
