Let a request proven not run go to a new home

Cause: a client that kept its first ticket for good would repeat a request to a home that is gone until its attempts ran out.

--- a/features/client.feature
+++ b/features/client.feature
@@ -49,6 +49,13 @@
     When the client makes a non-idempotent service call
     Then the client raises RouterUnreachableError
 
+  Scenario: A request goes to a new home only when the old one is proven not to have run it
+    Given a scripted fleet whose first home turns out to be gone without having run a call
+    When the client makes a non-idempotent service call
+    Then the client has the service's status 200
+    And the scripted requests share one request id
+    And the scripted requests carried the tickets "ticket-1, ticket-1, ticket-2"
+
   Scenario: An error of the service itself is its answer
     Given a scripted fleet whose service answers with status 503
     When the client makes a non-idempotent service call
--- a/features/fixtures_client.py
+++ b/features/fixtures_client.py
@@ -70,12 +70,15 @@
     return httpx.Response(200, stream=BrokenStream(body))
 
 
-def refusal(status: int, reason: str, retry_after_seconds: float = 0.0) -> httpx.Response:
+def refusal(
+    status: int, reason: str, retry_after_seconds: float = 0.0, proof: str = "never_sent"
+) -> httpx.Response:
     """Return a router's refusal of a request that was not run."""
     error = {
         "message": reason,
         "reason": reason,
         "outcome": "not_run",
+        "proof": proof,
         "retry_after_seconds": retry_after_seconds,
     }
     return httpx.Response(status, json={"error": error}, headers={"x-should-retry": "false"})
--- a/features/steps/client.py
+++ b/features/steps/client.py
@@ -78,6 +78,17 @@
     context.fleet = ScriptedFleet(answer)
 
 
+@given("a scripted fleet whose first home turns out to be gone without having run a call")
+def fleet_with_closed_home(context):
+    proof = "journal_closed_without_it"
+    answers = [
+        refusal(503, "router_stopping", 1.0, "never_sent"),
+        refusal(409, "home_gone", 1.0, proof),
+        httpx.Response(200, content=b"posted"),
+    ]
+    context.fleet = ScriptedFleet(lambda request: answers.pop(0))
+
+
 @given("a scripted fleet whose service answers with status {status:d}")
 def fleet_with_failing_service(context, status):
     context.fleet = ScriptedFleet(lambda request: httpx.Response(status, content=b"busy"))
@@ -181,10 +192,22 @@
 
 @then('the scripted requests share one request id and the ticket "{ticket}"')
 def check_identity(context, ticket):
+    check_request_id(context)
+    tickets = {request.headers["x-quinceferry-ticket"] for request in context.fleet.requests}
+    assert tickets == {ticket}, tickets
+
+
+@then("the scripted requests share one request id")
+def check_request_id(context):
     requests = context.fleet.requests
     assert len(requests) > 1, requests
     assert len({request.headers["idempotency-key"] for request in requests}) == 1
-    assert {request.headers["x-quinceferry-ticket"] for request in requests} == {ticket}
+
+
+@then('the scripted requests carried the tickets "{tickets}"')
+def check_tickets(context, tickets):
+    carried = [request.headers["x-quinceferry-ticket"] for request in context.fleet.requests]
+    assert carried == tickets.split(", "), carried
 
 
 @then("at least {seconds:d} virtual seconds passed in the client")
--- a/packages/quinceferry-cli/src/quinceferry/attempts.py
+++ b/packages/quinceferry-cli/src/quinceferry/attempts.py
@@ -23,6 +23,9 @@
 NON_IDEMPOTENT_HEADER = "X-Quinceferry-Non-Idempotent"
 PRIORITY_HEADER = "X-Quinceferry-Priority"
 
+JOURNAL_CLOSED = "journal_closed_without_it"
+"""Proof that the home of a request has not run it and never will."""
+
 FailureHook = Callable[[RequestError], None]
 """Receives the error of a failed attempt."""
 
@@ -43,7 +46,8 @@
     """Decides where each attempt of one call goes and whether another may follow.
 
     The ticket of the first attempt stays with the request: a later one might name another home,
-    which would know nothing of the earlier attempts.
+    which would know nothing of the earlier attempts. Only when the closed journal of the first home
+    proves that the request never ran there, and never will, may it go to another home.
 
     :param call: the call.
     :param book: address answers.
@@ -95,6 +99,10 @@
             self._on_failure(error)
         if isinstance(error, RouterUnreachableError | AnswerBrokenError):
             self._book.forget()
+        if isinstance(error, RefusedError) and error.proof == JOURNAL_CLOSED:
+            self._book.forget()
+            self._ticket = None
+            self._may_have_begun = False
         self._may_have_begun |= _may_have_begun(error)
         retry_after = _retry_after_seconds(error)
         if retry_after is None or self.made >= self._policy.max_attempts:
--- a/packages/quinceferry-cli/src/quinceferry/exceptions.py
+++ b/packages/quinceferry-cli/src/quinceferry/exceptions.py
@@ -40,7 +40,8 @@
     """The fleet refused a request.
 
     ``reason`` is the stable name of the reason, ``outcome`` is ``not_run``, ``run`` or ``unknown``,
-    and ``retry_after_seconds`` is zero when a retry cannot help.
+    ``proof`` says how a request is known not to have run, and ``retry_after_seconds`` is zero when
+    a retry cannot help.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         *,
         reason: str = "",
         outcome: str = "",
+        proof: str = "",
         retry_after_seconds: float = 0.0,
         request: httpx.Request | None = None,
         response: httpx.Response | None = None,
@@ -57,6 +59,7 @@
         super().__init__(detail, request=request, response=response, step=step)
         self.reason = reason
         self.outcome = outcome
+        self.proof = proof
         self.retry_after_seconds = retry_after_seconds
 
 
--- a/packages/quinceferry-cli/src/quinceferry/refusals.py
+++ b/packages/quinceferry-cli/src/quinceferry/refusals.py
@@ -22,6 +22,7 @@
     message: str = ""
     reason: str = ""
     outcome: str = ""
+    proof: str = ""
     retry_after_seconds: float = 0.0
     step: str = ""
 
@@ -53,6 +54,7 @@
         body.message,
         reason=body.reason,
         outcome=body.outcome,
+        proof=body.proof,
         retry_after_seconds=max(body.retry_after_seconds, _retry_after_header(response)),
         request=response.request,
         response=response,
