--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/event_streams.py
@@ -0,0 +1,102 @@
+"""Reads the server-sent events of a completion.
+
+Relaying a token is the router's most frequent work: messages are decoded straight into typed
+structs, and pieces that arrive together become one chunk.
+"""
+
+import msgspec
+
+from quinceferry_core.models import Usage
+from quinceferry_core.outcomes import AnswerEvent, Chunk, Finished
+from quinceferry_core.upstream_messages import (
+    DATA_PREFIX,
+    DONE,
+    StreamChoice,
+    StreamChunk,
+    StreamUsage,
+)
+
+MAX_LINE_BYTES = 1 << 20
+"""Longest line of a stream; a longer one is malformed."""
+
+_PREFIX_LENGTH = len(DATA_PREFIX)
+_decode = msgspec.json.Decoder(StreamChunk).decode
+
+
+class MalformedStreamError(ValueError):
+    """The stream does not follow the protocol."""
+
+
+class EventReader:
+    """Turns the bytes of one stream into chunks and its end."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._usage: StreamUsage | None = None
+        self._reason = ""
+
+    def feed(self, data: bytes) -> list[AnswerEvent]:
+        """Read more bytes; contiguous pieces are joined into one chunk.
+
+        :param data: bytes of the stream, cut anywhere.
+        :return: the events they complete; after ``Finished`` nothing more is read.
+        :raises MalformedStreamError: a message cannot be read, or the end lacks the usage.
+        """
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise MalformedStreamError("line too long")
+        events: list[AnswerEvent] = []
+        pieces: list[StreamChunk] = []
+        for line in lines:
+            if not line.startswith(DATA_PREFIX):
+                continue
+            message = line[_PREFIX_LENGTH:].strip()
+            if message == DONE:
+                _flush(pieces, events)
+                events.append(self._finished())
+                return events
+            piece = self._read(message)
+            if piece.tokens:
+                if pieces and pieces[-1].offset + pieces[-1].tokens != piece.offset:
+                    _flush(pieces, events)
+                pieces.append(piece)
+        _flush(pieces, events)
+        return events
+
+    def _read(self, message: bytes) -> StreamChunk:
+        """Decode one message and note what it says of the end."""
+        try:
+            piece = _decode(message)
+        except msgspec.MsgspecError as error:
+            raise MalformedStreamError(str(error)) from error
+        if piece.usage is not None:
+            self._usage = piece.usage
+        if piece.choices and piece.choices[0].finish_reason is not None:
+            self._reason = piece.choices[0].finish_reason
+        return piece
+
+    def _finished(self) -> Finished:
+        """Return the end of the answer."""
+        if self._usage is None:
+            raise MalformedStreamError("no usage before the end")
+        usage = Usage(self._usage.prompt_tokens, self._usage.completion_tokens)
+        return Finished(usage, self._reason)
+
+
+def _flush(pieces: list[StreamChunk], events: list[AnswerEvent]) -> None:
+    """Append contiguous pieces as one chunk, and forget them."""
+    if not pieces:
+        return
+    text = "".join([_text(piece.choices[0]) for piece in pieces if piece.choices])
+    last = pieces[-1]
+    offset = pieces[0].offset
+    events.append(Chunk(offset, last.offset + last.tokens - offset, text))
+    pieces.clear()
+
+
+def _text(choice: StreamChoice) -> str:
+    """Return the text of a piece, whichever protocol shape it has."""
+    if choice.delta is not None:
+        return choice.delta.content or ""
+    return choice.text or ""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/http_transport.py
@@ -0,0 +1,181 @@
+"""Connection pool for httpx that relays streamed answers at little cost."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpx
+
+from quinceferryd.http_connections import HttpConnection
+
+FRESH_CONNECTION = "fresh_connection"
+"""Request extension: open a new connection, since an idle one may have been silently lost."""
+
+DEFAULT_IDLE_SECONDS = 15.0
+DEFAULT_MAX_IDLE = 8
+DEFAULT_PORT = 80
+
+_Peer = tuple[str, int]
+
+
+class StreamingTransport(httpx.AsyncBaseTransport):
+    """Pool of plain HTTP/1.1 connections.
+
+    A connection error before the request was written is :class:`httpx.ConnectError` or
+    :class:`httpx.ConnectTimeout`; any other error may have come after bytes left.
+
+    :param idle_seconds: how long a connection without an exchange is kept.
+    :param max_idle: most connections kept for one peer.
+    """
+
+    def __init__(
+        self, idle_seconds: float = DEFAULT_IDLE_SECONDS, max_idle: int = DEFAULT_MAX_IDLE
+    ) -> None:
+        self._idle_seconds = idle_seconds
+        self._max_idle = max_idle
+        self._idle_by_peer: defaultdict[_Peer, list[HttpConnection]] = defaultdict(list)
+        self._swept_at = 0.0
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and return its answer, whose body is still to be read."""
+        head = _request_head(request)
+        body = await request.aread()
+        timeouts = request.extensions.get("timeout", {})
+        peer = (request.url.host, request.url.port or DEFAULT_PORT)
+        connection = None if request.extensions.get(FRESH_CONNECTION) else self._take_idle(peer)
+        if connection is None:
+            connection = await _connect(peer, timeouts.get("connect"))
+        try:
+            connection.send(head, body, request.method == "HEAD")
+            async with _read_timeout(timeouts.get("read")):
+                await connection.read_head()
+        except BaseException:
+            connection.abort()
+            raise
+        stream = _Body(self, peer, connection, timeouts.get("read"))
+        return httpx.Response(connection.status, headers=connection.headers, stream=stream)
+
+    async def aclose(self) -> None:
+        """Drop all idle connections."""
+        for connections in self._idle_by_peer.values():
+            for connection in connections:
+                connection.abort()
+        self._idle_by_peer.clear()
+
+    def release(self, peer: _Peer, connection: HttpConnection) -> None:
+        """Keep a connection for another exchange, or drop it."""
+        idle = self._idle_by_peer[peer]
+        if not connection.reusable or len(idle) >= self._max_idle:
+            connection.abort()
+            return
+        now = asyncio.get_running_loop().time()
+        connection.idle_since = now
+        idle.append(connection)
+        if now - self._swept_at > self._idle_seconds:
+            self._sweep(now)
+
+    def _sweep(self, now: float) -> None:
+        """Drop connections that have been idle too long, of all peers."""
+        self._swept_at = now
+        for peer, connections in list(self._idle_by_peer.items()):
+            kept = [each for each in connections if each.idle_since >= now - self._idle_seconds]
+            for connection in connections:
+                if connection not in kept:
+                    connection.abort()
+            if kept:
+                self._idle_by_peer[peer] = kept
+            else:
+                del self._idle_by_peer[peer]
+
+    def _take_idle(self, peer: _Peer) -> HttpConnection | None:
+        """Return the connection that was used last, unless it has been idle too long."""
+        idle = self._idle_by_peer[peer]
+        oldest = asyncio.get_running_loop().time() - self._idle_seconds
+        while idle:
+            connection = idle.pop()
+            if connection.reusable and connection.idle_since >= oldest:
+                return connection
+            connection.abort()
+        return None
+
+
+class _Body(httpx.AsyncByteStream):
+    """Body of one answer; closing it early drops the connection."""
+
+    def __init__(
+        self,
+        pool: StreamingTransport,
+        peer: _Peer,
+        connection: HttpConnection,
+        read_seconds: float | None,
+    ) -> None:
+        self._pool = pool
+        self._peer = peer
+        self._connection = connection
+        self._read_seconds = read_seconds
+        self._closed = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return body bytes as they arrive."""
+        while True:
+            if self._read_seconds is None:
+                data = await self._connection.read_body()
+            else:
+                async with _read_timeout(self._read_seconds):
+                    data = await self._connection.read_body()
+            if not data:
+                return
+            yield data
+
+    async def aclose(self) -> None:
+        """Give the connection back."""
+        if not self._closed:
+            self._closed = True
+            self._pool.release(self._peer, self._connection)
+
+
+@asynccontextmanager
+async def _read_timeout(seconds: float | None) -> AsyncIterator[None]:
+    """Limit a read.
+
+    :raises httpx.ReadTimeout: nothing came in time.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            yield
+    except TimeoutError as error:
+        raise httpx.ReadTimeout(f"nothing within {seconds} s") from error
+
+
+async def _connect(peer: _Peer, seconds: float | None) -> HttpConnection:
+    """Open a connection.
+
+    :raises httpx.ConnectError: the peer refused it.
+    :raises httpx.ConnectTimeout: the peer did not answer in time.
+    """
+    host, port = peer
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(seconds):
+            _, connection = await loop.create_connection(HttpConnection, host, port)
+    except TimeoutError as error:
+        raise httpx.ConnectTimeout(f"no connection within {seconds} s") from error
+    except OSError as error:
+        raise httpx.ConnectError(repr(error)) from error
+    return connection
+
+
+def _request_head(request: httpx.Request) -> bytes:
+    """Return the request line and headers.
+
+    :raises httpx.UnsupportedProtocol: the URL asks for encryption.
+    :raises httpx.LocalProtocolError: a header holds a line break.
+    """
+    if request.url.scheme != "http":
+        raise httpx.UnsupportedProtocol(f"unsupported scheme {request.url.scheme!r}")
+    lines = [b"%s %s HTTP/1.1" % (request.method.encode("ascii"), request.url.raw_path)]
+    lines += [b"%s: %s" % header for header in request.headers.raw]
+    if any(b"\r" in line or b"\n" in line for line in lines):
+        raise httpx.LocalProtocolError("line break in a header")
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/quinceferry-standins/src/quinceferry_standins/service.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/service.py
@@ -10,6 +10,7 @@
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Finished
 from quinceferry_standins.runs import RunRecord
 
+DEFAULT_CALL_SECONDS = 0.05
 CONTENT_TYPE = "application/octet-stream"
 """Media type of every answer."""
 
@@ -27,7 +28,9 @@
     :param call_seconds: duration of one call.
     """
 
-    def __init__(self, clock: Clock, upstream: UpstreamId, call_seconds: float = 0.05) -> None:
+    def __init__(
+        self, clock: Clock, upstream: UpstreamId, call_seconds: float = DEFAULT_CALL_SECONDS
+    ) -> None:
         self.upstream = upstream
         self.runs: list[RunRecord] = []
         self.leaving_since: float | None = None
