--- a/packages/quinceferry-standins/src/quinceferry_standins/engine_streams.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/engine_streams.py
@@ -64,6 +64,7 @@
         self.prefill_tokens = uncached_tokens
         self.record.started_at = now
         self.record.prompt_tokens = self.prompt_tokens
+        self.record.cached_tokens = self.prompt_tokens - uncached_tokens
 
     def decode(self, tokens: int) -> None:
         """Generate up to ``tokens`` more output tokens, and finish after the last one."""
--- a/packages/quinceferry-standins/src/quinceferry_standins/runs.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/runs.py
@@ -22,6 +22,7 @@
     received_at: float
     started_at: float | None = None
     prompt_tokens: int = 0
+    cached_tokens: int = 0
     output_tokens: int = 0
     finished: bool = False
     cancelled: bool = False
