--- a/features/caller_api.feature
+++ b/features/caller_api.feature
@@ -128,14 +128,15 @@
 
   Scenario: A request to a plain service is passed through
     Given the pipeline answers as a plain service with status 201
-    When a caller posts "{"dues": 12}" to the service path "/services/postings/v2/entries?dry=no" marked idempotent
+    When a caller posts "{"dues": 12}" to the service path "/services/postings/v2/a%2Fb%20c?dry=no" marked idempotent
     Then the caller reads status 201 and the body "posted"
-    And the pipeline was given the path "/v2/entries?dry=no" and the payload "{"dues": 12}"
+    And the pipeline was given the path "/v2/a%2Fb%20c?dry=no" and the payload "{"dues": 12}"
 
   Scenario: A post to a plain service counts as non-idempotent
     Given the pipeline answers as a plain service with status 201
     When a caller posts "{}" to the service path "/services/postings/v2/entries" with a request id
     Then the pipeline was given a request that is not idempotent
+    And the pipeline was given the path "/v2/entries" and the payload "{}"
 
   Scenario: A service that is not attached
     When a caller posts "{}" to the service path "/services/archive/x" with a request id
--- a/features/fixtures_edge.py
+++ b/features/fixtures_edge.py
@@ -15,6 +15,7 @@
 from quinceferryd.blackboard import Blackboard, Identity, RouterState
 from quinceferryd.interfaces import AddressAnswer
 from quinceferryd.keys import key_digest
+from quinceferryd.metrics import NullMetrics
 from quinceferryd.server import HttpServer, build_app
 from quinceferryd.settings import (
     CallerSettings,
@@ -102,6 +103,7 @@
         self.blackboard = Blackboard(Identity("vm-1", "a", "127.0.0.1:0"))
         self.blackboard.state = RouterState.SERVING
         self.blackboard.configuration = _configuration()
+        self.metrics = NullMetrics()
         self.pipeline = FakePipeline()
         self.allotments = FakeAllotments()
         self.addresses = FakeAddresses()
--- a/features/peer_wire.feature
+++ b/features/peer_wire.feature
@@ -54,9 +54,19 @@
     Then the forward fails as not begun
 
   Scenario: A peer that dies midway leaves the outcome open
+    Given a peer whose connection breaks after 2 chunks
+    When a router forwards a request over that connection
+    Then the forward fails, but not as not begun, after 2 chunks
+
+  Scenario: A peer that sends nonsense leaves the outcome open
+    Given a peer that answers with a malformed line after 2 chunks
+    When a router forwards a request over that connection
+    Then the forward fails, but not as not begun, after 2 chunks
+
+  Scenario: A peer whose pipeline ends early says that the outcome is unknown
     Given the peer's pipeline stops without a last event after 2 chunks
     When a router forwards a request to the peer
-    Then the forward fails, but not as not begun, after 2 chunks
+    Then the router received 2 chunks and an internal failure with an unknown outcome
 
   Scenario: A router that closes its forward cancels the request at the peer
     Given the peer's pipeline waits for ever after 1 chunk
--- a/features/steps/peer_wire.py
+++ b/features/steps/peer_wire.py
@@ -96,6 +96,23 @@
     context.peer.pipeline.script = answer_script()[:count]
 
 
+def _raw_answer(lines, ending):
+    pieces = b"".join(b"%x\r\n%b\r\n" % (len(line), line) for line in lines)
+    return b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + pieces + ending
+
+
+@given("a peer whose connection breaks after {count:d} chunks")
+def break_connection(context, count):
+    lines = [wire.encode_event(event) for event in answer_script()[:count]]
+    context.raw_answer = _raw_answer(lines, b"")
+
+
+@given("a peer that answers with a malformed line after {count:d} chunks")
+def send_nonsense(context, count):
+    lines = [wire.encode_event(event) for event in answer_script()[:count]]
+    context.raw_answer = _raw_answer([*lines, b'{"type": "nonsense"}\n'], b"0\r\n\r\n")
+
+
 @given("the peer's pipeline waits for ever after {count:d} chunk")
 @given("the peer's pipeline waits for ever after {count:d} chunks")
 def script_silence(context, count):
@@ -124,6 +141,24 @@
     run(work())
 
 
+@when("a router forwards a request over that connection")
+def forward_raw(context):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(context.raw_answer)
+        writer.close()
+
+    async def work():
+        peers = HttpPeers(FLEET_SECRET, SystemClock())
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server:
+            await collect(context, peers, f"{host}:{port}")
+        await peers.aclose()
+
+    run(work())
+
+
 @when("the event {name} is encoded and decoded")
 def round_trip(context, name):
     context.before = EVENTS_BY_NAME[name]
@@ -257,6 +292,13 @@
     assert len(context.events) == count, context.events
 
 
+@then("the router received {count:d} chunks and an internal failure with an unknown outcome")
+def check_internal(context, count):
+    *chunks, last = context.events
+    assert chunks == context.peer.pipeline.script, context.events
+    assert (last.reason, last.outcome) == (RefusalReason.INTERNAL, Unknown()), last
+
+
 @then("the peer's pipeline was cancelled")
 def check_cancelled(context):
     assert context.peer.pipeline.closed.is_set()
--- a/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
@@ -1,6 +1,6 @@
 """HTTP interface for callers, in the form that OpenAI client libraries use."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -8,20 +8,32 @@
 from litestar.types import ASGIApp
 from returns.result import Failure, Result, Success
 
-from quinceferry_core.models import CallerRequest, RequestId, RequestKind, Usage, WorkspaceSpec
-from quinceferry_core.outcomes import Failed, NotRun, Outcome, RefusalReason, Run
+from quinceferry_core.models import (
+    CallerRequest,
+    RequestId,
+    RequestKind,
+    WorkspaceId,
+    WorkspaceSpec,
+)
+from quinceferry_core.outcomes import Failed, RefusalReason
 from quinceferryd.answers import AnswerFormat
 from quinceferryd.blackboard import RouterState
 from quinceferryd.bodies import BodyMemory, HeldBody, read_body
+from quinceferryd.caller_documents import (
+    AddressDocument,
+    ModelDocument,
+    ModelListDocument,
+    outcome_document,
+)
 from quinceferryd.caller_requests import (
     CompletionCall,
-    OptionReader,
     read_completion,
     read_service,
 )
 from quinceferryd.interfaces import RouterApplication
 from quinceferryd.keys import KeyRing
-from quinceferryd.refusals import JSON_HEADER, outcome_word, refusal
+from quinceferryd.meters import RequestMeter
+from quinceferryd.refusals import JSON_HEADER, refusal
 from quinceferryd.relays import (
     AnswerSink,
     ServiceAnswer,
@@ -30,33 +42,19 @@
     relay_events,
     write_failure,
 )
+from quinceferryd.request_options import OptionReader
 from quinceferryd.responses import Header, Relay, RelayResponse, ResponseWriter
 
 HttpRequest = Request[Any, Any, Any]
+Reply = Result[ASGIApp, Failed]
 SinkMaker = Callable[[ResponseWriter], AnswerSink]
 
 _NOT_READY_RETRY_SECONDS = 1.0
+_SERVICE_PATH_PARTS = 3
 _CLOSE: tuple[Header, ...] = ((b"connection", b"close"),)
 _NO_STORE: Header = (b"cache-control", b"no-store")
 
 
-class OutcomeDocument(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What became of a request."""
-
-    request_id: str
-    outcome: str
-    proof: str = ""
-    usage: Usage | None = None
-
-
-class AddressDocument(msgspec.Struct, frozen=True):
-    """Addresses to use, for how long, and the ticket to send with non-idempotent requests."""
-
-    addresses: tuple[str, ...]
-    ttl_seconds: float
-    ticket: str
-
-
 class CallerApi:
     """Handles calls of callers.
 
@@ -74,82 +72,83 @@
 
     async def complete(self, request: HttpRequest, kind: RequestKind) -> ASGIApp:
         """Run a chat or text completion."""
-        match self._workspace(request):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(workspace):
-                pass
-        match await read_body(request, self._settings.max_body_bytes, self._bodies):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(body):
-                pass
-        match self._completion_call(request, kind, body, workspace):
-            case Success(call):
-                return self._run(call.request, body, self._completion_sink(call))
-            case Failure(failed):
-                body.release()
-                return self._refuse(failed)
 
-    async def serve(self, request: HttpRequest, service: str, path: str) -> ASGIApp:
+        async def answer(workspace: WorkspaceSpec) -> Reply:
+            return await self._with_body(
+                request, lambda body: self._complete(request, kind, body, workspace)
+            )
+
+        return await self._answer(request, answer)
+
+    async def serve(self, request: HttpRequest, service: str) -> ASGIApp:
         """Pass a request through to a plain service."""
-        match self._workspace(request):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(workspace):
-                pass
-        match await read_body(request, self._settings.max_body_bytes, self._bodies):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(body):
-                pass
-        match self._service_call(request, service, path, body, workspace):
-            case Success(call):
-                limit = self._settings.max_service_response_bytes
-                return self._run(
-                    call, body, lambda writer: ServiceAnswer(writer, call.request_id, limit)
-                )
-            case Failure(failed):
-                body.release()
-                return self._refuse(failed)
+
+        async def answer(workspace: WorkspaceSpec) -> Reply:
+            return await self._with_body(
+                request, lambda body: self._serve(request, service, body, workspace)
+            )
+
+        return await self._answer(request, answer)
 
     async def outcome(self, request: HttpRequest, request_id: str) -> ASGIApp:
         """Tell a workspace what became of one of its own requests."""
-        match self._workspace(request):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(workspace):
-                pass
-        known = await self._application.pipeline.outcome(workspace.id, RequestId(request_id))
-        if known is None:
-            detail = "this workspace has no such request here"
-            return self._refuse(refusal(RefusalReason.REQUEST_NOT_FOUND, detail))
-        return self._reply(_outcome_document(request_id, known))
+
+        async def answer(workspace: WorkspaceSpec) -> Reply:
+            pipeline = self._application.pipeline
+            known = await pipeline.outcome(workspace.id, RequestId(request_id))
+            if known is None:
+                detail = "this router knows no such request of this workspace"
+                return Failure(refusal(RefusalReason.REQUEST_NOT_FOUND, detail))
+            return Success(self._reply(outcome_document(request_id, known)))
+
+        return await self._answer(request, answer)
 
     async def address(self, request: HttpRequest) -> ASGIApp:
         """Tell a workspace which routers to use."""
-        match self._workspace(request):
-            case Failure(failed):
-                return self._refuse(failed)
-            case Success(workspace):
-                pass
-        zone = request.query_params.get("zone", "")
-        answer = self._application.addresses.answer(workspace.id, zone)
-        document = AddressDocument(answer.addresses, answer.ttl_seconds, answer.ticket)
-        return self._reply(document)
+
+        async def answer(workspace: WorkspaceSpec) -> Reply:
+            zone = request.query_params.get("zone", "")
+            found = self._application.addresses.answer(workspace.id, zone)
+            document = AddressDocument(tuple(found.addresses), found.ttl_seconds, found.ticket)
+            return Success(self._reply(document))
+
+        return await self._answer(request, answer)
 
     async def models(self, request: HttpRequest) -> ASGIApp:
         """List the models attached to a workspace."""
+
+        async def answer(workspace: WorkspaceSpec) -> Reply:
+            data = [ModelDocument(str(model)) for model in workspace.models]
+            return Success(self._reply(ModelListDocument(data)))
+
+        return await self._answer(request, answer)
+
+    async def _answer(
+        self, request: HttpRequest, answer: Callable[[WorkspaceSpec], Awaitable[Reply]]
+    ) -> ASGIApp:
+        """Authenticate a caller and answer it."""
         match self._workspace(request):
-            case Failure(failed):
-                return self._refuse(failed)
             case Success(workspace):
-                pass
-        data = [
-            {"id": str(model), "object": "model", "created": 0, "owned_by": "quinceferry"}
-            for model in workspace.models
-        ]
-        return self._reply({"object": "list", "data": data})
+                reply = await answer(workspace)
+            case Failure(failed):
+                return self._refuse(None, failed)
+        match reply:
+            case Success(response):
+                return response
+            case Failure(failed):
+                return self._refuse(workspace.id, failed)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _with_body(self, request: HttpRequest, use: Callable[[HeldBody], Reply]) -> Reply:
+        """Read the body and use it; it is released unless the response now holds it."""
+        match await read_body(request, self._settings.max_body_bytes, self._bodies):
+            case Success(body):
+                reply = use(body)
+            case failure:
+                return failure
+        if isinstance(reply, Failure):
+            body.release()
+        return reply
 
     def _workspace(self, request: HttpRequest) -> Result[WorkspaceSpec, Failed]:
         """Authenticate a caller."""
@@ -165,35 +164,35 @@
             return Failure(refusal(RefusalReason.UNAUTHENTICATED, "the workspace key is wrong"))
         return Success(workspace)
 
-    def _completion_call(
+    def _complete(
         self, request: HttpRequest, kind: RequestKind, body: HeldBody, workspace: WorkspaceSpec
-    ) -> Result[CompletionCall, Failed]:
-        """Validate a completion request."""
+    ) -> Reply:
+        """Validate a completion request and return the response that runs it."""
         configuration = self._application.blackboard.configuration
         options = self._options.read(request.headers, workspace, "POST", safe=True)
-        return options.bind(
+        call = options.bind(
             lambda read: read_completion(kind, body.data, read, workspace, configuration)
         )
+        return call.map(lambda call: self._run(call.request, body, self._completion_sink(call)))
 
-    def _service_call(
+    def _serve(
         self,
         request: HttpRequest,
         service: str,
-        path: str,
         body: HeldBody,
         workspace: WorkspaceSpec,
-    ) -> Result[CallerRequest, Failed]:
-        """Validate a request to a plain service."""
-        query = request.scope["query_string"].decode("ascii", "replace")
-        target = f"{path}?{query}" if query else path
+    ) -> Reply:
+        """Validate a request to a plain service and return the response that runs it."""
+        target = _service_target(request)
         content_type = request.headers.get("content-type", "")
         method = request.method
         options = self._options.read(request.headers, workspace, method, safe=False)
-        return options.bind(
+        call = options.bind(
             lambda read: read_service(
                 service, target, method, body.data, content_type, read, workspace
             )
         )
+        return call.map(lambda call: self._run(call, body, self._service_sink(call)))
 
     def _completion_sink(self, call: CompletionCall) -> SinkMaker:
         """Return what makes the sink of a completion's answer."""
@@ -206,13 +205,19 @@
             )
         return lambda writer: WholeAnswer(writer, form, request.request_id)
 
+    def _service_sink(self, call: CallerRequest) -> SinkMaker:
+        """Return what makes the sink of a service's response."""
+        limit = self._settings.max_service_response_bytes
+        return lambda writer: ServiceAnswer(writer, call.request_id, limit)
+
     def _run(self, request: CallerRequest, body: HeldBody, make_sink: SinkMaker) -> ASGIApp:
         """Return the response that runs a request and relays its answer."""
 
         async def relay(writer: ResponseWriter) -> None:
             try:
+                meter = RequestMeter(request, self._application.metrics, self._application.clock)
                 events = self._application.pipeline.submit(request)
-                await relay_events(events, make_sink(writer))
+                await relay_events(events, make_sink(writer), meter)
             finally:
                 body.release()
 
@@ -223,8 +228,9 @@
         body = msgspec.json.encode(document)
         return self._respond(lambda writer: writer.respond(200, [JSON_HEADER, _NO_STORE], body))
 
-    def _refuse(self, failed: Failed) -> ASGIApp:
+    def _refuse(self, workspace: WorkspaceId | None, failed: Failed) -> ASGIApp:
         """Return an error response to a request that was not submitted."""
+        self._application.metrics.refused(workspace, failed.reason)
         return self._respond(lambda writer: write_failure(writer, failed))
 
     def _respond(self, relay: Relay) -> ASGIApp:
@@ -233,19 +239,17 @@
         return RelayResponse(relay, self._write_timeout_seconds, _CLOSE if stopping else ())
 
 
-def _outcome_document(request_id: str, outcome: Outcome) -> OutcomeDocument:
-    """Return what a caller is told of an outcome."""
-    return OutcomeDocument(
-        request_id,
-        outcome_word(outcome),
-        proof=outcome.proof.value if isinstance(outcome, NotRun) else "",
-        usage=outcome.usage if isinstance(outcome, Run) else None,
-    )
+def _service_target(request: HttpRequest) -> str:
+    """Return path and query below the service's root, in the caller's own encoding."""
+    raw_path = request.scope["raw_path"].decode("ascii", "replace")
+    below = raw_path.split("/", _SERVICE_PATH_PARTS)[_SERVICE_PATH_PARTS:]
+    query = request.scope["query_string"].decode("ascii", "replace")
+    return "/" + "".join(below) + (f"?{query}" if query else "")
 
 
 def caller_routes() -> Router:
     """Return the routes for callers; they use the ``caller_api`` of the server's state."""
-    handlers = [_chat, _completion, _models, _address, _request_outcome, _service, _service_root]
+    handlers = [_chat, _completion, _models, _address, _request_outcome, _service]
     return Router("", route_handlers=handlers)
 
 
@@ -277,11 +281,10 @@
 _SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 
 
-@route("/services/{service:str}/{path:path}", http_method=_SERVICE_METHODS)
-async def _service(request: HttpRequest, service: str, path: str) -> ASGIApp:
-    return await request.app.state.caller_api.serve(request, service, path)
-
-
-@route("/services/{service:str}", http_method=_SERVICE_METHODS)
-async def _service_root(request: HttpRequest, service: str) -> ASGIApp:
-    return await request.app.state.caller_api.serve(request, service, "/")
+@route(
+    ["/services/{service:str}", "/services/{service:str}/{path:path}"],
+    http_method=_SERVICE_METHODS,
+    request_max_body_size=None,
+)
+async def _service(request: HttpRequest, service: str) -> ASGIApp:
+    return await request.app.state.caller_api.serve(request, service)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/caller_documents.py
@@ -0,0 +1,50 @@
+"""JSON documents that callers receive, other than answers and errors."""
+
+import msgspec
+
+from quinceferry_core.models import Usage
+from quinceferry_core.outcomes import NotRun, Outcome, Run
+from quinceferryd.refusals import outcome_word
+
+
+class OutcomeDocument(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What became of a request."""
+
+    request_id: str
+    outcome: str
+    proof: str = ""
+    usage: Usage | None = None
+
+
+class AddressDocument(msgspec.Struct, frozen=True):
+    """Addresses to use, for how long, and the ticket to send with non-idempotent requests."""
+
+    addresses: tuple[str, ...]
+    ttl_seconds: float
+    ticket: str
+
+
+class ModelDocument(msgspec.Struct, frozen=True):
+    """A model that a workspace may use."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "quinceferry"
+
+
+class ModelListDocument(msgspec.Struct, frozen=True):
+    """All models that a workspace may use."""
+
+    data: list[ModelDocument]
+    object: str = "list"
+
+
+def outcome_document(request_id: str, outcome: Outcome) -> OutcomeDocument:
+    """Return what a caller is told of an outcome."""
+    return OutcomeDocument(
+        request_id,
+        outcome_word(outcome),
+        proof=outcome.proof.value if isinstance(outcome, NotRun) else "",
+        usage=outcome.usage if isinstance(outcome, Run) else None,
+    )
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/daemon.py
@@ -0,0 +1,99 @@
+"""Runs one router as a process: its connections, its socket and its signals."""
+
+import asyncio
+import random
+import signal
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import httpx
+import structlog
+
+from quinceferry_core.clocks import SystemClock
+from quinceferryd.application import Application, Dependencies
+from quinceferryd.kv_client import HttpKv
+from quinceferryd.logs import ChangeLog
+from quinceferryd.metrics import ScrapedMetrics
+from quinceferryd.operator_api import build_operator_routes
+from quinceferryd.peer_client import HttpPeers
+from quinceferryd.server import HttpServer, build_app
+from quinceferryd.settings import Settings
+from quinceferryd.upstream_client import HttpUpstreams
+from quinceferryd.vm_client import HttpVmList
+from quinceferryd.workspace_labels import WorkspaceLabels
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_MAX_PLATFORM_CONNECTIONS = 32
+
+_log = structlog.get_logger()
+
+
+async def run(settings: Settings) -> None:
+    """Run a router until a signal or an operator stops it; no request in progress is cut."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, stopping.set)
+    async with _connected(settings) as dependencies:
+        application = Application(settings, dependencies)
+        await serve_until(application, stopping)
+
+
+async def serve_until(application: Application, stopping: asyncio.Event) -> None:
+    """Serve an application until it is told to stop.
+
+    The socket listens before the router joins, so that callers are told why they must wait, and
+    until the application has finished its requests, which may take minutes.
+
+    :param stopping: set by the first stop signal; further ones change nothing.
+    """
+    settings = application.settings
+    app = build_app(application, build_operator_routes(application))
+    reader_timeout = settings.streams.reader_timeout_seconds
+    server = HttpServer(app, settings.router.host, settings.router.port, reader_timeout)
+    changes = ChangeLog(application.blackboard, application.clock)
+    await server.start()
+    _log.info("server.listening", host=settings.router.host, port=server.port)
+    await changes.start()
+    await application.start()
+    await _first(stopping.wait(), application.shutdown.requested.wait())
+    _log.info("router.stopping")
+    await application.stop()
+    await server.stop()
+    await changes.stop()
+    _log.info("router.stopped")
+
+
+@asynccontextmanager
+async def _connected(settings: Settings) -> AsyncIterator[Dependencies]:
+    """Open the connection pools of a router and close them at the end."""
+    clock = SystemClock()
+    platform = settings.platform
+    async with AsyncExitStack() as stack:
+        limits = httpx.Limits(max_connections=_MAX_PLATFORM_CONNECTIONS)
+        http = await stack.enter_async_context(httpx.AsyncClient(limits=limits, trust_env=False))
+        upstreams = HttpUpstreams()
+        stack.push_async_callback(upstreams.aclose)
+        peers = HttpPeers(settings.router.fleet_secret, clock)
+        stack.push_async_callback(peers.aclose)
+        name = settings.router.vm
+        timeout = platform.kv_timeout_seconds
+        yield Dependencies(
+            clock=clock,
+            kv=HttpKv(platform.kv_url, timeout, http, name),
+            vms=HttpVmList(platform.vm_list_url, timeout, http, name),
+            upstreams=upstreams,
+            peers=peers,
+            rng=random.Random(),
+            metrics=ScrapedMetrics(WorkspaceLabels()),
+        )
+
+
+async def _first(*waits: object) -> None:
+    """Wait for the first of several coroutines and cancel the others."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
--- a/packages/quinceferry-daemon/src/quinceferryd/interfaces.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/interfaces.py
@@ -1,6 +1,5 @@
 """What the HTTP interfaces need of the application."""
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -9,8 +8,9 @@
 from quinceferry_core.adapters import RecallReply
 from quinceferry_core.clocks import Clock
 from quinceferry_core.models import CallerRequest, RequestId, Ticket, WorkspaceId
-from quinceferry_core.outcomes import AnswerEvent, Outcome
+from quinceferry_core.outcomes import AnswerStream, Outcome
 from quinceferryd.blackboard import Blackboard
+from quinceferryd.metrics import Metrics
 from quinceferryd.settings import Settings
 
 
@@ -26,7 +26,7 @@
 class Pipeline(Protocol):
     """Runs requests."""
 
-    def submit(self, request: CallerRequest) -> AsyncIterator[AnswerEvent]:
+    def submit(self, request: CallerRequest) -> AnswerStream:
         """Return the answer's events; closing the iterator cancels the request."""
 
     async def outcome(self, workspace: WorkspaceId, request_id: RequestId) -> Outcome | None:
@@ -64,6 +64,7 @@
     allotments: Allotments
     addresses: Addresses
     tickets: Tickets
+    metrics: Metrics
 
     async def start(self) -> None:
         """Start all controllers."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/metrics.py
@@ -0,0 +1,201 @@
+"""Counters and histograms of one router, served for scraping.
+
+Series are bounded: workspaces by :mod:`quinceferryd.workspace_labels`, all else by enumerations.
+Times between tokens are sampled by the caller of this module, never recorded for each token.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Histogram, Meter, Observation
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+
+from quinceferry_core.models import Priority, Usage, WorkspaceId
+from quinceferry_core.outcomes import RefusalReason
+from quinceferryd.workspace_labels import WorkspaceLabels
+
+FIRST_TOKEN_BOUNDS = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+"""Upper bounds of buckets, in seconds."""
+BETWEEN_TOKENS_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
+"""Upper bounds of buckets, in seconds."""
+QUEUE_WAIT_BOUNDS = (0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Upper bounds of buckets, in seconds."""
+
+_NO_WORKSPACE = "none"
+
+Reading = tuple[float, dict[str, str]]
+"""Value of one series and its labels."""
+
+
+class Metrics(Protocol):
+    """Records what happens to requests; times are in seconds."""
+
+    def request_started(self, workspace: WorkspaceId) -> None:
+        """Count a request that passed authentication."""
+
+    def request_finished(
+        self, workspace: WorkspaceId, priority: Priority, outcome: str, usage: Usage | None
+    ) -> None:
+        """Count a request that was submitted, by what became of it, and its tokens."""
+
+    def refused(self, workspace: WorkspaceId | None, reason: RefusalReason) -> None:
+        """Count a refusal or failure; the workspace is None when the key was wrong."""
+
+    def first_token(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record the time from the request to its first token."""
+
+    def between_tokens(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record one sampled time between two pieces of an answer."""
+
+    def queue_wait(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record the time a request waited for admission."""
+
+    def exposition(self) -> bytes:
+        """Return all series in the text format that scrapers read."""
+
+
+class NullMetrics:
+    """Records nothing."""
+
+    def request_started(self, workspace: WorkspaceId) -> None:
+        """Record nothing."""
+
+    def request_finished(
+        self, workspace: WorkspaceId, priority: Priority, outcome: str, usage: Usage | None
+    ) -> None:
+        """Record nothing."""
+
+    def refused(self, workspace: WorkspaceId | None, reason: RefusalReason) -> None:
+        """Record nothing."""
+
+    def first_token(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record nothing."""
+
+    def between_tokens(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record nothing."""
+
+    def queue_wait(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record nothing."""
+
+    def exposition(self) -> bytes:
+        """Return nothing."""
+        return b""
+
+
+class ScrapedMetrics:
+    """Metrics of OpenTelemetry, kept in memory until they are scraped.
+
+    :param labels: decides which workspaces are named.
+    """
+
+    def __init__(self, labels: WorkspaceLabels) -> None:
+        self._labels = labels
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        self._provider = MeterProvider(
+            metric_readers=[reader],
+            resource=Resource.get_empty(),
+            exemplar_filter=AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("quinceferryd")
+        self._requests = self._meter.create_counter(
+            "quinceferry_requests", description="Submitted requests by what became of them"
+        )
+        self._refusals = self._meter.create_counter(
+            "quinceferry_refusals", description="Refusals and failures by reason"
+        )
+        self._tokens = self._meter.create_counter(
+            "quinceferry_tokens", description="Tokens of answered requests"
+        )
+        self._first_token = _histogram(
+            self._meter, "quinceferry_first_token", "Request to first token", FIRST_TOKEN_BOUNDS
+        )
+        self._between_tokens = _histogram(
+            self._meter,
+            "quinceferry_between_tokens",
+            "Time between two pieces of an answer, sampled",
+            BETWEEN_TOKENS_BOUNDS,
+        )
+        self._queue_wait = _histogram(
+            self._meter, "quinceferry_queue_wait", "Time waited for admission", QUEUE_WAIT_BOUNDS
+        )
+
+    def request_started(self, workspace: WorkspaceId) -> None:
+        """Count a request that passed authentication."""
+        self._labels.count(workspace)
+
+    def request_finished(
+        self, workspace: WorkspaceId, priority: Priority, outcome: str, usage: Usage | None
+    ) -> None:
+        """Count a request that was submitted, by what became of it, and its tokens."""
+        labels = self._class_labels(workspace, priority)
+        self._requests.add(1, {**labels, "outcome": outcome})
+        if usage is not None:
+            name = labels["workspace"]
+            self._tokens.add(usage.prompt_tokens, {"workspace": name, "kind": "prompt"})
+            self._tokens.add(usage.output_tokens, {"workspace": name, "kind": "output"})
+
+    def refused(self, workspace: WorkspaceId | None, reason: RefusalReason) -> None:
+        """Count a refusal or failure; the workspace is None when the key was wrong."""
+        name = _NO_WORKSPACE if workspace is None else self._labels.label(workspace)
+        self._refusals.add(1, {"workspace": name, "reason": reason.value})
+
+    def first_token(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record the time from the request to its first token."""
+        self._first_token.record(seconds, self._class_labels(workspace, priority))
+
+    def between_tokens(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record one sampled time between two pieces of an answer."""
+        self._between_tokens.record(seconds, self._class_labels(workspace, priority))
+
+    def queue_wait(self, workspace: WorkspaceId, priority: Priority, seconds: float) -> None:
+        """Record the time a request waited for admission."""
+        self._queue_wait.record(seconds, self._class_labels(workspace, priority))
+
+    def observe_counter(
+        self, name: str, description: str, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Export a count kept elsewhere; it is read at each scrape.
+
+        :param read: returns the value and labels of each series; the labels must be bounded.
+        """
+        self._meter.create_observable_counter(
+            name, callbacks=[_callback(read)], description=description
+        )
+
+    def observe_gauge(
+        self, name: str, description: str, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Export a level kept elsewhere; it is read at each scrape."""
+        self._meter.create_observable_gauge(
+            name, callbacks=[_callback(read)], description=description
+        )
+
+    def exposition(self) -> bytes:
+        """Return all series in the text format that scrapers read."""
+        return generate_latest(self._registry)
+
+    def _class_labels(self, workspace: WorkspaceId, priority: Priority) -> dict[str, str]:
+        """Return the labels of a workspace and class."""
+        return {"workspace": self._labels.label(workspace), "class": priority.name.lower()}
+
+
+def _histogram(meter: Meter, name: str, description: str, bounds: Sequence[float]) -> Histogram:
+    """Return a histogram of seconds."""
+    return meter.create_histogram(
+        name, unit="s", description=description, explicit_bucket_boundaries_advisory=bounds
+    )
+
+
+def _callback(
+    read: Callable[[], Iterable[Reading]],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    """Return the form of a reader that the metrics library calls."""
+    return lambda options: [Observation(value, labels) for value, labels in read()]
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
@@ -1,7 +1,6 @@
 """HTTP interface for other routers of the fleet; every call is signed with the fleet secret."""
 
 import asyncio
-from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -9,10 +8,11 @@
 from litestar.types import ASGIApp
 
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
-from quinceferry_core.outcomes import AnswerEvent, Chunk
+from quinceferry_core.outcomes import AnswerEvent, Chunk, Failed, Finished
 from quinceferryd import wire
 from quinceferryd.interfaces import RouterApplication
-from quinceferryd.responses import Header, RelayResponse, ResponseWriter
+from quinceferryd.relays import relay_events
+from quinceferryd.responses import Header, Relay, RelayResponse, ResponseWriter
 from quinceferryd.signatures import SIGNATURE_HEADER, Signer
 
 FORWARD_PATH = "/peer/v1/forward"
@@ -105,24 +105,10 @@
         await writer.write(wire.KEEP_ALIVE_LINE)
         keep_alive = asyncio.create_task(self._keep_alive(writer))
         try:
-            async with aclosing(self._application.pipeline.submit(forwarded)) as events:
-                async for event in events:
-                    await self._write_event(event, writer, keep_alive)
+            events = self._application.pipeline.submit(forwarded)
+            await relay_events(events, PeerAnswer(writer, keep_alive))
         finally:
             keep_alive.cancel()
-        if not writer.finished:
-            await writer.finish()
-
-    async def _write_event(
-        self, event: AnswerEvent, writer: ResponseWriter, keep_alive: asyncio.Task[None]
-    ) -> None:
-        """Write one event; the last one ends the response, though the pipeline may run on."""
-        line = wire.encode_event(event)
-        if isinstance(event, Chunk):
-            await writer.write(line)
-            return
-        keep_alive.cancel()
-        await writer.finish(line)
 
     async def _keep_alive(self, writer: ResponseWriter) -> None:
         """Write an empty line at each interval, so that the peer can tell silence from loss."""
@@ -138,11 +124,39 @@
         """Return a response to a call that was not begun."""
         return self._respond(lambda writer: writer.respond(status, [], detail))
 
-    def _respond(self, relay: Any) -> ASGIApp:
+    def _respond(self, relay: Relay) -> ASGIApp:
         """Return a response written by a coroutine."""
         return RelayResponse(relay, self._write_timeout_seconds)
 
 
+class PeerAnswer:
+    """Lines, one for each event; the last one ends the response.
+
+    :param keep_alive: the task that writes empty lines.
+    """
+
+    def __init__(self, writer: ResponseWriter, keep_alive: asyncio.Task[None]) -> None:
+        self._writer = writer
+        self._keep_alive = keep_alive
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Write a piece of the answer."""
+        await self._writer.write(wire.encode_event(chunk))
+
+    async def finish(self, finished: Finished) -> None:
+        """Write the end of a whole answer."""
+        await self._end(finished)
+
+    async def fail(self, failed: Failed) -> None:
+        """Write a refusal or failure."""
+        await self._end(failed)
+
+    async def _end(self, event: AnswerEvent) -> None:
+        """Write the last line."""
+        self._keep_alive.cancel()
+        await self._writer.finish(wire.encode_event(event))
+
+
 def peer_routes() -> Router:
     """Return the routes for peers; they use the ``peer_api`` of the server's state."""
     return Router("", route_handlers=[_forward, _outcome, _recall])
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/request_options.py
@@ -0,0 +1,114 @@
+"""Reads the headers that all requests of callers share."""
+
+import re
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.models import Priority, RequestId, Ticket, WorkspaceSpec
+from quinceferry_core.outcomes import Failed, RefusalReason
+from quinceferryd.interfaces import Tickets
+from quinceferryd.refusals import refusal
+from quinceferryd.settings import CallerSettings
+
+REQUEST_ID_HEADER = "idempotency-key"
+PRIORITY_HEADER = "x-quinceferry-priority"
+NON_IDEMPOTENT_HEADER = "x-quinceferry-non-idempotent"
+TICKET_HEADER = "x-quinceferry-ticket"
+DEADLINE_HEADER = "x-quinceferry-deadline-seconds"
+
+_REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:~+=@-]{1,128}")
+_PRIORITIES_BY_WORD = {priority.name.lower(): priority for priority in Priority}
+_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+@dataclass(slots=True, frozen=True)
+class RequestOptions:
+    """What the headers of a request say."""
+
+    request_id: RequestId
+    priority: Priority
+    idempotent: bool
+    ticket: Ticket | None
+    deadline_seconds: float
+
+
+class OptionReader:
+    """Reads the headers that all requests share.
+
+    :param tickets: reads tickets.
+    :param settings: bounds of the caller interface.
+    """
+
+    def __init__(self, tickets: Tickets, settings: CallerSettings) -> None:
+        self._tickets = tickets
+        self._settings = settings
+
+    def read(
+        self, headers: Mapping[str, str], workspace: WorkspaceSpec, method: str, safe: bool
+    ) -> Result[RequestOptions, Failed]:
+        """Read the headers of one request.
+
+        :param workspace: the caller's workspace; its priority is the highest a caller may ask for.
+        :param method: HTTP method.
+        :param safe: whether a request is idempotent when its header does not say.
+        """
+        given_id = headers.get(REQUEST_ID_HEADER, "")
+        if given_id and not _REQUEST_ID_PATTERN.fullmatch(given_id):
+            return malformed(f"{REQUEST_ID_HEADER} must match {_REQUEST_ID_PATTERN.pattern}")
+        word = headers.get(PRIORITY_HEADER, workspace.priority.name).lower()
+        if word not in _PRIORITIES_BY_WORD:
+            return malformed(f"{PRIORITY_HEADER} must be one of {', '.join(_PRIORITIES_BY_WORD)}")
+        mark = headers.get(NON_IDEMPOTENT_HEADER, "").lower()
+        if mark not in ("", "true", "false"):
+            return malformed(f"{NON_IDEMPOTENT_HEADER} must be true or false")
+        idempotent = mark == "false" or (not mark and (safe or method in _SAFE_METHODS))
+        if not idempotent and not given_id:
+            return malformed(f"a non-idempotent request needs {REQUEST_ID_HEADER}")
+        match self._deadline(headers), self._ticket(headers, workspace):
+            case Failure() as failure, _:
+                return failure
+            case _, Failure() as failure:
+                return failure
+            case Success(deadline_seconds), Success(ticket):
+                request_id = RequestId(given_id or uuid.uuid4().hex)
+                priority = max(_PRIORITIES_BY_WORD[word], workspace.priority)
+                options = RequestOptions(request_id, priority, idempotent, ticket, deadline_seconds)
+                return Success(options)
+        raise AssertionError("a result is a success or a failure")
+
+    def _deadline(self, headers: Mapping[str, str]) -> Result[float, Failed]:
+        """Read the deadline, in seconds from now."""
+        text = headers.get(DEADLINE_HEADER, "")
+        if not text:
+            return Success(self._settings.default_deadline_seconds)
+        try:
+            seconds = float(text)
+        except ValueError:
+            return malformed(f"{DEADLINE_HEADER} must be a number")
+        if not 0 < seconds <= self._settings.max_deadline_seconds:
+            limit = self._settings.max_deadline_seconds
+            return malformed(f"{DEADLINE_HEADER} must be above 0 and at most {limit:g}")
+        return Success(seconds)
+
+    def _ticket(
+        self, headers: Mapping[str, str], workspace: WorkspaceSpec
+    ) -> Result[Ticket | None, Failed]:
+        """Read the ticket, if there is one."""
+        text = headers.get(TICKET_HEADER, "")
+        if not text:
+            return Success(None)
+        match self._tickets.read(text):
+            case Success(Ticket(workspace=owner) as ticket) if owner == workspace.id:
+                return Success(ticket)
+            case Failure(detail):
+                return Failure(refusal(RefusalReason.TICKET_INVALID, detail))
+            case _:
+                return Failure(refusal(RefusalReason.TICKET_INVALID, "ticket of other workspace"))
+
+
+def malformed(detail: str) -> Failure[Failed]:
+    """Return the refusal of a request that is not well formed."""
+    return Failure(refusal(RefusalReason.MALFORMED, detail))
--- a/packages/quinceferry-daemon/src/quinceferryd/server.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/server.py
@@ -11,12 +11,15 @@
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
 from litestar.types import ControllerRouterHandler
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from quinceferry_core.outcomes import Failed, RefusalReason, Unknown
 from quinceferryd.blackboard import RouterState
 from quinceferryd.bodies import BodyMemory
 from quinceferryd.caller_api import CallerApi, caller_routes
 from quinceferryd.interfaces import RouterApplication
+from quinceferryd.keys import opens
+from quinceferryd.logs import log_bug
 from quinceferryd.peer_api import PeerApi, peer_routes
 from quinceferryd.refusals import error_document, error_headers, error_status, refusal
 
@@ -51,7 +54,7 @@
         "peer_api": PeerApi(application),
     }
     return Litestar(
-        route_handlers=[caller_routes(), peer_routes(), _health, _ready, *handlers],
+        route_handlers=[caller_routes(), peer_routes(), _health, _ready, _metrics, *handlers],
         state=State(state, deep_copy=False),
         exception_handlers={HTTPException: _on_http_error, Exception: _on_error},
         openapi_config=None,
@@ -166,6 +169,22 @@
     return Response(state.value, status_code=503, headers={"retry-after": "1"})
 
 
+@get("/metrics")
+async def _metrics(request: HttpRequest) -> Response[bytes]:
+    """Serve all series to a scraper that holds the operators' key.
+
+    The text is built in a thread, so that a scrape doesn't hold up the streams.
+    """
+    application = request.app.state.application
+    authorization = request.headers.get("authorization", "")
+    if not opens(authorization, application.settings.router.operator_key):
+        return _error_response(
+            refusal(RefusalReason.UNAUTHENTICATED, "the operators' key is wrong")
+        )
+    text = await asyncio.to_thread(application.metrics.exposition)
+    return Response(text, media_type=CONTENT_TYPE_LATEST)
+
+
 def _on_http_error(request: HttpRequest, error: HTTPException) -> Response[bytes]:
     """Answer a request that no handler took."""
     reason = _REASONS_BY_STATUS.get(error.status_code, RefusalReason.MALFORMED)
@@ -174,16 +193,20 @@
 
 def _on_error(request: HttpRequest, error: Exception) -> Response[bytes]:
     """Answer a request whose handler broke; nothing is known of what it did."""
+    log_bug(error, "server")
     failed = Failed(RefusalReason.INTERNAL, Unknown(), detail="internal error")
-    return _error_response(failed, error_status(failed))
+    return _error_response(failed)
+
 
+def _error_response(failed: Failed, status: int = 0) -> Response[bytes]:
+    """Return the response of an error.
 
-def _error_response(failed: Failed, status: int) -> Response[bytes]:
-    """Return the response of an error."""
+    :param status: HTTP status; that of the failure when zero.
+    """
     headers = {name.decode(): value.decode() for name, value in error_headers(failed)}
     return Response(
         error_document(failed),
-        status_code=status,
+        status_code=status or error_status(failed),
         headers=headers,
         media_type=MediaType.JSON,
     )
