Keep a refusal of a non-idempotent request, and stop only an own run

Cause: the model of the protocol shows that a home which forgets a refusal runs a late copy of a request its caller was told had not run; and that a paused holder whose allotment was already retired could draw again. A cancel by request id alone could also stop another router's run of the same request. Change: refusals of non-idempotent requests are remembered until a later ticket comes; a lost allotment fences; cancel names the incarnation; unexpected task failures are logged. Ruled out: freeing tokens of an attempt unknown to its upstream (they are withheld already).

--- a/packages/quinceferry-core/src/quinceferry_core/adapters.py
+++ b/packages/quinceferry-core/src/quinceferry_core/adapters.py
@@ -178,12 +178,17 @@
         """
 
     async def cancel(
-        self, upstream: UpstreamSpec, request_id: RequestId, workspace: WorkspaceId | None = None
+        self,
+        upstream: UpstreamSpec,
+        request_id: RequestId,
+        workspace: WorkspaceId | None = None,
+        incarnation: IncarnationId | None = None,
     ) -> int | None:
         """Stop the latest run of a request; a repeat returns the same use.
 
         :param workspace: owner of the request; two workspaces may use the same identifier, and
             without it such a request counts as unknown.
+        :param incarnation: the router that sent it; None stops a run of any router.
         :return: the tokens it used in all, or None if the upstream does not know it.
         """
 
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from quinceferry_core.adapters import KvStore
+from quinceferry_core.adapters import KvStore, RecallReply
 from quinceferry_core.backoffs import Backoff
 from quinceferry_core.budgets import budget_key, retire
 from quinceferry_core.clocks import Clock
-from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
+from quinceferry_core.exceptions import FencedError, KvConflictError, KvUnavailableError
 from quinceferry_core.journals import Begin, Entry, Settle
 from quinceferry_core.models import IncarnationId, WorkspaceId
 from quinceferryd.allotments import AllotmentController, Holding, decode_budget
@@ -22,7 +22,7 @@
 class Account:
     """Journal and allotments of one incarnation.
 
-    ``open_requests`` counts requests that were begun with it and are not settled.
+    ``open_requests`` counts requests in progress that use it.
     """
 
     def __init__(self, journal: JournalWriter, allotments: AllotmentController) -> None:
@@ -110,14 +110,27 @@
 
         :return: a future that ends when the settlement is durable, if it is known which.
         """
-        account.open_requests -= 1
         if not account.closed:
             return account.journal.append(entry)
         self._carry([entry])
-        if account.open_requests == 0:
-            self.spawn(self._wind_up(account), f"wind up {account.incarnation}")
         return None
 
+    def release(self, account: Account) -> None:
+        """Note that a request no longer uses an account."""
+        account.open_requests -= 1
+        if account.closed and account.open_requests == 0:
+            self.spawn(self._wind_up(account), f"wind up {account.incarnation}")
+
+    async def recall(self, workspace: WorkspaceId, wanted: int) -> RecallReply:
+        """Return unused tokens to the budget record because a peer lacks them."""
+        account = self.current
+        if account is None:
+            return RecallReply(0, 0)
+        try:
+            return await account.allotments.recall(workspace, wanted)
+        except FencedError:
+            return RecallReply(0, 0)
+
     async def leave(self) -> None:
         """Flush the journal and settle all allotments, at a planned stop."""
         account = self.current
--- a/packages/quinceferry-daemon/src/quinceferryd/allotments.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/allotments.py
@@ -221,13 +221,13 @@
         record = decode_budget(workspace, entry)
         holding.record = record
         mine = record.allotments_by_incarnation.get(self.incarnation)
-        if mine is None:
-            return entry, record
-        if mine.closed:
+        # A record that has lost the allotment was settled by another router after a close.
+        is_retired = mine is None and holding.ledger.drawn > 0
+        if is_retired or (mine is not None and mine.closed):
             self._on_fenced()
             raise FencedError("the allotment was closed", step=_DRAW_STEP, peer=workspace)
         holding.unresolved = False
-        if mine.sequence == holding.sequence:
+        if mine is not None and mine.sequence == holding.sequence:
             holding.ledger.drawn = mine.drawn
             holding.ledger.outage_tokens = mine.outage_tokens
         return entry, record
--- a/packages/quinceferry-daemon/src/quinceferryd/controllers.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/controllers.py
@@ -4,6 +4,10 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
+import structlog
+
+_log = structlog.get_logger()
+
 
 class Controller(Protocol):
     """A part of the application with its own background work."""
@@ -30,7 +34,7 @@
         """
         task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_task_end)
         return task
 
     async def start(self) -> None:
@@ -42,3 +46,10 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _note_task_end(self, task: asyncio.Task[Any]) -> None:
+        """Forget a task that has ended, and report one that failed for a reason nobody expected."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.error("task failed", task=task.get_name(), exc_info=task.exception())
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -20,7 +20,6 @@
     NotRun,
     NotRunProof,
     RefusalReason,
-    Run,
     Unknown,
 )
 from quinceferryd.accounts import Account, AccountController
@@ -92,6 +91,15 @@
             run.publish(not_ready("execute"))
             return
         execution = _Execution(request, account, self._token_cap(request))
+        account.open_requests += 1
+        try:
+            await self._cover_and_run(run, execution)
+        finally:
+            self._accounts.release(account)
+
+    async def _cover_and_run(self, run: RequestRun, execution: _Execution) -> None:
+        """Run a request where there are tokens for it."""
+        account, request = execution.account, execution.request
         try:
             covered = await self._shortages.cover(account, request, execution.token_cap)
         except FencedError:
@@ -107,8 +115,6 @@
 
     async def _run_here(self, run: RequestRun, execution: _Execution) -> None:
         """Run a request whose tokens are reserved, and settle it whatever happens."""
-        account = execution.account
-        account.open_requests += 1
         permit: Permit | None = None
         last: AnswerEvent | None = None
         committed: asyncio.Future[None] | None = None
@@ -218,8 +224,7 @@
         account = execution.account
         result = execution.result
         cap = execution.token_cap
-        attempts = [attempt for attempt in result.attempts if attempt.may_have_run]
-        known = [attempt.tokens_used for attempt in attempts]
+        known = [attempt.tokens for attempt in result.uses]
         uses = [cap if tokens is None else min(tokens, cap) for tokens in known]
         billed = uses[-1] if uses else 0
         lost = sum(uses[:-1])
@@ -231,7 +236,7 @@
             run=bool(uses),
             origin=account.incarnation,
             estimated=bool(known) and known[-1] is None,
-            partial=not isinstance(result.outcome, Run),
+            partial=not result.finished,
             lost=lost,
         )
         return self._accounts.settle(account, entry)
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -2,7 +2,6 @@
 
 import hashlib
 from contextlib import aclosing
-from random import Random
 
 from quinceferry_core.adapters import PeerClient
 from quinceferry_core.clocks import Clock
@@ -44,31 +43,34 @@
         verdicts: JournalVerdicts,
         peers: PeerClient,
         clock: Clock,
-        rng: Random,
     ) -> None:
         super().__init__()
         self.runs = RunStore(clock)
-        self.open_requests = 0
+        self._open_readers = 0
         self._blackboard = blackboard
         self._accounts = accounts
         self._executor = executor
         self._verdicts = verdicts
         self._peers = peers
         self._clock = clock
-        self._rng = rng
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are in progress, with or without a reader."""
+        return max(self._open_readers, len(self._tasks))
 
     async def submit(self, request: CallerRequest) -> AnswerStream:
         """Return the events of a request's answer, the last one a ``Finished`` or ``Failed``.
 
         Closing the iterator early means that the caller has left.
         """
-        self.open_requests += 1
+        self._open_readers += 1
         try:
             async with aclosing(self._route(request)) as events:
                 async for event in events:
                     yield event
         finally:
-            self.open_requests -= 1
+            self._open_readers -= 1
 
     async def outcome(self, workspace: WorkspaceId, request_id: RequestId) -> Outcome | None:
         """Return what became of a request here; None when this process has never seen it."""
@@ -95,12 +97,15 @@
     def _answers(self, known: RequestRun, request: CallerRequest) -> bool:
         """Tell whether a known run answers a repeated request.
 
-        The answer of an idempotent request that broke off or whose text was dropped is run again;
-        its bill replaces the earlier one.
+        An idempotent request that broke off or whose text was dropped is run again; its bill
+        replaces the earlier one. A refused non-idempotent request may run once its caller comes
+        with a later ticket, which shows that it has read the refusal.
         """
-        if not request.idempotent or known.outcome is None:
+        if known.outcome is None:
             return True
-        return isinstance(known.outcome, Run) and not known.text_dropped
+        if request.idempotent:
+            return isinstance(known.outcome, Run) and not known.text_dropped
+        return not (isinstance(known.outcome, NotRun) and _has_later_ticket(known, request))
 
     def _follow(self, known: RequestRun, request: CallerRequest) -> AnswerStream:
         """Answer a repeated request from the run of the first."""
@@ -135,7 +140,8 @@
         if self._blackboard.state not in _OPEN_STATES or self._accounts.current is None:
             yield not_ready("submit")
             return
-        run = self.runs.begin(key, _fingerprint(request), request.idempotent)
+        expires_at = request.ticket.expires_at if request.ticket else None
+        run = self.runs.begin(key, _fingerprint(request), request.idempotent, expires_at)
         run.task = self.spawn(self._execute(run, request), f"request {key.request}")
         async with aclosing(self._read(run)) as events:
             async for event in events:
@@ -250,6 +256,13 @@
     )
 
 
+def _has_later_ticket(known: RequestRun, request: CallerRequest) -> bool:
+    """Tell whether a request carries a later ticket than the run that is known."""
+    if known.ticket_expires_at is None or request.ticket is None:
+        return False
+    return request.ticket.expires_at > known.ticket_expires_at
+
+
 def _fingerprint(request: CallerRequest) -> bytes:
     """Return a digest of what makes a repeated request the same one."""
     digest = hashlib.blake2b(digest_size=16)
--- a/packages/quinceferry-daemon/src/quinceferryd/runs.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/runs.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from datetime import datetime
 
 from quinceferry_core.clocks import Clock
 from quinceferry_core.journals import RequestKey
@@ -36,6 +37,7 @@
     key: RequestKey
     fingerprint: bytes
     idempotent: bool = True
+    ticket_expires_at: datetime | None = None
     events: list[AnswerEvent] = field(default_factory=list)
     outcome: Outcome | None = None
     readers: int = 0
@@ -96,18 +98,28 @@
         self._expire()
         return self._runs_by_key.get(key)
 
-    def begin(self, key: RequestKey, fingerprint: bytes, idempotent: bool = True) -> RequestRun:
+    def begin(
+        self,
+        key: RequestKey,
+        fingerprint: bytes,
+        idempotent: bool = True,
+        ticket_expires_at: datetime | None = None,
+    ) -> RequestRun:
         """Start a run; a known run of the same key is replaced."""
         self._forget(key)
-        run = RequestRun(key, fingerprint, idempotent)
+        run = RequestRun(key, fingerprint, idempotent, ticket_expires_at)
         self._runs_by_key[key] = run
         return run
 
     def finish(self, run: RequestRun) -> None:
-        """Store a finished run; one that did not run is forgotten, so that it may be retried."""
+        """Store a finished run.
+
+        An idempotent one that did not run is forgotten, so that it may be retried. Of another the
+        refusal is kept: a copy of it that arrives late must not run after its caller was told.
+        """
         if self._runs_by_key.get(run.key) is not run:
             return
-        if isinstance(run.outcome, NotRun):
+        if isinstance(run.outcome, NotRun) and run.idempotent:
             del self._runs_by_key[run.key]
             return
         run.finished_at = self._clock.monotonic()
--- a/packages/quinceferry-standins/src/quinceferry_standins/engine.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/engine.py
@@ -11,7 +11,7 @@
     UpstreamRefusedError,
     UpstreamUnknownRequestError,
 )
-from quinceferry_core.models import RequestId, UpstreamId, WorkspaceId
+from quinceferry_core.models import IncarnationId, RequestId, UpstreamId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent
 from quinceferry_standins.batching import Batcher
 from quinceferry_standins.engine_settings import EngineSettings
@@ -21,7 +21,7 @@
 from quinceferry_standins.reports import CacheEventLog, LaggedReports
 from quinceferry_standins.runs import OrderRecord, RunRecord
 
-StreamKey = tuple[WorkspaceId, RequestId]
+StreamKey = tuple[WorkspaceId, RequestId, IncarnationId]
 
 
 class FakeEngine:
@@ -76,6 +76,7 @@
         record = RunRecord.of(dispatch, self._clock.monotonic())
         stream = EngineStream(dispatch, record)
         self.runs.append(record)
+        self._streams_by_key.pop(_key(dispatch), None)
         self._streams_by_key[_key(dispatch)] = stream
         self._batcher.add(stream)
         return stream
@@ -102,15 +103,21 @@
         async for event in self.find(dispatch).read(dispatch.offset):
             yield event
 
-    def cancel(self, request_id: RequestId, workspace: WorkspaceId | None = None) -> int | None:
+    def cancel(
+        self,
+        request_id: RequestId,
+        workspace: WorkspaceId | None = None,
+        incarnation: IncarnationId | None = None,
+    ) -> int | None:
         """Stop the latest run of a request; a repeat returns the same use.
 
         :param workspace: None matches the request only if one workspace alone uses its identifier.
+        :param incarnation: None matches the run of any router.
         :return: tokens it used in all, or None if the engine does not know the request.
         """
         self._check_up("engine.cancel")
         self._forget_old_streams()
-        stream = self._find_named(request_id, workspace)
+        stream = self._find_named(request_id, workspace, incarnation)
         if stream is None:
             return None
         if stream.open:
@@ -199,13 +206,21 @@
             raise UpstreamRefusedError(refusal, step="engine.run", peer=self.upstream)
 
     def _find_named(
-        self, request_id: RequestId, workspace: WorkspaceId | None
+        self,
+        request_id: RequestId,
+        workspace: WorkspaceId | None,
+        incarnation: IncarnationId | None,
     ) -> EngineStream | None:
-        """Return the stream of a request, or None."""
-        if workspace is not None:
-            return self._streams_by_key.get((workspace, request_id))
-        named = [stream for key, stream in self._streams_by_key.items() if key[1] == request_id]
-        return named[0] if len(named) == 1 else None
+        """Return the latest stream of a request, or None."""
+        named = [
+            (key, stream)
+            for key, stream in self._streams_by_key.items()
+            if key[1] == request_id
+            and workspace in (None, key[0])
+            and incarnation in (None, key[2])
+        ]
+        is_ambiguous = len({key[0] for key, _ in named}) > 1
+        return None if is_ambiguous or not named else named[-1][1]
 
     def _retain(self, stream: EngineStream) -> None:
         """Keep the output of an ended stream for a while."""
@@ -228,4 +243,4 @@
 
 def _key(dispatch: Dispatch) -> StreamKey:
     """Return the key under which a stream can be resumed and cancelled."""
-    return dispatch.request.workspace, dispatch.request.request_id
+    return dispatch.request.workspace, dispatch.request.request_id, dispatch.incarnation
--- a/packages/quinceferry-standins/src/quinceferry_standins/upstreams.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/upstreams.py
@@ -13,7 +13,7 @@
     UpstreamRefusedError,
     UpstreamUnknownRequestError,
 )
-from quinceferry_core.models import RequestId, UpstreamId, UpstreamSpec, WorkspaceId
+from quinceferry_core.models import IncarnationId, RequestId, UpstreamId, UpstreamSpec, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Finished
 from quinceferry_standins.engine import FakeEngine
 from quinceferry_standins.service import FakeService
@@ -66,13 +66,18 @@
             yield event
 
     async def cancel(
-        self, upstream: UpstreamSpec, request_id: RequestId, workspace: WorkspaceId | None = None
+        self,
+        upstream: UpstreamSpec,
+        request_id: RequestId,
+        workspace: WorkspaceId | None = None,
+        incarnation: IncarnationId | None = None,
     ) -> int | None:
         """Stop a run; return the tokens it used in all, or None if the upstream does not know."""
 
         def cancel(target: FakeUpstream) -> int | None:
-            is_engine = isinstance(target, FakeEngine)
-            return target.cancel(request_id, workspace) if is_engine else None
+            if not isinstance(target, FakeEngine):
+                return None
+            return target.cancel(request_id, workspace, incarnation)
 
         return await self._call(upstream, "upstream.cancel", cancel)
 
