Test the command line against the operator API

Cause: the commands had been run by hand only. Change: features that run them on the real routes; they found two faults, both mended: registering an upstream failed on a name clash, and a missing word about fencing was not refused. Conclusion: none.

--- a/features/fixtures_operators.py
+++ b/features/fixtures_operators.py
@@ -31,6 +31,7 @@
     def __init__(self, blackboard):
         self.state = ConfigurationState()
         self.drained = []
+        self.looks_until_left = 0
         self.kv_out = False
         self._blackboard = blackboard
 
@@ -65,9 +66,24 @@
         if member is None:
             return Failure(f"router {incarnation} is not known")
         self.drained.append(incarnation)
+        if self.looks_until_left:
+            members = LeavingMembers(self._blackboard.members_by_incarnation)
+            members.looks_left = self.looks_until_left
+            self._blackboard.members_by_incarnation = members
         return Success(member)
 
 
+class LeavingMembers(dict):
+    """Members that are gone after some looks at them."""
+
+    looks_left = 0
+
+    def __iter__(self):
+        """Return the members, or nothing once they have left."""
+        self.looks_left -= 1
+        return super().__iter__() if self.looks_left >= 0 else iter(())
+
+
 class MemoryBudgets:
     """Budgets of one router, in memory."""
 
--- a/packages/quinceferry-cli/src/quinceferry/operator_commands.py
+++ b/packages/quinceferry-cli/src/quinceferry/operator_commands.py
@@ -135,9 +135,8 @@
 @click.option("--zone", "upstream_zone", required=True, help="Its availability zone.")
 @click.option(
     "--checks-fencing/--ignores-fencing",
-    required=True,
     default=None,
-    help="Whether it refuses an order with an old fencing number.",
+    help="Whether it refuses an order with an old fencing number; one of both is required.",
 )
 @click.option("--service", default="", help="Name of a plain service; a model engine if absent.")
 @click.option("--vm", default="", help="VM it runs on, as the platform lists it.")
@@ -148,12 +147,14 @@
     upstream: str,
     url: str,
     upstream_zone: str,
-    checks_fencing: bool,
+    checks_fencing: bool | None,
     service: str,
     vm: str,
     **options: Any,
 ) -> None:
     """Add an upstream or replace its description."""
+    if checks_fencing is None:
+        raise click.UsageError("say --checks-fencing or --ignores-fencing")
     fields = {
         "upstream": upstream,
         "address": url.rstrip("/"),
--- a/packages/quinceferry-cli/src/quinceferry/operators.py
+++ b/packages/quinceferry-cli/src/quinceferry/operators.py
@@ -110,7 +110,7 @@
             delay = self._policy.delay_seconds(attempt, retry_after, self._generator)
             await self._clock.sleep(delay)
 
-    async def change(self, kind: type[Change], **fields: Any) -> Any:
+    async def change(self, kind: type[Change], /, **fields: Any) -> Any:
         """Make a change at the current revision, under a new operation id.
 
         :param kind: type of the change.
