Propose, confirm and accept configuration revisions

The log holds one key for each revision, created only if absent. Routers apply a revision as soon as they see it and confirm it in their lasting incarnation records, which also tells a fenced router so. It is accepted when every incarnation has confirmed it or is proven absent; until then the operator sees who is awaited and why. A joining router writes its record before it reads the log, so that no list of records misses one that serves an older revision. Compaction raises a floor before it deletes, and writers check it, since an absent key may be a deleted one.

--- a/features/fixtures_membership.py
+++ b/features/fixtures_membership.py
@@ -12,6 +12,7 @@
 from quinceferry_standins.kv import FakeKv
 from quinceferry_standins.vms import FakeVmList
 from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.configuration import ConfigurationController
 from quinceferryd.membership import MembershipController
 from quinceferryd.settings import MembershipSettings
 from quinceferryd.vms import VmListController
@@ -56,12 +57,19 @@
         self.membership = MembershipController(
             self.blackboard, self.kv, self.clock, self.rng, MembershipSettings(), self.on_fenced
         )
+        self.configuration = ConfigurationController(
+            self.blackboard, self.kv, self.clock, self.rng, self.membership, self.vms
+        )
         self.fenced_incarnations = []
-        self.controllers = [self.vms, self.membership]
+        self.controllers = [self.vms, self.membership, self.configuration]
 
     async def on_fenced(self, incarnation):
         self.fenced_incarnations.append(incarnation)
 
+    @property
+    def applied(self):
+        return self.blackboard.configuration.revision
+
     async def start(self):
         for controller in self.controllers:
             await controller.start()
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -35,12 +35,13 @@
     context.fleet.kv.faults.outage = True
 
 
-@given("{count:d} member routers are added")
-@given("{count:d} member router is added")
+@step("{count:d} member routers are added")
+@step("{count:d} member router is added")
 def add_routers(context, count):
     for _ in range(count):
         context.fleet.add_router(f"vm-{len(context.fleet.routers_by_vm) + 1}")
-    context.first_incarnations_by_vm = {}
+    if not hasattr(context, "first_incarnations_by_vm"):
+        context.first_incarnations_by_vm = {}
 
 
 @step("{seconds:d} fleet seconds pass")
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/acceptance.py
@@ -0,0 +1,170 @@
+"""Decides when a proposed revision is in force at every router that may serve."""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+import msgspec
+
+from quinceferry_core.adapters import KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.configuration import AwaitedReason, AwaitedRouter, ConfigurationState
+from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferry_core.membership import (
+    INCARNATION_PREFIX,
+    IncarnationRecord,
+    MemberState,
+    absence_proof,
+    incarnation_key,
+)
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.configuration_log import (
+    SNAPSHOT_INTERVAL,
+    ConfigurationLog,
+    FleetConfiguration,
+)
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.vms import VmListController
+
+ACCEPT_SECONDS = 0.5
+"""Time between two attempts to accept what was proposed."""
+MAX_ACCEPT_SECONDS = 5.0
+"""The same while a router that does not answer is awaited."""
+
+
+class AcceptanceController(TaskGroupController):
+    """Writes ``blackboard.accepted_revision``; where it falls to this router, accepts revisions.
+
+    Compares the revisions that routers have confirmed in their incarnation records.
+
+    A router writes its record before it reads the log in a join. So a record that is missing from
+    a list belongs to a router that will read every revision proposed before the list was taken.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness.
+    :param log: the configuration log.
+    :param vms: judge of VMs that have ended.
+    :param newest_state: returns the newest state that this router has applied.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: random.Random,
+        log: ConfigurationLog,
+        vms: VmListController,
+        newest_state: Callable[[], ConfigurationState],
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._vms = vms
+        self._newest_state = newest_state
+        self._snapshot_revision = 0
+        self.snapshots_written = 0
+
+    async def start(self) -> None:
+        """Start accepting."""
+        self.spawn(self._accept_forever(), "configuration-accept")
+
+    def note(self, fleet: FleetConfiguration) -> None:
+        """Take over what the fleet has agreed on; neither revision ever falls."""
+        accepted = max(self._blackboard.accepted_revision, fleet.accepted)
+        self._blackboard.accepted_revision = accepted
+        self._snapshot_revision = max(self._snapshot_revision, fleet.snapshot.revision)
+
+    def is_acceptor(self) -> bool:
+        """Tell whether this router is the one that marks revisions accepted.
+
+        It is the serving member with the lowest fencing number. Two routers that both believe so
+        do no harm, since the accepted revision only rises.
+        """
+        members = self._blackboard.members_by_incarnation.values()
+        fencings = [m.fencing for m in members if m.state is MemberState.SERVING]
+        return bool(fencings) and min(fencings) == self._blackboard.identity.fencing
+
+    async def advance(self) -> None:
+        """Accept every revision that no router is awaited for."""
+        proposed = self._blackboard.configuration.revision
+        records = await self._read_records()
+        confirmed = [r.applied_revision for r in records if not self._is_absent(r, records)]
+        self.note(await self._log.mark_accepted(min([proposed, *confirmed])))
+        for record in records:
+            if record.applied_revision < proposed and self._is_attestable(record):
+                await self._attest(record)
+
+    async def awaited(self, revision: int) -> tuple[AwaitedRouter, ...]:
+        """Return the routers that may still serve a revision older than the given one."""
+        records = await self._read_records()
+        return tuple(
+            AwaitedRouter(
+                record.incarnation, record.vm, self._reason(record), record.applied_revision
+            )
+            for record in records
+            if record.applied_revision < revision and not self._is_absent(record, records)
+        )
+
+    async def _accept_forever(self) -> None:
+        interval = ACCEPT_SECONDS
+        while True:
+            await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
+            before = self._blackboard.accepted_revision
+            try:
+                await self._accept()
+            except KvError:
+                continue
+            has_moved = self._blackboard.accepted_revision > before
+            slower = min(interval * 1.5, MAX_ACCEPT_SECONDS)
+            interval = slower if self._is_pending() and not has_moved else ACCEPT_SECONDS
+
+    async def _accept(self) -> None:
+        if not self.is_acceptor():
+            return
+        if self._is_pending():
+            await self.advance()
+        accepted = self._blackboard.accepted_revision
+        if accepted - self._snapshot_revision >= SNAPSHOT_INTERVAL:
+            self.snapshots_written += await self._log.compact(self._newest_state())
+            self.note(await self._log.read_fleet())
+
+    def _is_pending(self) -> bool:
+        return self._blackboard.accepted_revision < self._newest_state().revision
+
+    def _is_attestable(self, record: IncarnationRecord) -> bool:
+        """Tell whether the VM list shows the VM of a router that died before it noted that."""
+        is_live = record.incarnation in self._blackboard.members_by_incarnation
+        return not is_live and not record.vm_listed and record.vm in self._blackboard.vms_by_id
+
+    async def _attest(self, record: IncarnationRecord) -> None:
+        """Record for another router that the VM list has shown its VM."""
+        key = incarnation_key(record.incarnation)
+        stored = await self._kv.get(key)
+        if stored is None:
+            return
+        current = msgspec.json.decode(stored.value, type=IncarnationRecord)
+        current = replace(current, vm_listed=True)
+        try:
+            await self._kv.put_if(key, msgspec.json.encode(current), stored.version)
+        except KvConflictError:
+            return
+
+    async def _read_records(self) -> tuple[IncarnationRecord, ...]:
+        entries = await self._kv.list(INCARNATION_PREFIX)
+        return tuple(msgspec.json.decode(e.value, type=IncarnationRecord) for e in entries)
+
+    def _is_absent(self, record: IncarnationRecord, records: tuple[IncarnationRecord, ...]) -> bool:
+        return absence_proof(record, records, self._vms.is_gone(record)) is not None
+
+    def _reason(self, record: IncarnationRecord) -> AwaitedReason:
+        if record.closed_by:
+            return AwaitedReason.CLOSED_NOT_PROVEN_GONE
+        if record.incarnation not in self._blackboard.members_by_incarnation:
+            return AwaitedReason.LEASE_LAPSED
+        return AwaitedReason.NOT_CONFIRMED
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/configuration.py
@@ -0,0 +1,275 @@
+"""Applies the operators' configuration, confirms it and makes changes to it."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Result, Success
+
+from quinceferry_core.adapters import KvEntry, KvEvent, KvStore
+from quinceferry_core.changes import ConfigurationChange, LogEntry
+from quinceferry_core.clocks import Clock
+from quinceferry_core.configuration import (
+    ChangeBuilder,
+    ChangeState,
+    ChangeStatus,
+    ConfigurationConflict,
+    ConfigurationState,
+)
+from quinceferry_core.exceptions import FencedError, KvError, KvUnavailableError
+from quinceferry_core.models import OperationId
+from quinceferryd.acceptance import AcceptanceController
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.configuration_log import (
+    CONFIGURATION_PREFIX,
+    FLEET_KEY,
+    LOG_PREFIX,
+    ConfigurationLog,
+    decode_entry,
+    decode_fleet,
+)
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.membership import MembershipController
+from quinceferryd.vms import VmListController
+
+WATCH_TIMEOUT_SECONDS = 60.0
+MIN_WATCH_INTERVAL_SECONDS = 0.2
+"""Shortest time between two watches, so that a burst of changes costs one call."""
+STALE_WATCH_SECONDS = 10.0
+"""Delay of a watch's answer beyond its timeout after which its events are not trusted."""
+POLL_SECONDS = 4.0
+"""Time between two reads of the end of the log, in case the watch is silent."""
+POLLS_PER_SECOND = 40.0
+"""Polls of the whole fleet; beyond it each router polls more rarely."""
+CONFIRMATIONS_PER_SECOND = 200.0
+"""Rate at which the whole fleet confirms one revision."""
+RETRY_SECONDS = 1.0
+MAX_APPEND_ATTEMPTS = 3
+
+KeyHook = Callable[[str, KvEntry | None], Awaitable[None]]
+"""Called with each change of a key below ``config/`` that is not part of the log."""
+
+
+class ConfigurationController(TaskGroupController):
+    """Writes ``blackboard.configuration`` and ``blackboard.accepted_revision``.
+
+    A revision is applied as soon as it is seen, in the order of the log, and never taken back.
+    Routers confirm it in their incarnation records; it is accepted when all that may serve have.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading the calls of many routers.
+    :param membership: owner of this router's incarnation record.
+    :param vms: judge of VMs that have ended.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: random.Random,
+        membership: MembershipController,
+        vms: VmListController,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._membership = membership
+        self._log = ConfigurationLog(kv)
+        self._state = ConfigurationState()
+        self._acceptance = AcceptanceController(
+            blackboard, kv, clock, rng, self._log, vms, lambda: self._state
+        )
+        self._lock = asyncio.Lock()
+        self._changed = asyncio.Event()
+        self._key_hooks: list[KeyHook] = []
+        membership.add_join_hook(self.catch_up)
+
+    def add_key_hook(self, hook: KeyHook) -> None:
+        """Have a function called with changes of other keys below ``config/``."""
+        self._key_hooks.append(hook)
+
+    async def start(self) -> None:
+        """Start following the log, confirming and, where it falls to this router, accepting."""
+        self.spawn(self._watch_forever(), "configuration-watch")
+        self.spawn(self._poll_forever(), "configuration-poll")
+        self.spawn(self._confirm_forever(), "configuration-confirm")
+        await self._acceptance.start()
+
+    async def stop(self) -> None:
+        """Stop all of it."""
+        await self._acceptance.stop()
+        await super().stop()
+
+    async def catch_up(self) -> None:
+        """Apply everything up to the end of the log and confirm it.
+
+        :raises KvUnavailableError: no answer came.
+        :raises FencedError: this incarnation has been closed.
+        """
+        await self.synchronize()
+        await self._confirm()
+
+    async def synchronize(self) -> None:
+        """Apply everything up to the end of the log."""
+        async with self._lock:
+            self._state, fleet = await self._log.catch_up(self._state)
+            self._publish()
+        self._acceptance.note(fleet)
+
+    async def propose(
+        self,
+        change: ConfigurationChange | ChangeBuilder,
+        expected_revision: int,
+        operation_id: OperationId,
+        fingerprint: str = "",
+    ) -> Result[ChangeStatus, ConfigurationConflict]:
+        """Enter a change into the log; a repeated operation gets its first answer.
+
+        :param change: the change, or a function that derives it from the newest configuration.
+        :param expected_revision: newest revision that the operator has seen.
+        :param operation_id: names the operation; repeat it after an error.
+        :param fingerprint: digest of the operator's request.
+        :return: the state of the change, or why it was not made.
+        :raises KvUnavailableError: the change may or may not have been made.
+        """
+        attempts = 0
+        while True:
+            await self.synchronize()
+            earlier = self._state.earlier_answer(operation_id, fingerprint)
+            if earlier is not None:
+                return await self._answer(earlier)
+            checked = self._check(change, expected_revision)
+            if isinstance(checked, Failure):
+                return checked
+            entry = self._next_entry(checked.unwrap(), operation_id, fingerprint)
+            attempts += 1
+            try:
+                await self._log.append(entry)
+            except KvUnavailableError:
+                if attempts >= MAX_APPEND_ATTEMPTS:
+                    raise
+
+    async def status(self, revision: int) -> ChangeStatus:
+        """Return whether a revision is accepted, and which routers are awaited if not."""
+        if self._blackboard.accepted_revision < revision:
+            await self._acceptance.advance()
+        if self._blackboard.accepted_revision >= revision:
+            return ChangeStatus(revision, ChangeState.ACCEPTED)
+        awaited = await self._acceptance.awaited(revision)
+        return ChangeStatus(revision, ChangeState.PROPOSED, awaited)
+
+    async def status_of_operation(self, operation_id: OperationId) -> ChangeStatus | None:
+        """Return the state of the change that an operation made, or None if it made none."""
+        await self.synchronize()
+        operation = self._state.operations_by_id.get(operation_id)
+        return await self.status(operation.revision) if operation else None
+
+    def _check(
+        self, change: ConfigurationChange | ChangeBuilder, expected_revision: int
+    ) -> Result[ConfigurationChange, ConfigurationConflict]:
+        if callable(change):
+            built = change(self._state.configuration)
+            if isinstance(built, Failure):
+                return Failure(self._state.refuse(built.failure()))
+            change = built.unwrap()
+        conflict = self._state.check(change, expected_revision)
+        return Failure(conflict) if conflict else Success(change)
+
+    def _next_entry(
+        self, change: ConfigurationChange, operation_id: OperationId, fingerprint: str
+    ) -> LogEntry:
+        proposer = self._blackboard.identity.incarnation
+        return LogEntry(self._state.revision + 1, operation_id, change, proposer, fingerprint)
+
+    async def _answer(
+        self, earlier: Result[int, ConfigurationConflict]
+    ) -> Result[ChangeStatus, ConfigurationConflict]:
+        if isinstance(earlier, Failure):
+            return earlier
+        return Success(await self.status(earlier.unwrap()))
+
+    def _publish(self) -> None:
+        if self._state.revision > self._blackboard.configuration.revision:
+            self._blackboard.configuration = self._state.configuration
+            self._changed.set()
+
+    async def _confirm(self) -> None:
+        """Record the applied revision; one that is already recorded costs nothing."""
+        record = self._membership.record
+        revision = self._state.revision
+        if record is not None and record.applied_revision < revision:
+            await self._membership.update_record(applied_revision=revision)
+
+    async def _watch_forever(self) -> None:
+        cursor = -1
+        while True:
+            try:
+                cursor = await self._watch_once(cursor)
+            except KvError:
+                cursor = -1
+                await self._clock.sleep(RETRY_SECONDS)
+
+    async def _watch_once(self, cursor: int) -> int:
+        """Wait for one batch of changes and apply them.
+
+        :return: the cursor to go on from; -1 after a gap.
+        """
+        if cursor < 0:
+            cursor = (await self._kv.watch(CONFIGURATION_PREFIX, -1, 0.0)).cursor
+            await self.synchronize()
+        asked_at = self._clock.monotonic()
+        batch = await self._kv.watch(CONFIGURATION_PREFIX, cursor, WATCH_TIMEOUT_SECONDS)
+        waited = self._clock.monotonic() - asked_at
+        if batch.reset or waited > WATCH_TIMEOUT_SECONDS + STALE_WATCH_SECONDS:
+            return -1
+        for event in batch.events:
+            await self._take(event)
+        await self._clock.sleep(MIN_WATCH_INTERVAL_SECONDS)
+        return batch.cursor
+
+    async def _take(self, event: KvEvent) -> None:
+        if event.key == FLEET_KEY and event.entry is not None:
+            self._acceptance.note(decode_fleet(event.entry))
+        elif not event.key.startswith(LOG_PREFIX):
+            for hook in self._key_hooks:
+                await hook(event.key, event.entry)
+        elif event.entry is not None:
+            await self._take_log_entry(event.entry)
+
+    async def _take_log_entry(self, stored: KvEntry) -> None:
+        entry = decode_entry(stored)
+        if entry.revision > self._state.revision + 1:
+            await self.synchronize()
+            return
+        async with self._lock:
+            self._state.apply(entry)
+            self._publish()
+
+    async def _poll_forever(self) -> None:
+        while True:
+            members = len(self._blackboard.members_by_incarnation)
+            interval = max(POLL_SECONDS, members / POLLS_PER_SECOND)
+            await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
+            try:
+                await self.synchronize()
+            except KvError:
+                continue
+
+    async def _confirm_forever(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            members = len(self._blackboard.members_by_incarnation)
+            await self._clock.sleep(self._rng.uniform(0.0, members / CONFIRMATIONS_PER_SECOND))
+            try:
+                await self._confirm()
+            except KvError:
+                await self._clock.sleep(RETRY_SECONDS)
+                self._changed.set()
+            except FencedError:
+                continue
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/configuration_log.py
@@ -0,0 +1,232 @@
+"""The configuration log in the key-value service: reading, appending, snapshots, compaction.
+
+Each revision is one key created only if absent. Compaction deletes old keys, so an absent key may
+also be a deleted one. ``FleetConfiguration.floor`` tells them apart: it is raised before any key
+below it is deleted, and every reader and writer checks it after touching the log.
+"""
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.changes import LogEntry
+from quinceferry_core.configuration import ConfigurationState
+from quinceferry_core.exceptions import KvConflictError
+from quinceferry_core.snapshots import SnapshotRef, decode_shards, encode_shards
+
+CONFIGURATION_PREFIX = "config/"
+"""Prefix that every router watches."""
+LOG_PREFIX = "config/log/"
+FLEET_KEY = "config/state"
+SNAPSHOT_PREFIX = "snapshots/"
+"""Snapshots are outside the watched prefix."""
+SNAPSHOT_INTERVAL = 256
+"""Accepted revisions between two snapshots."""
+RETAINED_ENTRIES = 256
+"""Entries kept below a snapshot for routers that lag."""
+MAX_SINGLE_READS = 8
+"""Entries read one by one before the whole log is listed."""
+
+
+class FleetConfiguration(msgspec.Struct, frozen=True):
+    """What the fleet has agreed on about its log.
+
+    ``accepted`` is the revision in force at every router that may serve; ``floor`` the lowest one
+    still in the log; ``stale`` names snapshots whose shards are to be deleted.
+    """
+
+    accepted: int = 0
+    floor: int = 1
+    snapshot: SnapshotRef = SnapshotRef()
+    stale: tuple[SnapshotRef, ...] = ()
+
+
+class ConfigurationLog:
+    """Access to the log.
+
+    :param kv: the key-value service.
+    """
+
+    def __init__(self, kv: KvStore) -> None:
+        self._kv = kv
+
+    async def read_fleet(self) -> FleetConfiguration:
+        """Read what the fleet has agreed on."""
+        fleet, _ = await self._read_fleet_entry()
+        return fleet
+
+    async def catch_up(
+        self, state: ConfigurationState
+    ) -> tuple[ConfigurationState, FleetConfiguration]:
+        """Bring a state to the end of the log.
+
+        :param state: any earlier state; it is changed in place unless a snapshot replaces it.
+        :return: the newest state, and what the fleet has agreed on.
+        """
+        while True:
+            first = state.revision + 1
+            entries = await self._read_entries(first)
+            fleet = await self.read_fleet()
+            if first >= fleet.floor:
+                break
+            state = await self._load_snapshot(fleet.snapshot) or state
+        for entry in entries:
+            state.apply(entry)
+        return state, fleet
+
+    async def append(self, entry: LogEntry) -> bool:
+        """Create the next entry.
+
+        :return: whether it is in the log; if not, another one is, or the log has moved on.
+        :raises KvUnavailableError: it may or may not be in the log.
+        """
+        key = log_key(entry.revision)
+        try:
+            stored = await self._kv.put_if(key, msgspec.json.encode(entry), ABSENT_VERSION)
+        except KvConflictError:
+            return False
+        fleet = await self.read_fleet()
+        if entry.revision >= fleet.floor:
+            return True
+        await self._delete(key, stored.version)
+        return False
+
+    async def mark_accepted(self, revision: int) -> FleetConfiguration:
+        """Raise the accepted revision; it never falls.
+
+        :return: what the fleet has agreed on now.
+        """
+        while True:
+            fleet, version = await self._read_fleet_entry()
+            if fleet.accepted >= revision:
+                return fleet
+            changed = msgspec.structs.replace(fleet, accepted=revision)
+            if await self._swap_fleet(changed, version):
+                return changed
+
+    async def compact(self, state: ConfigurationState) -> bool:
+        """Write a snapshot when enough revisions were accepted since the last, and drop old keys.
+
+        Its shards are named as stale before they are written, so that those of a writer that died
+        are deleted later.
+
+        :param state: the newest state; read at once, before any wait.
+        :return: whether a snapshot was written.
+        """
+        shards = encode_shards(state)
+        ref = SnapshotRef(state.revision, len(shards))
+        fleet, version = await self._read_fleet_entry()
+        if fleet.accepted - fleet.snapshot.revision < SNAPSHOT_INTERVAL:
+            return False
+        announced = msgspec.structs.replace(fleet, stale=(*fleet.stale, ref))
+        if ref.revision <= fleet.snapshot.revision or not await self._swap_fleet(
+            announced, version
+        ):
+            return False
+        await self._write_shards(ref, shards)
+        return await self._adopt_snapshot(ref)
+
+    async def _adopt_snapshot(self, ref: SnapshotRef) -> bool:
+        while True:
+            fleet, version = await self._read_fleet_entry()
+            if ref not in fleet.stale or ref.revision <= fleet.snapshot.revision:
+                return False
+            stale = tuple(other for other in fleet.stale if other != ref)
+            adopted = msgspec.structs.replace(
+                fleet,
+                snapshot=ref,
+                floor=max(fleet.floor, ref.revision - RETAINED_ENTRIES + 1),
+                stale=(fleet.snapshot, *stale),
+            )
+            if await self._swap_fleet(adopted, version):
+                await self._delete_old(adopted)
+                return True
+
+    async def _delete_old(self, fleet: FleetConfiguration) -> None:
+        """Delete entries below the floor and shards of stale snapshots, then forget the latter.
+
+        A stale snapshot newer than the adopted one is still being written; it is left alone.
+        """
+        for entry in await self._kv.list(LOG_PREFIX):
+            if entry.key < log_key(fleet.floor):
+                await self._delete(entry.key, entry.version)
+        deleted = [ref for ref in fleet.stale if ref.revision < fleet.snapshot.revision]
+        for ref in deleted:
+            for index in range(ref.shards):
+                await self._delete_key(_shard_key(ref, index))
+        current, version = await self._read_fleet_entry()
+        stale = tuple(ref for ref in current.stale if ref not in deleted)
+        await self._swap_fleet(msgspec.structs.replace(current, stale=stale), version)
+
+    async def _read_entries(self, first: int) -> list[LogEntry]:
+        """Read consecutive entries from a revision to the end of the log."""
+        entries: list[LogEntry] = []
+        while len(entries) < MAX_SINGLE_READS:
+            stored = await self._kv.get(log_key(first + len(entries)))
+            if stored is None:
+                return entries
+            entries.append(decode_entry(stored))
+        for stored in await self._kv.list(LOG_PREFIX):
+            entry = decode_entry(stored)
+            if entry.revision == first + len(entries):
+                entries.append(entry)
+        return entries
+
+    async def _load_snapshot(self, ref: SnapshotRef) -> ConfigurationState | None:
+        """Read a snapshot; None when a newer one replaced it meanwhile."""
+        shards: list[bytes] = []
+        for index in range(ref.shards):
+            stored = await self._kv.get(_shard_key(ref, index))
+            if stored is None:
+                return None
+            shards.append(stored.value)
+        return decode_shards(ref.revision, shards)
+
+    async def _write_shards(self, ref: SnapshotRef, shards: list[bytes]) -> None:
+        for index, shard in enumerate(shards):
+            key = _shard_key(ref, index)
+            existing = await self._kv.get(key)
+            if existing is None:
+                await self._kv.put_if(key, shard, ABSENT_VERSION)
+
+    async def _read_fleet_entry(self) -> tuple[FleetConfiguration, int]:
+        stored = await self._kv.get(FLEET_KEY)
+        if stored is None:
+            return FleetConfiguration(), ABSENT_VERSION
+        return decode_fleet(stored), stored.version
+
+    async def _swap_fleet(self, fleet: FleetConfiguration, version: int) -> bool:
+        try:
+            await self._kv.put_if(FLEET_KEY, msgspec.json.encode(fleet), version)
+        except KvConflictError:
+            return False
+        return True
+
+    async def _delete_key(self, key: str) -> None:
+        stored = await self._kv.get(key)
+        if stored is not None:
+            await self._delete(key, stored.version)
+
+    async def _delete(self, key: str, version: int) -> None:
+        try:
+            await self._kv.delete_if(key, version)
+        except KvConflictError:
+            return
+
+
+def log_key(revision: int) -> str:
+    """Return the key of a log entry; keys sort by revision."""
+    return f"{LOG_PREFIX}{revision:012d}"
+
+
+def decode_entry(stored: KvEntry) -> LogEntry:
+    """Read a log entry."""
+    return msgspec.json.decode(stored.value, type=LogEntry)
+
+
+def decode_fleet(stored: KvEntry) -> FleetConfiguration:
+    """Read what the fleet has agreed on."""
+    return msgspec.json.decode(stored.value, type=FleetConfiguration)
+
+
+def _shard_key(ref: SnapshotRef, index: int) -> str:
+    return f"{SNAPSHOT_PREFIX}{ref.revision:012d}/{index:04d}"
