Put the router together

Cause: the parts of a router stood alone. Change: an application object builds the controllers, starts and stops them in order, and issues tickets.

--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -0,0 +1,221 @@
+"""One router: its controllers, their wiring and their life cycle."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+from quinceferry_core.adapters import KvStore, PeerClient, UpstreamClient, VmList
+from quinceferry_core.clocks import Clock
+from quinceferry_core.membership import Member
+from quinceferry_core.models import IncarnationId, Ticket, VmId, WorkspaceId
+from quinceferry_core.tickets import TicketSigner
+from quinceferryd.accounts import AccountController
+from quinceferryd.addresses import AddressController
+from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.budgets import BudgetService
+from quinceferryd.configuration import ConfigurationController
+from quinceferryd.controllers import Controller
+from quinceferryd.execution import Executor
+from quinceferryd.folds import JournalFolder
+from quinceferryd.kv_health import KvProbe, MonitoredKv
+from quinceferryd.loads import LoadController
+from quinceferryd.membership import MembershipController
+from quinceferryd.metrics import Metrics, NullMetrics
+from quinceferryd.operators import OperatorService
+from quinceferryd.peer_health import MonitoredPeers, PeerHealth, PeerProbe
+from quinceferryd.pipeline import Pipeline
+from quinceferryd.recovery import RecoveryController
+from quinceferryd.scheduling import Scheduler
+from quinceferryd.settings import Settings
+from quinceferryd.shortages import ShortageHandler
+from quinceferryd.shutdown import ShutdownController
+from quinceferryd.streams import StreamRunner
+from quinceferryd.verdicts import JournalVerdicts
+from quinceferryd.vms import VmListController
+
+TICKET_LIFETIME = timedelta(hours=1)
+"""How long a home runs new requests of a ticket; shorter than it remembers their outcomes."""
+
+
+@dataclass(slots=True)
+class Dependencies:
+    """Everything outside the process that a router talks to, behind narrow interfaces."""
+
+    clock: Clock
+    kv: KvStore
+    vms: VmList
+    upstreams: UpstreamClient
+    peers: PeerClient
+    rng: Random
+    metrics: Metrics = field(default_factory=NullMetrics)
+
+
+class Application:
+    """A router, apart from its listening socket.
+
+    :param settings: checked settings.
+    :param dependencies: connections to the platform, upstreams and peers.
+    """
+
+    def __init__(self, settings: Settings, dependencies: Dependencies) -> None:
+        self.settings = settings
+        self.clock = dependencies.clock
+        self.metrics = dependencies.metrics
+        router = settings.router
+        identity = Identity(VmId(router.vm), router.zone, f"{router.host}:{router.port}")
+        self.blackboard = Blackboard(identity)
+        self.kv = MonitoredKv(dependencies.kv, self.blackboard, self.clock)
+        self.tickets = TicketSigner(router.fleet_secret)
+        self._rng = dependencies.rng
+        self.peer_health = PeerHealth(self.clock)
+        self.peers = MonitoredPeers(dependencies.peers, self.peer_health)
+        self._build_membership(dependencies)
+        self._build_request_path(dependencies)
+        self._build_operations(dependencies)
+        self._controllers: tuple[Controller, ...] = (
+            KvProbe(self.kv, self.blackboard, self.clock, self._rng),
+            PeerProbe(self.blackboard, self.peers, self.peer_health, self.clock, self._rng),
+            self.vms,
+            self.configuration,
+            self.loads,
+            self.scheduler,
+            self.accounts,
+            self.recovery,
+            self.folder,
+            self.pipeline,
+            self.shutdown,
+            self.membership,
+        )
+        self.is_stopped = False
+
+    async def start(self) -> None:
+        """Start all controllers; the router serves once it has joined the fleet."""
+        for controller in self._controllers:
+            await controller.start()
+
+    async def stop(self) -> None:
+        """Stop without cutting a request; idempotent."""
+        if self.is_stopped:
+            return
+        self.is_stopped = True
+        await self.shutdown.run()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stop all controllers at once, whatever is in progress."""
+        for controller in reversed(self._controllers):
+            await controller.stop()
+
+    def _build_membership(self, dependencies: Dependencies) -> None:
+        """Build what makes this process a member and keeps the configuration."""
+        settings = self.settings
+        shared = (self.blackboard, self.kv, self.clock, self._rng)
+        self.membership = MembershipController(*shared, settings.membership, self._on_fenced)
+        self.vms = VmListController(
+            self.blackboard,
+            dependencies.vms,
+            self.clock,
+            self._rng,
+            settings.platform.vm_list_interval_seconds,
+        )
+        self.configuration = ConfigurationController(*shared, self.membership, self.vms)
+        self.accounts = AccountController(*shared, settings.budgets, settings.journal)
+        self.allotments = self.accounts
+        self.membership.add_join_hook(self.accounts.open)
+        self.addresses = AddressController(
+            self.blackboard,
+            self.clock,
+            settings.addresses,
+            self._issue_ticket,
+            self.peer_health,
+        )
+
+    def _build_request_path(self, dependencies: Dependencies) -> None:
+        """Build what a caller's request passes through."""
+        settings = self.settings
+        self.scheduler = Scheduler(
+            self.blackboard,
+            self.clock,
+            self._rng,
+            settings.routing,
+            settings.addresses.routers_per_workspace,
+        )
+        self.loads = LoadController(
+            self.blackboard,
+            dependencies.upstreams,
+            self.scheduler,
+            self.clock,
+            self._rng,
+            settings.routing,
+        )
+        streams = StreamRunner(
+            dependencies.upstreams,
+            self.scheduler,
+            self.blackboard,
+            self.clock,
+            self._rng,
+            settings.streams,
+        )
+        shortages = ShortageHandler(self.blackboard, self.peers, self.clock, settings.budgets)
+        executor = Executor(
+            self.blackboard,
+            self.accounts,
+            shortages,
+            self.scheduler,
+            streams,
+            self.peers,
+            settings.journal,
+        )
+        self.pipeline = Pipeline(
+            self.blackboard,
+            self.accounts,
+            executor,
+            JournalVerdicts(self.kv),
+            self.peers,
+            self.clock,
+        )
+
+    def _build_operations(self, dependencies: Dependencies) -> None:
+        """Build what operators use and what looks after the fleet."""
+        settings = self.settings
+        self.budgets = BudgetService(self.kv)
+        self.recovery = RecoveryController(
+            self.blackboard,
+            self.kv,
+            self.accounts,
+            dependencies.upstreams,
+            self.vms,
+            self.clock,
+            self._rng,
+            settings.recovery,
+        )
+        self.folder = JournalFolder(self.accounts, self.kv, self.clock, self._rng, settings.journal)
+
+        self.operators = OperatorService(self.blackboard, self.kv, self.configuration)
+        self.shutdown = ShutdownController(
+            self.blackboard,
+            self.kv,
+            self.clock,
+            settings.shutdown,
+            settings.addresses.answer_ttl_seconds,
+            self.membership,
+            self.configuration,
+            lambda: self.pipeline.open_requests,
+            self.accounts.leave,
+        )
+
+    async def _on_fenced(self, incarnation: IncarnationId) -> None:
+        """Wind up the account of an incarnation that another router has closed."""
+        await self.accounts.close(incarnation)
+
+    def _issue_ticket(self, workspace: WorkspaceId, home: Member) -> str:
+        """Return a ticket that names a member as the home of non-idempotent requests."""
+        expires_at = self.clock.now() + TICKET_LIFETIME
+        ticket = Ticket(
+            workspace,
+            home.incarnation,
+            home.address,
+            expires_at,
+            journaled=self.blackboard.kv.available,
+        )
+        return self.tickets.write(ticket)
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from quinceferry_core.adapters import PeerClient
-from quinceferry_core.exceptions import FencedError, PeerUnavailableError
+from quinceferry_core.exceptions import FencedError, PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.journals import Begin, Settle
 from quinceferry_core.membership import Member
 from quinceferry_core.models import CallerRequest, RequestKind, UpstreamSpec
@@ -262,6 +262,8 @@
                             break
                         started = started or isinstance(event, Chunk)
                         run.publish(event)
+            except PeerNotBegunError:
+                continue
             except PeerUnavailableError as error:
                 failed = Failed(
                     RefusalReason.BUDGET_UNREACHABLE,
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -226,6 +226,7 @@
                 async for event in events:
                     yield event
         except PeerUnavailableError as error:
+            # Even if this call did not reach the home, an earlier one of the caller may have.
             yield _home_failure(error, Unknown())
 
     async def _judge(self, request: CallerRequest, ticket: Ticket) -> Failed:
