Keep prefixes on few engines and long work apart

Cause: each gap in an engine's cache events wiped half of what was believed cached, uncached prompts were spread over all engines, and long prompts evicted shared ones everywhere. Change: a gap forgets only as many hashes as events are missing; an uncached prompt prefers the first home of its prefix; the cost of prefill grows with the streams it delays; long work goes to a fifth of the engines first; normal and low priority leave slots free.

--- a/packages/quinceferry-core/src/quinceferry_core/prefixes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/prefixes.py
@@ -55,8 +55,8 @@
     def apply(self, events: tuple[CacheEvent, ...]) -> None:
         """Apply cache events; those already seen are ignored.
 
-        A gap hides evictions, so the least recently used half of the belief is dropped: what an
-        engine evicts is what it used least recently.
+        A gap hides at most as many evictions as events, so that many hashes are forgotten, least
+        recently used first, since those are what an engine evicts.
         """
         for event in sorted(events, key=lambda event: event.sequence):
             self._apply_one(event)
@@ -75,17 +75,18 @@
     def _apply_one(self, event: CacheEvent) -> None:
         if event.sequence <= self.last_sequence:
             return
-        if self.last_sequence and event.sequence > self.last_sequence + 1:
-            self._forget_oldest_half()
+        missed = event.sequence - self.last_sequence - 1
+        if self.last_sequence and missed:
+            self._forget_oldest(missed)
         self.last_sequence = event.sequence
         if event.added:
             self._add(event.prefix_hash)
         else:
             self._hashes.pop(event.prefix_hash, None)
 
-    def _forget_oldest_half(self) -> None:
+    def _forget_oldest(self, count: int) -> None:
         self.gaps += 1
-        for _ in range(len(self._hashes) // 2):
+        for _ in range(min(count, len(self._hashes))):
             self._hashes.popitem(last=False)
 
     def _add(self, prefix_hash: int) -> None:
--- a/packages/quinceferry-core/src/quinceferry_core/routing.py
+++ b/packages/quinceferry-core/src/quinceferry_core/routing.py
@@ -150,17 +150,20 @@
     return previous + GROWTH_SMOOTHING * (latest - previous)
 
 
-def free_room(load: CorrectedLoad, own: int, routers: int, growth_since_report: float) -> float:
+def free_room(
+    load: CorrectedLoad, usable_slots: float, own: int, routers: int, growth_since_report: float
+) -> float:
     """Return how many requests this router may still send to an upstream.
 
     The free slots less what the others are expected to have taken since the report; but never less
-    than this router's equal part of all slots, so that no router starves behind quicker ones.
+    than this router's equal part of all, so that no router starves behind quicker ones.
 
+    :param usable_slots: slots that the request's class may fill, more or fewer than there are.
     :param own: requests that this router has there.
     :param growth_since_report: requests that others are expected to have added.
     """
-    free = load.slots - load.occupied - growth_since_report
-    guaranteed = load.slots / max(1, routers) - own
+    free = usable_slots - load.occupied - growth_since_report
+    guaranteed = usable_slots / max(1, routers) - own
     return max(free, guaranteed)
 
 
@@ -171,6 +174,7 @@
     upstream: UpstreamId
     load: CorrectedLoad
     cached_tokens: int = 0
+    home_rank: int = 0
     same_zone: bool = True
     failing: bool = False
 
@@ -181,14 +185,20 @@
 
     prefill_rate: float
     other_zone_penalty_seconds: float
-    slot_wait_seconds: float = 1.0
+    slot_wait_seconds: float = 2.0
+    batch_delay_weight: float = 3.0
+    copy_penalty_seconds: float = 0.1
     failing_penalty_seconds: float = 10.0
 
     def cost(self, candidate: Candidate, prompt_tokens: int) -> float:
         """Return the expected seconds until the first token."""
         load = candidate.load
         uncached = max(1, prompt_tokens - candidate.cached_tokens)
-        seconds = (load.queued_tokens + uncached) / self.prefill_rate
+        seconds = load.queued_tokens / self.prefill_rate
+        busy = min(1.0, load.occupied / load.slots)
+        seconds += uncached / self.prefill_rate * (1.0 + self.batch_delay_weight * busy)
+        if not candidate.cached_tokens:
+            seconds += self.copy_penalty_seconds * candidate.home_rank
         excess = max(0, load.occupied + 1 - load.slots)
         seconds += self.slot_wait_seconds * excess / load.slots
         if not candidate.same_zone:
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/choices.py
@@ -0,0 +1,70 @@
+"""Choice of one upstream for a request."""
+
+import random
+
+from quinceferry_core.models import CallerRequest, UpstreamId, UpstreamSpec
+from quinceferry_core.prefixes import prefix_hashes
+from quinceferry_core.routing import Candidate, CostModel, rendezvous_order, sample_candidates
+from quinceferryd.settings import RoutingSettings
+from quinceferryd.tracking import UpstreamTracker, prompt_tokens
+
+HOMES_PER_PREFIX = 2
+"""Upstreams on which routers that never met agree for one prompt prefix."""
+
+
+class UpstreamChooser:
+    """Compares sampled upstreams by the expected time to the first token.
+
+    :param tracker: what is known of the upstreams.
+    :param rng: source of the samples.
+    :param zone: this router's availability zone.
+    """
+
+    def __init__(
+        self, tracker: UpstreamTracker, rng: random.Random, settings: RoutingSettings, zone: str
+    ) -> None:
+        self._tracker = tracker
+        self._rng = rng
+        self._settings = settings
+        self._zone = zone
+        self._costs = CostModel(
+            settings.prefill_tokens_per_second, settings.other_zone_penalty_seconds
+        )
+
+    def choose(
+        self, request: CallerRequest, excluded: frozenset[UpstreamId]
+    ) -> UpstreamSpec | None:
+        """Return the cheapest of the sampled upstreams, or None if none may get the request."""
+        eligible = self._tracker.eligible(request, excluded)
+        if not eligible:
+            return None
+        hashes = prefix_hashes(request.target, request.prompt)
+        tokens = prompt_tokens(request)
+        homes = self._homes(request, hashes, eligible)
+        candidates = [self._candidate(spec, hashes, tokens, homes) for spec in eligible]
+        sampled = sample_candidates(candidates, homes, self._settings.sampled_candidates, self._rng)
+        best = min(sampled, key=lambda candidate: self._costs.cost(candidate, tokens))
+        return next(spec for spec in eligible if spec.id == best.upstream)
+
+    def _candidate(
+        self, spec: UpstreamSpec, hashes: tuple[int, ...], tokens: int, homes: list[UpstreamId]
+    ) -> Candidate:
+        return Candidate(
+            spec.id,
+            self._tracker.load(spec.id),
+            self._tracker.cached_tokens(spec.id, hashes, tokens),
+            homes.index(spec.id) if spec.id in homes else len(homes),
+            spec.zone == self._zone,
+            self._tracker.is_failing(spec.id),
+        )
+
+    def _homes(
+        self, request: CallerRequest, hashes: tuple[int, ...], eligible: list[UpstreamSpec]
+    ) -> list[UpstreamId]:
+        """Return the upstreams that should cache a prompt, the first one first."""
+        if not hashes or self._tracker.is_long(request):
+            return []
+        for_long_work = self._tracker.long_work_upstreams(eligible)
+        others = [spec.id for spec in eligible if spec.id not in for_long_work]
+        ranked = rendezvous_order(str(hashes[0]), others or [spec.id for spec in eligible])
+        return ranked[:HOMES_PER_PREFIX]
--- a/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
@@ -10,22 +10,19 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_core.models import CallerRequest, Priority, UpstreamId, UpstreamSpec
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason
-from quinceferry_core.prefixes import prefix_hashes
 from quinceferry_core.queues import Waiting
-from quinceferry_core.routing import Candidate, CostModel, rendezvous_order, sample_candidates
 from quinceferryd.blackboard import Blackboard
+from quinceferryd.choices import UpstreamChooser
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.pools import Pool
 from quinceferryd.settings import RoutingSettings
 from quinceferryd.shares import UPDATE_INTERVAL_SECONDS, LimitShares
-from quinceferryd.tracking import UpstreamTracker, prompt_tokens
+from quinceferryd.tracking import UpstreamTracker
 
 PUMP_INTERVAL_SECONDS = 0.05
 """How often waiting requests are looked at when nothing else wakes the queue."""
 NO_UPSTREAM_RETRY_SECONDS = 5.0
-HOMES_PER_PREFIX = 2
-"""Upstreams on which routers that never met agree for one prompt prefix."""
-HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.25, Priority.NORMAL: 0.0, Priority.LOW: -0.1}
+HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.25, Priority.NORMAL: -0.0625, Priority.LOW: -0.125}
 """Part of an engine's slots that a class may fill beyond them, or must leave free."""
 
 _NEVER_SENT = NotRun(NotRunProof.NEVER_SENT)
@@ -79,14 +76,10 @@
     ) -> None:
         super().__init__()
         self._clock = clock
-        self._rng = rng
         self._settings = settings
-        self._zone = blackboard.identity.zone
         self._pools: dict[tuple[str, bool], Pool] = {}
-        self._costs = CostModel(
-            settings.prefill_tokens_per_second, settings.other_zone_penalty_seconds
-        )
         self.tracker = UpstreamTracker(blackboard, clock, settings)
+        self._chooser = UpstreamChooser(self.tracker, rng, settings, blackboard.identity.zone)
         self.shares = LimitShares(blackboard, clock, homes)
         self.counters = SchedulerCounters()
 
@@ -125,16 +118,8 @@
         :param request: the request.
         :param excluded: upstreams that must not be chosen again.
         """
-        specs_by_id = {spec.id: spec for spec in self.tracker.eligible(request, excluded)}
-        if not specs_by_id:
-            return Failure(self._no_upstream(request))
-        hashes = prefix_hashes(request.target, request.prompt)
-        tokens = prompt_tokens(request)
-        candidates = [self._candidate(spec, hashes, tokens) for spec in specs_by_id.values()]
-        homes = self._prefix_homes(hashes, list(specs_by_id))
-        sampled = sample_candidates(candidates, homes, self._settings.sampled_candidates, self._rng)
-        best = min(sampled, key=lambda candidate: self._costs.cost(candidate, tokens))
-        return Success(specs_by_id[best.upstream])
+        upstream = self._chooser.choose(request, excluded)
+        return Failure(self._no_upstream(request)) if upstream is None else Success(upstream)
 
     def sent(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note that the first byte of a request is about to leave for an upstream."""
@@ -277,22 +262,6 @@
         self.counters.refused[request.priority, refusal.reason] += 1
         return Failure(refusal)
 
-    def _candidate(self, spec: UpstreamSpec, hashes: tuple[int, ...], tokens: int) -> Candidate:
-        return Candidate(
-            spec.id,
-            self.tracker.load(spec.id),
-            self.tracker.cached_tokens(spec.id, hashes, tokens),
-            spec.zone == self._zone,
-            self.tracker.is_failing(spec.id),
-        )
-
-    def _prefix_homes(
-        self, hashes: tuple[int, ...], upstreams: list[UpstreamId]
-    ) -> list[UpstreamId]:
-        if not hashes:
-            return []
-        return rendezvous_order(str(hashes[0]), upstreams)[:HOMES_PER_PREFIX]
-
     def _pool(self, request: CallerRequest) -> Pool:
         key = (f"{request.kind.value} {request.target}", self.tracker.is_long(request))
         if key not in self._pools:
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -65,8 +65,8 @@
     """Choice of upstream and admission, table ``[routing]``.
 
     ``load_interval_seconds`` is stretched so that load and cache polls together stay below
-    ``max_polls_per_second``. Requests of at least ``long_prompt_tokens`` may use only
-    ``long_work_share`` of an engine's slots.
+    ``max_polls_per_second``. Requests of at least ``long_prompt_tokens`` go to
+    ``long_work_upstream_share`` of the upstreams, and fill ``long_work_share`` of their slots.
     """
 
     load_interval_seconds: float = 1.0
@@ -81,6 +81,7 @@
     prefill_tokens_per_second: float = 8000.0
     long_prompt_tokens: int = 8192
     long_work_share: float = 0.5
+    long_work_upstream_share: float = 0.2
     default_slots: int = 16
     other_zone_penalty_seconds: float = 0.005
 
--- a/packages/quinceferry-daemon/src/quinceferryd/tracking.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/tracking.py
@@ -1,5 +1,6 @@
 """What this router knows of each upstream, put together for choosing one."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
     correct_load,
     free_room,
     model_is_loaded,
+    rendezvous_order,
     smoothed_growth,
 )
 from quinceferryd.blackboard import Blackboard, UpstreamStatus
@@ -27,6 +29,7 @@
 
 CHARS_PER_TOKEN = 4
 """Rough size of a token, for costs only; budgets are reserved by an upper bound instead."""
+_LONG_WORK_KEY = "long work"
 MAX_WANTED_REPORTS = 4
 """Stale reports asked for at once when no fresh one is left."""
 MAX_COOLDOWN_SECONDS = 30.0
@@ -70,7 +73,18 @@
         fresh = [spec for spec in staying if self.is_reporting(spec)]
         if not fresh:
             self.wanted_reports.update(spec.id for spec in staying[:MAX_WANTED_REPORTS])
-        return fresh
+        if not self.is_long(request):
+            return fresh
+        for_long_work = self.long_work_upstreams(staying)
+        return [spec for spec in fresh if spec.id in for_long_work] or fresh
+
+    def long_work_upstreams(self, among: list[UpstreamSpec]) -> set[UpstreamId]:
+        """Return the few upstreams that long work is sent to first; every router names the same.
+
+        A long prompt holds up an engine's prefill and evicts what its cache holds.
+        """
+        ranked = rendezvous_order(_LONG_WORK_KEY, [spec.id for spec in among])
+        return set(ranked[: math.ceil(self._settings.long_work_upstream_share * len(ranked))])
 
     def staying(self, request: CallerRequest) -> list[UpstreamSpec]:
         """Return the upstreams that serve the request's target and are not leaving."""
@@ -124,8 +138,8 @@
         record = self._record(upstream)
         age = self._clock.monotonic() - self.status(upstream).reported_at
         growth = record.growth_per_second * min(age, self._settings.max_report_age_seconds)
-        room = free_room(load, record.ledger.in_flight(), self._routers(), growth)
-        room += headroom * load.slots
+        usable = load.slots * (1.0 + headroom)
+        room = free_room(load, usable, record.ledger.in_flight(), self._routers(), growth)
         if is_long:
             allowed = max(1.0, self._settings.long_work_share * load.slots)
             return min(room, allowed - len(record.long_ids))
