Answer addresses and stop without cutting requests

Answers leave out routers that are stopping, lapsed, or fail calls and probes, which tell what leases cannot in an outage.

A stop first leaves the answers, then serves until the longest-lived one is stale, finishes its requests, returns allotments and records that it left. An operator's order to drain lies below the prefix that routers watch anyway, so it costs no further waiting watch. Skipping the wait, the reread after a lost watch history, or the poll beside the watch fails a scenario each.

--- a/features/fixtures_membership.py
+++ b/features/fixtures_membership.py
@@ -6,19 +6,26 @@
 
 import msgspec
 
+from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_core.membership import INCARNATION_PREFIX, IncarnationRecord, incarnation_key
 from quinceferry_core.models import IncarnationId, VmId, VmRecord
 from quinceferry_lab.virtual_time import VirtualClock, VirtualTimeLoop
 from quinceferry_standins.kv import FakeKv
 from quinceferry_standins.vms import FakeVmList
-from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.addresses import AddressController
+from quinceferryd.blackboard import Blackboard, Identity, RouterState
 from quinceferryd.configuration import ConfigurationController
+from quinceferryd.kv_health import KvProbe, MonitoredKv
 from quinceferryd.membership import MembershipController
-from quinceferryd.settings import MembershipSettings
+from quinceferryd.operators import OperatorService
+from quinceferryd.peer_health import MonitoredPeers, PeerHealth, PeerProbe
+from quinceferryd.settings import AddressSettings, MembershipSettings, ShutdownSettings
+from quinceferryd.shutdown import ShutdownController
 from quinceferryd.vms import VmListController
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 VM_LIST_INTERVAL_SECONDS = 2.0
+PEER_TIMEOUT_SECONDS = 3.0
 
 
 class PausableClock(VirtualClock):
@@ -39,6 +46,21 @@
         await self._running.wait()
 
 
+class FleetPeers:
+    """Calls between routers; a call to a router that is cut off from its peers fails."""
+
+    def __init__(self, fleet, caller):
+        self._fleet = fleet
+        self._caller = caller
+
+    async def ask_outcome(self, address, workspace, request_id):
+        peer = self._fleet.router_at(address)
+        cut_off = self._fleet.peers_cut_off
+        if peer is None or not peer.takes_requests or {peer.vm, self._caller.vm} & cut_off:
+            await self._fleet.clock.sleep(PEER_TIMEOUT_SECONDS)
+            raise PeerUnavailableError("no answer", step="peer.ask_outcome", peer=address)
+
+
 class FleetRouter:
     """One router's membership parts."""
 
@@ -50,18 +72,56 @@
         zone = ZONES[seed % len(ZONES)]
         self.blackboard = Blackboard(Identity(self.vm, zone, f"10.0.0.{seed}:8000"))
         self.kv = fleet.kv.connect(vm)
+        kv = MonitoredKv(self.kv, self.blackboard, self.clock)
+        self.kv_probe = KvProbe(kv, self.blackboard, self.clock, self.rng)
         self.vm_connection = fleet.vm_list.connect(vm)
         self.vms = VmListController(
             self.blackboard, self.vm_connection, self.clock, self.rng, VM_LIST_INTERVAL_SECONDS
         )
         self.membership = MembershipController(
-            self.blackboard, self.kv, self.clock, self.rng, MembershipSettings(), self.on_fenced
+            self.blackboard, kv, self.clock, self.rng, MembershipSettings(), self.on_fenced
         )
         self.configuration = ConfigurationController(
-            self.blackboard, self.kv, self.clock, self.rng, self.membership, self.vms
+            self.blackboard, kv, self.clock, self.rng, self.membership, self.vms
+        )
+        self.peer_health = PeerHealth(self.clock)
+        self.peers = MonitoredPeers(FleetPeers(fleet, self), self.peer_health)
+        self.probe = PeerProbe(self.blackboard, self.peers, self.peer_health, self.clock, self.rng)
+        self.addresses = AddressController(
+            self.blackboard, self.clock, AddressSettings(), self.issue_ticket, self.peer_health
+        )
+        self.open_requests = 0
+        self.allotments_returned_at = None
+        self.shutdown = ShutdownController(
+            self.blackboard,
+            kv,
+            self.clock,
+            ShutdownSettings(),
+            AddressSettings().answer_ttl_seconds,
+            self.membership,
+            self.configuration,
+            lambda: self.open_requests,
+            self.return_allotments,
         )
+        self.operators = OperatorService(self.blackboard, kv, self.configuration)
         self.fenced_incarnations = []
-        self.controllers = [self.vms, self.membership, self.configuration]
+        self.controllers = [
+            self.kv_probe,
+            self.vms,
+            self.membership,
+            self.configuration,
+            self.probe,
+        ]
+
+    def issue_ticket(self, workspace, home):
+        return f"{workspace} at {home.incarnation}"
+
+    async def return_allotments(self):
+        self.allotments_returned_at = self.clock.monotonic()
+
+    @property
+    def takes_requests(self):
+        return self.blackboard.state in (RouterState.SERVING, RouterState.STOPPING)
 
     async def on_fenced(self, incarnation):
         self.fenced_incarnations.append(incarnation)
@@ -94,6 +154,7 @@
         self.kv = FakeKv(self.clock, random.Random(1))
         self.vm_list = FakeVmList(self.clock, lag_seconds=5.0)
         self.routers_by_vm = {}
+        self.peers_cut_off = set()
         context.add_cleanup(self.close)
 
     def run(self, work):
@@ -118,6 +179,10 @@
         self.run(router.start())
         return router
 
+    def router_at(self, address):
+        routers = self.routers_by_vm.values()
+        return next((r for r in routers if r.blackboard.identity.address == address), None)
+
     async def read_records(self):
         entries = await self.kv.list(INCARNATION_PREFIX)
         return [msgspec.json.decode(entry.value, type=IncarnationRecord) for entry in entries]
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/addresses.py
@@ -0,0 +1,77 @@
+"""Answers which routers the callers of a workspace should use."""
+
+from collections.abc import Callable
+
+from quinceferry_core.addresses import answer_members, home_members
+from quinceferry_core.clocks import Clock
+from quinceferry_core.membership import Member, MemberState
+from quinceferry_core.models import WorkspaceId
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.interfaces import AddressAnswer
+from quinceferryd.peer_health import PeerHealth
+from quinceferryd.settings import AddressSettings
+
+TicketIssuer = Callable[[WorkspaceId, Member], str]
+"""Returns a ticket that names a member as the home of non-idempotent requests."""
+
+
+class AddressController:
+    """Names routers that are serving and reachable, near the caller first.
+
+    :param blackboard: shared state.
+    :param clock: source of time.
+    :param settings: lifetime of answers and number of routers for each workspace.
+    :param issue: issuer of tickets.
+    :param peers: which routers were unreachable lately; None if that is not watched.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clock: Clock,
+        settings: AddressSettings,
+        issue: TicketIssuer,
+        peers: PeerHealth | None = None,
+    ) -> None:
+        self._blackboard = blackboard
+        self._clock = clock
+        self._settings = settings
+        self._issue = issue
+        self._peers = peers
+        self.answers = 0
+
+    def answer(self, workspace: WorkspaceId, caller_zone: str = "") -> AddressAnswer:
+        """Return the current answer; it names no address when no router serves.
+
+        The ticket names the first address as the home of non-idempotent requests.
+
+        :param workspace: the caller's workspace.
+        :param caller_zone: zone of the caller; empty means that of this router.
+        """
+        count = self._settings.routers_per_workspace
+        homes = home_members(workspace, self._usable_members(), count)
+        named = answer_members(homes, caller_zone or self._blackboard.identity.zone, count)
+        self.answers += 1
+        if not named:
+            return AddressAnswer((), self._settings.answer_ttl_seconds)
+        addresses = tuple(member.address for member in named)
+        self._note_named(addresses)
+        ticket = self._issue(workspace, named[0])
+        return AddressAnswer(addresses, self._settings.answer_ttl_seconds, ticket)
+
+    def _usable_members(self) -> list[Member]:
+        """Return serving members; unreachable ones only if no other is left."""
+        members = self._blackboard.members_by_incarnation.values()
+        serving = [member for member in members if member.state is MemberState.SERVING]
+        newest_by_address = {m.address: m for m in sorted(serving, key=lambda m: m.fencing)}
+        usable = [m for m in newest_by_address.values() if self._is_reachable(m)]
+        return usable or list(newest_by_address.values())
+
+    def _is_reachable(self, member: Member) -> bool:
+        if self._peers is None or member.incarnation == self._blackboard.identity.incarnation:
+            return True
+        return self._peers.is_reachable(member.address)
+
+    def _note_named(self, addresses: tuple[str, ...]) -> None:
+        if self._peers is not None:
+            self._peers.note_named(addresses)
--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -19,12 +19,17 @@
 
 
 class RouterState(Enum):
-    """Life-cycle state of this router."""
+    """Life-cycle state of this router.
+
+    A stopping router is out of the address answers but takes requests; one that has left takes
+    none and is about to end.
+    """
 
     STARTING = "starting"
     SERVING = "serving"
     STOPPING = "stopping"
     FENCED = "fenced"
+    LEFT = "left"
 
 
 @dataclass(slots=True)
--- a/packages/quinceferry-daemon/src/quinceferryd/configuration.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/configuration.py
@@ -48,6 +48,8 @@
 
 KeyHook = Callable[[str, KvEntry | None], Awaitable[None]]
 """Called with each change of a key below ``config/`` that is not part of the log."""
+RereadHook = Callable[[], Awaitable[None]]
+"""Called when changes of such keys may have been missed."""
 
 
 class ConfigurationController(TaskGroupController):
@@ -87,11 +89,13 @@
         self._lock = asyncio.Lock()
         self._changed = asyncio.Event()
         self._key_hooks: list[KeyHook] = []
+        self._reread_hooks: list[RereadHook] = []
         membership.add_join_hook(self.catch_up)
 
-    def add_key_hook(self, hook: KeyHook) -> None:
-        """Have a function called with changes of other keys below ``config/``."""
+    def add_key_hook(self, hook: KeyHook, reread: RereadHook) -> None:
+        """Have functions called with changes of other keys below ``config/``, and after a gap."""
         self._key_hooks.append(hook)
+        self._reread_hooks.append(reread)
 
     async def start(self) -> None:
         """Start following the log, confirming and, where it falls to this router, accepting."""
@@ -222,6 +226,8 @@
         if cursor < 0:
             cursor = (await self._kv.watch(CONFIGURATION_PREFIX, -1, 0.0)).cursor
             await self.synchronize()
+            for reread in self._reread_hooks:
+                await reread()
         asked_at = self._clock.monotonic()
         batch = await self._kv.watch(CONFIGURATION_PREFIX, cursor, WATCH_TIMEOUT_SECONDS)
         waited = self._clock.monotonic() - asked_at
--- a/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
@@ -37,6 +37,11 @@
         self.member: Member | None = None
         """The record as this router wants it; None before joining."""
 
+    @property
+    def is_published(self) -> bool:
+        """Return whether the record stands as wanted."""
+        return self.member is not None and self._written == self.member
+
     def set(self, member: Member) -> None:
         """Replace the wanted record; :meth:`write` publishes it."""
         self.member = member
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -14,6 +14,10 @@
 MIN_WATCH_INTERVAL_SECONDS = 1.0
 """Shortest time between two watches, so that a burst of changes costs one call."""
 RETRY_SECONDS = 1.0
+POLL_SECONDS = 8.0
+"""Time between two reads of all records, in case the watch is silent."""
+POLLS_PER_SECOND = 10.0
+"""Polls of the whole fleet; beyond it each router polls more rarely."""
 
 
 class MemberView:
@@ -40,6 +44,7 @@
         self._outage_ended_at = float("-inf")
         self._is_cut_off = False
         self._missing: set[IncarnationId] = set()
+        self._batches = 0
         self.synced = False
         """Whether the records have been read at least once."""
 
@@ -65,12 +70,30 @@
                 self._cursor = -1
                 await self._clock.sleep(RETRY_SECONDS)
 
+    async def poll(self) -> None:
+        """Read all records again and again until cancelled."""
+        while True:
+            members = len(self._blackboard.members_by_incarnation)
+            await self._clock.sleep(max(POLL_SECONDS, members / POLLS_PER_SECOND))
+            try:
+                await self._poll_once()
+            except KvError:
+                continue
+
+    async def _poll_once(self) -> None:
+        """Read all records, unless the watch brings changes meanwhile and so is not silent."""
+        batches = self._batches
+        entries = await self._kv.list(MEMBER_PREFIX)
+        if batches == self._batches and not self._is_cut_off:
+            self._replace_all(entries)
+
     async def _follow_once(self) -> None:
         if self._cursor < 0:
             await self._read_all()
         timeout = self._missing_timeout()
         batch = await self._kv.watch(MEMBER_PREFIX, self._cursor, timeout)
         self._cursor = -1 if batch.reset else batch.cursor
+        self._batches += 1
         for event in batch.events:
             self._apply(event.key, event.entry)
         self._drop_missing()
@@ -82,14 +105,18 @@
         if self._is_cut_off:
             self._is_cut_off = False
             self._outage_ended_at = self._clock.monotonic()
+        self._batches += 1
+        self._replace_all(entries)
+        self._cursor = start.cursor
+        self.synced = True
+
+    def _replace_all(self, entries: list[KvEntry]) -> None:
         listed = {entry.key for entry in entries}
         for entry in entries:
             self._apply(entry.key, entry)
         for incarnation in list(self._blackboard.members_by_incarnation):
             if f"{MEMBER_PREFIX}{incarnation}" not in listed:
                 self._remove(incarnation)
-        self._cursor = start.cursor
-        self.synced = True
 
     def _apply(self, key: str, entry: KvEntry | None) -> None:
         if entry is None:
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -78,6 +78,11 @@
         """Return this router's heartbeat record; None before joining."""
         return self._heartbeat.member
 
+    @property
+    def is_published(self) -> bool:
+        """Return whether the heartbeat record stands as this router wants it."""
+        return self._heartbeat.is_published
+
     def add_join_hook(self, hook: JoinHook) -> None:
         """Have every join run the hook before this router takes requests."""
         self._join_hooks.append(hook)
@@ -86,6 +91,7 @@
         """Join in the background, retrying until the key-value service answers."""
         self.spawn(self._run(), "membership")
         self.spawn(self.view.run(), "members-watch")
+        self.spawn(self.view.poll(), "members-poll")
 
     def report_listening(self) -> None:
         """Note that this process owns its listening address; recorded at the next heartbeat."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_health.py
@@ -0,0 +1,182 @@
+"""Which other routers answer, told from ordinary calls and from sparse probes."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from quinceferry_core.adapters import PeerClient, RecallReply
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
+from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
+from quinceferry_core.outcomes import AnswerEvent, Outcome
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.controllers import TaskGroupController
+
+UNREACHABLE_SECONDS = 30.0
+"""How long a router counts as unreachable after its last failure."""
+FAILURES_UNTIL_UNREACHABLE = 2
+NAMED_SECONDS = 60.0
+"""How long a router named in an answer is probed."""
+PROBE_SECONDS = 5.0
+"""Time between two probes of one router while the key-value service answers."""
+OUTAGE_PROBE_SECONDS = 1.0
+"""The same in an outage, when leases tell nothing."""
+
+_PROBE_WORKSPACE = WorkspaceId("")
+_PROBE_REQUEST = RequestId("")
+
+
+@dataclass(slots=True)
+class _PeerRecord:
+    """What is known of one address; times are in monotonic seconds."""
+
+    failures: int = 0
+    failed_at: float = 0.0
+    named_at: float = 0.0
+    probed_at: float = float("-inf")
+
+
+class PeerHealth:
+    """Remembers failures by address.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._records_by_address: dict[str, _PeerRecord] = {}
+
+    def note_named(self, addresses: tuple[str, ...]) -> None:
+        """Note that callers were sent to these addresses."""
+        for address in addresses:
+            self._record(address).named_at = self._clock.monotonic()
+
+    def note_success(self, address: str) -> None:
+        """Note that a router answered."""
+        self._record(address).failures = 0
+
+    def note_failure(self, address: str) -> None:
+        """Note that a router did not answer."""
+        record = self._record(address)
+        record.failures += 1
+        record.failed_at = self._clock.monotonic()
+
+    def is_reachable(self, address: str) -> bool:
+        """Tell whether a router should be named in answers."""
+        record = self._records_by_address.get(address)
+        if record is None or record.failures < FAILURES_UNTIL_UNREACHABLE:
+            return True
+        return self._clock.monotonic() >= record.failed_at + UNREACHABLE_SECONDS
+
+    def next_to_probe(self) -> str | None:
+        """Return the address probed longest ago among those named lately, or None."""
+        oldest = self._clock.monotonic() - NAMED_SECONDS
+        records = self._records_by_address
+        for address in [a for a, record in records.items() if self._is_idle(record, oldest)]:
+            del records[address]
+        if not records:
+            return None
+        address = min(records, key=lambda a: records[a].probed_at)
+        records[address].probed_at = self._clock.monotonic()
+        return address
+
+    def _is_idle(self, record: _PeerRecord, oldest: float) -> bool:
+        return record.named_at < oldest and record.failed_at < oldest
+
+    def _record(self, address: str) -> _PeerRecord:
+        return self._records_by_address.setdefault(address, _PeerRecord())
+
+
+class MonitoredPeers:
+    """Passes calls on to a peer client and notes how they end.
+
+    :param inner: the client.
+    :param health: where successes and failures are noted.
+    """
+
+    def __init__(self, inner: PeerClient, health: PeerHealth) -> None:
+        self._inner = inner
+        self._health = health
+
+    async def forward(self, address: str, request: CallerRequest) -> AsyncIterator[AnswerEvent]:
+        """Have a peer run a request; yields its events."""
+        try:
+            async with aclosing(self._inner.forward(address, request)) as events:
+                async for event in events:
+                    self._health.note_success(address)
+                    yield event
+        except PeerUnavailableError:
+            self._health.note_failure(address)
+            raise
+
+    async def ask_outcome(
+        self, address: str, workspace: WorkspaceId, request_id: RequestId
+    ) -> Outcome | None:
+        """Ask what became of a request."""
+        try:
+            outcome = await self._inner.ask_outcome(address, workspace, request_id)
+        except PeerUnavailableError:
+            self._health.note_failure(address)
+            raise
+        self._health.note_success(address)
+        return outcome
+
+    async def recall(self, address: str, workspace: WorkspaceId, wanted: int) -> RecallReply:
+        """Ask a peer to return its unused tokens."""
+        try:
+            reply = await self._inner.recall(address, workspace, wanted)
+        except PeerUnavailableError:
+            self._health.note_failure(address)
+            raise
+        self._health.note_success(address)
+        return reply
+
+
+class PeerProbe(TaskGroupController):
+    """Probes, one after another, the routers that callers were sent to lately.
+
+    :param blackboard: shared state.
+    :param peers: client that notes successes and failures.
+    :param health: which routers to probe.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading the probes of many routers.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        peers: MonitoredPeers,
+        health: PeerHealth,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._peers = peers
+        self._health = health
+        self._clock = clock
+        self._rng = rng
+
+    async def start(self) -> None:
+        """Start probing."""
+        self.spawn(self._run(), "peer-probe")
+
+    async def _run(self) -> None:
+        while True:
+            has_kv = self._blackboard.kv.available
+            interval = PROBE_SECONDS if has_kv else OUTAGE_PROBE_SECONDS
+            await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
+            address = self._health.next_to_probe()
+            if address is not None and address != self._blackboard.identity.address:
+                await self._probe(address)
+
+    async def _probe(self, address: str) -> None:
+        """Ask for a request that cannot exist; any answer shows that the router is there."""
+        try:
+            await self._peers.ask_outcome(address, _PROBE_WORKSPACE, _PROBE_REQUEST)
+        except PeerNotBegunError as error:
+            if error.detail.startswith("status"):
+                self._health.note_success(address)
+        except PeerUnavailableError:
+            return
