Bill only what is shown to have run, and recover bills durably

Cause: history trials found an estimated bill for a request that was cancelled before it was sent; the model found that recovery could delete an incarnation before the bills it recovered were durable, and withheld tokens for good after one failed question to an upstream. Change: a last attempt of unknown use is billed for what was delivered, or not at all; retirement waits for durable bills and for the upstreams. Conclusion: what remains open is the bill of a request that ends in an outage in which its router dies.

--- /dev/null
+++ b/features/steps/router.py
@@ -0,0 +1,384 @@
+"""Steps for whole routers."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from features.fixtures_routers import WORKSPACE, Fleet
+from quinceferry_core.models import OperationId
+from quinceferry_core.outcomes import Failed, NotRun, Unknown
+from quinceferry_lab.virtual_time import run_virtual
+from quinceferry_standins.upstream_faults import Break
+from quinceferryd.blackboard import RouterState
+
+BILL_SECONDS = 2
+
+
+class Scene:
+    """Acts of one scenario, played in one virtual run before each check."""
+
+    def __init__(self, routers, budget):
+        self.routers = routers
+        self.budget = budget
+        self.acts = []
+
+    def play(self, check):
+        async def scene():
+            fleet = Fleet(self.routers, self.budget)
+            await fleet.start()
+            fleet.last = None
+            fleet.sent = {}
+            for act in self.acts:
+                await act(fleet)
+            await check(fleet)
+            await fleet.stop()
+
+        run_virtual(scene())
+
+
+def add_act(context, act):
+    context.scene.acts.append(act)
+
+
+async def send(fleet, router, request):
+    fleet.sent[request.request_id] = request
+    fleet.last = request
+    return await fleet.ask(router, request)
+
+
+@given("{routers:d} routers and a budget of {budget:d} tokens")
+def given_routers(context, routers, budget):
+    context.scene = Scene(routers, budget)
+
+
+@when('request "{name:w}" is sent to {router}')
+def send_request(context, name, router):
+    async def act(fleet):
+        await send(fleet, router, fleet.request(name))
+
+    add_act(context, act)
+
+
+@when('changed request "{name:w}" is sent to {router}')
+def send_other_body(context, name, router):
+    add_act(context, lambda fleet: send(fleet, router, fleet.request(name, body=b'{"n":2}')))
+
+
+@when("{count:d} requests are sent to {router}")
+def send_many(context, count, router):
+    async def act(fleet):
+        names = [f"{router}-{number}" for number in range(count)]
+        await asyncio.gather(*(send(fleet, router, fleet.request(name)) for name in names))
+
+    add_act(context, act)
+
+
+@when("{count:d} requests are sent at once over all routers")
+def send_over_all(context, count):
+    async def act(fleet):
+        rng = random.Random(count)
+        routers = list(fleet.applications_by_name)
+        requests = [fleet.request(f"q{number}") for number in range(count)]
+        await asyncio.gather(*(send(fleet, rng.choice(routers), one) for one in requests))
+
+    add_act(context, act)
+
+
+@when('request "{name:w}" is under way at {router}')
+def start_request(context, name, router):
+    async def act(fleet):
+        request = fleet.request(name, max_output_tokens=2000)
+        fleet.task = asyncio.create_task(send(fleet, router, request))
+        await fleet.clock.sleep(1)
+        assert fleet.answers_by_request[name].text
+
+    add_act(context, act)
+
+
+@when('unticketed request "{name:w}" is sent to {router}')
+def send_without_ticket(context, name, router):
+    add_act(context, lambda fleet: send(fleet, router, fleet.request(name, idempotent=False)))
+
+
+@when('ticketed request "{name:w}" of home {home:w} is sent to {router}')
+def send_to_home(context, name, home, router):
+    async def act(fleet):
+        ticket = fleet.ticket(router, home)
+        await send(fleet, router, fleet.request(name, idempotent=False, ticket=ticket))
+
+    add_act(context, act)
+
+
+@when('later ticketed request "{name:w}" of home {home:w} is sent to {router}')
+def send_with_later_ticket(context, name, home, router):
+    async def act(fleet):
+        await fleet.clock.sleep(1)
+        ticket = fleet.ticket(router, home)
+        await send(fleet, router, fleet.request(name, idempotent=False, ticket=ticket))
+
+    add_act(context, act)
+
+
+@when('outage-struck request "{name:w}" of home {home:w} is sent to {router}')
+def send_in_outage(context, name, home, router):
+    async def act(fleet):
+        ticket = fleet.ticket(router, home)
+        fleet.kv.faults.outage = True
+        await fleet.clock.sleep(5)
+        await send(fleet, router, fleet.request(name, idempotent=False, ticket=ticket))
+
+    add_act(context, act)
+
+
+@when('the same copy of request "{name:w}" comes to {router} again')
+def send_copy(context, name, router):
+    add_act(context, lambda fleet: send(fleet, router, fleet.sent[name]))
+
+
+@when('ticketed request "{name:w}" of the dead home is sent to {router}')
+def send_to_dead_home(context, name, router):
+    async def act(fleet):
+        request = fleet.request(name, idempotent=False, ticket=fleet.dead_ticket)
+        await send(fleet, router, request)
+
+    add_act(context, act)
+
+
+@when("{router} dies")
+def kill(context, router):
+    async def act(fleet):
+        fleet.dead_ticket = fleet.ticket("r1", router)
+        fleet.dead = fleet.applications_by_name[router]
+        fleet.dead_incarnation = fleet.dead.blackboard.identity.incarnation
+        holding = fleet.dead.accounts.current.allotments.holdings_by_workspace.get(WORKSPACE)
+        fleet.dead_outage_tokens = holding.ledger.outage_tokens if holding else 0
+        await fleet.kill(router)
+
+    add_act(context, act)
+
+
+@when("{router} dies and its journal is closed")
+def kill_and_close(context, router):
+    kill(context, router)
+    wait(context, 120)
+
+
+@when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    add_act(context, lambda fleet: fleet.clock.sleep(seconds))
+
+
+@when("{router} is closed by recovery although it lives")
+def close_living(context, router):
+    async def act(fleet):
+        own = fleet.applications_by_name[router].blackboard.identity.incarnation
+        fleet.old_incarnation = own
+        fleet.connections_by_name[router].faults.outage = True
+        await fleet.clock.sleep(60)
+        fleet.connections_by_name[router].faults.outage = False
+
+    add_act(context, act)
+
+
+@when("{router} is stopped")
+def stop_router(context, router):
+    async def act(fleet):
+        fleet.dead_incarnation = fleet.applications_by_name[router].blackboard.identity.incarnation
+        fleet.dead_outage_tokens = 0
+        await fleet.applications_by_name[router].stop()
+
+    add_act(context, act)
+
+
+@when("{router} draws {tokens:d} tokens that it does not need")
+def draw_unneeded(context, router, tokens):
+    async def act(fleet):
+        allotments = fleet.applications_by_name[router].accounts.current.allotments
+        result = await allotments.reserve(WORKSPACE, "unneeded", tokens)
+        assert result.unwrap() == tokens
+        allotments.settle(WORKSPACE, "unneeded", 0)
+
+    add_act(context, act)
+
+
+@when("{router} has seen that and holds none")
+def see_record(context, router):
+    async def act(fleet):
+        allotments = fleet.applications_by_name[router].accounts.current.allotments
+        await allotments.reserve(WORKSPACE, "look", 10**9)
+        assert allotments.ledger(WORKSPACE).available == 0
+
+    add_act(context, act)
+
+
+@when("the service goes down")
+def start_outage(context):
+    async def act(fleet):
+        fleet.kv.faults.outage = True
+        await fleet.clock.sleep(5)
+
+    add_act(context, act)
+
+
+@when("the service comes back")
+def end_outage(context):
+    async def act(fleet):
+        fleet.kv.faults.outage = False
+        await fleet.clock.sleep(30)
+
+    add_act(context, act)
+
+
+@when("the operator adds {tokens:d} tokens")
+def add_tokens(context, tokens):
+    async def act(fleet):
+        budgets = fleet.applications_by_name["r1"].budgets
+        await budgets.top_up(WORKSPACE, tokens, OperationId("more"))
+
+    add_act(context, act)
+
+
+@when("the next stream of {router} breaks before its first token")
+def break_stream(context, router):
+    async def act(fleet):
+        for engine in fleet.engines_by_id:
+            link = fleet.upstreams_by_name[router].link(engine)
+            link.stream_faults.append(Break(0))
+            break
+
+    add_act(context, act)
+
+
+@then('request "{name:w}" is answered whole')
+def check_whole(context, name):
+    async def check(fleet):
+        assert fleet.is_whole(fleet.sent[name]), fleet.answers_by_request[name]
+
+    context.scene.play(check)
+
+
+@then("it ran {runs:d} time and has {bills:d} bill for what the engine used")
+def check_runs_and_bills(context, runs, bills):
+    async def check(fleet):
+        await fleet.clock.sleep(BILL_SECONDS)
+        name = fleet.last.request_id
+        ran = fleet.runs(name)
+        billed = [bill for bill in await fleet.bills() if bill.request == name]
+        assert (len(ran), len(billed)) == (runs, bills), (ran, billed)
+        assert billed[0].tokens == ran[0].used_tokens, (ran, billed)
+
+    context.scene.play(check)
+
+
+@then("it has {bills:d} bill")
+def check_bill_count(context, bills):
+    async def check(fleet):
+        await fleet.clock.sleep(BILL_SECONDS)
+        billed = [bill for bill in await fleet.bills() if bill.request == fleet.last.request_id]
+        assert len(billed) == bills, billed
+
+    context.scene.play(check)
+
+
+def check_refusal(fleet, name, reason, outcome):
+    failed = fleet.answers_by_request[name].failed
+    assert isinstance(failed, Failed), fleet.answers_by_request[name]
+    assert failed.reason.value == reason, failed
+    assert isinstance(failed.outcome, outcome), failed
+
+
+@then('request "{name:w}" is refused as "{reason}"')
+def check_refused(context, name, reason):
+    async def check(fleet):
+        check_refusal(fleet, name, reason, object)
+
+    context.scene.play(check)
+
+
+@then('request "{name:w}" is refused as "{reason}" and was not run')
+def check_not_run(context, name, reason):
+    async def check(fleet):
+        check_refusal(fleet, name, reason, NotRun)
+        assert fleet.runs(name) == []
+
+    context.scene.play(check)
+
+
+@then('request "{name:w}" is refused as "{reason}" and may have run')
+def check_unknown(context, name, reason):
+    async def check(fleet):
+        check_refusal(fleet, name, reason, Unknown)
+
+    context.scene.play(check)
+
+
+@then("every request was answered whole")
+def check_all_whole(context):
+    async def check(fleet):
+        broken = [name for name, request in fleet.sent.items() if not fleet.is_whole(request)]
+        assert not broken, [fleet.answers_by_request[name] for name in broken]
+
+    context.scene.play(check)
+
+
+@then("every request has one bill")
+def check_all_billed(context):
+    async def check(fleet):
+        await fleet.clock.sleep(BILL_SECONDS)
+        billed = sorted(bill.request for bill in await fleet.bills())
+        assert billed == sorted(fleet.sent), billed
+
+    context.scene.play(check)
+
+
+@then("every answered request has one bill and no other has any")
+def check_answered_billed(context):
+    async def check(fleet):
+        await fleet.clock.sleep(BILL_SECONDS)
+        answered = sorted(name for name, request in fleet.sent.items() if fleet.is_whole(request))
+        billed = sorted(bill.request for bill in await fleet.bills())
+        assert answered and billed == answered, (billed, answered)
+
+    context.scene.play(check)
+
+
+@then("the engines ran at most {tokens:d} tokens")
+def check_spend(context, tokens):
+    async def check(fleet):
+        used = sum(run.used_tokens for run in fleet.runs())
+        assert used <= tokens, used
+
+    context.scene.play(check)
+
+
+@then("the budget has no tokens at {router} and withholds at most what r2 kept for outages")
+@then("the budget has no tokens at {router} and withholds none")
+def check_freed(context, router):
+    async def check(fleet):
+        balance = await fleet.balance()
+        used = sum(run.used_tokens for run in fleet.runs())
+        assert balance.withheld <= fleet.dead_outage_tokens, balance
+        assert balance.settled == used, (balance, used)
+        assert balance.held_by_routers == 0, balance
+
+    context.scene.play(check)
+
+
+@then("the balance shows no withheld tokens")
+def check_nothing_withheld(context):
+    async def check(fleet):
+        balance = await fleet.balance()
+        assert balance.withheld == 0, balance
+
+    context.scene.play(check)
+
+
+@then("{router} serves under a new incarnation")
+def check_rejoined(context, router):
+    async def check(fleet):
+        blackboard = fleet.applications_by_name[router].blackboard
+        assert blackboard.state is RouterState.SERVING, blackboard.state
+        assert blackboard.identity.incarnation != fleet.old_incarnation
+
+    context.scene.play(check)
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -23,6 +23,7 @@
     Unknown,
 )
 from quinceferryd.accounts import Account, AccountController
+from quinceferryd.billing import bill_of
 from quinceferryd.blackboard import Blackboard
 from quinceferryd.forwards import forward
 from quinceferryd.runs import RequestRun
@@ -222,22 +223,18 @@
         """Charge the budget and append the bill for whatever may have run."""
         request = execution.request
         account = execution.account
-        result = execution.result
-        cap = execution.token_cap
-        known = [attempt.tokens for attempt in result.uses]
-        uses = [cap if tokens is None else min(tokens, cap) for tokens in known]
-        billed = uses[-1] if uses else 0
-        lost = sum(uses[:-1])
-        account.allotments.settle(request.workspace, request.request_id, billed + lost)
+        bill = bill_of(execution.result, execution.token_cap, request.max_output_tokens)
+        spent = bill.tokens + bill.lost
+        account.allotments.settle(request.workspace, request.request_id, spent)
         entry = Settle(
             request.workspace,
             request.request_id,
-            billed,
-            run=bool(uses),
+            bill.tokens,
+            run=bill.run,
             origin=account.incarnation,
-            estimated=bool(known) and known[-1] is None,
-            partial=not result.finished,
-            lost=lost,
+            estimated=bill.estimated,
+            partial=not execution.result.finished,
+            lost=bill.lost,
         )
         return self._accounts.settle(account, entry)
 
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -1,6 +1,8 @@
 """Recovers the tokens and bills of incarnations that are gone."""
 
+import asyncio
 from dataclasses import dataclass, field, replace
+from functools import partial
 from random import Random
 
 import msgspec
@@ -44,6 +46,7 @@
     absent_since: float
     closed_at: float | None = None
     settled_by_request: dict[RequestKey, Settle] = field(default_factory=dict)
+    commits: list[asyncio.Future[None]] = field(default_factory=list)
 
     def spent(self, journal: JournalState, workspace: WorkspaceId) -> int:
         """Return the tokens known to be spent of one workspace's allotment."""
@@ -152,7 +155,7 @@
         proof = absence_proof(record, others, vm_gone)
         await self._settle_requests(case, journal, incarnation)
         held = await self._held_budgets(incarnation)
-        if proof is not None and self._may_retire(case, proof, now):
+        if proof is not None and self._may_retire(case, journal, proof, now):
             await self._retire(case, journal, incarnation, held)
             await self._kv.delete_if(entry.key, entry.version)
             self._vms.forget(record)
@@ -162,19 +165,25 @@
             await self._close_allotment(case, journal, incarnation, budget)
 
     def _patience(self, incarnation: IncarnationId) -> float:
-        """Return how long an incarnation must be absent; routers act one after another."""
+        """Return how long an incarnation must be absent, in seconds; routers act in turn."""
         members = sorted(self._blackboard.members_by_incarnation)
         own = self._blackboard.identity.incarnation
         order = rendezvous_order(incarnation, members)
         rank = order.index(own) if own in order else len(order)
-        return self._settings.absence_seconds * (1 + rank)
+        return self._settings.absence_seconds + rank * self._settings.turn_seconds
 
-    def _may_retire(self, case: _Case, proof: AbsenceProof, now: float) -> bool:
-        """Tell whether the owner has had the time to account for its own spending.
+    def _may_retire(
+        self, case: _Case, journal: JournalState, proof: AbsenceProof, now: float
+    ) -> bool:
+        """Tell whether nobody is expected to account for more of the spending.
 
-        A process that has joined again may still know exactly what it spent.
+        A process that has joined again may still know exactly what it spent, and an upstream that
+        failed to answer may do so later. Recovered bills must be durable.
         """
-        if proof is AbsenceProof.VM_GONE:
+        if any(not committed.done() for committed in case.commits):
+            return False
+        is_settled = journal.begins_by_request.keys() <= case.settled_by_request.keys()
+        if proof is AbsenceProof.VM_GONE and is_settled:
             return True
         closed_at = case.closed_at if case.closed_at is not None else now
         return now - closed_at >= self._settings.wind_up_seconds
@@ -227,7 +236,9 @@
                 lost=sum(known[:-1]),
             )
             case.settled_by_request[key] = entry
-            account.journal.append(entry)
+            committed = account.journal.append(entry)
+            case.commits.append(committed)
+            committed.add_done_callback(partial(_forget_uncommitted, case, key))
             self.counters.requests_settled += 1
 
     async def _stop_attempt(self, incarnation: IncarnationId, begin: Begin) -> int | None:
@@ -297,6 +308,12 @@
         return True
 
 
+def _forget_uncommitted(case: _Case, key: RequestKey, committed: asyncio.Future[None]) -> None:
+    """Have a recovered request settled again whose entry did not become durable."""
+    if committed.cancelled() or committed.exception() is not None:
+        case.settled_by_request.pop(key, None)
+
+
 def _holds(entry: KvEntry, incarnation: IncarnationId) -> bool:
     """Tell whether an incarnation has an allotment in a budget record."""
     return incarnation in _decode(entry).allotments_by_incarnation
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -56,7 +56,8 @@
     """Recovery of incarnations that are gone, table ``[recovery]``."""
 
     check_interval_seconds: float = 10.0
-    absence_seconds: float = 20.0
+    absence_seconds: float = 15.0
+    turn_seconds: float = 10.0
     wind_up_seconds: float = 120.0
 
 
@@ -79,6 +80,7 @@
     max_queue_wait_seconds: float = 10.0
     sampled_candidates: int = 3
     prefill_tokens_per_second: float = 8000.0
+    max_prefill_backlog_seconds: float = 0.3
     long_prompt_tokens: int = 8192
     long_work_share: float = 0.5
     long_work_upstream_share: float = 0.2
