--- a/packages/quinceferry-lab/src/quinceferry_lab/budget_model.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/budget_model.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from dataclasses import replace
 from enum import Enum
 from typing import NamedTuple, TypeVar
 
@@ -283,3 +284,14 @@
     ),
 )
 """Two routers and a top-up sent twice."""
+
+TRANSFER_MODEL = replace(
+    BUDGET_MODEL, variant="without top-up", initial=BudgetState(calls=(Call.DONE, Call.DONE))
+)
+"""The same without the top-up calls, small enough for each test run."""
+
+_IDLE = Router(sequence=MAX_OPERATIONS)
+TOP_UP_MODEL = replace(
+    BUDGET_MODEL, variant="top-up alone", initial=BudgetState(routers=(_IDLE, _IDLE))
+)
+"""The same without the routers' writes, small enough for each test run."""
--- a/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
@@ -3,14 +3,22 @@
 import sys
 from collections.abc import Callable
 
-from quinceferry_lab.budget_model import BUDGET_MODEL
+from quinceferry_lab.budget_model import BUDGET_MODEL, TOP_UP_MODEL, TRANSFER_MODEL
 from quinceferry_lab.execution_model import EXECUTION_MODELS
 from quinceferry_lab.protocol_model import Exploration, Guard, Model, explore
-from quinceferry_lab.recovery_model import RECOVERY_MODELS
+from quinceferry_lab.recovery_model import ONE_REQUEST_MODELS, RECOVERY_MODELS
 
 MODELS: tuple[Model, ...] = (BUDGET_MODEL, *RECOVERY_MODELS, *EXECUTION_MODELS)
 """All models; each is explored on its own."""
 
+SMALL_MODELS: tuple[Model, ...] = (
+    TRANSFER_MODEL,
+    TOP_UP_MODEL,
+    *ONE_REQUEST_MODELS,
+    *EXECUTION_MODELS,
+)
+"""Parts of the models that each test run explores to the end."""
+
 
 def main() -> int:
     """Print a report.
--- a/packages/quinceferry-lab/src/quinceferry_lab/protocol_model.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/protocol_model.py
@@ -33,6 +33,7 @@
     ALLOTMENT_CLOSED = "closed allotment cannot grow"
     ABSENT_ALLOTMENT_FENCES = "holder whose allotment is gone counts as closed"
     RECOVERY_REPEATED = "recovery repeated while a closed incarnation holds tokens"
+    RECOVERED_BILL_DURABLE = "recovered bills durable before the incarnation is forgotten"
     UNKNOWN_NEEDS_PROOF = "unknown request settled only when it cannot arrive any more"
     NETWORK_DRAINED = "requests of a vanished VM have arrived before its absence is a proof"
     BILL_KEY = "bills keyed by request id"
--- a/packages/quinceferry-lab/src/quinceferry_lab/recovery_model.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/recovery_model.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 from quinceferry_lab.holder_steps import holder_steps, successor_steps
 from quinceferry_lab.protocol_model import Guard, Model, Step
@@ -43,6 +44,12 @@
 
 def _faults(state: RecoveryState) -> Iterator[Step]:
     """Return the steps that need not happen."""
+    forgotten = tuple(
+        request._replace(recovered=-1) if _waits_for_bill(request) else request
+        for request in state.requests
+    )
+    if forgotten != state.requests:
+        yield "the recoverer crashes and another goes on", state._replace(requests=forgotten)
     if state.holder is not Holder.CRASHED:
         queue = state.queue if state.write_sent else ()
         yield "the holder crashes", state._replace(holder=Holder.CRASHED, queue=queue)
@@ -61,6 +68,9 @@
     for index in REQUESTS:
         yield from _upstream_steps(state, index)
         yield from _inquiry(state, index, guards)
+        if _waits_for_bill(state.requests[index]):
+            billed = bill(state.with_request(index, recovered_bill=True), index, guards)
+            yield f"the recoverer's bill for request {index + 1} is committed", billed
     yield from _recovery_steps(state, guards)
     if state.free > 0:
         yield "the other router draws and runs a token", state._replace(
@@ -97,7 +107,7 @@
                 closed=state.present,
             )
             yield f"the recoverer closes the allotment ({kept} kept)", closed
-        case Recovery.ALLOTMENT_CLOSED if _all_recovered(state):
+        case Recovery.ALLOTMENT_CLOSED if _all_recovered(state, guards):
             spent = state.spent_in_journal + _recovered_use(state)
             withheld = state.outage if Guard.OUTAGE_TOKENS_KEPT in guards else 0
             retired = retire(state, spent, withheld)._replace(recovery=Recovery.RETIRED)
@@ -110,13 +120,12 @@
 def _inquiry(state: RecoveryState, index: int, guards: Guards) -> Iterator[Step]:
     """Return the recoverer's question to the upstream about one unsettled request."""
     request = state.requests[index]
-    if state.recovery < Recovery.JOURNAL_CLOSED or request.recovered >= 0:
-        return
-    if index not in state.unsettled:
+    is_asked = Recovery.JOURNAL_CLOSED <= state.recovery < Recovery.RETIRED
+    if not is_asked or request.recovered >= 0 or index not in state.unsettled:
         return
     name = f"request {index + 1}"
     if request.arrival is Arrival.RUN:
-        known = bill(state.with_request(index, recovered=1), index, guards)
+        known = state.with_request(index, recovered=1)
         yield f"the upstream tells the recoverer that it ran {name}", known
     elif _is_proven_not_run(state, request, guards):
         unused = state.with_request(index, recovered=0)
@@ -139,9 +148,17 @@
     return state.spent_in_journal + len(state.unsettled) + outage
 
 
-def _all_recovered(state: RecoveryState) -> bool:
+def _all_recovered(state: RecoveryState, guards: Guards) -> bool:
     """Return whether the recoverer knows what became of each unsettled request."""
-    return all(state.requests[index].recovered >= 0 for index in state.unsettled)
+    requests = [state.requests[index] for index in state.unsettled]
+    if Guard.RECOVERED_BILL_DURABLE in guards and any(map(_waits_for_bill, requests)):
+        return False
+    return all(request.recovered >= 0 for request in requests)
+
+
+def _waits_for_bill(request: Request) -> bool:
+    """Return whether only the recoverer's memory holds the request's bill."""
+    return request.recovered > 0 and not request.recovered_bill
 
 
 def _recovered_use(state: RecoveryState) -> int:
@@ -197,6 +214,7 @@
     Guard.ALLOTMENT_CLOSED,
     Guard.ABSENT_ALLOTMENT_FENCES,
     Guard.BILL_KEY,
+    Guard.RECOVERED_BILL_DURABLE,
 )
 
 RECOVERY_MODELS = (
@@ -225,4 +243,14 @@
         guards=(Guard.RECOVERY_REPEATED,),
     ),
 )
-"""One model for each kind of upstream."""
+"""One model for each kind of upstream, and one for a holder that draws late."""
+
+ONE_REQUEST_MODELS = tuple(
+    replace(
+        model,
+        variant=f"{model.variant}, one request",
+        initial=model.initial._replace(requests=(Request(stage=Stage.NOT_RUN), Request())),
+    )
+    for model in RECOVERY_MODELS
+)
+"""The same with the idempotent request alone, small enough for each test run."""
--- a/packages/quinceferry-lab/src/quinceferry_lab/recovery_state.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/recovery_state.py
@@ -73,7 +73,8 @@
     """One request of the holder.
 
     ``early`` says that it was dispatched before its Begin was committed; ``recovered`` what the
-    recoverer found it to have used, -1 if it does not know.
+    recoverer found it to have used, -1 if it does not know. ``carried`` and ``recovered_bill`` say
+    that its bill is durable in the journal of the new incarnation or of the recoverer.
     """
 
     stage: Stage = Stage.NEW
@@ -81,6 +82,7 @@
     arrival: Arrival = Arrival.NONE
     recovered: int = -1
     carried: bool = False
+    recovered_bill: bool = False
     bills: int = 0
 
 
