--- a/features/fixtures_upstreams.py
+++ b/features/fixtures_upstreams.py
@@ -40,11 +40,12 @@
     """Return a chat request for 20 output tokens, or what the fields say instead."""
     prompt = fields.pop("prompt", "user: explain entry 12")
     tokens = fields.pop("tokens", 20)
+    wanted_tokens = fields.pop("wanted_tokens", tokens)
     body = {
         "model": str(fields.get("target", MODEL)),
         "messages": [{"role": "user", "content": prompt.removeprefix("user: ")}],
         "max_completion_tokens": 9999,
-        "stand_in_output_tokens": tokens,
+        "stand_in_output_tokens": wanted_tokens,
     }
     request = CallerRequest(
         workspace=WorkspaceId(fields.pop("workspace", "choir")),
--- a/features/steps/upstream_wire.py
+++ b/features/steps/upstream_wire.py
@@ -117,7 +117,9 @@
     async def work(client, engine, _service, spec, service_spec):
         dispatch = make_dispatch(upstream=spec, tokens=5000)
         await collect(client.run(dispatch), limit=2)
-        used = await client.cancel(spec, dispatch.request.request_id, dispatch.request.workspace)
+        named = (spec, dispatch.request.request_id, dispatch.request.workspace)
+        assert await client.cancel(*named, "router-2") is None
+        used = await client.cancel(*named, dispatch.incarnation)
         (run,) = engine.runs
         assert run.cancelled and used == run.used_tokens, (used, run)
         assert 2 <= run.output_tokens < 5000, run
@@ -260,8 +262,8 @@
     context.wire = "over HTTP"
 
     async def work(client, engine, _service, spec, _service_spec):
-        # The body still says max_completion_tokens 9999.
-        context.events = await collect(client.run(make_dispatch(upstream=spec, tokens=4)))
+        dispatch = make_dispatch(upstream=spec, tokens=4, wanted_tokens=50)
+        context.events = await collect(client.run(dispatch))
         context.run = engine.runs[0]
 
     _over_wire(context, work)
