--- a/features/caller_api.feature
+++ b/features/caller_api.feature
@@ -126,6 +126,11 @@
     When a caller asks which address to use
     Then the caller reads two addresses, 30 seconds and the ticket "ticket-of-choir"
 
+  Scenario: The address call says so when no router serves
+    Given no router of the fleet is serving
+    When a caller asks which address to use
+    Then the caller reads status 503 with the reason "router_not_ready"
+
   Scenario: A request to a plain service is passed through
     Given the pipeline answers as a plain service with status 201
     When a caller posts "{"dues": 12}" to the service path "/services/postings/v2/a%2Fb%20c?dry=no" marked idempotent
@@ -158,6 +163,16 @@
     When a caller asks for it and reads nothing
     Then the pipeline was pulled for less than the whole answer
 
+  Scenario: A caller that takes no byte for the whole timeout counts as gone
+    Given the pipeline has a very long answer
+    And readers may stall for 0.2 seconds
+    When a caller asks for it and waits without reading
+    Then the pipeline's iterator was closed before its end
+
+  Scenario: Small writes are not held back by the operating system
+    When a connection to the router is opened
+    Then the router's end sends without delay
+
   Scenario: Stopping the server cuts no answer in progress
     Given the pipeline waits after 1 chunk until the server is told to stop
     When a streamed answer is in progress while the server stops
--- a/features/fixtures_edge.py
+++ b/features/fixtures_edge.py
@@ -76,8 +76,11 @@
 
 
 class FakeAddresses:
+    def __init__(self):
+        self.addresses = ("127.0.0.1:1", "127.0.0.1:2")
+
     def answer(self, workspace, caller_zone=""):
-        return AddressAnswer(("127.0.0.1:1", "127.0.0.1:2"), 30.0, f"ticket-of-{workspace}")
+        return AddressAnswer(self.addresses, 30.0, f"ticket-of-{workspace}")
 
 
 class FakeTickets:
--- a/features/steps/caller_api.py
+++ b/features/steps/caller_api.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import socket
 
 import httpx
 import openai
@@ -29,6 +30,7 @@
     Unknown,
 )
 from quinceferryd.blackboard import RouterState
+from quinceferryd.server import HttpServer, build_app
 
 MESSAGES = [
     {"role": "system", "content": "Be brief."},
@@ -143,6 +145,11 @@
     context.pipeline.outcomes_by_key[workspace, request_id] = Run(Usage(5, 3))
 
 
+@given("no router of the fleet is serving")
+def set_no_addresses(context):
+    context.application.addresses.addresses = ()
+
+
 @given("the router has not joined yet")
 def set_starting(context):
     context.application.blackboard.state = RouterState.STARTING
@@ -316,6 +323,39 @@
     run(work())
 
 
+@given("readers may stall for {seconds:f} seconds")
+def set_reader_timeout(context, seconds):
+    settings = context.application.settings
+    streams = dataclasses.replace(settings.streams, reader_timeout_seconds=seconds)
+    context.application.settings = dataclasses.replace(settings, streams=streams)
+
+
+@when("a caller asks for it and waits without reading")
+def wait_without_reading(context):
+    async def work():
+        async with served(context.application) as address:
+            _, writer = await _raw_stream(address)
+            await context.pipeline.closed.wait()
+            writer.transport.abort()
+
+    run(work())
+
+
+@when("a connection to the router is opened")
+def open_connection(context):
+    async def work():
+        server = HttpServer(build_app(context.application), "127.0.0.1", 0, 5.0)
+        await server.start()
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.get(f"http://127.0.0.1:{server.port}/health")
+            (connection,) = server.connections
+            accepted = connection.transport.get_extra_info("socket")
+            context.no_delay = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        await server.stop()
+
+    run(work())
+
+
 @when("a streamed answer is in progress while the server stops")
 def stop_midway(context):
     async def work():
@@ -498,6 +538,11 @@
     assert 0 < context.pulled < len(context.pipeline.script), context.pulled
 
 
+@then("the router's end sends without delay")
+def check_no_delay(context):
+    assert context.no_delay == 1
+
+
 @then("the caller read the whole streamed answer")
 def check_whole_stream(context):
     assert b"balance" in context.received, context.received
@@ -521,5 +566,6 @@
         RouterState.SERVING: (200, 200),
         RouterState.STOPPING: (200, 503),
         RouterState.FENCED: (503, 503),
+        RouterState.LEFT: (200, 503),
     }
     assert context.statuses_by_state == expected, context.statuses_by_state
--- a/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
@@ -109,6 +109,8 @@
         async def answer(workspace: WorkspaceSpec) -> Reply:
             zone = request.query_params.get("zone", "")
             found = self._application.addresses.answer(workspace.id, zone)
+            if not found.addresses:
+                return Failure(_not_ready("no router of the fleet is serving"))
             document = AddressDocument(tuple(found.addresses), found.ttl_seconds, found.ticket)
             return Success(self._reply(document))
 
@@ -154,10 +156,7 @@
         """Authenticate a caller."""
         blackboard = self._application.blackboard
         if blackboard.state is RouterState.STARTING:
-            detail = "this router has not joined the fleet yet"
-            return Failure(
-                refusal(RefusalReason.ROUTER_NOT_READY, detail, _NOT_READY_RETRY_SECONDS)
-            )
+            return Failure(_not_ready("this router has not joined the fleet yet"))
         authorization = request.headers.get("authorization", "")
         workspace = self._keys.find(authorization, blackboard.configuration)
         if workspace is None:
@@ -239,6 +238,11 @@
         return RelayResponse(relay, self._write_timeout_seconds, _CLOSE if stopping else ())
 
 
+def _not_ready(detail: str) -> Failed:
+    """Return the refusal of a call that can be made again in a moment."""
+    return refusal(RefusalReason.ROUTER_NOT_READY, detail, _NOT_READY_RETRY_SECONDS)
+
+
 def _service_target(request: HttpRequest) -> str:
     """Return path and query below the service's root, in the caller's own encoding."""
     raw_path = request.scope["raw_path"].decode("ascii", "replace")
--- a/packages/quinceferry-daemon/src/quinceferryd/relays.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/relays.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from quinceferry_core.outcomes import (
-    AnswerEvent,
     AnswerStream,
     Chunk,
     Failed,
@@ -15,7 +14,7 @@
 )
 from quinceferryd.answers import DONE, AnswerFormat, error_event
 from quinceferryd.logs import log_bug
-from quinceferryd.meters import RequestMeter
+from quinceferryd.meters import NullMeter, RequestMeter
 from quinceferryd.refusals import (
     JSON_HEADER,
     error_document,
@@ -23,7 +22,7 @@
     error_status,
     request_id_header,
 )
-from quinceferryd.responses import Header, ReaderStalledError, ResponseWriter
+from quinceferryd.responses import Header, ResponseWriter
 
 _EVENT_STREAM_HEADERS: list[Header] = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
@@ -55,46 +54,40 @@
     :param events: closed in every case, which cancels the request unless it has ended.
     :param meter: measures the request; None for a forwarded one, which its first router measures.
     """
+    used_meter = meter or NullMeter()
     try:
-        failed = await _relay_all(events, sink, meter)
+        failed = await _relay_all(events, sink, used_meter)
         if failed is not None:
-            _note(failed, meter)
+            used_meter.end(failed)
             await sink.fail(failed)
     finally:
-        if meter is not None:
-            meter.close()
+        used_meter.close()
 
 
 async def _relay_all(
-    events: AnswerStream, sink: AnswerSink, meter: RequestMeter | None
+    events: AnswerStream, sink: AnswerSink, meter: RequestMeter | NullMeter
 ) -> Failed | None:
     """Relay all events; return a failure when the last of them was missing."""
     ended = False
     try:
         async with aclosing(events):
             async for event in events:
-                ended = ended or not isinstance(event, Chunk)
-                _note(event, meter)
-                await _write_event(event, sink)
-    except ReaderStalledError:
-        raise
+                if isinstance(event, Chunk):
+                    meter.chunk()
+                    await sink.chunk(event)
+                else:
+                    ended = True
+                    meter.end(event)
+                    await _write_end(event, sink)
     except Exception as error:
         log_bug(error, "relay")
         return None if ended else _internal(f"internal error: {type(error).__name__}")
     return None if ended else _internal("the answer ended early")
 
 
-def _note(event: AnswerEvent, meter: RequestMeter | None) -> None:
-    """Measure an event."""
-    if meter is not None:
-        meter.note(event)
-
-
-async def _write_event(event: AnswerEvent, sink: AnswerSink) -> None:
-    """Write one event."""
+async def _write_end(event: Finished | Failed, sink: AnswerSink) -> None:
+    """Write the last event."""
     match event:
-        case Chunk():
-            await sink.chunk(event)
         case Finished():
             await sink.finish(event)
         case Failed():
@@ -128,7 +121,10 @@
 
     async def chunk(self, chunk: Chunk) -> None:
         """Write a piece of the answer."""
-        await self._writer.write(await self._opening() + self._form.chunk(chunk.text))
+        piece = self._form.chunk(chunk.text)
+        if not self._writer.started:
+            piece = await self._opening() + piece
+        await self._writer.write(piece)
 
     async def finish(self, finished: Finished) -> None:
         """Write the end of a whole answer."""
--- a/packages/quinceferry-daemon/src/quinceferryd/responses.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/responses.py
@@ -15,28 +15,23 @@
 """Name in lower case, and value."""
 
 
-class ReaderStalledError(Exception):
-    """The reader took no byte for the whole write timeout."""
-
-
 class ResponseWriter:
     """Writes one HTTP response.
 
     :param send: ASGI send function.
-    :param write_timeout_seconds: how long one write may wait for the reader.
     :param headers: headers of every response.
     """
 
-    __slots__ = ("_headers", "_send", "_write_timeout_seconds", "finished", "started")
+    __slots__ = ("_headers", "_loop", "_send", "finished", "started", "waiting_since")
 
-    def __init__(
-        self, send: Send, write_timeout_seconds: float, headers: tuple[Header, ...] = ()
-    ) -> None:
+    def __init__(self, send: Send, headers: tuple[Header, ...] = ()) -> None:
         self._send = send
-        self._write_timeout_seconds = write_timeout_seconds
         self._headers = headers
+        self._loop = asyncio.get_running_loop()
         self.started = False
         self.finished = False
+        self.waiting_since: float | None = None
+        """Since when a write waits for the reader, in the loop's time; None when none does."""
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Write the status line and headers."""
@@ -45,10 +40,7 @@
         await self._write({"type": "http.response.start", "status": status, "headers": headers})
 
     async def write(self, body: bytes) -> None:
-        """Write a piece of the body.
-
-        :raises ReaderStalledError: the reader is stuck.
-        """
+        """Write a piece of the body."""
         await self._write({"type": "http.response.body", "body": body, "more_body": True})
 
     async def finish(self, body: bytes = b"") -> None:
@@ -63,12 +55,10 @@
         await self.finish(body)
 
     async def _write(self, message: Message) -> None:
-        """Send one message within the write timeout."""
-        try:
-            async with asyncio.timeout(self._write_timeout_seconds):
-                await self._send(message)
-        except TimeoutError as error:
-            raise ReaderStalledError from error
+        """Send one message."""
+        self.waiting_since = self._loop.time()
+        await self._send(message)
+        self.waiting_since = None
 
 
 Relay = Callable[[ResponseWriter], Coroutine[Any, Any, None]]
@@ -93,19 +83,50 @@
         self._headers = headers
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Run the relay until it ends or the reader disconnects."""
-        writer = ResponseWriter(send, self._write_timeout_seconds, self._headers)
+        """Run the relay until it ends, or the reader disconnects or stalls."""
+        writer = ResponseWriter(send, self._headers)
         relay = asyncio.create_task(self._relay(writer))
         watcher = asyncio.create_task(_cancel_on_disconnect(receive, writer, relay))
+        guard = _StallGuard(writer, relay, self._write_timeout_seconds)
         try:
             await relay
-        except ReaderStalledError:
-            return
         except asyncio.CancelledError:
-            if not watcher.done():
+            if not (watcher.done() or guard.stalled):
                 raise
         finally:
             watcher.cancel()
+            guard.close()
+
+
+class _StallGuard:
+    """Cancels a relay whose reader has stalled; checking now and then costs less than a timer for
+    each write."""
+
+    __slots__ = ("_loop", "_relay", "_timeout_seconds", "_timer", "_writer", "stalled")
+
+    def __init__(
+        self, writer: ResponseWriter, relay: asyncio.Task[None], timeout_seconds: float
+    ) -> None:
+        self.stalled = False
+        self._writer = writer
+        self._relay = relay
+        self._timeout_seconds = timeout_seconds
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(timeout_seconds, self._check)
+
+    def close(self) -> None:
+        """Check no more."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        """Cancel the relay if its write has waited too long, else check again when it could."""
+        since = self._writer.waiting_since
+        waited = 0.0 if since is None else self._loop.time() - since
+        if waited >= self._timeout_seconds:
+            self.stalled = True
+            self._relay.cancel()
+            return
+        self._timer = self._loop.call_later(self._timeout_seconds - waited, self._check)
 
 
 async def _cancel_on_disconnect(
--- a/packages/quinceferry-daemon/src/quinceferryd/server.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/server.py
@@ -122,6 +122,11 @@
         """Return the port in use."""
         return self._port
 
+    @property
+    def connections(self) -> set[Any]:
+        """Return the protocol objects of all open connections."""
+        return self._server.server_state.connections
+
     async def start(self) -> None:
         """Listen and serve.
 
@@ -139,9 +144,13 @@
 
 
 def _listen(host: str, port: int) -> socket.socket:
-    """Return a listening socket."""
+    """Return a listening socket.
+
+    The protocol is named, since the event loop sends small writes at once only on sockets that name
+    it; without, the second write of each response waits for the acknowledgement of the first.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, port))
