Accept upstream addresses with a scheme and describe the wire

Operators write addresses as http://host:port, which the client prefixed once more; every call would have failed as not sent. The wire test now uses such addresses.

--- a/features/fixtures_upstreams.py
+++ b/features/fixtures_upstreams.py
@@ -62,7 +62,7 @@
     return Dispatch(request, upstream, IncarnationId("router-1"), 7, 1, cap, offset)
 
 
-def make_service_dispatch(request_id, upstream=SERVICE, idempotent=False):
+def make_service_dispatch(request_id, upstream=SERVICE, idempotent=False, method="POST"):
     """Return a call of the plain service."""
     request = CallerRequest(
         workspace=WorkspaceId("choir"),
@@ -71,6 +71,7 @@
         target=ModelRef("portal"),
         body=b"dues=40",
         idempotent=idempotent,
+        method=method,
         path="/dues/post?year=2026",
     )
     return Dispatch(request, upstream, IncarnationId("router-1"), 7, 1, 0)
@@ -118,10 +119,8 @@
     async with running(engine_app(engine)) as engine_url, running(service_app(service)) as url:
         client = HttpUpstreams()
         specs = (
-            UpstreamSpec(ENGINE_ID, engine_url.removeprefix("http://"), "fi-south-a"),
-            UpstreamSpec(
-                SERVICE_ID, url.removeprefix("http://"), "fi-south-a", UpstreamKind.SERVICE
-            ),
+            UpstreamSpec(ENGINE_ID, engine_url, "fi-south-a"),
+            UpstreamSpec(SERVICE_ID, url, "fi-south-a", UpstreamKind.SERVICE),
         )
         yield client, engine, service, *specs
         await client.aclose()
--- a/features/steps/upstream_wire.py
+++ b/features/steps/upstream_wire.py
@@ -1,6 +1,7 @@
 """Steps for calls to upstreams over HTTP."""
 
 import asyncio
+from unittest.mock import Mock
 
 from behave import given, then, when
 from fixtures_upstreams import (
@@ -20,6 +21,7 @@
 from quinceferry_standins.outputs import count_prompt_tokens, expected_output
 from quinceferry_standins.service import CONTENT_TYPE, expected_reply
 from quinceferryd.event_streams import EventReader
+from quinceferryd.http_connections import MAX_BUFFERED_BYTES, HttpConnection
 from quinceferryd.upstream_client import HttpUpstreams
 
 PIECE = b'data: {"choices":[{"delta":{"content":"\xc3\xa4"}}],"offset":0,"tokens":1}\r\n\r\n'
@@ -51,6 +53,17 @@
     "a whole stream": _response(WHOLE),
 }
 
+BODY = "äb".encode()
+FRAMINGS_BY_NAME = {
+    "a length": _response(BODY),
+    "pieces": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"2\r\n\xc3\xa4\r\n1\r\nb\r\n0\r\n\r\n",
+    "no length": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+    "an interim answer first": b"HTTP/1.1 100 Continue\r\n\r\n" + _response(BODY),
+    "a length and no body": b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n",
+    "its own status 503": _response(BODY, b"503 Service Unavailable"),
+}
+
 
 @given("stand-in upstreams reached {wire}")
 def choose_wire(context, wire):
@@ -272,3 +285,57 @@
 @then("the engine over HTTP generates only what the router allows")
 def check_greedy(context):
     assert context.run.output_tokens == 4 and context.events[-1].usage.output_tokens == 4
+
+
+@when("a service answers a {method} with {framing} and closes the connection")
+def send_to_service(context, method, framing):
+    async def run():
+        server = ScriptedServer([FRAMINGS_BY_NAME[framing]])
+        dispatch = make_service_dispatch("c1", await server.start(), method=method)
+        client = HttpUpstreams()
+        context.events = await collect(client.run(dispatch))
+        await client.aclose()
+        await server.stop()
+
+    asyncio.run(run())
+
+
+@then('the service answer is status {status:d} with body "{body}"')
+@then('the service answer is status {status:d} with body ""')
+def check_service_answer(context, status, body=""):
+    *chunks, finished = context.events
+    assert b"".join(chunk.data for chunk in chunks).decode() == body, chunks
+    assert finished.status == status, finished
+
+
+@when("more bytes arrive than a connection may hold")
+def overfill(context):
+    async def run():
+        transport = Mock()
+        transport.is_closing.return_value = False
+        connection = HttpConnection()
+        connection.connection_made(transport)
+        connection.send(b"", b"", head_only=False)
+        _arrive(connection, b"HTTP/1.1 200 OK\r\n\r\n")
+        arrived = 0
+        while not transport.pause_reading.called and arrived < 2 * MAX_BUFFERED_BYTES:
+            arrived += _arrive(connection, b"x" * 4096)
+        context.held = arrived
+        context.resumed_early = transport.resume_reading.called
+        context.taken = len(await connection.read_body())
+        context.resumed = transport.resume_reading.called
+
+    asyncio.run(run())
+
+
+def _arrive(connection, data):
+    """Hand bytes to a connection as the event loop does."""
+    connection.get_buffer(-1)[: len(data)] = data
+    connection.buffer_updated(len(data))
+    return len(data)
+
+
+@then("the connection stops reading until its reader has taken them")
+def check_backpressure(context):
+    assert context.held == context.taken == MAX_BUFFERED_BYTES + 4096, context.held
+    assert context.resumed and not context.resumed_early
--- a/features/upstream_wire.feature
+++ b/features/upstream_wire.feature
@@ -60,3 +60,20 @@
   Scenario: The router's output cap replaces the caller's
     When a run over HTTP asks for more tokens than the router allows
     Then the engine over HTTP generates only what the router allows
+
+  Scenario Outline: However a service frames its answer, it is passed on
+    When a service answers a <method> with <framing> and closes the connection
+    Then the service answer is status <status> with body "<body>"
+
+    Examples:
+      | method | framing                 | status | body |
+      | GET    | a length                | 200    | äb   |
+      | GET    | pieces                  | 200    | äb   |
+      | GET    | no length               | 200    | äb   |
+      | GET    | an interim answer first | 200    | äb   |
+      | HEAD   | a length and no body    | 200    |      |
+      | POST   | its own status 503      | 503    | äb   |
+
+  Scenario: A slow reader stops the socket from being read
+    When more bytes arrive than a connection may hold
+    Then the connection stops reading until its reader has taken them
--- a/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
@@ -267,8 +267,9 @@
 
 
 def _url(upstream: UpstreamSpec, path: str) -> str:
-    """Return the URL of a path at an upstream, whose address is ``host:port``."""
-    return f"http://{upstream.address}{path}"
+    """Return the URL of a path at an upstream, whose address may lack the scheme."""
+    scheme = "" if "://" in upstream.address else "http://"
+    return f"{scheme}{upstream.address}{path}"
 
 
 def _headers(dispatch: Dispatch) -> dict[str, str]:
