--- a/features/fixtures_routers.py
+++ b/features/fixtures_routers.py
@@ -57,6 +57,12 @@
     async def ask_outcome(self, address, workspace, request_id):
         return await self._application(address).pipeline.outcome(workspace, request_id)
 
+    async def hold(self, address, request):
+        return self._application(address).copies.hold(request)
+
+    async def collect(self, address, request):
+        return self._application(address).copies.collect(request)
+
     async def recall(self, address, workspace, wanted):
         return await self._application(address).allotments.recall(workspace, wanted)
 
--- a/features/router.feature
+++ b/features/router.feature
@@ -87,12 +87,13 @@
     And outage-struck request "a" of home r1 is sent to r1
     Then request "a" is refused as "billing_unreachable" and was not run
 
-  Scenario: A dead router's unspent tokens are freed and only those meant for outages withheld
+  Scenario: A dead router's unspent tokens are all freed
     Given 3 routers and a budget of 100000 tokens
     When 5 requests are sent to r2
+    And 20 seconds pass
     And r2 dies
     And 120 seconds pass
-    Then the budget has no tokens at r2 and withholds at most what r2 kept for outages
+    Then the budget has no tokens at r2 and withholds none
     And every request has one bill
 
   Scenario: A request cut by its router's death is billed for what the engine ran
@@ -130,3 +131,33 @@
     When 60 requests are sent at once over all routers
     Then the engines ran at most 3000 tokens
     And every answered request has one bill and no other has any
+
+  Scenario: A router that dies in an outage leaves its bills with other routers
+    Given 3 routers and a budget of 100000 tokens
+    When 3 requests are sent to r2
+    And 20 seconds pass
+    And the service goes down
+    And 4 further requests are sent to r2
+    And r2 dies
+    And the service comes back
+    And 120 seconds pass
+    Then every request has one bill
+    And the budget has no tokens at r2 and withholds none
+
+  Scenario: Without the other routers' copies, what may have been spent is withheld
+    Given 3 routers and a budget of 100000 tokens
+    When 3 requests are sent to r2
+    And 20 seconds pass
+    And the service goes down
+    And r2 dies together with r3
+    And the service comes back
+    And 400 seconds pass
+    Then the budget withholds what r2 kept for outages
+
+  Scenario: A router cut off from everything refuses rather than lose a bill
+    Given 3 routers and a budget of 100000 tokens
+    When 3 requests are sent to r2
+    And 20 seconds pass
+    And r2 reaches neither the service nor other routers
+    And request "a" is sent to r2
+    Then request "a" is refused as "billing_unreachable" and was not run
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -38,7 +38,7 @@
 
 
 async def record(writer, names):
-    futures = [writer.append(begin(name)) for name in names]
+    futures = [writer.append(begin(name)).committed for name in names]
     return await asyncio.gather(*futures, return_exceptions=True)
 
 
@@ -139,9 +139,10 @@
 def record_and_settle(context, count, first):
     async def act(bench, writer):
         for name in range(count):
-            await asyncio.gather(writer.append(begin(name)), writer.append(settle(name)))
+            both = [writer.append(begin(name)), writer.append(settle(name))]
+            await asyncio.gather(*(appended.committed for appended in both))
             if name == first - 1:
-                await writer.append(begin("open"))
+                await writer.append(begin("open")).committed
                 await bench.clock.sleep(1)
         context.before = await bench.budgets.bills(WORKSPACE)
 
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features.fixtures_routers import WORKSPACE, Fleet
+from quinceferry_core.ledgers import Ledger
 from quinceferry_core.models import OperationId
 from quinceferry_core.outcomes import Failed, NotRun, Unknown
 from quinceferry_lab.virtual_time import run_virtual
@@ -52,7 +53,7 @@
     context.scene = Scene(routers, budget)
 
 
-@when('request "{name:w}" is sent to {router}')
+@when('request "{name:w}" is sent to {router:w}')
 def send_request(context, name, router):
     async def act(fleet):
         await send(fleet, router, fleet.request(name))
@@ -60,12 +61,12 @@
     add_act(context, act)
 
 
-@when('changed request "{name:w}" is sent to {router}')
+@when('changed request "{name:w}" is sent to {router:w}')
 def send_other_body(context, name, router):
     add_act(context, lambda fleet: send(fleet, router, fleet.request(name, body=b'{"n":2}')))
 
 
-@when("{count:d} requests are sent to {router}")
+@when("{count:d} requests are sent to {router:w}")
 def send_many(context, count, router):
     async def act(fleet):
         names = [f"{router}-{number}" for number in range(count)]
@@ -74,6 +75,15 @@
     add_act(context, act)
 
 
+@when("{count:d} further requests are sent to {router:w}")
+def send_further(context, count, router):
+    async def act(fleet):
+        names = [f"further-{number}" for number in range(count)]
+        await asyncio.gather(*(send(fleet, router, fleet.request(name)) for name in names))
+
+    add_act(context, act)
+
+
 @when("{count:d} requests are sent at once over all routers")
 def send_over_all(context, count):
     async def act(fleet):
@@ -85,7 +95,7 @@
     add_act(context, act)
 
 
-@when('request "{name:w}" is under way at {router}')
+@when('request "{name:w}" is under way at {router:w}')
 def start_request(context, name, router):
     async def act(fleet):
         request = fleet.request(name, max_output_tokens=2000)
@@ -96,12 +106,12 @@
     add_act(context, act)
 
 
-@when('unticketed request "{name:w}" is sent to {router}')
+@when('unticketed request "{name:w}" is sent to {router:w}')
 def send_without_ticket(context, name, router):
     add_act(context, lambda fleet: send(fleet, router, fleet.request(name, idempotent=False)))
 
 
-@when('ticketed request "{name:w}" of home {home:w} is sent to {router}')
+@when('ticketed request "{name:w}" of home {home:w} is sent to {router:w}')
 def send_to_home(context, name, home, router):
     async def act(fleet):
         ticket = fleet.ticket(router, home)
@@ -110,7 +120,7 @@
     add_act(context, act)
 
 
-@when('later ticketed request "{name:w}" of home {home:w} is sent to {router}')
+@when('later ticketed request "{name:w}" of home {home:w} is sent to {router:w}')
 def send_with_later_ticket(context, name, home, router):
     async def act(fleet):
         await fleet.clock.sleep(1)
@@ -120,7 +130,7 @@
     add_act(context, act)
 
 
-@when('outage-struck request "{name:w}" of home {home:w} is sent to {router}')
+@when('outage-struck request "{name:w}" of home {home:w} is sent to {router:w}')
 def send_in_outage(context, name, home, router):
     async def act(fleet):
         ticket = fleet.ticket(router, home)
@@ -131,12 +141,12 @@
     add_act(context, act)
 
 
-@when('the same copy of request "{name:w}" comes to {router} again')
+@when('the same copy of request "{name:w}" comes to {router:w} again')
 def send_copy(context, name, router):
     add_act(context, lambda fleet: send(fleet, router, fleet.sent[name]))
 
 
-@when('ticketed request "{name:w}" of the dead home is sent to {router}')
+@when('ticketed request "{name:w}" of the dead home is sent to {router:w}')
 def send_to_dead_home(context, name, router):
     async def act(fleet):
         request = fleet.request(name, idempotent=False, ticket=fleet.dead_ticket)
@@ -145,20 +155,37 @@
     add_act(context, act)
 
 
-@when("{router} dies")
+@when("{router:w} dies")
 def kill(context, router):
     async def act(fleet):
         fleet.dead_ticket = fleet.ticket("r1", router)
         fleet.dead = fleet.applications_by_name[router]
         fleet.dead_incarnation = fleet.dead.blackboard.identity.incarnation
         holding = fleet.dead.accounts.current.allotments.holdings_by_workspace.get(WORKSPACE)
-        fleet.dead_outage_tokens = holding.ledger.outage_tokens if holding else 0
+        ledger = holding.ledger if holding else Ledger()
+        fleet.dead_tokens = min(ledger.outage_tokens, ledger.available)
         await fleet.kill(router)
 
     add_act(context, act)
 
 
-@when("{router} dies and its journal is closed")
+@when("{router:w} dies together with {other:w}")
+def kill_two(context, router, other):
+    kill(context, router)
+    add_act(context, lambda fleet: fleet.kill(other))
+
+
+@when("{router:w} reaches neither the service nor other routers")
+def cut_off(context, router):
+    async def act(fleet):
+        fleet.cut_off.add(router)
+        fleet.connections_by_name[router].faults.outage = True
+        await fleet.clock.sleep(5)
+
+    add_act(context, act)
+
+
+@when("{router:w} dies and its journal is closed")
 def kill_and_close(context, router):
     kill(context, router)
     wait(context, 120)
@@ -169,7 +196,7 @@
     add_act(context, lambda fleet: fleet.clock.sleep(seconds))
 
 
-@when("{router} is closed by recovery although it lives")
+@when("{router:w} is closed by recovery although it lives")
 def close_living(context, router):
     async def act(fleet):
         own = fleet.applications_by_name[router].blackboard.identity.incarnation
@@ -181,17 +208,16 @@
     add_act(context, act)
 
 
-@when("{router} is stopped")
+@when("{router:w} is stopped")
 def stop_router(context, router):
     async def act(fleet):
         fleet.dead_incarnation = fleet.applications_by_name[router].blackboard.identity.incarnation
-        fleet.dead_outage_tokens = 0
         await fleet.applications_by_name[router].stop()
 
     add_act(context, act)
 
 
-@when("{router} draws {tokens:d} tokens that it does not need")
+@when("{router:w} draws {tokens:d} tokens that it does not need")
 def draw_unneeded(context, router, tokens):
     async def act(fleet):
         allotments = fleet.applications_by_name[router].accounts.current.allotments
@@ -202,7 +228,7 @@
     add_act(context, act)
 
 
-@when("{router} has seen that and holds none")
+@when("{router:w} has seen that and holds none")
 def see_record(context, router):
     async def act(fleet):
         allotments = fleet.applications_by_name[router].accounts.current.allotments
@@ -239,7 +265,7 @@
     add_act(context, act)
 
 
-@when("the next stream of {router} breaks before its first token")
+@when("the next stream of {router:w} breaks before its first token")
 def break_stream(context, router):
     async def act(fleet):
         for engine in fleet.engines_by_id:
@@ -352,13 +378,21 @@
     context.scene.play(check)
 
 
-@then("the budget has no tokens at {router} and withholds at most what r2 kept for outages")
-@then("the budget has no tokens at {router} and withholds none")
+@then("the budget withholds what r2 kept for outages")
+def check_withheld(context):
+    async def check(fleet):
+        balance = await fleet.balance()
+        assert balance.withheld == fleet.dead_tokens > 0, balance
+
+    context.scene.play(check)
+
+
+@then("the budget has no tokens at {router:w} and withholds none")
 def check_freed(context, router):
     async def check(fleet):
         balance = await fleet.balance()
         used = sum(run.used_tokens for run in fleet.runs())
-        assert balance.withheld <= fleet.dead_outage_tokens, balance
+        assert balance.withheld == 0, balance
         assert balance.settled == used, (balance, used)
         assert balance.held_by_routers == 0, balance
 
@@ -374,7 +408,7 @@
     context.scene.play(check)
 
 
-@then("{router} serves under a new incarnation")
+@then("{router:w} serves under a new incarnation")
 def check_rejoined(context, router):
     async def check(fleet):
         blackboard = fleet.applications_by_name[router].blackboard
--- a/packages/quinceferry-core/src/quinceferry_core/adapters.py
+++ b/packages/quinceferry-core/src/quinceferry_core/adapters.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
+from quinceferry_core.copies import CollectReply, CollectRequest, HoldReply, HoldRequest
 from quinceferry_core.models import (
     CallerRequest,
     IncarnationId,
@@ -216,6 +217,12 @@
 class PeerClient(Protocol):
     """Calls to other routers; each raises :class:`PeerUnavailableError` when it fails."""
 
+    async def hold(self, address: str, request: HoldRequest) -> HoldReply:
+        """Have a peer hold copies of journal entries."""
+
+    async def collect(self, address: str, request: CollectRequest) -> CollectReply:
+        """Read the copies that a peer holds of a closed incarnation, and have it take no more."""
+
     def forward(self, address: str, request: CallerRequest) -> AsyncIterator[AnswerEvent]:
         """Have a peer run a request and return its answer."""
 
--- a/packages/quinceferry-core/src/quinceferry_core/journals.py
+++ b/packages/quinceferry-core/src/quinceferry_core/journals.py
@@ -49,16 +49,21 @@
 
 
 class Slot(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One group commit, or the mark that closes the journal."""
+    """One group commit, or the mark that closes the journal.
+
+    ``first`` is the position of its first entry among all entries of the journal, from zero.
+    """
 
     batch: str
     entries: tuple[Entry, ...] = ()
     closed_by: IncarnationId = IncarnationId("")
+    first: int = 0
 
 
 class Segment(msgspec.Struct, frozen=True):
     """Bills folded out of consecutive slots, in order.
 
+    ``next_position`` is the position of the first entry after them.
     ``first_slot`` and ``next_slot`` bound the folded slots. ``spent_by_workspace`` is cumulative
     over all slots before ``next_slot``.
     """
@@ -67,6 +72,7 @@
     next_slot: int
     bills: tuple[Settle, ...]
     spent_by_workspace: dict[WorkspaceId, int]
+    next_position: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,6 +91,7 @@
     """
 
     next_slot: int = 0
+    next_position: int = 0
     closed_by: IncarnationId = IncarnationId("")
     spent_by_workspace: dict[WorkspaceId, int] = field(default_factory=dict)
     begins_by_request: dict[RequestKey, list[Begin]] = field(default_factory=dict)
@@ -93,6 +100,7 @@
     def apply_segment(self, segment: Segment) -> None:
         """Take over the totals of folded slots."""
         self.next_slot = max(self.next_slot, segment.next_slot)
+        self.next_position = max(self.next_position, segment.next_position)
         self.spent_by_workspace = dict(segment.spent_by_workspace)
         self.settled_requests.update(RequestKey(b.workspace, b.request) for b in segment.bills)
 
@@ -106,20 +114,14 @@
             return
         self.next_slot = number + 1
         self.closed_by = slot.closed_by or self.closed_by
-        for entry in slot.entries:
-            self._apply(entry, owner)
-
-    def reserved_unsettled(self, workspace: WorkspaceId) -> int:
-        """Return the tokens reserved by attempts of a workspace that are not settled."""
-        return sum(
-            begin.reserved
-            for key, begins in self.begins_by_request.items()
-            if key.workspace == workspace
-            for begin in begins
-        )
-
-    def _apply(self, entry: Entry, owner: IncarnationId) -> None:
-        """Take over one entry."""
+        for position, entry in enumerate(slot.entries, slot.first):
+            self.apply(position, entry, owner)
+
+    def apply(self, position: int, entry: Entry, owner: IncarnationId) -> bool:
+        """Take over one entry; return False if the journal already has its position."""
+        if position < self.next_position:
+            return False
+        self.next_position = position + 1
         key = RequestKey(entry.workspace, entry.request)
         match entry:
             case Begin():
@@ -130,6 +132,16 @@
                 if entry.origin == owner:
                     spent = self.spent_by_workspace.get(entry.workspace, 0)
                     self.spent_by_workspace[entry.workspace] = spent + entry.used + entry.lost
+        return True
+
+    def reserved_unsettled(self, workspace: WorkspaceId) -> int:
+        """Return the tokens reserved by attempts of a workspace that are not settled."""
+        return sum(
+            begin.reserved
+            for key, begins in self.begins_by_request.items()
+            if key.workspace == workspace
+            for begin in begins
+        )
 
 
 def slot_key(incarnation: IncarnationId, number: int) -> str:
--- a/packages/quinceferry-core/src/quinceferry_core/membership.py
+++ b/packages/quinceferry-core/src/quinceferry_core/membership.py
@@ -54,6 +54,7 @@
     :func:`absence_proof` gives a proof.
 
     ``closed_by`` names the incarnation that closed its journal, or is empty while it is open.
+    ``copy_holders`` are the only routers that may hold copies of its journal entries.
     ``applied_revision`` is the configuration revision that the router has confirmed.
     ``listening`` says that the router owns its listening address, ``vm_listed`` that it has seen
     its own VM in the VM list since it joined, ``left`` that it stopped and will serve no more.
@@ -65,6 +66,7 @@
     fencing: int
     closed_by: IncarnationId = IncarnationId("")
     address: str = ""
+    copy_holders: tuple[IncarnationId, ...] = ()
     applied_revision: int = 0
     listening: bool = False
     vm_listed: bool = False
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -1,6 +1,6 @@
 """The journal and the allotments of each incarnation that this process has been."""
 
-import asyncio
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -15,7 +15,7 @@
 from quinceferryd.allotments import AllotmentController, Holding, decode_budget
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
-from quinceferryd.journal import JournalWriter
+from quinceferryd.journal import Appended, JournalWriter
 from quinceferryd.settings import BudgetSettings, JournalSettings
 
 
@@ -74,6 +74,8 @@
         self._budget_settings = budgets
         self._journal_settings = journal
         self._carried: list[Settle] = []
+        self.on_open: list[Callable[[Account], None]] = []
+        """Called with each account that is opened."""
 
     async def open(self) -> None:
         """Open the account of the incarnation that has just joined."""
@@ -87,6 +89,8 @@
             incarnation, self._kv, self._clock, self._rng, self._budget_settings, self._note_fenced
         )
         self.current = Account(journal, allotments)
+        for hook in self.on_open:
+            hook(self.current)
         await self.current.start()
         for entry in self._carried:
             journal.append(entry)
@@ -105,10 +109,10 @@
         if account.open_requests == 0:
             self.spawn(self._wind_up(account), f"wind up {incarnation}")
 
-    def settle(self, account: Account, entry: Settle) -> asyncio.Future[None] | None:
+    def settle(self, account: Account, entry: Settle) -> Appended | None:
         """Record a settlement, in the successor's journal if the account is closed.
 
-        :return: a future that ends when the settlement is durable, if it is known which.
+        :return: the journal entry, if the account is open.
         """
         if not account.closed:
             return account.journal.append(entry)
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -9,12 +9,14 @@
 from quinceferry_core.membership import Member
 from quinceferry_core.models import IncarnationId, Ticket, VmId, WorkspaceId
 from quinceferry_core.tickets import TicketSigner
-from quinceferryd.accounts import AccountController
+from quinceferryd.accounts import Account, AccountController
 from quinceferryd.addresses import AddressController
 from quinceferryd.blackboard import Blackboard, Identity
 from quinceferryd.budgets import BudgetService
 from quinceferryd.configuration import ConfigurationController
 from quinceferryd.controllers import Controller
+from quinceferryd.copy_sender import CopySender
+from quinceferryd.copy_store import CopyStore
 from quinceferryd.execution import Executor
 from quinceferryd.folds import JournalFolder
 from quinceferryd.kv_health import KvProbe, MonitoredKv
@@ -80,6 +82,7 @@
             self.loads,
             self.scheduler,
             self.accounts,
+            self.copy_sender,
             self.recovery,
             self.folder,
             self.pipeline,
@@ -157,6 +160,9 @@
             settings.streams,
         )
         shortages = ShortageHandler(self.blackboard, self.peers, self.clock, settings.budgets)
+        self.copy_sender = CopySender(self.blackboard, self.peers, self.membership, self.clock)
+        self.copies = CopyStore()
+        self.accounts.on_open.append(self._attach_copies)
         executor = Executor(
             self.blackboard,
             self.accounts,
@@ -164,6 +170,7 @@
             self.scheduler,
             streams,
             self.peers,
+            self.copy_sender,
             settings.journal,
         )
         self.pipeline = Pipeline(
@@ -185,6 +192,8 @@
             self.accounts,
             dependencies.upstreams,
             self.vms,
+            self.peers,
+            self.copies,
             self.clock,
             self._rng,
             settings.recovery,
@@ -208,6 +217,11 @@
         """Wind up the account of an incarnation that another router has closed."""
         await self.accounts.close(incarnation)
 
+    def _attach_copies(self, account: Account) -> None:
+        """Let a new incarnation place copies, and answer for those it holds."""
+        self.copies.note_own(account.incarnation)
+        self.copy_sender.attach(account.journal)
+
     def _issue_ticket(self, workspace: WorkspaceId, home: Member) -> str:
         """Return a ticket that names a member as the home of non-idempotent requests."""
         expires_at = self.clock.now() + TICKET_LIFETIME
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
@@ -0,0 +1,177 @@
+"""Places copies of journal entries at other routers while the key-value service is out."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from quinceferry_core.adapters import PeerClient
+from quinceferry_core.clocks import Clock
+from quinceferry_core.copies import EntryCopy, HoldReply, HoldRequest
+from quinceferry_core.copy_holders import choose_holders
+from quinceferry_core.exceptions import FencedError, KvError, PeerUnavailableError
+from quinceferry_core.membership import MemberState
+from quinceferry_core.models import IncarnationId
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.journal import JournalWriter
+from quinceferryd.membership import MembershipController
+
+REGISTER_INTERVAL_SECONDS = 5.0
+PLACE_TIMEOUT_SECONDS = 1.5
+MAX_BATCH_COPIES = 512
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A copy on its way to one holder."""
+
+    copy: EntryCopy
+    held: asyncio.Future[bool]
+
+
+@dataclass(slots=True)
+class _Lane:
+    """Copies on their way to one holder, one call at a time."""
+
+    waiting: deque[_Waiting] = field(default_factory=deque)
+    is_sending: bool = False
+    has_copies: bool = False
+
+
+class CopySender(TaskGroupController):
+    """Registers holders in the incarnation record, and sends them copies when they are needed.
+
+    Only registered holders get copies, so whoever closes this incarnation knows whom to ask. The
+    set of holders changes only while every entry is durable.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        peers: PeerClient,
+        membership: MembershipController,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._journal: JournalWriter | None = None
+        self._holders: tuple[IncarnationId, ...] = ()
+        self._has_tried_to_register = False
+        self._lanes_by_holder: dict[IncarnationId, _Lane] = {}
+        self.placed = 0
+
+    async def start(self) -> None:
+        """Start the loop that registers holders and releases copies."""
+        self.spawn(self._maintain_forever(), "copies")
+
+    def attach(self, journal: JournalWriter) -> None:
+        """Begin anew for the journal of another incarnation."""
+        self._journal = journal
+        self._holders = ()
+        self._has_tried_to_register = False
+        self._lanes_by_holder = {}
+
+    async def place(self, copy: EntryCopy) -> bool:
+        """Have at least one registered holder take a copy.
+
+        :return: whether one did; true as well while no holder was ever named in the record, since
+            whoever closes this incarnation then does not rely on copies.
+        """
+        if not self._holders:
+            return not self._has_tried_to_register
+        pending = {self._enqueue(holder, copy) for holder in self._holders}
+        deadline = self._clock.monotonic() + PLACE_TIMEOUT_SECONDS
+        while pending:
+            timeout = max(0.0, deadline - self._clock.monotonic())
+            done, pending = await asyncio.wait(
+                pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(held.result() for held in done):
+                self.placed += 1
+                return True
+            if not done:
+                return False
+        return False
+
+    def _enqueue(self, holder: IncarnationId, copy: EntryCopy) -> asyncio.Future[bool]:
+        """Put a copy on its way to one holder."""
+        held: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        lane = self._lanes_by_holder.setdefault(holder, _Lane())
+        lane.waiting.append(_Waiting(copy, held))
+        if not lane.is_sending:
+            lane.is_sending = True
+            self.spawn(self._send_all(holder, lane), f"copies to {holder}")
+        return held
+
+    async def _send_all(self, holder: IncarnationId, lane: _Lane) -> None:
+        """Send what waits for one holder, in as few calls as there is time for."""
+        try:
+            while lane.waiting:
+                size = min(len(lane.waiting), MAX_BATCH_COPIES)
+                batch = [lane.waiting.popleft() for _ in range(size)]
+                is_held = await self._send(holder, tuple(item.copy for item in batch))
+                lane.has_copies = lane.has_copies or is_held
+                for item in batch:
+                    if not item.held.done():
+                        item.held.set_result(is_held)
+        finally:
+            lane.is_sending = False
+
+    async def _send(self, holder: IncarnationId, copies: tuple[EntryCopy, ...]) -> bool:
+        """Make one call; return whether the copies are held."""
+        member = self._blackboard.members_by_incarnation.get(holder)
+        journal = self._journal
+        if member is None or journal is None:
+            return False
+        request = HoldRequest(holder, journal.incarnation, copies, journal.durable_before)
+        try:
+            reply = await self._peers.hold(member.address, request)
+        except PeerUnavailableError:
+            return False
+        if reply is HoldReply.SEALED:
+            journal.fence()
+        return reply is HoldReply.HELD
+
+    async def _maintain_forever(self) -> None:
+        """Keep the registered holders current and the holders' memory free."""
+        while True:
+            await self._clock.sleep(REGISTER_INTERVAL_SECONDS)
+            journal = self._journal
+            is_serving = self._blackboard.state is RouterState.SERVING
+            if journal is None or not is_serving or not self._blackboard.kv.available:
+                continue
+            if journal.is_flushed:
+                await self._release()
+                await self._register()
+
+    async def _release(self) -> None:
+        """Tell holders that the entries they hold copies of are durable."""
+        for holder, lane in list(self._lanes_by_holder.items()):
+            if lane.has_copies and not lane.waiting and await self._send(holder, ()):
+                lane.has_copies = False
+
+    async def _register(self) -> None:
+        """Write a new choice of holders to the incarnation record."""
+        members = self._blackboard.members_by_incarnation
+        own = members.get(self._blackboard.identity.incarnation)
+        if own is None:
+            return
+        others = [
+            member
+            for name, member in members.items()
+            if name != own.incarnation and member.state is MemberState.SERVING
+        ]
+        chosen = choose_holders(own, others)
+        if chosen == self._holders:
+            return
+        # Until the record is known to name the new ones, only those in both sets may be used.
+        self._holders = tuple(name for name in self._holders if name in chosen)
+        self._has_tried_to_register = True
+        try:
+            await self._membership.update_record(copy_holders=chosen)
+        except (FencedError, KvError):
+            return
+        self._holders = chosen
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
@@ -0,0 +1,94 @@
+"""Copies of other routers' journal entries, held until the key-value service has the entries."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from quinceferry_core.copies import (
+    CollectReply,
+    CollectRequest,
+    EntryCopy,
+    HoldReply,
+    HoldRequest,
+)
+from quinceferry_core.models import IncarnationId
+
+MAX_HELD_BYTES = 6 * 1024 * 1024
+"""Encoded copies of all owners together."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Batch:
+    """Copies that came in one call, encoded to take little memory."""
+
+    last_position: int
+    encoded: bytes
+
+
+@dataclass(slots=True)
+class _Held:
+    """Copies of one owner; a sealed owner has been closed."""
+
+    batches: list[_Batch] = field(default_factory=list)
+    is_sealed: bool = False
+
+    def drop_before(self, position: int) -> int:
+        """Drop batches whose entries all stand before a position; return their bytes."""
+        dropped = [batch for batch in self.batches if batch.last_position < position]
+        self.batches = [batch for batch in self.batches if batch.last_position >= position]
+        return sum(len(batch.encoded) for batch in dropped)
+
+
+class CopyStore:
+    """Holds copies in memory, for any number of owners."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+        self._held_by_owner: dict[IncarnationId, _Held] = {}
+        self._own_incarnations: set[IncarnationId] = set()
+
+    def note_own(self, incarnation: IncarnationId) -> None:
+        """Note an incarnation that this process is or has been."""
+        self._own_incarnations.add(incarnation)
+
+    def owners(self) -> set[IncarnationId]:
+        """Return the incarnations of which anything is known here."""
+        return set(self._held_by_owner)
+
+    def hold(self, request: HoldRequest) -> HoldReply:
+        """Hold copies, and drop those of entries that are durable.
+
+        A late call drops nothing that still matters, because durable entries never become less.
+        """
+        if request.holder not in self._own_incarnations:
+            return HoldReply.NOT_HOLDER
+        held = self._held_by_owner.setdefault(request.owner, _Held())
+        if held.is_sealed:
+            return HoldReply.SEALED
+        self.held_bytes -= held.drop_before(request.durable_before)
+        if not request.copies:
+            return HoldReply.HELD
+        encoded = msgspec.json.encode(request.copies)
+        if self.held_bytes + len(encoded) > MAX_HELD_BYTES:
+            return HoldReply.FULL
+        last_position = max(copy.position for copy in request.copies)
+        held.batches.append(_Batch(last_position, encoded))
+        self.held_bytes += len(encoded)
+        return HoldReply.HELD
+
+    def collect(self, request: CollectRequest) -> CollectReply:
+        """Return all copies of a closed incarnation, and take no more of them."""
+        if request.holder not in self._own_incarnations:
+            return CollectReply(False)
+        held = self._held_by_owner.setdefault(request.owner, _Held())
+        held.is_sealed = True
+        copies: list[EntryCopy] = []
+        for batch in held.batches:
+            copies.extend(msgspec.json.decode(batch.encoded, type=tuple[EntryCopy, ...]))
+        return CollectReply(True, tuple(copies))
+
+    def forget(self, owner: IncarnationId) -> None:
+        """Drop everything of an incarnation whose process is proven gone or knows it is closed."""
+        held = self._held_by_owner.pop(owner, None)
+        if held is not None:
+            self.held_bytes -= sum(len(batch.encoded) for batch in held.batches)
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -25,7 +25,9 @@
 from quinceferryd.accounts import Account, AccountController
 from quinceferryd.billing import bill_of
 from quinceferryd.blackboard import Blackboard
+from quinceferryd.copy_sender import CopySender
 from quinceferryd.forwards import forward
+from quinceferryd.journal import Appended
 from quinceferryd.runs import RequestRun
 from quinceferryd.scheduling import Permit, Scheduler
 from quinceferryd.settings import JournalSettings
@@ -41,6 +43,15 @@
 NEVER_SENT = NotRun(NotRunProof.NEVER_SENT)
 
 
+_BILLING_UNREACHABLE = Failed(
+    RefusalReason.BILLING_UNREACHABLE,
+    NEVER_SENT,
+    RETRY_SECONDS,
+    "the bill cannot be recorded now",
+    step="journal.append",
+)
+
+
 def not_ready(step: str) -> Failed:
     """Return the refusal of a router that has no incarnation to run a request under."""
     detail = "this router is not a member of the fleet now"
@@ -72,6 +83,7 @@
         scheduler: Scheduler,
         streams: StreamRunner,
         peers: PeerClient,
+        copies: CopySender,
         settings: JournalSettings,
     ) -> None:
         self._blackboard = blackboard
@@ -80,6 +92,7 @@
         self._scheduler = scheduler
         self._streams = streams
         self._peers = peers
+        self._copies = copies
         self._settings = settings
 
     async def execute(self, run: RequestRun, request: CallerRequest) -> None:
@@ -118,7 +131,7 @@
         """Run a request whose tokens are reserved, and settle it whatever happens."""
         permit: Permit | None = None
         last: AnswerEvent | None = None
-        committed: asyncio.Future[None] | None = None
+        settled: Appended | None = None
         try:
             admitted = await self._scheduler.enter(execution.request, execution.token_cap)
             if isinstance(admitted, Failure):
@@ -129,10 +142,9 @@
         finally:
             if permit is not None:
                 permit.leave()
-            committed = self._settle(execution)
-        # A caller that has the whole answer must find it billed, even if this router dies now.
-        if committed is not None and isinstance(last, Finished):
-            await asyncio.wait([committed], timeout=self._patience())
+            settled = self._settle(execution)
+        if settled is not None and isinstance(last, Finished):
+            await self._secure(settled)
         if last is not None:
             run.publish(last)
 
@@ -196,19 +208,26 @@
 
         :raises FencedError: another router has closed this incarnation.
         """
-        committed = execution.account.journal.append(begin)
+        appended = execution.account.journal.append(begin)
+        committed = appended.committed
         await asyncio.wait([committed], timeout=self._patience())
         if committed.done():
             committed.result()
             return None
         ledger = execution.account.allotments.ledger(begin.workspace)
         if self._must_be_recorded(execution.request) or not ledger.enter_unrecorded(begin.reserved):
-            detail = "the bill cannot be recorded now"
-            reason = RefusalReason.BILLING_UNREACHABLE
-            return Failed(reason, NEVER_SENT, RETRY_SECONDS, detail, step="journal.append")
+            return _BILLING_UNREACHABLE
         committed.add_done_callback(lambda _: ledger.leave_unrecorded(begin.reserved))
+        if not await self._copies.place(appended.copy):
+            return _BILLING_UNREACHABLE
         return None
 
+    async def _secure(self, settled: Appended) -> None:
+        """Wait until a bill outlives this router: durable, or held by another router."""
+        await asyncio.wait([settled.committed], timeout=self._patience())
+        if not settled.committed.done():
+            await self._copies.place(settled.copy)
+
     def _patience(self) -> float:
         """Return how long to wait for a commit, in seconds; not at all during an outage."""
         return self._settings.commit_patience_seconds if self._blackboard.kv.available else 0.0
@@ -219,7 +238,7 @@
             return False
         return request.ticket is None or request.ticket.journaled
 
-    def _settle(self, execution: _Execution) -> asyncio.Future[None] | None:
+    def _settle(self, execution: _Execution) -> Appended | None:
         """Charge the budget and append the bill for whatever may have run."""
         request = execution.request
         account = execution.account
--- a/packages/quinceferry-daemon/src/quinceferryd/folds.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/folds.py
@@ -126,4 +126,6 @@
         folded.apply_slot(slot_number(entry.key), slot, incarnation)
     if len(chosen) < MIN_SLOTS:
         return [], None
-    return chosen, Segment(first, folded.next_slot, tuple(bills), folded.spent_by_workspace)
+    return chosen, Segment(
+        first, folded.next_slot, tuple(bills), folded.spent_by_workspace, folded.next_position
+    )
--- a/packages/quinceferry-daemon/src/quinceferryd/interfaces.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/interfaces.py
@@ -7,6 +7,7 @@
 
 from quinceferry_core.adapters import RecallReply
 from quinceferry_core.clocks import Clock
+from quinceferry_core.copies import CollectReply, CollectRequest, HoldReply, HoldRequest
 from quinceferry_core.models import CallerRequest, RequestId, Ticket, WorkspaceId
 from quinceferry_core.outcomes import AnswerStream, Outcome
 from quinceferryd.blackboard import Blackboard
@@ -40,6 +41,16 @@
         """Return unused tokens to the budget record."""
 
 
+class Copies(Protocol):
+    """Copies of other routers' journal entries."""
+
+    def hold(self, request: HoldRequest) -> HoldReply:
+        """Hold copies."""
+
+    def collect(self, request: CollectRequest) -> CollectReply:
+        """Return all copies of a closed incarnation, and take no more of them."""
+
+
 class Addresses(Protocol):
     """Answers which routers a workspace should use."""
 
@@ -62,6 +73,7 @@
     blackboard: Blackboard
     pipeline: Pipeline
     allotments: Allotments
+    copies: Copies
     addresses: Addresses
     tickets: Tickets
     metrics: Metrics
--- a/packages/quinceferry-daemon/src/quinceferryd/journal.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/journal.py
@@ -11,6 +11,7 @@
 from quinceferry_core.adapters import ABSENT_VERSION, KvStore
 from quinceferry_core.backoffs import Backoff
 from quinceferry_core.clocks import Clock
+from quinceferry_core.copies import EntryCopy
 from quinceferry_core.exceptions import FencedError, KvConflictError, KvUnavailableError
 from quinceferry_core.journals import Entry, Slot, slot_key
 from quinceferry_core.models import IncarnationId
@@ -21,12 +22,18 @@
 
 
 @dataclass(slots=True)
-class _Pending:
-    """An entry that waits for its commit."""
+class Appended:
+    """An entry that waits for its commit; ``committed`` fails with ``FencedError``."""
 
     entry: Entry
+    position: int
     committed: asyncio.Future[None]
 
+    @property
+    def copy(self) -> EntryCopy:
+        """Return the entry as other routers hold it."""
+        return EntryCopy(self.position, self.entry)
+
 
 class JournalWriter(TaskGroupController):
     """Appends entries of one incarnation, many in one slot.
@@ -49,6 +56,7 @@
         super().__init__()
         self.incarnation = incarnation
         self.next_slot = 0
+        self.next_position = 0
         self.fenced = False
         self.commits = 0
         self._kv = kv
@@ -56,7 +64,7 @@
         self._rng = rng
         self._settings = settings
         self._on_fenced = on_fenced
-        self._queue: deque[_Pending] = deque()
+        self._queue: deque[Appended] = deque()
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -65,21 +73,33 @@
         """Start the commit loop."""
         self.spawn(self._commit_forever(), "journal")
 
-    def append(self, entry: Entry) -> asyncio.Future[None]:
+    def append(self, entry: Entry) -> Appended:
         """Queue an entry.
 
-        :return: a future that ends when the entry is durable, or fails with ``FencedError``.
+        :return: the entry with a future that ends when it is durable.
         """
         committed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Most callers do not wait for a settlement; an unread failure must not be reported.
         committed.add_done_callback(_read_exception)
+        appended = Appended(entry, self.next_position, committed)
         if self.fenced:
             committed.set_exception(self._fenced_error())
-            return committed
-        self._queue.append(_Pending(entry, committed))
+            return appended
+        self._queue.append(appended)
+        self.next_position += 1
         self._idle.clear()
         self._wake.set()
-        return committed
+        return appended
+
+    @property
+    def is_flushed(self) -> bool:
+        """Return whether every entry is durable."""
+        return not self._queue
+
+    @property
+    def durable_before(self) -> int:
+        """Return the position of the first entry that is not known to be durable."""
+        return self._queue[0].position if self._queue else self.next_position
 
     async def flush(self) -> None:
         """Wait until every queued entry is durable or the writer is fenced."""
@@ -104,17 +124,19 @@
             self._wake.set()
             await self._clock.sleep(self._settings.min_commit_interval_seconds)
 
-    def _next_batch(self) -> list[_Pending]:
+    def _next_batch(self) -> list[Appended]:
         """Return the oldest entries without removing them from the queue."""
         size = min(len(self._queue), self._settings.max_batch_entries)
         return [self._queue[index] for index in range(size)]
 
-    async def _commit(self, batch: list[_Pending]) -> None:
+    async def _commit(self, batch: list[Appended]) -> None:
         """Write one slot, however often the service has to be asked."""
         # The same content is sent until it is known to be there or another content is: an earlier
         # try may still take effect.
         name = f"{self.incarnation}/{self._rng.getrandbits(64):016x}"
-        value = msgspec.json.encode(Slot(name, tuple(pending.entry for pending in batch)))
+        value = msgspec.json.encode(
+            Slot(name, tuple(pending.entry for pending in batch), first=batch[0].position)
+        )
         backoff = Backoff(self._rng)
         while not self.fenced:
             try:
@@ -142,7 +164,7 @@
                 return False
         return True
 
-    def _finish(self, batch: list[_Pending]) -> None:
+    def _finish(self, batch: list[Appended]) -> None:
         """Release the waiters of a durable batch."""
         self.next_slot += 1
         self.commits += 1
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
@@ -7,6 +7,7 @@
 from litestar import Request, Router, post
 from litestar.types import ASGIApp
 
+from quinceferry_core.copies import CollectRequest, HoldRequest
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Failed, Finished
 from quinceferryd import wire
@@ -21,6 +22,10 @@
 """Tells what became of a request."""
 RECALL_PATH = "/peer/v1/recall"
 """Returns unused tokens."""
+HOLD_PATH = "/peer/v1/hold"
+"""Holds copies of journal entries."""
+COLLECT_PATH = "/peer/v1/collect"
+"""Returns the copies held of a closed incarnation."""
 KEEP_ALIVE_SECONDS = 3.0
 """Interval of empty lines on an answer that is silent."""
 MAX_PEER_BODY_FACTOR = 4
@@ -86,6 +91,30 @@
         reply = await self._application.allotments.recall(wanted.workspace, wanted.wanted)
         return self._reply(wire.encode_recall_reply(reply))
 
+    async def hold(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        """Hold copies of journal entries."""
+        body = await self._authenticated_body(request)
+        if body is None:
+            return self._refuse(401, b"bad signature or oversized body")
+        try:
+            wanted = msgspec.json.decode(body, type=HoldRequest)
+        except msgspec.DecodeError as error:
+            return self._refuse(400, str(error).encode())
+        reply = self._application.copies.hold(wanted)
+        return self._reply(msgspec.json.encode(reply))
+
+    async def collect(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        """Return the copies held of a closed incarnation."""
+        body = await self._authenticated_body(request)
+        if body is None:
+            return self._refuse(401, b"bad signature or oversized body")
+        try:
+            wanted = msgspec.json.decode(body, type=CollectRequest)
+        except msgspec.DecodeError as error:
+            return self._refuse(400, str(error).encode())
+        reply = self._application.copies.collect(wanted)
+        return self._reply(msgspec.json.encode(reply))
+
     async def _authenticated_body(self, request: Request[Any, Any, Any]) -> bytes | None:
         """Read the body; None unless it is signed and of a permitted size."""
         pieces = bytearray()
@@ -159,7 +188,7 @@
 
 def peer_routes() -> Router:
     """Return the routes for peers; they use the ``peer_api`` of the server's state."""
-    return Router("", route_handlers=[_forward, _outcome, _recall])
+    return Router("", route_handlers=[_forward, _outcome, _recall, _hold, _collect])
 
 
 @post(FORWARD_PATH, request_max_body_size=None)
@@ -175,3 +204,13 @@
 @post(RECALL_PATH, request_max_body_size=None)
 async def _recall(request: Request[Any, Any, Any]) -> ASGIApp:
     return await request.app.state.peer_api.recall(request)
+
+
+@post(HOLD_PATH, request_max_body_size=None)
+async def _hold(request: Request[Any, Any, Any]) -> ASGIApp:
+    return await request.app.state.peer_api.hold(request)
+
+
+@post(COLLECT_PATH, request_max_body_size=None)
+async def _collect(request: Request[Any, Any, Any]) -> ASGIApp:
+    return await request.app.state.peer_api.collect(request)
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
@@ -8,12 +8,15 @@
 
 from quinceferry_core.adapters import RecallReply
 from quinceferry_core.clocks import Clock
+from quinceferry_core.copies import CollectReply, CollectRequest, HoldReply, HoldRequest
 from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
 from quinceferryd import wire
 from quinceferryd.peer_api import (
+    COLLECT_PATH,
     FORWARD_PATH,
+    HOLD_PATH,
     KEEP_ALIVE_SECONDS,
     OUTCOME_PATH,
     RECALL_PATH,
@@ -106,6 +109,26 @@
             reply = await self._call(address, RECALL_PATH, body, "peer.recall")
             return wire.decode_recall_reply(reply)
 
+    async def hold(self, address: str, request: HoldRequest) -> HoldReply:
+        """Have a peer hold copies of journal entries.
+
+        :raises PeerUnavailableError: no answer came; the copies may be held.
+        """
+        body = msgspec.json.encode(request)
+        with _peer_errors("peer.hold", address):
+            reply = await self._call(address, HOLD_PATH, body, "peer.hold")
+            return msgspec.json.decode(reply, type=HoldReply)
+
+    async def collect(self, address: str, request: CollectRequest) -> CollectReply:
+        """Read the copies that a peer holds of a closed incarnation, and have it take no more.
+
+        :raises PeerUnavailableError: no answer came.
+        """
+        body = msgspec.json.encode(request)
+        with _peer_errors("peer.collect", address):
+            reply = await self._call(address, COLLECT_PATH, body, "peer.collect")
+            return msgspec.json.decode(reply, type=CollectReply)
+
     async def _call(self, address: str, path: str, body: bytes, step: str) -> bytes:
         """Make a short call and return the body of its reply."""
         response = await self._http.post(
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_health.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_health.py
@@ -1,12 +1,14 @@
 """Which other routers answer, told from ordinary calls and from sparse probes."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from contextlib import aclosing
 from dataclasses import dataclass
+from typing import TypeVar
 
 from quinceferry_core.adapters import PeerClient, RecallReply
 from quinceferry_core.clocks import Clock
+from quinceferry_core.copies import CollectReply, CollectRequest, HoldReply, HoldRequest
 from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Outcome
@@ -23,6 +25,8 @@
 OUTAGE_PROBE_SECONDS = 1.0
 """The same in an outage, when leases tell nothing."""
 
+T = TypeVar("T")
+
 _PROBE_WORKSPACE = WorkspaceId("")
 _PROBE_REQUEST = RequestId("")
 
@@ -114,23 +118,30 @@
         self, address: str, workspace: WorkspaceId, request_id: RequestId
     ) -> Outcome | None:
         """Ask what became of a request."""
-        try:
-            outcome = await self._inner.ask_outcome(address, workspace, request_id)
-        except PeerUnavailableError:
-            self._health.note_failure(address)
-            raise
-        self._health.note_success(address)
-        return outcome
+        call = self._inner.ask_outcome(address, workspace, request_id)
+        return await self._noted(address, call)
 
     async def recall(self, address: str, workspace: WorkspaceId, wanted: int) -> RecallReply:
         """Ask a peer to return its unused tokens."""
+        return await self._noted(address, self._inner.recall(address, workspace, wanted))
+
+    async def hold(self, address: str, request: HoldRequest) -> HoldReply:
+        """Have a peer hold copies of journal entries."""
+        return await self._noted(address, self._inner.hold(address, request))
+
+    async def collect(self, address: str, request: CollectRequest) -> CollectReply:
+        """Read the copies that a peer holds of a closed incarnation."""
+        return await self._noted(address, self._inner.collect(address, request))
+
+    async def _noted(self, address: str, call: Awaitable[T]) -> T:
+        """Await a call and note how it ends."""
         try:
-            reply = await self._inner.recall(address, workspace, wanted)
+            answer = await call
         except PeerUnavailableError:
             self._health.note_failure(address)
             raise
         self._health.note_success(address)
-        return reply
+        return answer
 
 
 class PeerProbe(TaskGroupController):
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -1,28 +1,40 @@
 """Recovers the tokens and bills of incarnations that are gone."""
 
-import asyncio
-from dataclasses import dataclass, field, replace
-from functools import partial
+from dataclasses import dataclass, replace
 from random import Random
 
 import msgspec
 
-from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore, UpstreamClient
+from quinceferry_core.adapters import (
+    ABSENT_VERSION,
+    KvEntry,
+    KvStore,
+    PeerClient,
+    UpstreamClient,
+)
 from quinceferry_core.budgets import BUDGET_PREFIX, BudgetRecord, close, retire
 from quinceferry_core.clocks import Clock
-from quinceferry_core.exceptions import KvConflictError, KvError, UpstreamError
-from quinceferry_core.journals import Begin, JournalState, RequestKey, Settle, Slot, slot_key
+from quinceferry_core.copies import CollectReply, CollectRequest
+from quinceferry_core.exceptions import (
+    KvConflictError,
+    KvError,
+    PeerUnavailableError,
+    UpstreamError,
+)
+from quinceferry_core.journals import Begin, JournalState, Settle, Slot, slot_key
 from quinceferry_core.membership import (
     INCARNATION_PREFIX,
     AbsenceProof,
     IncarnationRecord,
     absence_proof,
 )
-from quinceferry_core.models import IncarnationId, WorkspaceId
+from quinceferry_core.models import IncarnationId
 from quinceferry_core.routing import rendezvous_order
-from quinceferryd.accounts import AccountController
+from quinceferryd.accounts import Account, AccountController
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
+from quinceferryd.copy_store import CopyStore
+from quinceferryd.recovery_cases import RecoveryCase
 from quinceferryd.settings import RecoverySettings
 from quinceferryd.verdicts import read_journal
 from quinceferryd.vms import VmListController
@@ -39,34 +51,6 @@
     requests_settled: int = 0
 
 
-@dataclass(slots=True)
-class _Case:
-    """One incarnation under recovery; ``absent_since`` is in monotonic seconds."""
-
-    absent_since: float
-    closed_at: float | None = None
-    settled_by_request: dict[RequestKey, Settle] = field(default_factory=dict)
-    commits: list[asyncio.Future[None]] = field(default_factory=list)
-
-    def spent(self, journal: JournalState, workspace: WorkspaceId) -> int:
-        """Return the tokens known to be spent of one workspace's allotment."""
-        recovered = sum(
-            entry.used + entry.lost
-            for key, entry in self.settled_by_request.items()
-            if key.workspace == workspace and key in journal.begins_by_request
-        )
-        return journal.spent_by_workspace.get(workspace, 0) + recovered
-
-    def unsettled(self, journal: JournalState, workspace: WorkspaceId) -> int:
-        """Return the tokens reserved by attempts that nobody has accounted for."""
-        return sum(
-            begin.reserved
-            for key, begins in journal.begins_by_request.items()
-            if key.workspace == workspace and key not in self.settled_by_request
-            for begin in begins
-        )
-
-
 class RecoveryController(TaskGroupController):
     """Closes incarnations without a lease, and frees what they provably did not spend.
 
@@ -82,6 +66,8 @@
         accounts: AccountController,
         upstreams: UpstreamClient,
         vms: VmListController,
+        peers: PeerClient,
+        copies: CopyStore,
         clock: Clock,
         rng: Random,
         settings: RecoverySettings,
@@ -93,10 +79,12 @@
         self._accounts = accounts
         self._upstreams = upstreams
         self._vms = vms
+        self._peers = peers
+        self._copies = copies
         self._clock = clock
         self._rng = rng
         self._settings = settings
-        self._cases_by_incarnation: dict[IncarnationId, _Case] = {}
+        self._cases_by_incarnation: dict[IncarnationId, RecoveryCase] = {}
 
     async def start(self) -> None:
         """Start looking for incarnations that are gone."""
@@ -107,12 +95,14 @@
 
         :raises KvError: the key-value service did not answer.
         """
+        owners = self._copies.owners()
         entries = await self._kv.list(INCARNATION_PREFIX)
         records = [msgspec.json.decode(entry.value, type=IncarnationRecord) for entry in entries]
         present = {record.incarnation for record in records}
-        for incarnation in list(self._cases_by_incarnation):
-            if incarnation not in present:
-                del self._cases_by_incarnation[incarnation]
+        for incarnation in self._cases_by_incarnation.keys() - present:
+            del self._cases_by_incarnation[incarnation]
+        for owner in owners - present:
+            self._copies.forget(owner)
         for entry, record in zip(entries, records, strict=True):
             others = tuple(other for other in records if other is not record)
             await self._check_one(entry, record, others)
@@ -142,9 +132,10 @@
             self._cases_by_incarnation.pop(incarnation, None)
             return
         now = self._clock.monotonic()
-        case = self._cases_by_incarnation.setdefault(incarnation, _Case(now))
+        case = self._cases_by_incarnation.setdefault(incarnation, RecoveryCase(now))
         vm_gone = self._vms.is_gone(record)
-        if now - case.absent_since < self._patience(incarnation):
+        account = self._accounts.current
+        if now - case.absent_since < self._patience(incarnation) or account is None:
             return
         if not record.closed_by:
             await self._close_record(entry, record)
@@ -152,17 +143,31 @@
         journal = await self._close_journal(incarnation)
         if case.closed_at is None:
             case.closed_at = now
+        await self._collect_copies(case, record)
+        case.complete(journal, incarnation, account)
+        await self._settle_requests(case, journal, incarnation, account)
         proof = absence_proof(record, others, vm_gone)
-        await self._settle_requests(case, journal, incarnation)
-        held = await self._held_budgets(incarnation)
-        if proof is not None and self._may_retire(case, journal, proof, now):
-            await self._retire(case, journal, incarnation, held)
-            await self._kv.delete_if(entry.key, entry.version)
-            self._vms.forget(record)
-            self.counters.retired += 1
+        await self._free_tokens(case, journal, entry, record, proof)
+
+    async def _free_tokens(
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        entry: KvEntry,
+        record: IncarnationRecord,
+        proof: AbsenceProof | None,
+    ) -> None:
+        """Close the allotments, or retire them once nobody can tell more."""
+        held = await self._held_budgets(record.incarnation)
+        if proof is None or not self._may_retire(case, journal, record, proof):
+            for budget in held:
+                await self._close_allotment(case, journal, record, budget)
             return
         for budget in held:
-            await self._close_allotment(case, journal, incarnation, budget)
+            await self._retire(case, journal, record, budget)
+        await self._kv.delete_if(entry.key, entry.version)
+        self._vms.forget(record)
+        self.counters.retired += 1
 
     def _patience(self, incarnation: IncarnationId) -> float:
         """Return how long an incarnation must be absent, in seconds; routers act in turn."""
@@ -173,18 +178,23 @@
         return self._settings.absence_seconds + rank * self._settings.turn_seconds
 
     def _may_retire(
-        self, case: _Case, journal: JournalState, proof: AbsenceProof, now: float
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        record: IncarnationRecord,
+        proof: AbsenceProof,
     ) -> bool:
         """Tell whether nobody is expected to account for more of the spending.
 
-        A process that has joined again may still know exactly what it spent, and an upstream that
-        failed to answer may do so later. Recovered bills must be durable.
+        A process that has joined again may still know exactly what it spent, and an upstream or a
+        holder of copies that failed to answer may do so later. Recovered bills must be durable.
         """
         if any(not committed.done() for committed in case.commits):
             return False
-        is_settled = journal.begins_by_request.keys() <= case.settled_by_request.keys()
-        if proof is AbsenceProof.VM_GONE and is_settled:
+        is_known = case.is_settled(journal) and case.knows_all(record)
+        if proof is AbsenceProof.VM_GONE and is_known:
             return True
+        now = self._clock.monotonic()
         closed_at = case.closed_at if case.closed_at is not None else now
         return now - closed_at >= self._settings.wind_up_seconds
 
@@ -211,8 +221,35 @@
             except KvConflictError:
                 continue
 
+    async def _collect_copies(self, case: RecoveryCase, record: IncarnationRecord) -> None:
+        """Ask the registered holders for copies of entries that did not become durable."""
+        own = self._blackboard.identity.incarnation
+        for holder in record.copy_holders:
+            if holder in case.answered:
+                continue
+            if holder == own:
+                reply = self._copies.collect(CollectRequest(holder, record.incarnation))
+            else:
+                reply = await self._ask_holder(holder, record.incarnation)
+            if reply.is_holder:
+                case.add_copies(holder, reply.copies)
+
+    async def _ask_holder(self, holder: IncarnationId, owner: IncarnationId) -> CollectReply:
+        """Ask another router for its copies; one that is gone cannot answer for them."""
+        member = self._blackboard.members_by_incarnation.get(holder)
+        if member is None:
+            return CollectReply(False)
+        try:
+            return await self._peers.collect(member.address, CollectRequest(holder, owner))
+        except PeerUnavailableError:
+            return CollectReply(False)
+
     async def _settle_requests(
-        self, case: _Case, journal: JournalState, incarnation: IncarnationId
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        incarnation: IncarnationId,
+        account: Account,
     ) -> None:
         """Bill the requests in progress whose upstreams can tell what they used.
 
@@ -223,8 +260,7 @@
                 continue
             uses = [await self._stop_attempt(incarnation, begin) for begin in begins]
             known = [tokens for tokens in uses if tokens is not None]
-            account = self._accounts.current
-            if len(known) < len(uses) or account is None:
+            if len(known) < len(uses):
                 continue
             entry = Settle(
                 key.workspace,
@@ -235,10 +271,7 @@
                 partial=True,
                 lost=sum(known[:-1]),
             )
-            case.settled_by_request[key] = entry
-            committed = account.journal.append(entry)
-            case.commits.append(committed)
-            committed.add_done_callback(partial(_forget_uncommitted, case, key))
+            case.settle(key, entry, account)
             self.counters.requests_settled += 1
 
     async def _stop_attempt(self, incarnation: IncarnationId, begin: Begin) -> int | None:
@@ -262,56 +295,46 @@
 
     async def _close_allotment(
         self,
-        case: _Case,
+        case: RecoveryCase,
         journal: JournalState,
-        incarnation: IncarnationId,
+        incarnation: IncarnationRecord,
         entry: KvEntry,
     ) -> None:
-        """Free what the closed journal proves unspent, or leave it to the next check."""
+        """Free what is proven unspent, or leave it to the next check after a conflict."""
         record = _decode(entry)
-        held = record.allotments_by_incarnation[incarnation]
-        kept = case.spent(journal, record.workspace) + case.unsettled(journal, record.workspace)
-        changed = close(record, incarnation, kept + held.outage_tokens)
+        workspace = record.workspace
+        held = record.allotments_by_incarnation[incarnation.incarnation]
+        unknown = case.unknown(journal, incarnation, workspace, held)
+        kept = case.spent(journal, workspace) + unknown
+        changed = close(record, incarnation.incarnation, kept)
         if changed == record:
             return
-        if await self._swap(entry, changed):
-            self.counters.tokens_freed += changed.free - record.free
+        try:
+            await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
+        except KvConflictError:
+            return
+        self.counters.tokens_freed += changed.free - record.free
 
     async def _retire(
         self,
-        case: _Case,
+        case: RecoveryCase,
         journal: JournalState,
-        incarnation: IncarnationId,
-        held: list[KvEntry],
+        incarnation: IncarnationRecord,
+        entry: KvEntry,
     ) -> None:
-        """Replace the allotments of a process that is gone by what it spent and may have spent.
+        """Replace an allotment by what was spent and what may have been spent of it.
 
-        :raises KvConflictError: a record changed meanwhile; the next check tries again.
+        :raises KvConflictError: the record changed meanwhile; the next check tries again.
         """
-        for entry in held:
-            record = _decode(entry)
-            workspace = record.workspace
-            allotment = record.allotments_by_incarnation[incarnation]
-            withheld = case.unsettled(journal, workspace) + allotment.outage_tokens
-            spent = case.spent(journal, workspace)
-            changed = retire(record, incarnation, spent, withheld)
-            await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
-            self.counters.tokens_freed += changed.free - record.free
-            self.counters.tokens_withheld += changed.withheld - record.withheld
-
-    async def _swap(self, entry: KvEntry, changed: BudgetRecord) -> bool:
-        """Write a budget record unless it has changed; return whether it was written."""
-        try:
-            await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
-        except KvConflictError:
-            return False
-        return True
-
-
-def _forget_uncommitted(case: _Case, key: RequestKey, committed: asyncio.Future[None]) -> None:
-    """Have a recovered request settled again whose entry did not become durable."""
-    if committed.cancelled() or committed.exception() is not None:
-        case.settled_by_request.pop(key, None)
+        record = _decode(entry)
+        workspace = record.workspace
+        held = record.allotments_by_incarnation[incarnation.incarnation]
+        unknown = case.unknown(journal, incarnation, workspace, held)
+        spent = case.spent(journal, workspace)
+        changed = retire(record, incarnation.incarnation, spent, unknown)
+        await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
+        self.counters.tokens_freed += changed.free - record.free
+        self.counters.tokens_withheld += changed.withheld - record.withheld
 
 
 def _holds(entry: KvEntry, incarnation: IncarnationId) -> bool:
--- a/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
@@ -6,8 +6,9 @@
 from typing import TypeVar
 
 from quinceferry_core.adapters import RecallReply
+from quinceferry_core.copies import CollectReply, EntryCopy, HoldReply
 from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
-from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
+from quinceferry_core.models import CallerRequest, IncarnationId, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
 from quinceferry_lab.gates import CallKind
 from quinceferry_lab.network import (
@@ -76,6 +77,26 @@
 
         return await self._call(address, recall, "peer.recall")
 
+    async def hold(
+        self, address: str, owner: IncarnationId, copies: tuple[EntryCopy, ...]
+    ) -> HoldReply:
+        """Have a peer hold copies of journal entries."""
+
+        async def hold() -> HoldReply:
+            return self._application(address).copies.hold(owner, copies)
+
+        return await self._call(address, hold, "peer.hold")
+
+    async def collect(
+        self, address: str, holder: IncarnationId, owner: IncarnationId
+    ) -> CollectReply:
+        """Read the copies that a peer holds of a closed incarnation."""
+
+        async def collect() -> CollectReply:
+            return self._application(address).copies.collect(holder, owner)
+
+        return await self._call(address, collect, "peer.collect")
+
     async def _call(self, address: str, work: Callable[[], Awaitable[T]], step: str) -> T:
         """Make a short call."""
         await self._source.gate.before_send(CallKind.PEER)
