Guard the operator routes with a function

Cause: litestar copies a guard with all it holds; a bound method made it copy the whole application, and the daemon ended at its start. Change: a closure checks the key.

--- a/packages/quinceferry-daemon/src/quinceferryd/operator_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_api.py
@@ -9,6 +9,7 @@
 from litestar.exceptions import HTTPException, NotAuthorizedException
 from litestar.handlers import BaseRouteHandler
 from litestar.openapi import ResponseSpec
+from litestar.types import Guard
 from returns.result import Failure, Result, Success
 
 from quinceferry_core import operator_messages as messages
@@ -183,11 +184,9 @@
                 raise call_failure("not_found", detail)
         raise AssertionError("a result is a success or a failure")
 
-    async def authenticate(self, connection: ASGIConnection[Any, Any, Any, Any], _: Any) -> None:
-        """Refuse a connection without the operators' key."""
-        authorization = connection.headers.get("authorization", "")
-        if not opens(authorization, self._application.settings.router.operator_key):
-            raise NotAuthorizedException("the operators' key is wrong or missing")
+    def holds_key(self, authorization: str) -> bool:
+        """Return whether an ``Authorization`` header carries the operators' key."""
+        return opens(authorization, self._application.settings.router.operator_key)
 
     def _check_ready(self) -> None:
         """Refuse a call before this router has joined, when it knows nothing of the fleet."""
@@ -226,7 +225,7 @@
     router = Router(
         OPERATOR_PATH,
         route_handlers=[*handlers, _schema],
-        guards=[api.authenticate],
+        guards=[_guard(api)],
         exception_handlers={
             OperatorCallError: on_call_failure,
             QuinceferryError: on_unavailable,
@@ -236,6 +235,19 @@
     return [router]
 
 
+def _guard(api: OperatorApi) -> Guard:
+    """Return what refuses calls without the operators' key.
+
+    It is a function and no bound method, because litestar copies guards with all they hold.
+    """
+
+    async def authenticate(connection: ASGIConnection[Any, Any, Any, Any], _: Any) -> None:
+        if not api.holds_key(connection.headers.get("authorization", "")):
+            raise NotAuthorizedException("the operators' key is wrong or missing")
+
+    return authenticate
+
+
 @get("/schema.json", include_in_schema=False)
 async def _schema() -> Response[bytes]:
     """Serve the committed schema; it is read when asked for, so that it holds no memory."""
