--- a/packages/quinceferry-daemon/src/quinceferryd/daemon.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/daemon.py
@@ -30,13 +30,19 @@
 
 async def run(settings: Settings) -> None:
     """Run a router until a signal or an operator stops it; no request in progress is cut."""
+    stopping = stop_on_signals()
+    async with _connected(settings) as dependencies:
+        application = Application(settings, dependencies)
+        await serve_until(application, stopping)
+
+
+def stop_on_signals() -> asyncio.Event:
+    """Return an event that the first stop signal sets; further ones change nothing."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
-    async with _connected(settings) as dependencies:
-        application = Application(settings, dependencies)
-        await serve_until(application, stopping)
+    return stopping
 
 
 async def serve_until(application: Application, stopping: asyncio.Event) -> None:
@@ -45,7 +51,7 @@
     The socket listens before the router joins, so that callers are told why they must wait, and
     until the application has finished its requests, which may take minutes.
 
-    :param stopping: set by the first stop signal; further ones change nothing.
+    :param stopping: set when the router is to stop.
     """
     settings = application.settings
     app = build_app(application, build_operator_routes(application))
