Keep libraries a router does not use out of its memory

Cause: an idle daemon held 68.0 MB, of which litestar's pydantic plugin took about 9 MB, structlog's use of rich 3 MB and the TLS pools of httpx about 3 MB. Change: pydantic and rich are marked as not installed before the router's libraries load; peers and a plain HTTP platform use the project's own transport.

--- a/packages/quinceferry-daemon/src/quinceferryd/daemon.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/daemon.py
@@ -11,19 +11,19 @@
 
 from quinceferry_core.clocks import SystemClock
 from quinceferryd.application import Application, Dependencies
+from quinceferryd.http_transport import StreamingTransport
 from quinceferryd.kv_client import HttpKv
 from quinceferryd.logs import ChangeLog
 from quinceferryd.metrics import ScrapedMetrics
 from quinceferryd.operator_api import build_operator_routes
 from quinceferryd.peer_client import HttpPeers
 from quinceferryd.server import HttpServer, build_app
-from quinceferryd.settings import Settings
+from quinceferryd.settings import PlatformSettings, Settings
 from quinceferryd.upstream_client import HttpUpstreams
 from quinceferryd.vm_client import HttpVmList
 from quinceferryd.workspace_labels import WorkspaceLabels
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-_MAX_PLATFORM_CONNECTIONS = 32
 
 _log = structlog.get_logger()
 
@@ -76,8 +76,7 @@
     clock = SystemClock()
     platform = settings.platform
     async with AsyncExitStack() as stack:
-        limits = httpx.Limits(max_connections=_MAX_PLATFORM_CONNECTIONS)
-        http = await stack.enter_async_context(httpx.AsyncClient(limits=limits, trust_env=False))
+        http = await stack.enter_async_context(_platform_http(platform))
         upstreams = HttpUpstreams()
         stack.push_async_callback(upstreams.aclose)
         peers = HttpPeers(settings.router.fleet_secret, clock)
@@ -95,6 +94,13 @@
         )
 
 
+def _platform_http(platform: PlatformSettings) -> httpx.AsyncClient:
+    """Return the pool for the platform's services; plain HTTP needs none of the TLS libraries."""
+    is_plain = all(url.startswith("http:") for url in (platform.kv_url, platform.vm_list_url))
+    transport = StreamingTransport() if is_plain else None
+    return httpx.AsyncClient(transport=transport, trust_env=False)
+
+
 async def _first(*waits: object) -> None:
     """Wait for the first of several coroutines and cancel the others."""
     tasks = [asyncio.ensure_future(wait) for wait in waits]
--- a/packages/quinceferry-daemon/src/quinceferryd/main.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/main.py
@@ -5,12 +5,15 @@
 
 import click
 
-from quinceferryd import logs
+from quinceferryd.settings import Settings
 from quinceferryd.settings_file import SettingsFileError, load
 
 SETTINGS_EXIT_STATUS = 2
 """Exit status when the settings hold faults."""
 
+_UNUSED_LIBRARIES = ("pydantic", "rich")
+"""Libraries that ours load when they find them, though a router has no use for them."""
+
 
 @click.command()
 @click.option("--config", "path", required=True, type=click.Path(), help="TOML settings file.")
@@ -26,8 +29,15 @@
     if check:
         click.echo(f"{path}: the settings are valid")
         return
-    # Checking a file needs none of the libraries that a running router loads.
-    from quinceferryd.daemon import run
+    _run(settings)
+
+
+def _run(settings: Settings) -> None:
+    """Run a router; what only a running router needs is loaded here."""
+    for name in _UNUSED_LIBRARIES:
+        # None makes an import fail as if the library were not installed.
+        sys.modules.setdefault(name, None)
+    from quinceferryd import daemon, logs
 
     logs.configure()
-    asyncio.run(run(settings))
+    asyncio.run(daemon.run(settings))
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
@@ -13,6 +13,7 @@
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
 from quinceferryd import wire
+from quinceferryd.http_transport import StreamingTransport
 from quinceferryd.peer_api import (
     COLLECT_PATH,
     FORWARD_PATH,
@@ -32,7 +33,8 @@
 """Time to answer a short call."""
 
 _IDLE_SECONDS = 10.0
-_MAX_IDLE_CONNECTIONS = 16
+_MAX_IDLE_CONNECTIONS = 4
+"""Idle connections kept for each peer."""
 
 
 class HttpPeers:
@@ -45,12 +47,8 @@
     def __init__(self, fleet_secret: str, clock: Clock) -> None:
         self._signer = Signer(fleet_secret)
         self._clock = clock
-        limits = httpx.Limits(
-            max_connections=None,
-            max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=_IDLE_SECONDS,
-        )
-        self._http = httpx.AsyncClient(limits=limits, trust_env=False)
+        transport = StreamingTransport(_IDLE_SECONDS, _MAX_IDLE_CONNECTIONS)
+        self._http = httpx.AsyncClient(transport=transport, trust_env=False)
 
     async def aclose(self) -> None:
         """Close all connections."""
