Place waiting requests where their prefix is held

Cause: under overload a request was admitted as soon as any engine had room, and then computed its prefix there again, or was sent to a full engine that held it and took the slots kept for high priority. Change: a place is found at admission and counts as sent from then on; an engine's room goes first to waiting requests whose prefix it holds, and to others after a short wait; each router bounds the prompt tokens that wait at an engine.

--- a/packages/quinceferry-core/src/quinceferry_core/queues.py
+++ b/packages/quinceferry-core/src/quinceferry_core/queues.py
@@ -7,6 +7,7 @@
 
 import heapq
 from dataclasses import dataclass, field
+from itertools import zip_longest
 from typing import Generic, TypeVar
 
 from quinceferry_core.models import Priority, WorkspaceId
@@ -89,24 +90,33 @@
         heapq.heappush(lane.heap, (waiting.deadline, self._sequence, waiting))
         self._count_in(waiting, 1)
 
-    def peek(self) -> Waiting[T] | None:
-        """Return the request that leaves next, or None."""
-        found = self._next_lane()
-        return found[1].heap[0][2] if found else None
-
-    def pop(self) -> Waiting[T] | None:
-        """Remove and return the request that leaves next, or None."""
-        found = self._next_lane()
-        if found is None:
-            return None
-        priority, lane = found
-        _, _, waiting = heapq.heappop(lane.heap)
-        self._departures += 1
-        self._virtual_time_by_class[priority] = lane.finish_tag
+    def scan(self, limit: int) -> list[Waiting[T]]:
+        """Return the requests that should leave next, the first one first.
+
+        Each workspace's first request comes before any one's second.
+
+        :param limit: how many to return at most.
+        """
+        found: list[Waiting[T]] = []
+        for priority in self._class_order():
+            lanes = sorted(self._lanes_by_class[priority].values(), key=_lane_order)
+            queues = [[entry[2] for entry in heapq.nsmallest(limit, lane.heap)] for lane in lanes]
+            for rank in zip_longest(*queues):
+                found.extend(waiting for waiting in rank if waiting is not None)
+            if len(found) >= limit:
+                break
+        return found[:limit]
+
+    def take(self, waiting: Waiting[T]) -> None:
+        """Remove a request that leaves for an upstream, and charge its workspace's share."""
+        lanes = self._lanes_by_class[waiting.priority]
+        lane = lanes[waiting.workspace]
+        least_tag = min(each.finish_tag for each in lanes.values())
+        virtual_time = self._virtual_time_by_class[waiting.priority]
+        self._virtual_time_by_class[waiting.priority] = max(virtual_time, least_tag)
         lane.finish_tag += max(1, waiting.tokens)
-        self._count_in(waiting, -1)
-        self._drop_if_empty(waiting)
-        return waiting
+        self._departures += 1
+        self.remove(waiting)
 
     def evict_below(self, priority: Priority) -> Waiting[T] | None:
         """Remove the latest deadline of the lowest class below a priority, or return None."""
@@ -149,14 +159,12 @@
             self.remove(waiting)
         return late
 
-    def _next_lane(self) -> tuple[Priority, _Lane[T]] | None:
+    def _class_order(self) -> list[Priority]:
+        """Return the waiting classes, the highest first but for the lowest one's turn."""
         classes = [priority for priority in sorted(Priority) if self._lanes_by_class[priority]]
-        if not classes:
-            return None
-        lowest_turn = (self._departures + 1) % LOWER_CLASS_PERIOD == 0
-        priority = classes[-1] if lowest_turn else classes[0]
-        lanes = self._lanes_by_class[priority].values()
-        return priority, min(lanes, key=lambda lane: (lane.finish_tag, lane.heap[0][:2]))
+        if classes and (self._departures + 1) % LOWER_CLASS_PERIOD == 0:
+            return [classes[-1], *classes[:-1]]
+        return classes
 
     def _count_in(self, waiting: Waiting[T], change: int) -> None:
         self._count += change
@@ -187,3 +195,8 @@
         kept_tags[waiting.workspace] = lane.finish_tag
         if not lanes:
             kept_tags.clear()
+
+
+def _lane_order(lane: _Lane[T]) -> tuple[float, float, int]:
+    deadline, sequence, _ = lane.heap[0]
+    return lane.finish_tag, deadline, sequence
--- a/packages/quinceferry-core/src/quinceferry_core/routing.py
+++ b/packages/quinceferry-core/src/quinceferry_core/routing.py
@@ -8,12 +8,16 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from quinceferry_core.adapters import LoadReport
-from quinceferry_core.models import ModelRef, RequestId, UpstreamId
+from quinceferry_core.journals import RequestKey
+from quinceferry_core.models import ModelRef, UpstreamId
 
 HISTORY_SECONDS = 10.0
 """How long ended requests are remembered, to compare them with late reports."""
+MAX_CACHED_ORDERS = 1024
+"""Rankings of upstreams that are kept, so that waiting requests need not compute them again."""
 GROWTH_SMOOTHING = 0.3
 """Weight of the latest report in the smoothed growth of other routers' load."""
 
@@ -44,23 +48,22 @@
 class SentLedger:
     """What this router has at one upstream, and had at the time of a late report."""
 
-    in_flight_by_id: dict[RequestId, SentRequest] = field(default_factory=dict)
-    long_in_flight: int = 0
+    in_flight_by_key: dict[RequestKey, SentRequest] = field(default_factory=dict)
     _ended: deque[SentRequest] = field(default_factory=deque)
 
-    def sent(self, request_id: RequestId, prefill_tokens: int, now: float) -> None:
+    def sent(self, key: RequestKey, prefill_tokens: int, now: float) -> None:
         """Note a dispatch."""
-        self.in_flight_by_id[request_id] = SentRequest(prefill_tokens, now)
+        self.in_flight_by_key[key] = SentRequest(prefill_tokens, now)
 
-    def first_token(self, request_id: RequestId, now: float) -> None:
+    def first_token(self, key: RequestKey, now: float) -> None:
         """Note the first token of an answer; later ones change nothing."""
-        request = self.in_flight_by_id.get(request_id)
+        request = self.in_flight_by_key.get(key)
         if request is not None and request.first_token_at is None:
             request.first_token_at = now
 
-    def ended(self, request_id: RequestId, now: float) -> None:
+    def ended(self, key: RequestKey, now: float) -> None:
         """Note that a request is no longer at the upstream."""
-        request = self.in_flight_by_id.pop(request_id, None)
+        request = self.in_flight_by_key.pop(key, None)
         if request is None:
             return
         request.ended_at = now
@@ -70,7 +73,7 @@
 
     def in_flight(self) -> int:
         """Return how many requests are there now."""
-        return len(self.in_flight_by_id)
+        return len(self.in_flight_by_key)
 
     def in_flight_at(self, instant: float) -> int:
         """Return how many requests were there at an earlier time."""
@@ -78,7 +81,7 @@
 
     def prefill_tokens(self) -> int:
         """Return the prompt tokens sent whose first token has not come."""
-        waiting = (r for r in self.in_flight_by_id.values() if r.first_token_at is None)
+        waiting = (r for r in self.in_flight_by_key.values() if r.first_token_at is None)
         return sum(request.prefill_tokens for request in waiting)
 
     def prefill_tokens_at(self, instant: float) -> int:
@@ -86,7 +89,7 @@
         return sum(r.prefill_tokens for r in self._all() if r.prefilling_at(instant))
 
     def _all(self) -> list[SentRequest]:
-        return [*self.in_flight_by_id.values(), *self._ended]
+        return [*self.in_flight_by_key.values(), *self._ended]
 
 
 @dataclass(slots=True, frozen=True)
@@ -234,7 +237,7 @@
 
 def rendezvous_order(key: str, upstreams: Sequence[UpstreamId]) -> list[UpstreamId]:
     """Rank upstreams by a hash with a key: the same on every router, and stable as sets change."""
-    return sorted(upstreams, key=lambda upstream: _rank(key, upstream))
+    return list(_rendezvous_order(key, tuple(upstreams)))
 
 
 def model_is_loaded(wanted: ModelRef, loaded: Sequence[ModelRef]) -> bool:
@@ -251,5 +254,10 @@
     return report.running + report.free_slots > 0
 
 
+@lru_cache(maxsize=MAX_CACHED_ORDERS)
+def _rendezvous_order(key: str, upstreams: tuple[UpstreamId, ...]) -> tuple[UpstreamId, ...]:
+    return tuple(sorted(upstreams, key=lambda upstream: _rank(key, upstream)))
+
+
 def _rank(key: str, upstream: UpstreamId) -> bytes:
     return hashlib.blake2b(f"{key}\0{upstream}".encode(), digest_size=8).digest()
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -124,6 +124,7 @@
         await self._finish_cancels()
 
     async def _run_attempts(self) -> Finished | Failed:
+        scheduler = self._context.scheduler
         excluded: frozenset[UpstreamId] = frozenset()
         while True:
             chosen = await self._choose(excluded)
@@ -131,12 +132,16 @@
                 return self._failed(chosen.failure())
             upstream = chosen.unwrap()
             self._connections += 1
-            aborted = await self._on_dispatch(upstream, self._connections)
-            if aborted is not None:
-                return self._failed(aborted)
             attempt = Attempt(self._connections, upstream.id)
-            self._result.attempts.append(attempt)
-            ending = await self._run_at(upstream, attempt)
+            scheduler.sent(self._request, upstream.id)
+            try:
+                aborted = await self._on_dispatch(upstream, self._connections)
+                if aborted is not None:
+                    return self._failed(aborted)
+                self._result.attempts.append(attempt)
+                ending = await self._run_at(upstream, attempt)
+            finally:
+                scheduler.ended(self._request, upstream.id)
             if isinstance(ending, Finished):
                 return ending
             excluded |= {upstream.id}
@@ -159,8 +164,6 @@
     async def _run_at(self, upstream: UpstreamSpec, attempt: Attempt) -> Finished | Ending:
         """Run at one upstream, through as many connections as it takes."""
         run = UpstreamRun(self._request, upstream, self._delivered)
-        scheduler = self._context.scheduler
-        scheduler.sent(self._request, upstream.id)
         ended: Finished | Ending = Ending.LOST
         try:
             ended = await self._connect(run, is_resume=False)
@@ -171,7 +174,6 @@
                 self._result.resumes += 1
                 ended = await self._connect(run, is_resume=True)
         finally:
-            scheduler.ended(self._request, upstream.id)
             self._context.counters.duplicate_chunks += run.chunks.duplicates
             self._note_end(upstream, attempt, ended)
         return ended
--- a/packages/quinceferry-daemon/src/quinceferryd/choices.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/choices.py
@@ -1,6 +1,7 @@
 """Choice of one upstream for a request."""
 
 import random
+from dataclasses import dataclass
 
 from quinceferry_core.models import CallerRequest, UpstreamId, UpstreamSpec
 from quinceferry_core.prefixes import prefix_hashes
@@ -10,6 +11,16 @@
 
 HOMES_PER_PREFIX = 2
 """Upstreams on which routers that never met agree for one prompt prefix."""
+MIN_ROOM = 0.5
+"""Room that counts as one free place; expected growth makes it a fraction."""
+
+
+@dataclass(slots=True, frozen=True)
+class Openings:
+    """Upstreams that may get a request, and those of them that have room for it."""
+
+    eligible: list[UpstreamSpec]
+    roomy: list[UpstreamSpec]
 
 
 class UpstreamChooser:
@@ -36,15 +47,57 @@
     ) -> UpstreamSpec | None:
         """Return the cheapest of the sampled upstreams, or None if none may get the request."""
         eligible = self._tracker.eligible(request, excluded)
-        if not eligible:
-            return None
         hashes = prefix_hashes(request.target, request.prompt)
-        tokens = prompt_tokens(request)
         homes = self._homes(request, hashes, eligible)
-        candidates = [self._candidate(spec, hashes, tokens, homes) for spec in eligible]
+        return self._cheapest(request, hashes, homes, eligible)
+
+    def openings(self, request: CallerRequest) -> Openings:
+        """Return the upstreams that have room for requests of this target, class and length."""
+        eligible = self._tracker.eligible(request)
+        roomy = [s for s in eligible if self._tracker.room_for(request, s.id) >= MIN_ROOM]
+        return Openings(eligible, roomy)
+
+    def place(
+        self,
+        request: CallerRequest,
+        hashes: tuple[int, ...],
+        openings: Openings,
+        *,
+        anywhere: bool,
+    ) -> UpstreamSpec | None:
+        """Return an upstream with room for a request, or None if it should wait.
+
+        :param hashes: the prompt's prefix hashes.
+        :param anywhere: whether an upstream that does not hold the prefix will do.
+        """
+        if not openings.roomy:
+            return None
+        homes = self._homes(request, hashes, openings.eligible)
+        roomy = openings.roomy
+        if homes and not anywhere:
+            roomy = [spec for spec in roomy if self._holds_prefix(spec, hashes, homes)]
+        return self._cheapest(request, hashes, homes, roomy)
+
+    def _holds_prefix(
+        self, spec: UpstreamSpec, hashes: tuple[int, ...], homes: list[UpstreamId]
+    ) -> bool:
+        """Return whether a prompt's prefix is believed to be there, or should come to be there."""
+        return spec.id == homes[0] or self._tracker.holds_prefix(spec.id, hashes)
+
+    def _cheapest(
+        self,
+        request: CallerRequest,
+        hashes: tuple[int, ...],
+        homes: list[UpstreamId],
+        specs: list[UpstreamSpec],
+    ) -> UpstreamSpec | None:
+        if not specs:
+            return None
+        tokens = prompt_tokens(request)
+        candidates = [self._candidate(spec, hashes, tokens, homes) for spec in specs]
         sampled = sample_candidates(candidates, homes, self._settings.sampled_candidates, self._rng)
         best = min(sampled, key=lambda candidate: self._costs.cost(candidate, tokens))
-        return next(spec for spec in eligible if spec.id == best.upstream)
+        return next(spec for spec in specs if spec.id == best.upstream)
 
     def _candidate(
         self, spec: UpstreamSpec, hashes: tuple[int, ...], tokens: int, homes: list[UpstreamId]
@@ -62,7 +115,7 @@
         self, request: CallerRequest, hashes: tuple[int, ...], eligible: list[UpstreamSpec]
     ) -> list[UpstreamId]:
         """Return the upstreams that should cache a prompt, the first one first."""
-        if not hashes or self._tracker.is_long(request):
+        if not hashes or not eligible or self._tracker.is_long(request):
             return []
         for_long_work = self._tracker.long_work_upstreams(eligible)
         others = [spec.id for spec in eligible if spec.id not in for_long_work]
--- a/packages/quinceferry-daemon/src/quinceferryd/loads.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/loads.py
@@ -117,7 +117,7 @@
         try:
             report = await self._upstreams.load(spec)
             self._tracker.apply_report(spec.id, report)
-            self._scheduler.pump()
+            self._scheduler.admission.pump()
             if with_events and spec.kind is UpstreamKind.ENGINE:
                 last = self._tracker.last_event(spec.id)
                 events = await self._upstreams.cache_events(spec, last)
--- a/packages/quinceferry-daemon/src/quinceferryd/pools.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pools.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from quinceferry_core.models import CallerRequest, Priority, RequestId
+from quinceferry_core.models import Priority
 from quinceferry_core.queues import FairQueue, Waiting
 
 RATE_WINDOW_SECONDS = 5.0
@@ -20,8 +20,6 @@
 
     def __init__(self, max_entries: int, max_workspace_share: float) -> None:
         self.queue: FairQueue = FairQueue(max_entries, max_workspace_share)
-        self.unplaced: set[RequestId] = set()
-        """Admitted requests that have not been sent to an upstream yet."""
         self._admissions: deque[tuple[float, Priority]] = deque()
         self._busy_since: float | None = None
 
@@ -31,10 +29,9 @@
             self._busy_since = now
         self.queue.push(waiting)
 
-    def admitted(self, request: CallerRequest, now: float) -> None:
+    def admitted(self, priority: Priority, now: float) -> None:
         """Count an admission."""
-        self.unplaced.add(request.request_id)
-        self._admissions.append((now, request.priority))
+        self._admissions.append((now, priority))
         self._forget_old(now)
 
     def expected_wait(self, priority: Priority, now: float) -> float:
--- a/packages/quinceferry-daemon/src/quinceferryd/tracking.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/tracking.py
@@ -6,8 +6,10 @@
 
 from quinceferry_core.adapters import CacheEvent, LoadReport
 from quinceferry_core.clocks import Clock
+from quinceferry_core.journals import RequestKey
 from quinceferry_core.models import (
     CallerRequest,
+    Priority,
     RequestKind,
     UpstreamId,
     UpstreamKind,
@@ -29,7 +31,13 @@
 
 CHARS_PER_TOKEN = 4
 """Rough size of a token, for costs only; budgets are reserved by an upper bound instead."""
+HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.25, Priority.NORMAL: -0.0625, Priority.LOW: -0.125}
+"""Part of an engine's slots that a class may fill beyond them, or must leave free."""
 _LONG_WORK_KEY = "long work"
+LOAD_CACHE_SECONDS = 0.02
+"""How long a corrected load is used again, unless something was sent, ended or reported."""
+HELD_SHARE = 0.6
+"""Part of a prompt's blocks that must be cached for its prefix to count as held."""
 MAX_WANTED_REPORTS = 4
 """Stale reports asked for at once when no fresh one is left."""
 MAX_COOLDOWN_SECONDS = 30.0
@@ -44,7 +52,9 @@
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     growth_per_second: float = 0.0
     others: int = 0
-    long_ids: set[str] = field(default_factory=set)
+    corrected: CorrectedLoad | None = None
+    corrected_at: float = 0.0
+    long_keys: set[RequestKey] = field(default_factory=set)
 
 
 class UpstreamTracker:
@@ -117,12 +127,20 @@
 
     def load(self, upstream: UpstreamId) -> CorrectedLoad:
         """Return the load of an upstream now, corrected by own history."""
+        record = self._record(upstream)
+        now = self._clock.monotonic()
+        if record.corrected is None or now - record.corrected_at > LOAD_CACHE_SECONDS:
+            record.corrected = self._correct_load(upstream, record, now)
+            record.corrected_at = now
+        return record.corrected
+
+    def _correct_load(self, upstream: UpstreamId, record: _Record, now: float) -> CorrectedLoad:
         status = self.status(upstream)
         return correct_load(
             status.report,
             status.reported_at - self._settings.load_report_lag_seconds,
-            self._clock.monotonic(),
-            self._record(upstream).ledger,
+            now,
+            record.ledger,
             routers=self._routers(),
             prefill_rate=self._settings.prefill_tokens_per_second,
             default_slots=self._settings.default_slots,
@@ -140,11 +158,17 @@
         growth = record.growth_per_second * min(age, self._settings.max_report_age_seconds)
         usable = load.slots * (1.0 + headroom)
         room = free_room(load, usable, record.ledger.in_flight(), self._routers(), growth)
+        if headroom <= 0 and record.ledger.prefill_tokens() >= self._prefill_backlog():
+            return 0.0
         if is_long:
             allowed = max(1.0, self._settings.long_work_share * load.slots)
-            return min(room, allowed - len(record.long_ids))
+            return min(room, allowed - len(record.long_keys))
         return room
 
+    def room_for(self, request: CallerRequest, upstream: UpstreamId) -> float:
+        """Return how many more requests like this one an upstream may get."""
+        return self.room(upstream, HEADROOM_BY_PRIORITY[request.priority], self.is_long(request))
+
     def cached_tokens(self, upstream: UpstreamId, hashes: tuple[int, ...], tokens: int) -> int:
         """Return how many of a prompt's tokens are believed to be in an upstream's cache."""
         if not hashes:
@@ -152,26 +176,35 @@
         matched = self._record(upstream).prefixes.matched_blocks(hashes)
         return tokens * matched // (len(hashes) + 1)
 
+    def holds_prefix(self, upstream: UpstreamId, hashes: tuple[int, ...]) -> bool:
+        """Return whether most of a prompt's blocks are believed to be in an upstream's cache."""
+        matched = self._record(upstream).prefixes.matched_blocks(hashes)
+        return matched >= HELD_SHARE * len(hashes)
+
     def sent(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note that a request is being sent."""
         record = self._record(upstream)
         hashes = prefix_hashes(request.target, request.prompt)
         tokens = prompt_tokens(request)
         uncached = max(1, tokens - self.cached_tokens(upstream, hashes, tokens))
-        record.ledger.sent(request.request_id, uncached, self._clock.monotonic())
+        record.corrected = None
+        record.ledger.sent(request_key(request), uncached, self._clock.monotonic())
         record.prefixes.record_sent(hashes)
         if self.is_long(request):
-            record.long_ids.add(request.request_id)
+            record.long_keys.add(request_key(request))
 
     def first_token(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note the first token of an answer."""
-        self._record(upstream).ledger.first_token(request.request_id, self._clock.monotonic())
+        record = self._record(upstream)
+        record.corrected = None
+        record.ledger.first_token(request_key(request), self._clock.monotonic())
 
     def ended(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note that a request has left an upstream."""
         record = self._record(upstream)
-        record.ledger.ended(request.request_id, self._clock.monotonic())
-        record.long_ids.discard(request.request_id)
+        record.corrected = None
+        record.ledger.ended(request_key(request), self._clock.monotonic())
+        record.long_keys.discard(request_key(request))
 
     def failed(self, upstream: UpstreamId) -> None:
         """Note that a connection to an upstream failed."""
@@ -190,6 +223,7 @@
         now = self._clock.monotonic()
         elapsed = now - status.reported_at
         status.report, status.reported_at = report, now
+        record.corrected = None
         others = self.load(upstream).others
         record.growth_per_second = smoothed_growth(
             record.growth_per_second, record.others, others, elapsed
@@ -240,6 +274,11 @@
         age = self._clock.monotonic() - status.reported_at
         return age <= self._settings.max_report_age_seconds
 
+    def _prefill_backlog(self) -> float:
+        """Return this router's part of the prompt tokens that may wait at one engine."""
+        backlog = self._settings.max_prefill_backlog_seconds
+        return self._settings.prefill_tokens_per_second * backlog / self._routers()
+
     def _routers(self) -> int:
         return max(1, len(self._blackboard.members_by_incarnation))
 
@@ -247,6 +286,11 @@
         return self._records_by_id.setdefault(upstream, _Record())
 
 
+def request_key(request: CallerRequest) -> RequestKey:
+    """Return the fleet-wide key of a request."""
+    return RequestKey(request.workspace, request.request_id)
+
+
 def prompt_tokens(request: CallerRequest) -> int:
     """Estimate the prompt's tokens, for costs only."""
     return max(1, len(request.prompt or request.body) // CHARS_PER_TOKEN)
--- a/packages/quinceferry-lab/src/quinceferry_lab/routing_load.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/routing_load.py
@@ -147,9 +147,7 @@
 
     async def enter(self, request: CallerRequest, tokens: int) -> Result[Permit, Failed]:
         """Admit at once."""
-        permit = Permit(request, tokens, self, self._pool(request))
-        self._admit(permit)
-        return Success(permit)
+        return Success(Permit(request, tokens, self))
 
     def choose(
         self, request: CallerRequest, excluded: frozenset[UpstreamId] = frozenset()
--- a/packages/quinceferry-lab/src/quinceferry_lab/routing_runs.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/routing_runs.py
@@ -244,10 +244,12 @@
         await clock.sleep(max(0.0, started_at + arrival.at - clock.monotonic()))
         callers.append(Caller(arrival.request, clock.monotonic()))
         tasks.append(asyncio.create_task(_serve(fleet, arrival, callers[-1])))
-    await asyncio.wait(tasks, timeout=DRAIN_SECONDS)
-    for task in tasks:
+    done, late = await asyncio.wait(tasks, timeout=DRAIN_SECONDS)
+    for task in late:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.gather(*late, return_exceptions=True)
+    for task in done:
+        task.result()
     for router in fleet.routers:
         await router.stop()
     return [each for each in callers if each.asked_at >= started_at + WARM_UP_SECONDS]
