--- a/packages/quinceferry-lab/src/quinceferry_lab/gates.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/gates.py
@@ -76,13 +76,14 @@
 class Gate:
     """Decides whether one router takes its next step.
 
-    ``calls_by_kind`` counts the calls that left the router.
+    ``calls_by_kind`` counts the calls that left the router; ``ended`` is set when it is killed.
     """
 
     name: str
     state: GateState = GateState.OPEN
     calls_by_kind: Counter[CallKind] = field(default_factory=Counter)
     pause_at_send: PauseAtSend | None = None
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
     _held: list[_Held] = field(default_factory=list)
     _network_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -120,6 +121,7 @@
         if self.state is GateState.DISCARDED:
             return
         self.state = GateState.KILLED
+        self.ended.set()
         for task in list(self._network_tasks):
             task.cancel()
 
--- /dev/null
+++ b/packages/quinceferry-lab/src/quinceferry_lab/trials.py
@@ -0,0 +1,196 @@
+"""One seeded run of a fleet under faults, judged afterwards."""
+
+import asyncio
+from collections import Counter
+from contextlib import AbstractContextManager, nullcontext
+from dataclasses import dataclass, field
+from random import Random
+
+from quinceferry_core.bills import Bill
+from quinceferry_core.models import CallerRequest, RequestId, RequestKind, WorkspaceId
+from quinceferry_lab.callers import Caller, CallerPlan
+from quinceferry_lab.checker import check
+from quinceferry_lab.faults import draw_schedule
+from quinceferry_lab.fleets import MODEL, SERVICE, WORKSPACES, ZONES, Fleet
+from quinceferry_lab.gates import run_gated
+from quinceferry_lab.histories import Answered, Attempt, Closing, History, Refused
+from quinceferry_lab.injection import Injector
+from quinceferry_lab.operators import Operator
+from quinceferry_lab.refusal_counts import RefusalCount, count_false_refusals
+from quinceferry_lab.violations import Violation
+from quinceferry_standins.outputs import BYTES_PER_TOKEN
+from quinceferryd.budgets import BudgetService
+
+FAULTY_SECONDS = 90.0
+"""Length of the part in which faults begin and callers send."""
+QUIET_SECONDS = 240.0
+"""Time without faults, in which callers finish and dead routers are recovered."""
+STOP_SECONDS = 400.0
+"""Bound of the graceful stop of the whole fleet."""
+CALLERS_PER_WORKSPACE = 7
+CHANGE_MEAN_SECONDS = 15.0
+SERVICE_SHARE = 0.2
+NON_IDEMPOTENT_SHARE = 0.12
+PATIENCES_SECONDS = (3.0, 8.0, 25.0)
+
+
+@dataclass(slots=True)
+class TrialResult:
+    """What one seed came to."""
+
+    seed: int
+    violations: list[Violation]
+    history: History
+    refusals: RefusalCount
+    ends: Counter[str] = field(default_factory=Counter)
+    real_seconds: float = 0.0
+
+
+def run_trial(
+    seed: int,
+    fault_names: tuple[str, ...] = (),
+    defect: AbstractContextManager[None] | None = None,
+) -> TrialResult:
+    """Run one seed.
+
+    :param fault_names: kinds of faults to draw from; empty for all.
+    :param defect: a defect in force during the run.
+    """
+    history = History()
+    with defect or nullcontext():
+        run_gated(_run(seed, fault_names, history))
+    ends = Counter(_end_name(attempts[-1]) for attempts in history.attempts_by_key().values())
+    return TrialResult(seed, check(history), history, count_false_refusals(history), ends)
+
+
+async def _run(seed: int, fault_names: tuple[str, ...], history: History) -> None:
+    """Run a fleet from its start to its end."""
+    rng = Random(seed)
+    fleet = Fleet(rng, history)
+    operator = Operator("operator-a", fleet, Random(rng.getrandbits(64)))
+    background: list[asyncio.Task[None]] = []
+    try:
+        fleet.boot_all()
+        await operator.set_up()
+        background.append(asyncio.create_task(fleet.sample_forever()))
+        callers = _start_callers(fleet, rng)
+        background += _start_operators(fleet, operator, rng)
+        injector = Injector(fleet, operator)
+        schedule = draw_schedule(
+            Random(rng.getrandbits(64)), fleet, fault_names, FAULTY_SECONDS * 0.8
+        )
+        await injector.run(schedule)
+        await asyncio.gather(*callers)
+        for task in background[1:]:
+            task.cancel()
+        fleet.note("all callers have ended")
+        await fleet.clock.sleep(QUIET_SECONDS)
+        await _close(fleet)
+    finally:
+        for task in background:
+            task.cancel()
+        fleet.discard()
+
+
+def _start_callers(fleet: Fleet, rng: Random) -> list[asyncio.Task[None]]:
+    """Start all callers."""
+    until = fleet.clock.monotonic() + FAULTY_SECONDS
+    tasks = []
+    for workspace in WORKSPACES:
+        for number in range(CALLERS_PER_WORKSPACE):
+            plan = CallerPlan(
+                f"{workspace}-{number}",
+                workspace,
+                rng.choice(ZONES),
+                rng.choice(PATIENCES_SECONDS),
+                rng.uniform(1.0, 5.0),
+            )
+            requests = Random(rng.getrandbits(64))
+            caller = Caller(
+                plan,
+                fleet.network,
+                fleet.addresses,
+                lambda plan, number, requests=requests: _make_request(plan, number, requests),
+                fleet.history,
+                fleet.clock,
+                Random(rng.getrandbits(64)),
+            )
+            tasks.append(asyncio.create_task(caller.run(until), name=plan.name))
+    return tasks
+
+
+def _start_operators(fleet: Fleet, operator: Operator, rng: Random) -> list[asyncio.Task[None]]:
+    """Start top-ups and racing changes of the configuration."""
+    second = Operator("operator-b", fleet, Random(rng.getrandbits(64)))
+    third = Operator("operator-c", fleet, Random(rng.getrandbits(64)))
+    work = [operator.top_up_forever(workspace) for workspace in WORKSPACES]
+    work += [second.change_forever(CHANGE_MEAN_SECONDS), third.change_forever(CHANGE_MEAN_SECONDS)]
+    return [asyncio.create_task(one) for one in work]
+
+
+def _make_request(plan: CallerPlan, number: int, rng: Random) -> CallerRequest:
+    """Draw one request of a caller."""
+    request_id = RequestId(f"{plan.name}-{number}")
+    if rng.random() < SERVICE_SHARE:
+        return CallerRequest(
+            workspace=plan.workspace,
+            request_id=request_id,
+            kind=RequestKind.SERVICE,
+            target=type(MODEL)(SERVICE),
+            body=f"post {rng.randrange(1000)}".encode(),
+            idempotent=False,
+            stream=False,
+            deadline_seconds=60.0,
+            path="/dues",
+        )
+    words = rng.randrange(5, 120)
+    return CallerRequest(
+        workspace=plan.workspace,
+        request_id=request_id,
+        kind=RequestKind.COMPLETION,
+        target=MODEL,
+        prompt="abc " * words * (BYTES_PER_TOKEN // 4),
+        body=b"{}",
+        max_output_tokens=rng.randrange(8, 90),
+        idempotent=rng.random() >= NON_IDEMPOTENT_SHARE,
+        deadline_seconds=60.0,
+    )
+
+
+async def _close(fleet: Fleet) -> None:
+    """Stop all routers, and record runs, bills and balances."""
+    async with asyncio.timeout(STOP_SECONDS):
+        await asyncio.gather(*(fleet.stop(process) for process in fleet.live()))
+    fleet.sample()
+    fleet.collect_runs()
+    auditor = BudgetService(fleet.kv.connect("auditor"))
+    for workspace in WORKSPACES:
+        bills = await _read_bills(auditor, workspace)
+        balance = await auditor.balance(workspace)
+        fleet.history.closings[workspace] = Closing(bills, balance)
+    fleet.history.ended_at = fleet.clock.monotonic()
+
+
+async def _read_bills(auditor: BudgetService, workspace: WorkspaceId) -> list[Bill]:
+    """Read all pages of bills."""
+    bills: list[Bill] = []
+    cursor = ""
+    while True:
+        page = await auditor.bills(workspace, cursor)
+        bills.extend(page.bills)
+        cursor = page.next_cursor
+        if not cursor:
+            return bills
+
+
+def _end_name(attempt: Attempt) -> str:
+    """Return a word for how a request ended."""
+    match attempt.end:
+        case Answered():
+            return "answered"
+        case Refused(reason=reason):
+            return reason.value
+        case None:
+            return "open"
+        case end:
+            return type(end).__name__.lower()
