Load models by demand through orders that survive late ones

Engines are grouped into shards by zone and hash; the router that ranks first for a shard writes its record under the heartbeat's lease, with a number drawn from the fencing counter, so holding costs no renewal and no polling contenders. Every order states an absolute wish and is repeated until the engine's report agrees, which undoes a late order of an old holder at engines that ignore fencing; those that check it are told the new number first. Loads take turns over the fleet, in the order asked, two at a time.

Releases are now repeated until certain.

--- a/packages/quinceferry-core/src/quinceferry_core/models.py
+++ b/packages/quinceferry-core/src/quinceferry_core/models.py
@@ -113,7 +113,10 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamSpec:
-    """A model engine or plain service that requests are routed to."""
+    """A model engine or plain service that requests are routed to.
+
+    ``role`` is the role that an engine is ordered to take; empty leaves it as it is.
+    """
 
     id: UpstreamId
     address: str
@@ -122,6 +125,7 @@
     vm: VmId = VmId("")
     checks_fencing: bool = False
     service: str = ""
+    role: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/engine_orders.py
@@ -0,0 +1,161 @@
+"""Orders to the engines of held shards, repeated until the engines' reports agree.
+
+Every order states an absolute wish (loaded, not loaded, this role), so that a repeat changes
+nothing and the holder can undo whatever a late order of an earlier holder did, also at engines that
+ignore fencing numbers.
+"""
+
+from dataclasses import dataclass, field
+
+from quinceferry_core.adapters import EngineOrder, LoadReport, OrderKind, UpstreamClient
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import UpstreamError, UpstreamRefusedError
+from quinceferry_core.models import ModelRef, UpstreamId, UpstreamSpec
+from quinceferry_core.orders import EngineRecord
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.order_shards import HeldShard, OrderShards
+
+SETTLE_SECONDS = 3.0
+"""How long after an order an engine's report may still show the state before it."""
+REPORT_SECONDS = 10.0
+"""Time between two reports of an engine that is as it should be."""
+FULL_SECONDS = 60.0
+"""How long an engine that refused a load counts as full."""
+ROLE_SECONDS = 60.0
+"""Time between two orders of the same role, which no report shows."""
+
+_NO_MODEL = ModelRef("")
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What this router knows of an engine of its shards; times are in monotonic seconds."""
+
+    report: LoadReport | None = None
+    read_at: float = float("-inf")
+    ordered_at: float = float("-inf")
+    full_until: float = float("-inf")
+    role: str = ""
+    role_ordered_at: float = float("-inf")
+    loading: ModelRef | None = None
+    detached_since: dict[ModelRef, float] = field(default_factory=dict)
+
+
+class EngineOrders:
+    """Reads reports and sends orders.
+
+    :param blackboard: shared state.
+    :param upstreams: connections to engines.
+    :param clock: source of time.
+    :param shards: tells whether an order may be sent.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        upstreams: UpstreamClient,
+        clock: Clock,
+        shards: OrderShards,
+    ) -> None:
+        self._blackboard = blackboard
+        self._upstreams = upstreams
+        self._clock = clock
+        self._shards = shards
+        self._states_by_id: dict[UpstreamId, EngineState] = {}
+        self.orders_sent = 0
+        self.orders_refused = 0
+
+    def state(self, upstream: UpstreamId) -> EngineState:
+        """Return what is known of an engine."""
+        return self._states_by_id.setdefault(upstream, EngineState())
+
+    def forget_except(self, upstreams: set[UpstreamId]) -> None:
+        """Forget engines that this router no longer orders."""
+        for upstream in self._states_by_id.keys() - upstreams:
+            del self._states_by_id[upstream]
+
+    async def observe(self, spec: UpstreamSpec) -> EngineRecord:
+        """Return an engine's state, from a report that is recent enough."""
+        state = self.state(spec.id)
+        now = self._clock.monotonic()
+        is_settling = now < state.ordered_at + SETTLE_SECONDS + REPORT_SECONDS
+        if is_settling or state.loading or now >= state.read_at + REPORT_SECONDS:
+            await self._read(spec, state)
+        return self._record(spec, state)
+
+    async def load(self, shard: HeldShard, spec: UpstreamSpec, model: ModelRef) -> bool:
+        """Order a load; return whether it was taken."""
+        is_taken = await self._send(shard, spec, OrderKind.LOAD, model)
+        if not is_taken and self._shards.may_send(shard):
+            self.state(spec.id).full_until = self._clock.monotonic() + FULL_SECONDS
+        return is_taken
+
+    async def unload(self, shard: HeldShard, spec: UpstreamSpec, model: ModelRef) -> bool:
+        """Order an unload; return whether it was taken."""
+        self.state(spec.id).full_until = float("-inf")
+        return await self._send(shard, spec, OrderKind.UNLOAD, model)
+
+    async def assert_role(self, shard: HeldShard, spec: UpstreamSpec) -> None:
+        """Order the configured role, when it changed and now and then again."""
+        state = self.state(spec.id)
+        now = self._clock.monotonic()
+        is_due = state.role != spec.role or now >= state.role_ordered_at + ROLE_SECONDS
+        if spec.role and is_due:
+            state.role_ordered_at = now
+            if await self._send(shard, spec, OrderKind.CHANGE_ROLE, _NO_MODEL, spec.role):
+                state.role = spec.role
+
+    async def raise_fencing(self, shard: HeldShard, spec: UpstreamSpec) -> None:
+        """Make an engine that checks fencing numbers refuse the orders of earlier holders.
+
+        A repeated load of a model that it has changes nothing else.
+        """
+        report = self.state(spec.id).report
+        if spec.checks_fencing and report is not None and report.loaded:
+            await self._send(shard, spec, OrderKind.LOAD, report.loaded[0])
+
+    def is_settled(self, upstream: UpstreamId) -> bool:
+        """Tell whether the last report is newer than the effect of the last order."""
+        state = self.state(upstream)
+        return state.read_at >= state.ordered_at + SETTLE_SECONDS
+
+    async def _send(
+        self,
+        shard: HeldShard,
+        spec: UpstreamSpec,
+        kind: OrderKind,
+        model: ModelRef,
+        role: str = "",
+    ) -> bool:
+        order = EngineOrder(kind, model, shard.fencing, shard.next_sequence(), role)
+        if not self._shards.may_send(shard):
+            return False
+        self.state(spec.id).ordered_at = self._clock.monotonic()
+        self.orders_sent += 1
+        try:
+            await self._upstreams.order(spec, order)
+        except UpstreamRefusedError:
+            self.orders_refused += 1
+            return False
+        except UpstreamError:
+            # It may have been obeyed; the next report tells.
+            return True
+        return True
+
+    async def _read(self, spec: UpstreamSpec, state: EngineState) -> None:
+        asked_at = self._clock.monotonic()
+        try:
+            state.report = await self._upstreams.load(spec)
+        except UpstreamError:
+            state.report = None
+        state.read_at = asked_at
+
+    def _record(self, spec: UpstreamSpec, state: EngineState) -> EngineRecord:
+        loading = (state.loading,) if state.loading else ()
+        if state.report is None:
+            return EngineRecord(spec.id, loading=loading, usable=False)
+        status = self._blackboard.upstreams_by_id.get(spec.id)
+        is_leaving = state.report.leaving or (status is not None and status.leaving)
+        is_full = self._clock.monotonic() < state.full_until
+        loaded = tuple(sorted(state.report.loaded, key=str))
+        return EngineRecord(spec.id, loaded, loading, not is_leaving, is_full)
--- a/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvStore
+from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import FencedError, KvUnavailableError, LeaseLostError
 from quinceferry_core.membership import Member, member_key
 from quinceferryd.members import MemberView
@@ -24,16 +25,21 @@
     """Writes the heartbeat record when it changed, and renews its lease.
 
     :param kv: the key-value service.
+    :param clock: source of time.
     :param view: view of all members, which shows this router's own record at once.
     :param ttl_seconds: lifetime of the lease without renewal.
     """
 
-    def __init__(self, kv: KvStore, view: MemberView, ttl_seconds: float) -> None:
+    def __init__(self, kv: KvStore, clock: Clock, view: MemberView, ttl_seconds: float) -> None:
         self._kv = kv
+        self._clock = clock
         self._view = view
         self._ttl_seconds = ttl_seconds
-        self._lease = ""
         self._written: Member | None = None
+        self.lease = ""
+        """The lease that the record lives under; empty while there is none."""
+        self.valid_until = 0.0
+        """Time until which the lease certainly holds, in monotonic seconds."""
         self.member: Member | None = None
         """The record as this router wants it; None before joining."""
 
@@ -53,38 +59,42 @@
 
     async def renew(self) -> Beat:
         """Renew the lease."""
-        if not self._lease:
+        if not self.lease:
             return Beat.LEASE_LOST
+        asked_at = self._clock.monotonic()
         try:
-            await self._kv.keep_alive(self._lease)
+            await self._kv.keep_alive(self.lease)
         except LeaseLostError:
             return Beat.LEASE_LOST
         except KvUnavailableError:
             return Beat.NO_ANSWER
+        self.valid_until = asked_at + self._ttl_seconds
         return Beat.RENEWED
 
     async def bind(self) -> None:
         """Write the record under a new lease."""
-        self._lease = ""
+        self.lease = ""
+        asked_at = self._clock.monotonic()
         lease = await self._kv.grant_lease(self._ttl_seconds)
         await self._put(lease)
-        self._lease = lease
+        self.lease = lease
+        self.valid_until = asked_at + self._ttl_seconds
 
     async def write(self) -> None:
         """Write the record, unless it stands so already."""
         if self._written != self.member:
-            await self._put(self._lease)
+            await self._put(self.lease)
 
     async def end(self) -> None:
         """End the lease, and the record with it."""
-        if self._lease:
-            await self._kv.revoke_lease(self._lease)
-        self._lease = ""
+        if self.lease:
+            await self._kv.revoke_lease(self.lease)
+        self.lease = ""
 
     def forget(self) -> None:
         """Drop the record of an incarnation that was closed."""
         self._view.clear_own()
-        self._lease = ""
+        self.lease = ""
         self._written = None
         self.member = None
 
--- a/packages/quinceferry-daemon/src/quinceferryd/incarnations.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/incarnations.py
@@ -12,6 +12,24 @@
 from quinceferryd.blackboard import Identity
 
 
+async def draw_fencing(kv: KvStore) -> int:
+    """Add one to the fleet's fencing counter and return it.
+
+    A number whose write got no answer is skipped: nobody else can draw it either.
+
+    :raises KvUnavailableError: no answer came; call again.
+    """
+    while True:
+        entry = await kv.get(FENCING_KEY)
+        drawn = int(entry.value) + 1 if entry else 1
+        version = entry.version if entry else ABSENT_VERSION
+        try:
+            await kv.put_if(FENCING_KEY, str(drawn).encode(), version)
+        except KvConflictError:
+            continue
+        return drawn
+
+
 class OwnIncarnation:
     """Creates and updates the record of the running incarnation.
 
@@ -24,6 +42,7 @@
     def __init__(self, kv: KvStore) -> None:
         self._kv = kv
         self._version = ABSENT_VERSION
+        self._has_lost_answer = False
         self.record: IncarnationRecord | None = None
         """The record as last read or written; None before creation."""
 
@@ -36,7 +55,7 @@
         :raises KvConflictError: an earlier attempt was closed meanwhile; call again.
         """
         if self.record is None:
-            fencing = await self._draw_fencing()
+            fencing = await draw_fencing(self._kv)
             self.record = _new_record(identity, fencing, fields)
         key = incarnation_key(self.record.incarnation)
         value = msgspec.json.encode(self.record)
@@ -59,7 +78,8 @@
         """
         while True:
             wanted = replace(self._required(), **changes)
-            if wanted == self.record or await self._swap(wanted):
+            is_known = wanted == self.record and not self._has_lost_answer
+            if is_known or await self._swap(wanted):
                 return
 
     async def touch(self) -> None:
@@ -89,26 +109,19 @@
         self.record = None
         self._version = ABSENT_VERSION
 
-    async def _draw_fencing(self) -> int:
-        """Add one to the fleet's fencing counter and return it."""
-        while True:
-            entry = await self._kv.get(FENCING_KEY)
-            drawn = int(entry.value) + 1 if entry else 1
-            version = entry.version if entry else ABSENT_VERSION
-            try:
-                await self._kv.put_if(FENCING_KEY, str(drawn).encode(), version)
-            except KvConflictError:
-                continue
-            return drawn
-
     async def _swap(self, wanted: IncarnationRecord) -> bool:
         """Write the record; after a conflict read it again and return False."""
         key = incarnation_key(wanted.incarnation)
+        # A write whose answer is lost may still take effect. Until another write has moved the
+        # version past it, the record is not known.
+        was_lost, self._has_lost_answer = self._has_lost_answer, True
         try:
             entry = await self._kv.put_if(key, msgspec.json.encode(wanted), self._version)
         except KvConflictError:
             await self.read()
+            self._has_lost_answer = was_lost
             return False
+        self._has_lost_answer = False
         self.record = wanted
         self._version = entry.version
         return True
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/load_queue.py
@@ -0,0 +1,85 @@
+"""Turns of engines at the rate-limited weight store, over the whole fleet."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferryd.membership import MembershipController
+
+LOAD_PREFIX = "loads/"
+TICKET_KEY = "load-tickets"
+"""Counter that orders the loads; each ticket is a key below ``loads/``."""
+MAX_CONCURRENT_LOADS = 2
+"""Loads of the whole fleet at a time; more would only share the same rate."""
+CHECK_SECONDS = 1.0
+
+
+class LoadQueue:
+    """Gives turns in the order in which they were asked for.
+
+    Whoever asked first goes first, so no load waits for ever and a burst does not stampede. A
+    ticket lives under its router's lease and goes with it.
+
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading the checks of many routers.
+    :param membership: owner of the lease.
+    """
+
+    def __init__(
+        self, kv: KvStore, clock: Clock, rng: random.Random, membership: MembershipController
+    ) -> None:
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._membership = membership
+
+    @asynccontextmanager
+    async def turn(self) -> AsyncIterator[None]:
+        """Wait for a turn; it ends with the context.
+
+        :raises KvError: the ticket was lost, with the lease or in an outage; ask again.
+        """
+        key, version = await self._take_ticket()
+        try:
+            await self._wait(key)
+            yield
+        finally:
+            await self._give_back(key, version)
+
+    async def _take_ticket(self) -> tuple[str, int]:
+        number = await self._draw_number()
+        incarnation = self._membership.record.incarnation if self._membership.record else ""
+        key = f"{LOAD_PREFIX}{number:012d}-{incarnation}"
+        entry = await self._kv.put_if(key, b"{}", ABSENT_VERSION, self._membership.lease)
+        return key, entry.version
+
+    async def _draw_number(self) -> int:
+        while True:
+            entry = await self._kv.get(TICKET_KEY)
+            drawn = int(entry.value) + 1 if entry else 1
+            version = entry.version if entry else ABSENT_VERSION
+            try:
+                await self._kv.put_if(TICKET_KEY, str(drawn).encode(), version)
+            except KvConflictError:
+                continue
+            return drawn
+
+    async def _wait(self, key: str) -> None:
+        while True:
+            keys = [entry.key for entry in await self._kv.list(LOAD_PREFIX)]
+            if key not in keys:
+                raise KvConflictError("the ticket is gone", step="loads.wait", peer=key)
+            if keys.index(key) < MAX_CONCURRENT_LOADS:
+                return
+            await self._clock.sleep(CHECK_SECONDS * self._rng.uniform(0.8, 1.2))
+
+    async def _give_back(self, key: str, version: int) -> None:
+        """Delete the ticket; one that cannot be deleted goes with the lease."""
+        try:
+            await self._kv.delete_if(key, version)
+        except KvError:
+            return
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -60,7 +60,7 @@
         self._settings = settings
         self.view = MemberView(blackboard, kv, clock, settings.lease_ttl_seconds)
         self._incarnation = OwnIncarnation(kv)
-        self._heartbeat = OwnHeartbeat(kv, self.view, settings.lease_ttl_seconds)
+        self._heartbeat = OwnHeartbeat(kv, clock, self.view, settings.lease_ttl_seconds)
         self._join_hooks: list[JoinHook] = []
         self._is_listening = False
         self._has_left = False
@@ -78,6 +78,16 @@
         """Return this router's heartbeat record; None before joining."""
         return self._heartbeat.member
 
+    @property
+    def lease(self) -> str:
+        """Return the lease of the heartbeat record; empty while there is none."""
+        return self._heartbeat.lease
+
+    @property
+    def lease_valid_until(self) -> float:
+        """Return until when the lease certainly holds, in monotonic seconds."""
+        return self._heartbeat.valid_until
+
     @property
     def is_published(self) -> bool:
         """Return whether the heartbeat record stands as this router wants it."""
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/model_demand.py
@@ -0,0 +1,65 @@
+"""Publishes this router's demand for models and reads that of the fleet."""
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvStore
+from quinceferry_core.demand import DemandMeter
+from quinceferry_core.exceptions import KvConflictError
+from quinceferry_core.models import ModelRef
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.membership import MembershipController
+
+DEMAND_PREFIX = "demand/"
+
+
+class ModelDemand:
+    """One key for each router with any demand, written when its rounded demand changes.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param membership: owner of the lease that the key lives under.
+    :param meter: this router's demand.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        membership: MembershipController,
+        meter: DemandMeter,
+    ) -> None:
+        self._blackboard = blackboard
+        self._kv = kv
+        self._membership = membership
+        self._meter = meter
+        self._published: dict[str, float] = {}
+        self._published_under = ""
+
+    async def publish(self) -> None:
+        """Write the demand if it changed or its lease did.
+
+        :raises KvError: the service did not answer; call again.
+        """
+        lease = self._membership.lease
+        demand = {str(model): rate for model, rate in self._meter.read().items()}
+        is_known = demand == self._published and self._published_under in (lease, "")
+        if not lease or is_known:
+            return
+        key = f"{DEMAND_PREFIX}{self._blackboard.identity.incarnation}"
+        entry = await self._kv.get(key)
+        version = entry.version if entry else ABSENT_VERSION
+        try:
+            await self._kv.put_if(key, msgspec.json.encode(demand), version, lease)
+        except KvConflictError:
+            return
+        self._published = demand
+        self._published_under = lease
+
+    async def read_fleet(self) -> dict[ModelRef, float]:
+        """Return the demand of all routers together."""
+        total: dict[ModelRef, float] = {}
+        for entry in await self._kv.list(DEMAND_PREFIX):
+            for name, rate in msgspec.json.decode(entry.value, type=dict[str, float]).items():
+                model = ModelRef.parse(name)
+                total[model] = total.get(model, 0.0) + rate
+        return total
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/order_shards.py
@@ -0,0 +1,203 @@
+"""Which router gives orders to which engines.
+
+Engines are grouped into shards by zone and hash. The holder of a shard has written its record under
+the lease of its heartbeat, with a number drawn from the fencing counter, so that each holder's
+number is higher than its predecessor's. No lease is renewed for it and no contender polls: only the
+router that ranks first for a shard tries to hold it.
+"""
+
+import hashlib
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, LeaseLostError
+from quinceferry_core.membership import MemberState
+from quinceferry_core.models import IncarnationId, UpstreamKind, UpstreamSpec
+from quinceferry_core.orders import EngineRecord
+from quinceferry_core.routing import rendezvous_order
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.incarnations import draw_fencing
+from quinceferryd.membership import MembershipController
+
+ORDER_PREFIX = "orders/"
+SHARDS_PER_ZONE = 8
+SEND_MARGIN_SECONDS = 2.0
+"""How long before the end of its lease a holder stops sending."""
+
+
+class ShardRecord(msgspec.Struct, frozen=True):
+    """Who gives orders to the engines of one shard, and what it knows of them."""
+
+    holder: IncarnationId
+    fencing: int
+    engines: tuple[EngineRecord, ...] = ()
+
+
+class HeldShard:
+    """A shard that this router holds; ``since`` is in monotonic seconds."""
+
+    __slots__ = ("name", "fencing", "lease", "version", "since", "engines", "sequence")
+
+    def __init__(self, name: str, fencing: int, lease: str, version: int, since: float) -> None:
+        self.name = name
+        self.fencing = fencing
+        self.lease = lease
+        self.version = version
+        self.since = since
+        self.engines: tuple[EngineRecord, ...] = ()
+        self.sequence = 0
+
+    def next_sequence(self) -> int:
+        """Return the number of the next order in this shard."""
+        self.sequence += 1
+        return self.sequence
+
+
+def shard_of(spec: UpstreamSpec) -> str:
+    """Return the shard of an engine."""
+    digest = hashlib.blake2b(spec.id.encode(), digest_size=2).digest()
+    return f"{spec.zone}-{int.from_bytes(digest, 'big') % SHARDS_PER_ZONE}"
+
+
+class OrderShards:
+    """Takes and releases shards.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param membership: owner of the lease.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, kv: KvStore, clock: Clock, membership: MembershipController
+    ) -> None:
+        self._blackboard = blackboard
+        self._kv = kv
+        self._clock = clock
+        self._membership = membership
+        self.held_by_name: dict[str, HeldShard] = {}
+        self._maybe_written: set[str] = set()
+
+    def engines_by_shard(self) -> dict[str, list[UpstreamSpec]]:
+        """Return the configured engines of each shard."""
+        engines: dict[str, list[UpstreamSpec]] = {}
+        for spec in self._blackboard.configuration.upstreams_by_id.values():
+            if spec.kind is UpstreamKind.ENGINE:
+                engines.setdefault(shard_of(spec), []).append(spec)
+        return engines
+
+    def may_send(self, shard: HeldShard) -> bool:
+        """Tell whether an order may be sent now: the shard is held, with time to spare.
+
+        A process may still be paused after this check; what such a late order does is undone.
+        """
+        is_held = self.held_by_name.get(shard.name) is shard
+        ends_at = self._membership.lease_valid_until - SEND_MARGIN_SECONDS
+        return is_held and shard.lease == self._membership.lease and self._now() < ends_at
+
+    async def update(self) -> None:
+        """Take the shards that this router ranks first for, and give up all others.
+
+        :raises KvError: the service did not answer; call again.
+        """
+        self._drop_lapsed()
+        wanted = {name for name in self.engines_by_shard() if self._ranks_first(name)}
+        for name in [name for name in self.held_by_name if name not in wanted]:
+            del self.held_by_name[name]
+            self._maybe_written.add(name)
+        for name in sorted(self._maybe_written - wanted):
+            await self._release(name)
+        if not self._membership.lease:
+            return
+        for name in sorted(wanted - self.held_by_name.keys()):
+            await self._take(name)
+
+    async def publish(self, shard: HeldShard, engines: tuple[EngineRecord, ...]) -> None:
+        """Write what is known of a shard's engines, if it changed.
+
+        :raises KvError: the service did not answer, or the shard is held by another.
+        """
+        if engines == shard.engines:
+            return
+        record = ShardRecord(self._blackboard.identity.incarnation, shard.fencing, engines)
+        try:
+            entry = await self._kv.put_if(
+                _key(shard.name), msgspec.json.encode(record), shard.version, shard.lease
+            )
+        except (KvConflictError, LeaseLostError):
+            if not await self._find_own(shard):
+                self.held_by_name.pop(shard.name, None)
+            return
+        shard.version = entry.version
+        shard.engines = engines
+
+    async def read_all(self) -> tuple[ShardRecord, ...]:
+        """Return the records of all shards."""
+        entries = await self._kv.list(ORDER_PREFIX)
+        return tuple(msgspec.json.decode(entry.value, type=ShardRecord) for entry in entries)
+
+    def _drop_lapsed(self) -> None:
+        """Forget shards whose lease has ended; their keys went with it."""
+        lease = self._membership.lease
+        held = self.held_by_name.items()
+        self.held_by_name = {name: shard for name, shard in held if shard.lease == lease != ""}
+
+    def _ranks_first(self, name: str) -> bool:
+        members = self._blackboard.members_by_incarnation.values()
+        serving = [m for m in members if m.state is MemberState.SERVING]
+        zone = name.rpartition("-")[0]
+        near = [m for m in serving if m.zone == zone] or serving
+        ranked = rendezvous_order(name, [m.incarnation for m in near])
+        return bool(ranked) and ranked[0] == self._blackboard.identity.incarnation
+
+    async def _take(self, name: str) -> None:
+        """Write this router's record if there is none, or its own from an unanswered write."""
+        own = self._blackboard.identity.incarnation
+        existing = await self._kv.get(_key(name))
+        if existing is None:
+            record = ShardRecord(own, await draw_fencing(self._kv))
+        else:
+            record = msgspec.json.decode(existing.value, type=ShardRecord)
+        if record.holder != own:
+            return
+        self._maybe_written.add(name)
+        lease = self._membership.lease
+        version = existing.version if existing else ABSENT_VERSION
+        try:
+            entry = await self._kv.put_if(_key(name), msgspec.json.encode(record), version, lease)
+        except (KvConflictError, LeaseLostError):
+            return
+        self.held_by_name[name] = HeldShard(name, record.fencing, lease, entry.version, self._now())
+
+    async def _find_own(self, shard: HeldShard) -> bool:
+        """After a conflict, tell whether an earlier write of ours was the cause."""
+        entry = await self._kv.get(_key(shard.name))
+        if entry is None:
+            return False
+        record = msgspec.json.decode(entry.value, type=ShardRecord)
+        shard.version = entry.version
+        shard.engines = record.engines
+        return record.fencing == shard.fencing
+
+    async def _release(self, name: str) -> None:
+        """Delete this router's record, if there is one; repeated until that is certain."""
+        entry = await self._kv.get(_key(name))
+        if entry is not None and self._is_own(entry):
+            try:
+                await self._kv.delete_if(entry.key, entry.version)
+            except KvConflictError:
+                return
+        self._maybe_written.discard(name)
+
+    def _is_own(self, entry: KvEntry) -> bool:
+        record = msgspec.json.decode(entry.value, type=ShardRecord)
+        return record.holder == self._blackboard.identity.incarnation
+
+    def _now(self) -> float:
+        return self._clock.monotonic()
+
+
+def _key(name: str) -> str:
+    return f"{ORDER_PREFIX}{name}"
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/orders.py
@@ -0,0 +1,214 @@
+"""Keeps the models loaded at engines in step with attached workspaces and demand."""
+
+import random
+
+from quinceferry_core.adapters import KvStore, UpstreamClient
+from quinceferry_core.clocks import Clock
+from quinceferry_core.demand import DemandMeter
+from quinceferry_core.exceptions import KvError
+from quinceferry_core.models import ModelRef, UpstreamId, UpstreamSpec
+from quinceferry_core.orders import (
+    EngineRecord,
+    Wish,
+    detached_models,
+    eviction,
+    plan_loads,
+    wanted_models,
+)
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.engine_orders import EngineOrders
+from quinceferryd.load_queue import LoadQueue
+from quinceferryd.membership import MembershipController
+from quinceferryd.model_demand import ModelDemand
+from quinceferryd.order_shards import HeldShard, OrderShards
+
+CYCLE_SECONDS = 2.0
+FLEET_READ_SECONDS = 5.0
+"""Time between two reads of the records of all shards and of the fleet's demand."""
+UPSTREAMS_READ_PER_SECOND = 150.0
+"""Records of engines read by each holder; a larger fleet is read more rarely."""
+PATIENCE_SECONDS = 30.0
+"""How long loads wait for the records of all engines; without them, every holder would load."""
+DETACHED_SECONDS = 300.0
+"""How long a model stays loaded after no workspace has it attached, if there is room."""
+TAKEOVER_SECONDS = 15.0
+"""How long a new holder waits before it unloads: a lease and its predecessor's longest call."""
+MAX_LOAD_SECONDS = 180.0
+"""Bound of one load, so that an engine that never finishes does not hold its turn."""
+REPEAT_SECONDS = 20.0
+"""Time between two orders of the same load while it is awaited."""
+LOAD_CHECK_SECONDS = 1.0
+
+
+class OrderController(TaskGroupController):
+    """Gives orders to the engines of the shards that this router holds.
+
+    :param blackboard: shared state.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading the calls of many routers.
+    :param membership: owner of the lease.
+    :param upstreams: connections to engines.
+    :param demand: this router's demand, counted by the request path.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: random.Random,
+        membership: MembershipController,
+        upstreams: UpstreamClient,
+        demand: DemandMeter,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._clock = clock
+        self._rng = rng
+        self.shards = OrderShards(blackboard, kv, clock, membership)
+        self.engines = EngineOrders(blackboard, upstreams, clock, self.shards)
+        self._queue = LoadQueue(kv, clock, rng, membership)
+        self._demand = ModelDemand(blackboard, kv, membership, demand)
+        self._fleet_read_at = float("-inf")
+        self._incomplete_since: float | None = None
+        self._fleet_engines: dict[UpstreamId, EngineRecord] = {}
+        self._fleet_demand: dict[ModelRef, float] = {}
+
+    async def start(self) -> None:
+        """Start giving orders."""
+        self.spawn(self._run(), "orders")
+
+    async def reconcile(self) -> None:
+        """Compare the engines of the held shards with what they should have, and order once.
+
+        :raises KvError: the service did not answer; call again.
+        """
+        await self.shards.update()
+        await self._demand.publish()
+        if not self.shards.held_by_name:
+            return
+        await self._read_fleet()
+        specs_by_shard = self.shards.engines_by_shard()
+        for shard in list(self.shards.held_by_name.values()):
+            await self._observe(shard, specs_by_shard.get(shard.name, []))
+        own = {spec.id for name in self.shards.held_by_name for spec in specs_by_shard[name]}
+        self.engines.forget_except(own)
+        if self._is_view_complete():
+            self._start_loads()
+        for shard in list(self.shards.held_by_name.values()):
+            for spec in specs_by_shard.get(shard.name, []):
+                await self._order(shard, spec)
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(CYCLE_SECONDS * self._rng.uniform(0.8, 1.2))
+            if self._blackboard.state is not RouterState.SERVING:
+                continue
+            try:
+                await self.reconcile()
+            except KvError:
+                continue
+
+    async def _read_fleet(self) -> None:
+        """Read the records of all shards and the fleet's demand, unless that was done lately."""
+        engines = len(self._blackboard.configuration.upstreams_by_id)
+        interval = max(FLEET_READ_SECONDS, engines / UPSTREAMS_READ_PER_SECOND)
+        now = self._clock.monotonic()
+        if now < self._fleet_read_at + interval:
+            return
+        records = await self.shards.read_all()
+        self._fleet_engines = {e.upstream: e for record in records for e in record.engines}
+        self._fleet_demand = await self._demand.read_fleet()
+        self._fleet_read_at = now
+
+    def _is_view_complete(self) -> bool:
+        """Tell whether every engine has a record, or those without have lacked one for long."""
+        specs = [spec for specs in self.shards.engines_by_shard().values() for spec in specs]
+        now = self._clock.monotonic()
+        if all(spec.id in self._fleet_engines for spec in specs):
+            self._incomplete_since = None
+            return True
+        if self._incomplete_since is None:
+            self._incomplete_since = now
+        return now >= self._incomplete_since + PATIENCE_SECONDS
+
+    async def _observe(self, shard: HeldShard, specs: list[UpstreamSpec]) -> None:
+        is_new = not shard.engines
+        engines = tuple([await self.engines.observe(spec) for spec in specs])
+        await self.shards.publish(shard, engines)
+        self._fleet_engines.update({engine.upstream: engine for engine in engines})
+        if is_new:
+            for spec in specs:
+                await self.engines.raise_fencing(shard, spec)
+
+    def _start_loads(self) -> None:
+        wanted = wanted_models(self._blackboard.configuration)
+        for wish in plan_loads(wanted, self._fleet_demand, list(self._fleet_engines.values())):
+            shard = self._shard_of(wish.upstream)
+            state = self.engines.state(wish.upstream) if shard else None
+            if shard is None or state is None or state.loading:
+                continue
+            state.loading = wish.model
+            self.spawn(self._load(shard, wish), f"load {wish.model} at {wish.upstream}")
+
+    def _shard_of(self, upstream: UpstreamId) -> HeldShard | None:
+        specs_by_shard = self.shards.engines_by_shard()
+        for name, shard in self.shards.held_by_name.items():
+            if any(spec.id == upstream for spec in specs_by_shard.get(name, [])):
+                return shard
+        return None
+
+    async def _load(self, shard: HeldShard, wish: Wish) -> None:
+        """Have an engine load a model when its turn at the weight store has come."""
+        try:
+            async with self._queue.turn():
+                await self._load_now(shard, wish)
+        except KvError:
+            return
+        finally:
+            self.engines.state(wish.upstream).loading = None
+
+    async def _load_now(self, shard: HeldShard, wish: Wish) -> None:
+        """Order a load until a report shows it, the shard is lost or the bound has passed."""
+        ends_at = self._clock.monotonic() + MAX_LOAD_SECONDS
+        repeat_at = float("-inf")
+        while self._clock.monotonic() < ends_at:
+            spec = self._blackboard.configuration.upstreams_by_id.get(wish.upstream)
+            if spec is None or not self.shards.may_send(shard):
+                return
+            if self._clock.monotonic() >= repeat_at:
+                repeat_at = self._clock.monotonic() + REPEAT_SECONDS
+                if not await self.engines.load(shard, spec, wish.model):
+                    return
+            await self._clock.sleep(LOAD_CHECK_SECONDS)
+            record = await self.engines.observe(spec)
+            if not record.usable or wish.model in record.loaded:
+                return
+
+    async def _order(self, shard: HeldShard, spec: UpstreamSpec) -> None:
+        """Give the orders other than loads."""
+        engine = self._fleet_engines.get(spec.id)
+        if engine is None or not engine.usable:
+            return
+        await self.engines.assert_role(shard, spec)
+        if self._clock.monotonic() < shard.since + TAKEOVER_SECONDS:
+            return
+        unwanted = self._unwanted(engine)
+        if unwanted is not None and self.engines.is_settled(spec.id):
+            await self.engines.unload(shard, spec, unwanted)
+
+    def _unwanted(self, engine: EngineRecord) -> ModelRef | None:
+        """Return a model that an engine should unload now, or None."""
+        wanted = wanted_models(self._blackboard.configuration)
+        since_by_model = self.engines.state(engine.upstream).detached_since
+        detached = detached_models(engine, wanted)
+        now = self._clock.monotonic()
+        for model in since_by_model.keys() - set(detached):
+            del since_by_model[model]
+        for model in detached:
+            if now >= since_by_model.setdefault(model, now) + DETACHED_SECONDS:
+                return model
+        fleet = list(self._fleet_engines.values())
+        return eviction(engine, wanted, self._fleet_demand, fleet)
--- a/packages/quinceferry-daemon/src/quinceferryd/vms.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/vms.py
@@ -110,11 +110,11 @@
                 self._listed_upstreams.add(upstream_id)
             was_removed = record is None and upstream_id in self._listed_upstreams
             is_announced = record is not None and record.state is VmState.LEAVING
-            if was_removed or is_announced:
-                self._mark_leaving(upstream_id)
+            self._set_leaving(upstream_id, was_removed or is_announced)
 
-    def _mark_leaving(self, upstream_id: UpstreamId) -> None:
+    def _set_leaving(self, upstream_id: UpstreamId, leaving: bool) -> None:
+        """Note the state; a VM that one stale reading lacked is taken back."""
         status = self._blackboard.upstreams_by_id.setdefault(upstream_id, UpstreamStatus())
-        if not status.leaving:
-            status.leaving = True
+        if leaving and not status.leaving:
             status.leaving_since = self._clock.monotonic()
+        status.leaving = leaving
