Let the state machine reach settlements and recoveries

A slot built with a positional argument counted as closed, so the machine never settled a request, and most examples ended before a recovery.

--- a/features/fixtures_model_core.py
+++ b/features/fixtures_model_core.py
@@ -5,7 +5,13 @@
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 from returns.result import Failure
 
 from quinceferry_core.budgets import (
@@ -87,7 +93,7 @@
             self.fenced = True
             return False
         position = len(self.journal)
-        self.journal.append(Slot(f"{self.name}/{position}", (entry,), position))
+        self.journal.append(Slot(f"{self.name}/{position}", (entry,), first=position))
         return True
 
     def read(self) -> JournalState:
@@ -115,6 +121,12 @@
         self.tokens_run = 0
         self.requests = 0
 
+    @initialize(wanted=tokens, outage=st.integers(0, 3))
+    def draw_first(self, wanted: int, outage: int) -> None:
+        """Let both holders begin with tokens."""
+        for name in NAMES:
+            self.draw(name, wanted, outage, Answer.COMES)
+
     @rule(name=holders, wanted=tokens, outage=st.integers(0, 4), answer=answers)
     def draw(self, name: str, wanted: int, outage: int, answer: Answer) -> None:
         """Draw tokens, perhaps without learning whether it took effect."""
@@ -145,7 +157,7 @@
         """Let a write whose answer was lost take effect after all."""
         self._replace(self.pending.pop(index % len(self.pending)))
 
-    @rule(name=holders, reserved=tokens, share=st.integers(0, 4))
+    @rule(name=holders, reserved=st.integers(1, 3), share=st.integers(0, 4))
     def run_recorded(self, name: str, reserved: int, share: int) -> None:
         """Run a request after its Begin has become durable."""
         holder = self.holders_by_name[name]
@@ -157,7 +169,7 @@
             return
         self._run(holder, request, Attempt(reserved, reserved * share // 4, True))
 
-    @rule(name=holders, reserved=tokens)
+    @rule(name=holders, reserved=st.integers(1, 3))
     def run_in_outage(self, name: str, reserved: int) -> None:
         """Run a request on tokens meant for outages; its Begin stays in memory."""
         holder = self.holders_by_name[name]
@@ -190,6 +202,7 @@
         used = holder.ledger.settle(recorded[0], attempt.run)
         holder.append(Settle(WORKSPACE, recorded[0], used, True, name))
 
+    @precondition(lambda self: self.requests > 0)
     @rule()
     def close_journal(self) -> None:
         """Close the first holder's journal; the holder does not know yet."""
@@ -210,6 +223,8 @@
         kept = state.spent_by_workspace.get(WORKSPACE, 0) + state.reserved_unsettled(WORKSPACE)
         outage = held.outage_tokens if self.keeps_outage_tokens else 0
         self._replace(close(self.record, name, kept + outage))
+        closed = self.record.allotments_by_incarnation[name]
+        assert closed.closed and closed.drawn <= held.drawn, "a closed allotment can grow"
 
     @precondition(lambda self: self.holders_by_name[NAMES[0]].is_closed)
     @rule()
