--- a/features/caller_api.feature
+++ b/features/caller_api.feature
@@ -49,6 +49,9 @@
       | deadline_exceeded   | 0     | streamed | 504    |
       | request_id_reused   | 0     | whole    | 409    |
 
+  Scenario: Every reason has a status, and the callers' page tells it
+    Then each reason has a status of its own kind and the callers' page shows the same
+
   Scenario: A stream that breaks off says so
     Given the pipeline breaks off after 2 chunks with an unknown outcome
     When the openai client asks for a streamed chat answer
@@ -189,6 +192,17 @@
     Then one was answered and one was refused with the reason "memory_full"
     And a third body of 2000 bytes is answered afterwards
 
+  Scenario: A body that never arrives holds nothing for long
+    Given bodies may take 0.2 seconds to arrive
+    When a caller sends half of its body and waits
+    Then the waiting caller reads status 504 with the reason "deadline_exceeded"
+    And the pipeline was given nothing
+
+  Scenario: A key listed by two workspaces opens neither
+    Given the keys of both workspaces are the same
+    When the openai client asks for a whole chat answer
+    Then the client library raises status 401 with the reason "unauthenticated"
+
   Scenario: Probes
     When a probe asks "/health" and "/ready" in each state of the router
     Then only a serving router is ready and only a fenced router is not healthy
--- a/features/router_metrics.feature
+++ b/features/router_metrics.feature
@@ -35,6 +35,17 @@
     Then at most 48 workspaces are named and "busy" is one of them
     And at most 384 workspaces are remembered without a name
 
+  Scenario: What a router counts for itself is exported
+    Given a real router that was never started, with scraped metrics
+    When it has admitted 3 requests, read "budgets/choir" 2 times and become ready
+    Then its exposition shows these lines
+      | line                                                             |
+      | quinceferry_admissions_total{class="high",result="admitted"} 3.0 |
+      | quinceferry_kv_calls_total{purpose="budgets",verb="get"} 2.0     |
+      | quinceferry_router_state{state="serving"} 1.0                    |
+      | quinceferry_kv_available 1.0                                     |
+      | quinceferry_open_requests 0.0                                    |
+
   Scenario: Only changes are logged, one line each
     Given a log of a router's changes
     When the router joins, applies revision 4 and is checked 3 times
--- a/features/steps/caller_api.py
+++ b/features/steps/caller_api.py
@@ -3,7 +3,9 @@
 import asyncio
 import dataclasses
 import json
+import re
 import socket
+from pathlib import Path
 
 import httpx
 import openai
@@ -30,8 +32,11 @@
     Unknown,
 )
 from quinceferryd.blackboard import RouterState
+from quinceferryd.keys import key_digest
+from quinceferryd.refusals import STATUS_BY_REASON
 from quinceferryd.server import HttpServer, build_app
 
+CALLERS_PAGE = Path(__file__).parents[2] / "docs" / "callers.md"
 MESSAGES = [
     {"role": "system", "content": "Be brief."},
     {"role": "user", "content": [{"type": "text", "text": "Explain."}]},
@@ -394,6 +399,42 @@
     return answer.choices[0].message.content
 
 
+@given("bodies may take {seconds:f} seconds to arrive")
+def set_body_timeout(context, seconds):
+    settings = context.application.settings
+    callers = dataclasses.replace(settings.callers, body_timeout_seconds=seconds)
+    context.application.settings = dataclasses.replace(settings, callers=callers)
+
+
+@given("the keys of both workspaces are the same")
+def share_key(context):
+    board = context.application.blackboard
+    workspaces = {
+        workspace.id: dataclasses.replace(workspace, key_hashes=(key_digest(KEY),))
+        for workspace in board.configuration.workspaces_by_id.values()
+    }
+    board.configuration = dataclasses.replace(
+        board.configuration, revision=2, workspaces_by_id=workspaces
+    )
+
+
+@when("a caller sends half of its body and waits")
+def send_half(context):
+    body = json.dumps(GOOD_BODY).encode()
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n"
+    head += f"content-length: {len(body)}\r\n\r\n"
+
+    async def work():
+        async with served(context.application) as address:
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head.encode() + body[: len(body) // 2])
+            context.received = await reader.readuntil(b"}}")
+            writer.close()
+
+    run(work())
+
+
 @when('a probe asks "{health}" and "{ready}" in each state of the router')
 def probe(context, health, ready):
     context.statuses_by_state = {}
@@ -470,6 +511,15 @@
     assert headers["x-should-retry"] == ("true" if seconds else "false"), headers
 
 
+@then("each reason has a status of its own kind and the callers' page shows the same")
+def check_statuses(context):
+    rows = re.findall(r"^\| `(\w+)` \| (\d{3}) \|$", CALLERS_PAGE.read_text(), re.MULTILINE)
+    documented = {reason: int(status) for reason, status in rows}
+    served_statuses = {reason.value: status for reason, status in STATUS_BY_REASON.items()}
+    assert set(served_statuses) == {reason.value for reason in RefusalReason}
+    assert documented == served_statuses, set(documented.items()) ^ set(served_statuses.items())
+
+
 @then("the pipeline was given nothing")
 def check_nothing(context):
     assert context.pipeline.requests == []
@@ -559,6 +609,12 @@
     assert context.third == "The dues balance"
 
 
+@then('the waiting caller reads status {status:d} with the reason "{reason}"')
+def check_waiting(context, status, reason):
+    assert context.received.startswith(f"HTTP/1.1 {status} ".encode()), context.received
+    assert f'"reason":"{reason}"'.encode() in context.received, context.received
+
+
 @then("only a serving router is ready and only a fenced router is not healthy")
 def check_probes(context):
     expected = {
--- a/features/steps/router_metrics.py
+++ b/features/steps/router_metrics.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import random
 import re
 
 import httpx
@@ -10,11 +11,15 @@
 from behave import given, then, when
 from fixtures_edge import KEY, OPERATOR_KEY, FakeApplication, openai_client, served
 
-from quinceferry_core.models import Configuration, Usage
+from quinceferry_core.clocks import SystemClock
+from quinceferry_core.kv_calls import call_kind
+from quinceferry_core.models import Configuration, Priority, Usage
 from quinceferry_core.outcomes import Chunk, Finished
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferryd import logs
+from quinceferryd.application import Application, Dependencies
 from quinceferryd.blackboard import Blackboard, Identity, RouterState
+from quinceferryd.exports import export_state
 from quinceferryd.metrics import ScrapedMetrics
 from quinceferryd.workspace_labels import OTHER_WORKSPACES, WorkspaceLabels
 
@@ -54,6 +59,28 @@
     context.board = Blackboard(Identity("vm-1", "a", "127.0.0.1:1"))
 
 
+@given("a real router that was never started, with scraped metrics")
+def make_real_router(context):
+    context.metrics = ScrapedMetrics(WorkspaceLabels())
+    unused = Dependencies(SystemClock(), None, None, None, None, random.Random(1))
+    context.router = Application(FakeApplication().settings, unused)
+    export_state(context.router, context.metrics)
+
+
+@when('it has admitted {admitted:d} requests, read "{key}" {calls:d} times and become ready')
+def use_real_router(context, admitted, calls, key):
+    context.router.scheduler.counters.admitted[Priority.HIGH] += admitted
+    context.router.kv.calls_by_kind[call_kind("get", key)] += calls
+    context.router.blackboard.state = RouterState.SERVING
+
+
+@then("its exposition shows these lines")
+def check_exposition(context):
+    shown = context.metrics.exposition().decode().splitlines()
+    for row in context.table:
+        assert row["line"] in shown, (row["line"], shown)
+
+
 @when('{answers:d} streamed answers of {chunks:d} chunks are read by the workspace "{workspace}"')
 def read_answers(context, answers, chunks, workspace):
     script = [Chunk(index, 1, "x") for index in range(chunks)]
--- a/packages/quinceferry-daemon/src/quinceferryd/bodies.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/bodies.py
@@ -1,5 +1,6 @@
 """Request bodies and the memory they hold."""
 
+import asyncio
 from typing import Any
 
 from litestar import Request
@@ -56,30 +57,41 @@
 
 
 async def read_body(
-    request: Request[Any, Any, Any], max_bytes: int, memory: BodyMemory
+    request: Request[Any, Any, Any], max_bytes: int, timeout_seconds: float, memory: BodyMemory
 ) -> Result[HeldBody, Failed]:
     """Read a body within the bounds of one body and of all together.
 
     :param max_bytes: greatest size of this body.
+    :param timeout_seconds: how long the whole body may take to arrive.
     :return: the body, which the caller must release.
     """
     held = HeldBody(memory)
-    pieces: list[bytes] = []
-    size = 0
     try:
-        async for piece in request.stream():
-            size += len(piece)
-            if size > max_bytes:
-                held.release()
-                detail = f"the body is larger than {max_bytes} bytes"
-                return Failure(refusal(RefusalReason.OVERSIZED, detail))
-            if not held.grow(len(piece)):
-                held.release()
-                detail = "too many large requests at once"
-                return Failure(refusal(RefusalReason.MEMORY_FULL, detail, _MEMORY_RETRY_SECONDS))
-            pieces.append(piece)
+        async with asyncio.timeout(timeout_seconds):
+            refused = await _fill(held, request, max_bytes)
+    except TimeoutError:
+        detail = f"the body did not arrive within {timeout_seconds:g} seconds"
+        refused = refusal(RefusalReason.DEADLINE_EXCEEDED, detail)
     except BaseException:
         held.release()
         raise
-    held.data = b"".join(pieces)
+    if refused is not None:
+        held.release()
+        return Failure(refused)
     return Success(held)
+
+
+async def _fill(held: HeldBody, request: Request[Any, Any, Any], max_bytes: int) -> Failed | None:
+    """Read a body as it arrives; return why it is refused, if it is."""
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in request.stream():
+        size += len(piece)
+        if size > max_bytes:
+            return refusal(RefusalReason.OVERSIZED, f"the body is larger than {max_bytes} bytes")
+        if not held.grow(len(piece)):
+            detail = "too many large requests at once"
+            return refusal(RefusalReason.MEMORY_FULL, detail, _MEMORY_RETRY_SECONDS)
+        pieces.append(piece)
+    held.data = b"".join(pieces)
+    return None
--- a/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
@@ -143,7 +143,8 @@
 
     async def _with_body(self, request: HttpRequest, use: Callable[[HeldBody], Reply]) -> Reply:
         """Read the body and use it; it is released unless the response now holds it."""
-        match await read_body(request, self._settings.max_body_bytes, self._bodies):
+        bounds = (self._settings.max_body_bytes, self._settings.body_timeout_seconds)
+        match await read_body(request, *bounds, self._bodies):
             case Success(body):
                 reply = use(body)
             case failure:
--- a/packages/quinceferry-daemon/src/quinceferryd/daemon.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/daemon.py
@@ -11,6 +11,7 @@
 
 from quinceferry_core.clocks import SystemClock
 from quinceferryd.application import Application, Dependencies
+from quinceferryd.exports import export_state
 from quinceferryd.http_transport import StreamingTransport
 from quinceferryd.kv_client import HttpKv
 from quinceferryd.logs import ChangeLog
@@ -31,8 +32,10 @@
 async def run(settings: Settings) -> None:
     """Run a router until a signal or an operator stops it; no request in progress is cut."""
     stopping = stop_on_signals()
-    async with _connected(settings) as dependencies:
+    metrics = ScrapedMetrics(WorkspaceLabels())
+    async with _connected(settings, metrics) as dependencies:
         application = Application(settings, dependencies)
+        export_state(application, metrics)
         await serve_until(application, stopping)
 
 
@@ -71,7 +74,7 @@
 
 
 @asynccontextmanager
-async def _connected(settings: Settings) -> AsyncIterator[Dependencies]:
+async def _connected(settings: Settings, metrics: ScrapedMetrics) -> AsyncIterator[Dependencies]:
     """Open the connection pools of a router and close them at the end."""
     clock = SystemClock()
     platform = settings.platform
@@ -90,7 +93,7 @@
             upstreams=upstreams,
             peers=peers,
             rng=random.Random(),
-            metrics=ScrapedMetrics(WorkspaceLabels()),
+            metrics=metrics,
         )
 
 
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/exports.py
@@ -0,0 +1,74 @@
+"""Exports what the parts of a router count for themselves; read at each scrape."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from quinceferryd.application import Application
+from quinceferryd.metrics import Reading, ScrapedMetrics
+
+
+def export_state(application: Application, metrics: ScrapedMetrics) -> None:
+    """Export counts and levels of a router; their labels are bounded by enumerations."""
+    board = application.blackboard
+    metrics.observe_gauge(
+        "quinceferry_router_state",
+        "Life-cycle state of the router; its current one shows 1",
+        lambda: [(1.0, {"state": board.state.value})],
+    )
+    metrics.observe_gauge(
+        "quinceferry_kv_available",
+        "Whether the key-value service answers",
+        lambda: [(float(board.kv.available), {})],
+    )
+    metrics.observe_gauge(
+        "quinceferry_configuration_revision",
+        "Revision of the configuration in force here",
+        lambda: [(float(board.configuration.revision), {})],
+    )
+    metrics.observe_gauge(
+        "quinceferry_members",
+        "Routers that hold a lease",
+        lambda: [(float(len(board.members_by_incarnation)), {})],
+    )
+    metrics.observe_gauge(
+        "quinceferry_open_requests",
+        "Requests in progress",
+        lambda: [(float(application.pipeline.open_requests), {})],
+    )
+    metrics.observe_counter(
+        "quinceferry_kv_calls",
+        "Calls to the key-value service by purpose",
+        lambda: _kv_calls(application),
+    )
+    metrics.observe_counter(
+        "quinceferry_admissions",
+        "Requests by class and how admission ended",
+        lambda: _admissions(application),
+    )
+    metrics.observe_counter(
+        "quinceferry_recovery",
+        "Closed and retired incarnations, settled requests, and tokens freed and withheld",
+        lambda: _recovery(application),
+    )
+
+
+def _kv_calls(application: Application) -> Iterator[Reading]:
+    """Return the calls to the key-value service."""
+    for kind, count in application.kv.calls_by_kind.items():
+        yield float(count), {"purpose": kind.purpose, "verb": kind.verb}
+
+
+def _admissions(application: Application) -> Iterator[Reading]:
+    """Return how admission ended."""
+    counters = application.scheduler.counters
+    for priority, count in counters.admitted.items():
+        yield float(count), {"class": priority.name.lower(), "result": "admitted"}
+    for (priority, reason), count in counters.refused.items():
+        yield float(count), {"class": priority.name.lower(), "result": reason.value}
+
+
+def _recovery(application: Application) -> Iterator[Reading]:
+    """Return what recovery has done."""
+    counters = application.recovery.counters
+    for field in dataclasses.fields(counters):
+        yield float(getattr(counters, field.name)), {"what": field.name}
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -140,6 +140,7 @@
     max_body_bytes: int = 1024 * 1024
     max_total_body_bytes: int = 4 * 1024 * 1024
     max_service_response_bytes: int = 1024 * 1024
+    body_timeout_seconds: float = 30.0
     default_deadline_seconds: float = 120.0
     max_deadline_seconds: float = 600.0
 
