Check a peer's signature before reading its body

Cause: the signature covered the body itself, so a stranger's body was read and held before it was refused; five handlers repeated the same reading, and a recall stopped by the key-value service was logged as a bug. Change: the signed header holds the body's digest, bodies of peers have a bound together and a time limit, one method reads and answers every call, known errors become status 503.

--- a/features/peer_wire.feature
+++ b/features/peer_wire.feature
@@ -45,6 +45,15 @@
       | signed an hour ago             |
       | with a malformed signature     |
 
+  Scenario: A stranger can't make a router hold a body
+    When a stranger sends only the head of a forwarded request
+    Then the peer answered 401 before the body arrived
+
+  Scenario: A recall that the key-value service stops is not a bug
+    Given the peer can't reach the key-value service
+    When a router recalls 50 tokens of "choir" from the peer and fails
+    Then the recall fails, but not as not begun
+
   Scenario: A client with another secret learns that nothing was begun
     When a router with another secret forwards a request to the peer
     Then the forward fails as not begun
--- a/features/steps/peer_wire.py
+++ b/features/steps/peer_wire.py
@@ -8,7 +8,11 @@
 from fixtures_edge import FLEET_SECRET, FakeApplication, answer_script, served
 
 from quinceferry_core.clocks import SystemClock
-from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
+from quinceferry_core.exceptions import (
+    KvUnavailableError,
+    PeerNotBegunError,
+    PeerUnavailableError,
+)
 from quinceferry_core.models import (
     CallerRequest,
     ModelRef,
@@ -209,6 +213,52 @@
     context.response = run(work())
 
 
+@given("the peer can't reach the key-value service")
+def break_recall(context):
+    async def fail(workspace, wanted):
+        raise KvUnavailableError("no answer", step="kv.put_if")
+
+    context.peer.allotments.recall = fail
+
+
+@when('a router recalls {wanted:d} tokens of "{workspace}" from the peer and fails')
+def recall_in_vain(context, wanted, workspace):
+    async def call(peers, address):
+        try:
+            await peers.recall(address, workspace, wanted)
+        except PeerUnavailableError as error:
+            return error
+
+    context.error = run(with_peer(context, call))
+
+
+@then("the recall fails, but not as not begun")
+def check_recall_failed(context):
+    assert isinstance(context.error, PeerUnavailableError)
+    assert not isinstance(context.error, PeerNotBegunError)
+    assert "503" in str(context.error), context.error
+
+
+@when("a stranger sends only the head of a forwarded request")
+def send_head_only(context):
+    head = f"POST {peer_api.FORWARD_PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"
+
+    async def work():
+        async with served(context.peer) as address:
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head.encode())
+            context.received = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    run(work())
+
+
+@then("the peer answered 401 before the body arrived")
+def check_early_refusal(context):
+    assert context.received.startswith(b"HTTP/1.1 401 "), context.received
+
+
 @when("a router closes its forward after the first chunk")
 def close_forward(context):
     async def call(peers, address):
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_api.py
@@ -1,20 +1,24 @@
 """HTTP interface for other routers of the fleet; every call is signed with the fleet secret."""
 
 import asyncio
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import msgspec
 from litestar import Request, Router, post
 from litestar.types import ASGIApp
+from returns.result import Failure, Success
 
 from quinceferry_core.copies import CollectRequest, HoldRequest
-from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
+from quinceferry_core.exceptions import QuinceferryError
+from quinceferry_core.models import CallerRequest
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Failed, Finished
 from quinceferryd import wire
+from quinceferryd.bodies import BodyMemory, read_body
 from quinceferryd.interfaces import RouterApplication
 from quinceferryd.relays import relay_events
 from quinceferryd.responses import Header, Relay, RelayResponse, ResponseWriter
-from quinceferryd.signatures import SIGNATURE_HEADER, Signer
+from quinceferryd.signatures import SIGNATURE_HEADER, Signer, body_digest
 
 FORWARD_PATH = "/peer/v1/forward"
 """Runs a request and streams its answer."""
@@ -31,17 +35,15 @@
 MAX_PEER_BODY_FACTOR = 4
 """A forwarded request holds its body in base64 and its prompt beside it."""
 
+HttpRequest = Request[Any, Any, Any]
+T = TypeVar("T")
+
+_BODY_REFUSED_STATUS = 413
+"""For a body that is too large for now or for ever, or that never arrives."""
 _LINES_HEADER: Header = (b"content-type", b"application/x-ndjson")
 _JSON_HEADER: Header = (b"content-type", b"application/json")
 
 
-class OutcomeQuestion(msgspec.Struct, frozen=True):
-    """Asks what became of a request."""
-
-    workspace: WorkspaceId
-    request_id: RequestId
-
-
 class PeerApi:
     """Handles calls of other routers.
 
@@ -53,80 +55,76 @@
         self._signer = Signer(application.settings.router.fleet_secret)
         settings = application.settings
         self._max_body_bytes = settings.callers.max_body_bytes * MAX_PEER_BODY_FACTOR
+        self._body_timeout_seconds = settings.callers.body_timeout_seconds
+        self._bodies = BodyMemory(self._max_body_bytes)
         self._write_timeout_seconds = settings.streams.reader_timeout_seconds
 
-    async def forward(self, request: Request[Any, Any, Any]) -> ASGIApp:
+    async def forward(self, request: HttpRequest) -> ASGIApp:
         """Run a forwarded request."""
-        body = await self._authenticated_body(request)
-        if body is None:
-            return self._refuse(401, b"bad signature or oversized body")
-        try:
-            forwarded = wire.decode_request(body)
-        except msgspec.DecodeError as error:
-            return self._refuse(400, str(error).encode())
-        return self._respond(lambda writer: self._relay(forwarded, writer))
 
-    async def outcome(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        async def answer(forwarded: CallerRequest) -> ASGIApp:
+            return self._respond(lambda writer: self._relay(forwarded, writer))
+
+        return await self._answer(request, CallerRequest, answer)
+
+    async def outcome(self, request: HttpRequest) -> ASGIApp:
         """Tell what became of a request."""
-        body = await self._authenticated_body(request)
-        if body is None:
-            return self._refuse(401, b"bad signature or oversized body")
-        try:
-            question = msgspec.json.decode(body, type=OutcomeQuestion)
-        except msgspec.DecodeError as error:
-            return self._refuse(400, str(error).encode())
-        pipeline = self._application.pipeline
-        outcome = await pipeline.outcome(question.workspace, question.request_id)
-        return self._reply(wire.encode_outcome(outcome))
 
-    async def recall(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        async def answer(question: wire.OutcomeQuestion) -> ASGIApp:
+            pipeline = self._application.pipeline
+            outcome = await pipeline.outcome(question.workspace, question.request_id)
+            return self._reply(wire.encode_outcome(outcome))
+
+        return await self._answer(request, wire.OutcomeQuestion, answer)
+
+    async def recall(self, request: HttpRequest) -> ASGIApp:
         """Return unused tokens to the budget record."""
-        body = await self._authenticated_body(request)
-        if body is None:
-            return self._refuse(401, b"bad signature or oversized body")
-        try:
-            wanted = wire.decode_recall_request(body)
-        except msgspec.DecodeError as error:
-            return self._refuse(400, str(error).encode())
-        reply = await self._application.allotments.recall(wanted.workspace, wanted.wanted)
-        return self._reply(wire.encode_recall_reply(reply))
 
-    async def hold(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        async def answer(wanted: wire.RecallRequest) -> ASGIApp:
+            reply = await self._application.allotments.recall(wanted.workspace, wanted.wanted)
+            return self._reply(msgspec.json.encode(reply))
+
+        return await self._answer(request, wire.RecallRequest, answer)
+
+    async def hold(self, request: HttpRequest) -> ASGIApp:
         """Hold copies of journal entries."""
-        body = await self._authenticated_body(request)
-        if body is None:
-            return self._refuse(401, b"bad signature or oversized body")
-        try:
-            wanted = msgspec.json.decode(body, type=HoldRequest)
-        except msgspec.DecodeError as error:
-            return self._refuse(400, str(error).encode())
-        reply = self._application.copies.hold(wanted)
-        return self._reply(msgspec.json.encode(reply))
 
-    async def collect(self, request: Request[Any, Any, Any]) -> ASGIApp:
+        async def answer(wanted: HoldRequest) -> ASGIApp:
+            return self._reply(msgspec.json.encode(self._application.copies.hold(wanted)))
+
+        return await self._answer(request, HoldRequest, answer)
+
+    async def collect(self, request: HttpRequest) -> ASGIApp:
         """Return the copies held of a closed incarnation."""
-        body = await self._authenticated_body(request)
-        if body is None:
-            return self._refuse(401, b"bad signature or oversized body")
-        try:
-            wanted = msgspec.json.decode(body, type=CollectRequest)
-        except msgspec.DecodeError as error:
-            return self._refuse(400, str(error).encode())
-        reply = self._application.copies.collect(wanted)
-        return self._reply(msgspec.json.encode(reply))
-
-    async def _authenticated_body(self, request: Request[Any, Any, Any]) -> bytes | None:
-        """Read the body; None unless it is signed and of a permitted size."""
-        pieces = bytearray()
-        async for piece in request.stream():
-            pieces += piece
-            if len(pieces) > self._max_body_bytes:
-                return None
-        body = bytes(pieces)
+
+        async def answer(wanted: CollectRequest) -> ASGIApp:
+            return self._reply(msgspec.json.encode(self._application.copies.collect(wanted)))
+
+        return await self._answer(request, CollectRequest, answer)
+
+    async def _answer(
+        self, request: HttpRequest, kind: type[T], answer: Callable[[T], Awaitable[ASGIApp]]
+    ) -> ASGIApp:
+        """Authenticate a call, read its message and answer it."""
         value = request.headers.get(SIGNATURE_HEADER, "")
         now = self._application.clock.now().timestamp()
-        path = request.scope["path"]
-        return body if self._signer.verify(value, "POST", path, body, now) else None
+        digest = self._signer.verify(value, "POST", request.scope["path"], now)
+        if not digest:
+            return self._refuse(401, "the call is not signed by a router of this fleet")
+        bounds = (self._max_body_bytes, self._body_timeout_seconds)
+        match await read_body(request, *bounds, self._bodies):
+            case Failure(failed):
+                return self._refuse(_BODY_REFUSED_STATUS, failed.detail)
+            case Success(body):
+                body.release()
+        if body_digest(body.data) != digest:
+            return self._refuse(401, "the body is not the one that was signed")
+        try:
+            return await answer(msgspec.json.decode(body.data, type=kind))
+        except msgspec.DecodeError as error:
+            return self._refuse(400, str(error))
+        except QuinceferryError as error:
+            return self._refuse(503, str(error))
 
     async def _relay(self, forwarded: CallerRequest, writer: ResponseWriter) -> None:
         """Stream the answer's events, with empty lines while there are none."""
@@ -149,9 +147,9 @@
         """Return a JSON response."""
         return self._respond(lambda writer: writer.respond(200, [_JSON_HEADER], body))
 
-    def _refuse(self, status: int, detail: bytes) -> ASGIApp:
-        """Return a response to a call that was not begun."""
-        return self._respond(lambda writer: writer.respond(status, [], detail))
+    def _refuse(self, status: int, detail: str) -> ASGIApp:
+        """Return an error response; a status below 500 says that the call was not begun."""
+        return self._respond(lambda writer: writer.respond(status, [], detail.encode()))
 
     def _respond(self, relay: Relay) -> ASGIApp:
         """Return a response written by a coroutine."""
@@ -192,25 +190,25 @@
 
 
 @post(FORWARD_PATH, request_max_body_size=None)
-async def _forward(request: Request[Any, Any, Any]) -> ASGIApp:
+async def _forward(request: HttpRequest) -> ASGIApp:
     return await request.app.state.peer_api.forward(request)
 
 
 @post(OUTCOME_PATH, request_max_body_size=None)
-async def _outcome(request: Request[Any, Any, Any]) -> ASGIApp:
+async def _outcome(request: HttpRequest) -> ASGIApp:
     return await request.app.state.peer_api.outcome(request)
 
 
 @post(RECALL_PATH, request_max_body_size=None)
-async def _recall(request: Request[Any, Any, Any]) -> ASGIApp:
+async def _recall(request: HttpRequest) -> ASGIApp:
     return await request.app.state.peer_api.recall(request)
 
 
 @post(HOLD_PATH, request_max_body_size=None)
-async def _hold(request: Request[Any, Any, Any]) -> ASGIApp:
+async def _hold(request: HttpRequest) -> ASGIApp:
     return await request.app.state.peer_api.hold(request)
 
 
 @post(COLLECT_PATH, request_max_body_size=None)
-async def _collect(request: Request[Any, Any, Any]) -> ASGIApp:
+async def _collect(request: HttpRequest) -> ASGIApp:
     return await request.app.state.peer_api.collect(request)
--- a/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/peer_client.py
@@ -21,7 +21,6 @@
     KEEP_ALIVE_SECONDS,
     OUTCOME_PATH,
     RECALL_PATH,
-    OutcomeQuestion,
 )
 from quinceferryd.signatures import SIGNATURE_HEADER, Signer
 
@@ -92,7 +91,7 @@
 
         :raises PeerUnavailableError: no answer came.
         """
-        question = msgspec.json.encode(OutcomeQuestion(workspace, request_id))
+        question = msgspec.json.encode(wire.OutcomeQuestion(workspace, request_id))
         with _peer_errors("peer.ask_outcome", address):
             reply = await self._call(address, OUTCOME_PATH, question, "peer.ask_outcome")
             return wire.decode_outcome(reply)
@@ -102,10 +101,10 @@
 
         :raises PeerUnavailableError: no answer came; tokens may have been returned.
         """
-        body = wire.encode_recall_request(wire.RecallRequest(workspace, wanted))
+        body = msgspec.json.encode(wire.RecallRequest(workspace, wanted))
         with _peer_errors("peer.recall", address):
             reply = await self._call(address, RECALL_PATH, body, "peer.recall")
-            return wire.decode_recall_reply(reply)
+            return msgspec.json.decode(reply, type=RecallReply)
 
     async def hold(self, address: str, request: HoldRequest) -> HoldReply:
         """Have a peer hold copies of journal entries.
--- a/packages/quinceferry-daemon/src/quinceferryd/wire.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/wire.py
@@ -1,4 +1,4 @@
-"""Wire form of requests, answers and outcomes between routers.
+"""Wire form of answers and outcomes between routers; other messages encode as they are.
 
 A forwarded request is one JSON document. Its answer is a sequence of lines, each one JSON object
 with a ``type`` tag; an empty line only shows that the connection is alive.
@@ -8,8 +8,7 @@
 
 import msgspec
 
-from quinceferry_core.adapters import RecallReply
-from quinceferry_core.models import CallerRequest, Usage, WorkspaceId
+from quinceferry_core.models import CallerRequest, RequestId, Usage, WorkspaceId
 from quinceferry_core.outcomes import (
     AnswerEvent,
     Chunk,
@@ -84,6 +83,13 @@
     outcome: WireOutcome | None
 
 
+class OutcomeQuestion(msgspec.Struct, frozen=True):
+    """Asks what became of a request."""
+
+    workspace: WorkspaceId
+    request_id: RequestId
+
+
 class RecallRequest(msgspec.Struct, frozen=True):
     """Asks a router to return unused tokens of a workspace."""
 
@@ -95,8 +101,6 @@
 _request_decoder = msgspec.json.Decoder(CallerRequest)
 _event_decoder = msgspec.json.Decoder(WireEvent)
 _outcome_decoder = msgspec.json.Decoder(OutcomeReply)
-_recall_request_decoder = msgspec.json.Decoder(RecallRequest)
-_recall_reply_decoder = msgspec.json.Decoder(RecallReply)
 
 
 def encode_request(request: CallerRequest) -> bytes:
@@ -152,32 +156,6 @@
     return None if reply.outcome is None else _core_outcome(reply.outcome)
 
 
-def encode_recall_request(request: RecallRequest) -> bytes:
-    """Encode a request to return tokens."""
-    return _encoder.encode(request)
-
-
-def decode_recall_request(document: bytes) -> RecallRequest:
-    """Decode a request to return tokens.
-
-    :raises msgspec.DecodeError: the document is malformed.
-    """
-    return _recall_request_decoder.decode(document)
-
-
-def encode_recall_reply(reply: RecallReply) -> bytes:
-    """Encode how many tokens were returned."""
-    return _encoder.encode(reply)
-
-
-def decode_recall_reply(document: bytes) -> RecallReply:
-    """Decode how many tokens were returned.
-
-    :raises msgspec.DecodeError: the document is malformed.
-    """
-    return _recall_reply_decoder.decode(document)
-
-
 def _wire_event(event: AnswerEvent) -> WireEvent:
     """Return the wire form of an event."""
     match event:
