--- a/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
@@ -6,9 +6,9 @@
 from typing import TypeVar
 
 from quinceferry_core.adapters import RecallReply
-from quinceferry_core.copies import CollectReply, EntryCopy, HoldReply
+from quinceferry_core.copies import CollectReply, CollectRequest, HoldReply, HoldRequest
 from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
-from quinceferry_core.models import CallerRequest, IncarnationId, RequestId, WorkspaceId
+from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
 from quinceferry_lab.gates import CallKind
 from quinceferry_lab.network import (
@@ -77,23 +77,19 @@
 
         return await self._call(address, recall, "peer.recall")
 
-    async def hold(
-        self, address: str, owner: IncarnationId, copies: tuple[EntryCopy, ...]
-    ) -> HoldReply:
+    async def hold(self, address: str, request: HoldRequest) -> HoldReply:
         """Have a peer hold copies of journal entries."""
 
         async def hold() -> HoldReply:
-            return self._application(address).copies.hold(owner, copies)
+            return self._application(address).copies.hold(request)
 
         return await self._call(address, hold, "peer.hold")
 
-    async def collect(
-        self, address: str, holder: IncarnationId, owner: IncarnationId
-    ) -> CollectReply:
+    async def collect(self, address: str, request: CollectRequest) -> CollectReply:
         """Read the copies that a peer holds of a closed incarnation."""
 
         async def collect() -> CollectReply:
-            return self._application(address).copies.collect(holder, owner)
+            return self._application(address).copies.collect(request)
 
         return await self._call(address, collect, "peer.collect")
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/trials.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/trials.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from quinceferry_core.bills import Bill
 from quinceferry_core.models import CallerRequest, RequestId, RequestKind, WorkspaceId
@@ -67,6 +68,9 @@
     """Run a fleet from its start to its end."""
     rng = Random(seed)
     fleet = Fleet(rng, history)
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: fleet.note(f"internal error: {_error_text(context)}")
+    )
     operator = Operator("operator-a", fleet, Random(rng.getrandbits(64)))
     background: list[asyncio.Task[None]] = []
     try:
@@ -92,6 +96,11 @@
         fleet.discard()
 
 
+def _error_text(context: dict[str, Any]) -> str:
+    """Return what the event loop reports of an error that nobody handled."""
+    return f"{context.get('message')}: {context.get('exception')!r}"
+
+
 def _start_callers(fleet: Fleet, rng: Random) -> list[asyncio.Task[None]]:
     """Start all callers."""
     until = fleet.clock.monotonic() + FAULTY_SECONDS
