--- a/packages/quinceferry-cli/src/quinceferry/drains.py
+++ b/packages/quinceferry-cli/src/quinceferry/drains.py
@@ -67,7 +67,7 @@
 async def _progress(client: OperatorClient, target: RouterReply) -> str:
     """Describe how far a router's stop has come, by its own word if it still answers."""
     try:
-        status = await client.call(GetStatus(), router=target.address)
+        status = await client.call(GetStatus(), router=target.address, max_attempts=1)
     except (OperatorCallError, RouterUnreachableError):
         return f"{target.router}: {target.state}"
     return f"{status.router}: {status.state}, {status.open_requests} requests open"
--- a/packages/quinceferry-cli/src/quinceferry/operator_commands.py
+++ b/packages/quinceferry-cli/src/quinceferry/operator_commands.py
@@ -243,10 +243,12 @@
 ) -> None:
     """Stop ROUTER gracefully, named by its incarnation or VM."""
 
+    def show(line: str) -> None:
+        click.echo(line, err=True)
+
     async def work(client: OperatorClient) -> Any:
-        return await follow_drain(
-            client, router, given(options), click.echo, timeout_seconds if wait else 0.0
-        )
+        wait_seconds = timeout_seconds if wait else 0.0
+        return await follow_drain(client, router, given(options), show, wait_seconds)
 
     run_call(configuration, work)
 
--- a/packages/quinceferry-cli/src/quinceferry/operators.py
+++ b/packages/quinceferry-cli/src/quinceferry/operators.py
@@ -87,16 +87,20 @@
         """Close the connections."""
         await self._http.aclose()
 
-    async def call(self, message: Message, *, router: str = "") -> Any:
+    async def call(
+        self, message: Message, *, router: str = "", max_attempts: int | None = None
+    ) -> Any:
         """Make one call and return its typed answer.
 
         :param message: the call.
         :param router: the only router to ask; empty for any.
+        :param max_attempts: attempts allowed; those of the client's policy if absent.
         :return: the answer, of the type that ``REPLIES_BY_MESSAGE`` names.
         :raises OperatorCallError: the call was refused, and a retry would not help.
         :raises RouterUnreachableError: no router answered.
         """
         routers = [base_url(router)] if router else self._routers
+        max_attempts = max_attempts or self._policy.max_attempts
         attempt = 0
         while True:
             address = routers[attempt % len(routers)]
@@ -105,7 +109,7 @@
                 return await self._attempt(address, message)
             except (OperatorCallError, RouterUnreachableError) as error:
                 retry_after = _retry_after_seconds(error)
-                if retry_after is None or attempt >= self._policy.max_attempts:
+                if retry_after is None or attempt >= max_attempts:
                     raise
             delay = self._policy.delay_seconds(attempt, retry_after, self._generator)
             await self._clock.sleep(delay)
