--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -74,6 +74,8 @@
         self._budget_settings = budgets
         self._journal_settings = journal
         self._carried: list[Settle] = []
+        self.allotments_type = AllotmentController
+        """Class of the allotments, which may be replaced before the first join."""
         self.on_open: list[Callable[[Account], None]] = []
         """Called with each account that is opened."""
 
@@ -85,7 +87,7 @@
         journal = JournalWriter(
             incarnation, self._kv, self._clock, self._rng, self._journal_settings, self._note_fenced
         )
-        allotments = AllotmentController(
+        allotments = self.allotments_type(
             incarnation, self._kv, self._clock, self._rng, self._budget_settings, self._note_fenced
         )
         self.current = Account(journal, allotments)
--- a/packages/quinceferry-daemon/src/quinceferryd/budgets.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/budgets.py
@@ -76,10 +76,17 @@
     async def balance(self, workspace: WorkspaceId) -> Balance:
         """Read a workspace's balance.
 
+        :raises KvUnavailableError: the key-value service did not answer.
+        """
+        return Balance.of(await self.record(workspace))
+
+    async def record(self, workspace: WorkspaceId) -> BudgetRecord:
+        """Read a workspace's budget record; an absent one is empty.
+
         :raises KvUnavailableError: the key-value service did not answer.
         """
         entry = await self._kv.get(budget_key(workspace))
-        return Balance.of(decode_budget(workspace, entry))
+        return decode_budget(workspace, entry)
 
     async def bills(
         self, workspace: WorkspaceId, cursor: str = "", size: int = DEFAULT_PAGE_SIZE
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
@@ -60,6 +60,7 @@
         self._journal: JournalWriter | None = None
         self._holders: tuple[IncarnationId, ...] = ()
         self._has_tried_to_register = False
+        self._is_registered = False
         self._lanes_by_holder: dict[IncarnationId, _Lane] = {}
         self.placed = 0
 
@@ -72,6 +73,7 @@
         self._journal = journal
         self._holders = ()
         self._has_tried_to_register = False
+        self._is_registered = False
         self._lanes_by_holder = {}
 
     async def place(self, copy: EntryCopy) -> bool:
@@ -165,13 +167,15 @@
             if name != own.incarnation and member.state is MemberState.SERVING
         ]
         chosen = choose_holders(own, others)
-        if chosen == self._holders:
+        if self._is_registered and chosen == self._holders:
             return
-        # Until the record is known to name the new ones, only those in both sets may be used.
+        # Until the record is known to name the new ones, only those in all sets tried may be used.
         self._holders = tuple(name for name in self._holders if name in chosen)
         self._has_tried_to_register = True
+        self._is_registered = False
         try:
             await self._membership.update_record(copy_holders=chosen)
         except (FencedError, KvError):
             return
+        self._is_registered = True
         self._holders = chosen
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv.py
@@ -118,7 +118,7 @@
             remaining = deadline - self._now()
             if remaining <= 0:
                 break
-            await self._service.wait_for_change(remaining)
+            await self._service.wait_for_change(prefix, remaining)
             batch = self._service.state.changes_since(self._now(), prefix, cursor)
         return batch
 
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv_service.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv_service.py
@@ -30,7 +30,7 @@
         self.rejected_calls = 0
         self._reads = TokenBucket(clock, limits.reads_per_second)
         self._writes = TokenBucket(clock, limits.writes_per_second)
-        self._waiting: set[asyncio.Event] = set()
+        self._prefixes_by_waiting: dict[asyncio.Event, str] = {}
         self._late_calls: set[asyncio.Task[None]] = set()
 
     def admit(self, writes: bool) -> bool:
@@ -47,25 +47,26 @@
         self._late_calls.add(task)
         task.add_done_callback(self._late_calls.discard)
 
-    async def wait_for_change(self, seconds: float) -> None:
-        """Wait until a key changes, a lease expires or the time has passed."""
+    async def wait_for_change(self, prefix: str, seconds: float) -> None:
+        """Wait until a key below a prefix changes, a lease expires or the time has passed."""
         expiry = self.state.next_expiry()
         if expiry is not None:
             seconds = min(seconds, expiry - self.clock.monotonic())
         changed = asyncio.Event()
         signal = asyncio.create_task(changed.wait())
         timer = asyncio.create_task(self.clock.sleep(max(seconds, _SHORTEST_WAIT_SECONDS)))
-        self._waiting.add(changed)
+        self._prefixes_by_waiting[changed] = prefix
         try:
             await asyncio.wait({signal, timer}, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            self._waiting.discard(changed)
+            del self._prefixes_by_waiting[changed]
             signal.cancel()
             timer.cancel()
 
-    def _wake(self) -> None:
-        for changed in self._waiting:
-            changed.set()
+    def _wake(self, key: str) -> None:
+        for changed, prefix in self._prefixes_by_waiting.items():
+            if key.startswith(prefix):
+                changed.set()
 
     async def _run_late(self, delay_seconds: float, operation: Callable[[], object]) -> None:
         await self.clock.sleep(delay_seconds)
--- a/packages/quinceferry-standins/src/quinceferry_standins/kv_state.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/kv_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import takewhile
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvEvent, WatchBatch
 from quinceferry_core.exceptions import KvConflictError, KvError, LeaseLostError
@@ -40,7 +41,7 @@
     """
 
     def __init__(
-        self, history_size: int, max_value_bytes: int, on_change: Callable[[], None]
+        self, history_size: int, max_value_bytes: int, on_change: Callable[[str], None]
     ) -> None:
         self._entries_by_key: dict[str, KvEntry] = {}
         self._lease_by_key: dict[str, str] = {}
@@ -123,12 +124,9 @@
             return WatchBatch((), self._revision)
         if cursor < self._forgotten_revision or cursor > self._revision:
             return WatchBatch((), self._revision, reset=True)
-        events = tuple(
-            change.event
-            for change in self._history
-            if change.revision > cursor and change.event.key.startswith(prefix)
-        )
-        return WatchBatch(events, self._revision)
+        newer = takewhile(lambda change: change.revision > cursor, reversed(self._history))
+        events = [change.event for change in newer if change.event.key.startswith(prefix)]
+        return WatchBatch(tuple(reversed(events)), self._revision)
 
     def forget_history(self) -> None:
         """Drop all events, so that every cursor older than the current one is stale."""
@@ -163,7 +161,7 @@
         self._history.append(_Change(self._revision, event))
         if len(self._history) > self._history_size:
             self._forgotten_revision = self._history.popleft().revision
-        self._on_change()
+        self._on_change(event.key)
 
     def _expire_leases(self, now: float) -> None:
         expired = [id_ for id_, lease in self._leases_by_id.items() if lease.expires_at <= now]
