Model the copies that peers hold during an outage

Freeing outage tokens on the word of peers is a new way to overspend. The model has one owner, two holders that may be replaced, a recoverer, messages that overtake each other and registrations whose answer is lost.

--- a/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
@@ -4,17 +4,24 @@
 from collections.abc import Callable
 
 from quinceferry_lab.budget_model import BUDGET_MODEL, TOP_UP_MODEL, TRANSFER_MODEL
+from quinceferry_lab.copies_model import COPIES_MODEL, ONE_REGISTRATION_MODEL
 from quinceferry_lab.execution_model import EXECUTION_MODELS
 from quinceferry_lab.protocol_model import Exploration, Guard, Model, explore
 from quinceferry_lab.recovery_model import ONE_REQUEST_MODELS, RECOVERY_MODELS
 
-MODELS: tuple[Model, ...] = (BUDGET_MODEL, *RECOVERY_MODELS, *EXECUTION_MODELS)
+MODELS: tuple[Model, ...] = (
+    BUDGET_MODEL,
+    *RECOVERY_MODELS,
+    COPIES_MODEL,
+    *EXECUTION_MODELS,
+)
 """All models; each is explored on its own."""
 
 SMALL_MODELS: tuple[Model, ...] = (
     TRANSFER_MODEL,
     TOP_UP_MODEL,
     *ONE_REQUEST_MODELS,
+    ONE_REGISTRATION_MODEL,
     *EXECUTION_MODELS,
 )
 """Parts of the models that each test run explores to the end."""
