Keep slots free for high priority and pass over a full home while others idle

Cause: routers that read late reports filled the slots kept for high priority, each up to its equal part; a high-priority request waited for the engine that holds its prefix though others were free; at half load requests waited for a full home. Change: above its equal part a router takes only slots that leave a quarter free; normal priority leaves three slots and low four; high priority takes the engine with the least expected wait at once; the wait for a prefix shrinks with idle capacity.

--- a/packages/quinceferry-core/src/quinceferry_core/routing.py
+++ b/packages/quinceferry-core/src/quinceferry_core/routing.py
@@ -16,6 +16,10 @@
 
 HISTORY_SECONDS = 10.0
 """How long ended requests are remembered, to compare them with late reports."""
+MAX_YIELDED_SHARE = 0.25
+"""Part of the slots that a router above its equal part leaves to the others."""
+LOAD_UNCERTAINTY = 0.1
+"""Part of the slots that others may have taken unseen."""
 MAX_CACHED_ORDERS = 1024
 """Rankings of upstreams that are kept, so that waiting requests need not compute them again."""
 GROWTH_SMOOTHING = 0.3
@@ -158,16 +162,19 @@
 ) -> float:
     """Return how many requests this router may still send to an upstream.
 
-    The free slots less what the others are expected to have taken since the report; but never less
-    than this router's equal part of all, so that no router starves behind quicker ones.
+    The free slots less what the others are expected to have taken since the report. A router above
+    its equal part leaves some of them to others; one below it may use every slot there is, so that
+    it does not starve behind quicker ones.
 
     :param usable_slots: slots that the request's class may fill, more or fewer than there are.
     :param own: requests that this router has there.
     :param growth_since_report: requests that others are expected to have added.
     """
     free = usable_slots - load.occupied - growth_since_report
-    guaranteed = usable_slots / max(1, routers) - own
-    return max(free, guaranteed)
+    unused_part = usable_slots / max(1, routers) - own
+    if unused_part <= 0:
+        return free - MAX_YIELDED_SHARE * load.slots * (routers > 1)
+    return max(free, unused_part)
 
 
 @dataclass(slots=True, frozen=True)
@@ -188,22 +195,26 @@
 
     prefill_rate: float
     other_zone_penalty_seconds: float
-    slot_wait_seconds: float = 2.0
+    slot_wait_seconds: float = 0.35
     batch_delay_weight: float = 3.0
+    urgent_batch_delay_weight: float = 0.0
     copy_penalty_seconds: float = 0.1
     failing_penalty_seconds: float = 10.0
 
-    def cost(self, candidate: Candidate, prompt_tokens: int) -> float:
-        """Return the expected seconds until the first token."""
+    def cost(self, candidate: Candidate, prompt_tokens: int, *, urgent: bool = False) -> float:
+        """Return the expected seconds until the first token, with the delay caused to others.
+
+        :param urgent: whether the delay of others' tokens counts little beside the own wait.
+        """
         load = candidate.load
         uncached = max(1, prompt_tokens - candidate.cached_tokens)
         seconds = load.queued_tokens / self.prefill_rate
         busy = min(1.0, load.occupied / load.slots)
-        seconds += uncached / self.prefill_rate * (1.0 + self.batch_delay_weight * busy)
+        weight = self.urgent_batch_delay_weight if urgent else self.batch_delay_weight
+        seconds += uncached / self.prefill_rate * (1.0 + weight * busy)
         if not candidate.cached_tokens:
             seconds += self.copy_penalty_seconds * candidate.home_rank
-        excess = max(0, load.occupied + 1 - load.slots)
-        seconds += self.slot_wait_seconds * excess / load.slots
+        seconds += self.slot_wait_seconds * expected_excess(load)
         if not candidate.same_zone:
             seconds += self.other_zone_penalty_seconds
         if candidate.failing:
@@ -211,6 +222,15 @@
         return seconds
 
 
+def expected_excess(load: CorrectedLoad) -> float:
+    """Return how many requests are expected to wait for a slot, one more included.
+
+    What others sent since the report is not known; so the count rises before all slots are taken.
+    """
+    margin = LOAD_UNCERTAINTY * load.slots
+    return max(0.0, load.occupied + 1 + margin - load.slots) / (1.0 + margin)
+
+
 def sample_candidates(
     candidates: Sequence[Candidate],
     home_order: Sequence[UpstreamId],
--- a/packages/quinceferry-daemon/src/quinceferryd/admission.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/admission.py
@@ -16,7 +16,7 @@
 
 SCAN_DEPTH = 32
 """Waiting requests of one pool that are looked at each time."""
-PATIENCE_SECONDS_BY_PRIORITY = {Priority.HIGH: 0.1, Priority.NORMAL: 0.5, Priority.LOW: 2.0}
+PATIENCE_SECONDS_BY_PRIORITY = {Priority.HIGH: 0.0, Priority.NORMAL: 2.0, Priority.LOW: 5.0}
 """How long a request waits for an upstream that holds its prefix before it takes any other."""
 MAX_RETRY_AFTER_SECONDS = 60.0
 
@@ -68,7 +68,8 @@
         may_overtake = bool(hashes) or not pool.queue.waiting_up_to(request.priority)
         if may_overtake:
             openings = self._chooser.openings(request)
-            upstream = self._chooser.place(request, hashes, openings, anywhere=False)
+            patience = PATIENCE_SECONDS_BY_PRIORITY[request.priority]
+            upstream = self._chooser.place(request, hashes, openings, anywhere=not patience)
             if upstream is not None:
                 return self._take_place(request, pool, upstream)
         refusal = self._queue_refusal(request, pool)
@@ -95,7 +96,7 @@
             for waiting in group:
                 if not openings.roomy:
                     return
-                if anywhere and not _is_impatient(waiting, now):
+                if anywhere and now - waiting.entered_at < _patience(waiting, openings):
                     continue
                 if self._try_place(waiting, pool, openings, anywhere=anywhere):
                     openings = self._chooser.openings(group[0].item.request)
@@ -182,9 +183,9 @@
         return self._pools[key]
 
 
-def _is_impatient(waiting: Waiting[_Applicant], now: float) -> bool:
-    patience = PATIENCE_SECONDS_BY_PRIORITY[waiting.priority]
-    return now - waiting.entered_at >= patience
+def _patience(waiting: Waiting[_Applicant], openings: Openings) -> float:
+    """Return how long a request waits for its prefix; hardly at all while much capacity is idle."""
+    return PATIENCE_SECONDS_BY_PRIORITY[waiting.priority] * openings.busy**2
 
 
 def refusal_of(reason: RefusalReason, wait_seconds: float, detail: str) -> Failed:
--- a/packages/quinceferry-daemon/src/quinceferryd/choices.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/choices.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from quinceferry_core.models import CallerRequest, UpstreamId, UpstreamSpec
+from quinceferry_core.models import CallerRequest, Priority, UpstreamId, UpstreamSpec
 from quinceferry_core.prefixes import prefix_hashes
 from quinceferry_core.routing import Candidate, CostModel, rendezvous_order, sample_candidates
 from quinceferryd.settings import RoutingSettings
@@ -11,16 +11,22 @@
 
 HOMES_PER_PREFIX = 2
 """Upstreams on which routers that never met agree for one prompt prefix."""
+BUSY_SHARE = 0.6
+"""Part of all slots from which on the fleet counts as busy."""
 MIN_ROOM = 0.5
 """Room that counts as one free place; expected growth makes it a fraction."""
 
 
 @dataclass(slots=True, frozen=True)
 class Openings:
-    """Upstreams that may get a request, and those of them that have room for it."""
+    """Upstreams that may get a request, and those of them that have room for it.
+
+    ``busy`` is the part of all their slots that is taken, from zero to one.
+    """
 
     eligible: list[UpstreamSpec]
     roomy: list[UpstreamSpec]
+    busy: float
 
 
 class UpstreamChooser:
@@ -55,7 +61,10 @@
         """Return the upstreams that have room for requests of this target, class and length."""
         eligible = self._tracker.eligible(request)
         roomy = [s for s in eligible if self._tracker.room_for(request, s.id) >= MIN_ROOM]
-        return Openings(eligible, roomy)
+        loads = [self._tracker.load(spec.id) for spec in eligible]
+        slots = sum(load.slots for load in loads)
+        taken = sum(min(load.slots, load.occupied) for load in loads)
+        return Openings(eligible, roomy, taken / max(1, slots))
 
     def place(
         self,
@@ -75,14 +84,15 @@
         homes = self._homes(request, hashes, openings.eligible)
         roomy = openings.roomy
         if homes and not anywhere:
-            roomy = [spec for spec in roomy if self._holds_prefix(spec, hashes, homes)]
+            homes_now = _open_homes(homes, openings)[:1]
+            roomy = [spec for spec in roomy if self._holds_prefix(spec, hashes, homes_now)]
         return self._cheapest(request, hashes, homes, roomy)
 
     def _holds_prefix(
         self, spec: UpstreamSpec, hashes: tuple[int, ...], homes: list[UpstreamId]
     ) -> bool:
         """Return whether a prompt's prefix is believed to be there, or should come to be there."""
-        return spec.id == homes[0] or self._tracker.holds_prefix(spec.id, hashes)
+        return spec.id in homes or self._tracker.holds_prefix(spec.id, hashes)
 
     def _cheapest(
         self,
@@ -96,7 +106,8 @@
         tokens = prompt_tokens(request)
         candidates = [self._candidate(spec, hashes, tokens, homes) for spec in specs]
         sampled = sample_candidates(candidates, homes, self._settings.sampled_candidates, self._rng)
-        best = min(sampled, key=lambda candidate: self._costs.cost(candidate, tokens))
+        urgent = request.priority is Priority.HIGH
+        best = min(sampled, key=lambda each: self._costs.cost(each, tokens, urgent=urgent))
         return next(spec for spec in specs if spec.id == best.upstream)
 
     def _candidate(
@@ -121,3 +132,14 @@
         others = [spec.id for spec in eligible if spec.id not in for_long_work]
         ranked = rendezvous_order(str(hashes[0]), others or [spec.id for spec in eligible])
         return ranked[:HOMES_PER_PREFIX]
+
+
+def _open_homes(homes: list[UpstreamId], openings: Openings) -> list[UpstreamId]:
+    """Return the homes that a prefix may be copied to now, the first one first.
+
+    While much capacity is idle a full home is passed over; else copies would only crowd the caches.
+    """
+    if openings.busy >= BUSY_SHARE:
+        return homes
+    roomy = {spec.id for spec in openings.roomy}
+    return [home for home in homes if home in roomy]
--- a/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
@@ -71,6 +71,7 @@
     ) -> None:
         super().__init__()
         self._clock = clock
+        self._rng = rng
         self.tracker = UpstreamTracker(blackboard, clock, settings)
         self.chooser = UpstreamChooser(self.tracker, rng, settings, blackboard.identity.zone)
         self.admission = Admission(self.tracker, self.chooser, clock, settings)
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -35,8 +35,7 @@
 
     allotment_horizon_seconds: float = 900.0
     min_allotment_tokens: int = 4096
-    max_allotment_share: float = 0.125
-    outage_cover_seconds: float = 600.0
+    max_allotment_share: float = 0.5
     idle_return_seconds: float = 300.0
     settle_wait_seconds: float = 2.0
 
@@ -80,7 +79,7 @@
     max_queue_wait_seconds: float = 10.0
     sampled_candidates: int = 3
     prefill_tokens_per_second: float = 8000.0
-    max_prefill_backlog_seconds: float = 0.3
+    max_prefill_backlog_seconds: float = 0.5
     long_prompt_tokens: int = 8192
     long_work_share: float = 0.5
     long_work_upstream_share: float = 0.2
--- a/packages/quinceferry-daemon/src/quinceferryd/tracking.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/tracking.py
@@ -31,7 +31,7 @@
 
 CHARS_PER_TOKEN = 4
 """Rough size of a token, for costs only; budgets are reserved by an upper bound instead."""
-HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.25, Priority.NORMAL: -0.0625, Priority.LOW: -0.125}
+HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.125, Priority.NORMAL: -0.1875, Priority.LOW: -0.25}
 """Part of an engine's slots that a class may fill beyond them, or must leave free."""
 _LONG_WORK_KEY = "long work"
 LOAD_CACHE_SECONDS = 0.02
--- a/packages/quinceferry-lab/src/quinceferry_lab/measure_routing.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/measure_routing.py
@@ -7,12 +7,15 @@
 import argparse
 import json
 import sys
+from concurrent.futures import ProcessPoolExecutor
 
 from quinceferry_lab.routing_load import POLICIES, Policy
 from quinceferry_lab.routing_runs import RunFigures, measure_leaving, measure_run
 
 LOADS = (0.5, 0.9, 1.2)
-"""Offered load, as shares of the capacity found for perfect caching."""
+"""Offered load, as shares of the capacity with every shared prefix cached."""
+WORKERS = 3
+"""Runs measured at the same time; they share nothing."""
 
 _COLUMNS = (
     "policy",
@@ -32,7 +35,13 @@
 
     :param seed: source of all draws.
     """
-    return [measure_run(policy, load, seed) for load in LOADS for policy in POLICIES]
+    runs = [(policy, load, seed) for load in LOADS for policy in POLICIES]
+    with ProcessPoolExecutor(WORKERS) as workers:
+        return list(workers.map(_measure, runs))
+
+
+def _measure(run: tuple[Policy, float, int]) -> RunFigures:
+    return measure_run(*run)
 
 
 def report(seed: int = 1) -> str:
