--- a/features/fixtures_operators.py
+++ b/features/fixtures_operators.py
@@ -14,7 +14,7 @@
 from quinceferry_core.changes import LogEntry
 from quinceferry_core.configuration import ChangeState, ChangeStatus, ConfigurationState
 from quinceferry_core.exceptions import KvUnavailableError
-from quinceferry_core.membership import Member, MemberState
+from quinceferry_core.membership import IncarnationRecord, Member, MemberState
 from quinceferry_core.models import IncarnationId, VmId
 from quinceferry_lab.virtual_time import VirtualClock
 from quinceferryd.blackboard import Blackboard, Identity, RouterState
@@ -72,6 +72,12 @@
             self._blackboard.members_by_incarnation = members
         return Success(member)
 
+    async def declare_gone(self, incarnation):
+        """Free what a router held, unless it is alive."""
+        if incarnation in self._blackboard.members_by_incarnation:
+            return Failure(f"router {incarnation} has a live lease")
+        return Success(IncarnationRecord(incarnation, VmId("vm-9"), "a", 9, left=True))
+
 
 class LeavingMembers(dict):
     """Members that are gone after some looks at them."""
--- a/features/operator_api.feature
+++ b/features/operator_api.feature
@@ -101,6 +101,13 @@
     When an operator registers the model "ledger-large"
     Then the operator call fails with status 503 and code "router_not_ready"
 
+  Scenario: A router with a live lease can't be declared gone
+    Given an operated router
+    When an operator declares the router "r-1" gone
+    Then the operator call fails with status 409 and code "refused"
+    When an operator declares the router "r-9" gone
+    Then the operator call names the VM "vm-9"
+
   Scenario: Only a known router is drained
     Given an operated router
     When an operator drains the router "r-9"
--- a/features/steps/client.py
+++ b/features/steps/client.py
@@ -20,7 +20,8 @@
 )
 from quinceferry import Client, OperatorClient, RequestError, RevisionConflictError
 from quinceferry.configuration import read_file
-from quinceferry_core.operator_messages import ChangeReply, OperatorFailure, RemoveUpstream
+from quinceferry_core.operator_messages import RemoveUpstream
+from quinceferry_core.operator_replies import AwaitedRouterReply, ChangeReply, OperatorFailure
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
 
@@ -329,7 +330,9 @@
 
 def _change_response(operation, state, awaited=()):
     """Return the answer to a change that made revision 5."""
-    reply = ChangeReply(
-        operation_id=operation, revision=5, state=state, awaited_routers=list(awaited)
-    )
+    routers = [
+        AwaitedRouterReply(router=name, vm="vm-2", reason="lease_lapsed", applied_revision=4)
+        for name in awaited
+    ]
+    reply = ChangeReply(operation_id=operation, revision=5, state=state, awaited_routers=routers)
     return httpx.Response(200, content=msgspec.json.encode(reply))
--- a/features/steps/demo_audit.py
+++ b/features/steps/demo_audit.py
@@ -7,7 +7,7 @@
 from quinceferry import Usage
 from quinceferry_core.budgets import Allotment, BudgetRecord
 from quinceferry_core.models import RequestKind
-from quinceferry_core.operator_messages import BillReply
+from quinceferry_core.operator_replies import BillReply
 from quinceferry_lab.demo_audit import Truth, audit
 from quinceferry_lab.demo_load import PlannedRequest, RequestResult
 from quinceferry_lab.demo_operators import DemoWorkspace
--- a/features/steps/operator_api.py
+++ b/features/steps/operator_api.py
@@ -15,6 +15,7 @@
 )
 from quinceferry import OperatorCallError
 from quinceferry_core import operator_messages as messages
+from quinceferry_core import operator_replies as replies
 from quinceferry_lab.virtual_time import run_virtual
 from quinceferryd.blackboard import RouterState
 from quinceferryd.operator_api import build_operator_routes
@@ -81,7 +82,7 @@
     given = "" if authorization == "none" else authorization
     response = run_virtual(_send(context, "POST", "RegisterModel", given, body))
     context.status = response.status_code
-    context.failure = msgspec.json.decode(response.content, type=messages.OperatorFailure)
+    context.failure = msgspec.json.decode(response.content, type=replies.OperatorFailure)
 
 
 @when('an operator registers the model "{name}"')
@@ -136,7 +137,7 @@
     body = msgspec.json.encode(document)
     response = run_virtual(_send(context, "POST", call, f"Bearer {OPERATOR_KEY}", body))
     context.status = response.status_code
-    context.failure = msgspec.json.decode(response.content, type=messages.OperatorFailure)
+    context.failure = msgspec.json.decode(response.content, type=replies.OperatorFailure)
 
 
 @when('an operator drains the router "{router}"')
@@ -144,6 +145,17 @@
     _call(context, messages.Drain, router=router)
 
 
+@when('an operator declares the router "{router}" gone')
+def declare_gone(context, router):
+    _call(context, messages.DeclareGone, router=router)
+
+
+@then('the operator call names the VM "{vm}"')
+def check_vm(context, vm):
+    assert context.failure is None, context.failure
+    assert context.reply.vm == vm, context.reply
+
+
 @then('the operator call fails with status {status:d} and code "{code}"')
 def check_failure(context, status, code):
     assert context.failure is not None, "the call succeeded"
--- a/packages/quinceferry-cli/src/quinceferry/drains.py
+++ b/packages/quinceferry-cli/src/quinceferry/drains.py
@@ -5,14 +5,8 @@
 
 from quinceferry.exceptions import ChangePendingError, OperatorCallError, RouterUnreachableError
 from quinceferry.operators import OperatorClient
-from quinceferry_core.operator_messages import (
-    Drain,
-    DrainReply,
-    GetStatus,
-    ListRouters,
-    ListRoutersReply,
-    RouterReply,
-)
+from quinceferry_core.operator_messages import Drain, GetStatus, ListRouters
+from quinceferry_core.operator_replies import DrainReply, ListRoutersReply, RouterReply
 
 POLL_SECONDS = 1.0
 """Time between two looks at the router."""
@@ -69,5 +63,5 @@
     try:
         status = await client.call(GetStatus(), router=target.address, max_attempts=1)
     except (OperatorCallError, RouterUnreachableError):
-        return f"{target.router}: {target.state}"
+        return f"{target.router}: {target.state} {target.stop_step}".rstrip()
     return f"{status.router}: {status.state}, {status.open_requests} requests open"
--- a/packages/quinceferry-cli/src/quinceferry/exceptions.py
+++ b/packages/quinceferry-cli/src/quinceferry/exceptions.py
@@ -3,7 +3,7 @@
 import httpx
 
 from quinceferry_core.exceptions import QuinceferryError
-from quinceferry_core.operator_messages import OperatorFailure
+from quinceferry_core.operator_replies import OperatorFailure
 
 
 class RequestError(QuinceferryError):
--- a/packages/quinceferry-cli/src/quinceferry/operator_commands.py
+++ b/packages/quinceferry-cli/src/quinceferry/operator_commands.py
@@ -205,6 +205,18 @@
     run_message(configuration, messages.ListBills(workspace=workspace, cursor=cursor))
 
 
+@operator.command("declare-gone")
+@click.argument("router")
+@click.option("--operation-id", help="Repeat an earlier declaration; new if absent.")
+@click.option("--expected-revision", type=int, help="Revision the router must have applied.")
+@click.confirmation_option(prompt="The process has surely ended? What it held is freed")
+@click.pass_obj
+def declare_gone(configuration: ClientConfiguration, router: str, **options: Any) -> None:
+    """Declare that ROUTER's process, named by its incarnation, has ended."""
+    fields = {"router": router}
+    run_change(configuration, messages.DeclareGone, fields, {**options, "wait": False})
+
+
 @operator.command("change")
 @click.argument("operation_id")
 @click.pass_obj
--- a/packages/quinceferry-cli/src/quinceferry/operators.py
+++ b/packages/quinceferry-cli/src/quinceferry/operators.py
@@ -24,12 +24,11 @@
     OPERATOR_PATH,
     REPLIES_BY_MESSAGE,
     Change,
-    ChangeReply,
     GetChange,
     GetStatus,
     Message,
-    OperatorFailure,
 )
+from quinceferry_core.operator_replies import ChangeReply, OperatorFailure
 
 OPERATOR_TIMEOUT_SECONDS = 15.0
 """Time allowed for one attempt of a call."""
@@ -141,7 +140,7 @@
         deadline = self._clock.monotonic() + timeout_seconds
         while change.state != "accepted":
             if self._clock.monotonic() >= deadline:
-                awaited = tuple(change.awaited_routers)
+                awaited = tuple(router.router for router in change.awaited_routers)
                 raise ChangePendingError(f"not in force yet at {', '.join(awaited)}", awaited)
             await self._clock.sleep(CHANGE_POLL_SECONDS)
             change = await self.call(GetChange(operation_id=change.operation_id))
--- a/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
+++ b/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
@@ -1,4 +1,4 @@
-"""Messages of the operator API, shared by the server and by its client.
+"""Requests of the operator API, shared by the server and by its client.
 
 Each call is ``POST /operator/v1/<MessageName>`` with the message as its JSON body. Unknown fields
 are refused, so that a misspelt one is not silently ignored.
@@ -8,6 +8,16 @@
 
 from msgspec import Meta, Struct
 
+from quinceferry_core.operator_replies import (
+    BalanceReply,
+    ChangeReply,
+    DeclareGoneReply,
+    DrainReply,
+    ListBillsReply,
+    ListRoutersReply,
+    StatusReply,
+)
+
 OPERATOR_PATH = "/operator/v1"
 """Path under which every operator call is served."""
 
@@ -37,7 +47,6 @@
 Rate = Annotated[float, Meta(ge=0)]
 StreamCount = Annotated[int, Meta(ge=0)]
 PriorityName = Literal["high", "normal", "low"]
-ChangeState = Literal["proposed", "accepted"]
 
 
 class Message(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -133,6 +142,16 @@
     router: Annotated[str, Meta(min_length=1, description="Incarnation of the router.")]
 
 
+class DeclareGone(Change, frozen=True, kw_only=True):
+    """Declare that a router's process has ended, where nothing else can prove it.
+
+    The word must be true: the tokens that the router held are freed by it. The expected revision is
+    a minimum, as in a top-up; a repeat changes nothing.
+    """
+
+    router: Annotated[str, Meta(min_length=1, description="Incarnation of the router.")]
+
+
 class GetBalance(Message, frozen=True, kw_only=True):
     """Read the budget of a workspace."""
 
@@ -160,131 +179,6 @@
     """List the routers of the fleet."""
 
 
-class ChangeReply(Struct, frozen=True, kw_only=True):
-    """State of a configuration change.
-
-    ``accepted`` means that every router which may serve has applied it; until then
-    ``awaited_routers`` names the incarnations that have not.
-    """
-
-    operation_id: str
-    revision: int
-    state: ChangeState
-    awaited_routers: list[str] = []
-
-
-class BalanceReply(Struct, frozen=True, kw_only=True):
-    """Budget of a workspace, in tokens.
-
-    ``granted`` = ``settled`` + ``withheld`` + ``held_by_routers`` + ``free``. Routers spend from
-    what they hold. Withheld tokens count as spent until it is proven what became of them.
-    """
-
-    workspace: str
-    granted: int
-    settled: int
-    withheld: int
-    held_by_routers: int
-    free: int
-
-
-class BillReply(Struct, frozen=True, kw_only=True):
-    """Bill of one request; ``tokens`` counts prompt and output together.
-
-    ``estimated`` when no upstream could tell the use, ``partial`` when the answer was cut.
-    """
-
-    request_id: str
-    tokens: int
-    paid_by: str
-    estimated: bool = False
-    partial: bool = False
-
-
-class ListBillsReply(Struct, frozen=True, kw_only=True):
-    """One page of bills; the cursor is empty on the last page."""
-
-    workspace: str
-    bills: list[BillReply] = []
-    cursor: str = ""
-
-
-class RouterReply(Struct, frozen=True, kw_only=True):
-    """One router of the fleet."""
-
-    router: str
-    vm: str
-    zone: str
-    address: str
-    state: str
-    applied_revision: int
-
-
-class ListRoutersReply(Struct, frozen=True, kw_only=True):
-    """Routers of the fleet, by incarnation."""
-
-    routers: list[RouterReply] = []
-
-
-class UpstreamReply(Struct, frozen=True, kw_only=True):
-    """What the answering router knows of one upstream."""
-
-    upstream: str
-    zone: str
-    kind: str
-    leaving: bool
-    running: int
-    waiting: int
-    loaded: list[str] = []
-
-
-class StatusReply(Struct, frozen=True, kw_only=True):
-    """State of the answering router.
-
-    ``revision`` is the one it applies; ``accepted_revision`` is in force everywhere.
-    """
-
-    router: str
-    vm: str
-    zone: str
-    address: str
-    state: str
-    revision: int
-    accepted_revision: int
-    kv_available: bool
-    open_requests: int
-    memory_bytes: int
-    workspaces: list[str] = []
-    models: list[str] = []
-    upstreams: list[UpstreamReply] = []
-
-
-class DrainReply(Struct, frozen=True, kw_only=True):
-    """Answer to a drain; the router leaves the list when it has ended."""
-
-    operation_id: str
-    router: str
-    state: str
-
-
-class OperatorFailure(Struct, frozen=True, kw_only=True):
-    """Why a call was refused or failed.
-
-    ``code`` is stable and meant for programs. ``revision`` is the current one after a conflict, and
-    ``changed_by`` the operations that came between. ``retry_after_seconds`` is zero when a retry
-    cannot help.
-    """
-
-    code: str
-    detail: str
-    revision: int = 0
-    changed_by: list[str] = []
-    awaited_routers: list[str] = []
-    retry_after_seconds: float = 0.0
-    step: str = ""
-    peer: str = ""
-
-
 REPLIES_BY_MESSAGE: dict[type[Message], type[Struct]] = {
     CreateWorkspace: ChangeReply,
     UpdateWorkspace: ChangeReply,
@@ -299,5 +193,6 @@
     GetStatus: StatusReply,
     ListRouters: ListRoutersReply,
     Drain: DrainReply,
+    DeclareGone: DeclareGoneReply,
 }
 """Type of the answer to each call."""
--- a/packages/quinceferry-daemon/src/quinceferryd/operator_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_api.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from importlib.resources import files
-from typing import Any, Protocol
+from typing import Any
 
 from litestar import Response, Router, get, post
 from litestar.connection import ASGIConnection
@@ -10,16 +10,14 @@
 from litestar.handlers import BaseRouteHandler
 from litestar.openapi import ResponseSpec
 from litestar.types import Guard
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from quinceferry_core import operator_messages as messages
-from quinceferry_core.bills import Balance, BillPage
-from quinceferry_core.configuration import ChangeBuilder, ChangeStatus, ConfigurationConflict
+from quinceferry_core import operator_replies as replies
 from quinceferry_core.exceptions import QuinceferryError
-from quinceferry_core.membership import Member
 from quinceferry_core.models import IncarnationId, OperationId, WorkspaceId
 from quinceferry_core.operator_messages import OPERATOR_PATH, REPLIES_BY_MESSAGE
-from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.blackboard import RouterState
 from quinceferryd.budgets import TopUpRejected
 from quinceferryd.keys import opens
 from quinceferryd.operator_changes import builder_of, fingerprint_of
@@ -32,8 +30,14 @@
     on_http_error,
     on_unavailable,
 )
-from quinceferryd.operator_views import balance_reply, bills_reply, router_reply, status_reply
-from quinceferryd.settings import Settings
+from quinceferryd.operator_interfaces import OperatedRouter
+from quinceferryd.operator_views import (
+    balance_reply,
+    bills_reply,
+    change_reply,
+    router_reply,
+    status_reply,
+)
 
 SCHEMA_FILE = "operator-schema.json"
 """Name of the committed schema, beside this module."""
@@ -41,61 +45,6 @@
 _FAILURE_STATUSES = (400, 401, 404, 409, 503)
 
 
-class OperatorService(Protocol):
-    """What the calls need of the fleet."""
-
-    async def propose(
-        self,
-        change: ChangeBuilder,
-        expected_revision: int,
-        operation_id: OperationId,
-        fingerprint: str = "",
-    ) -> Result[ChangeStatus, ConfigurationConflict]:
-        """Enter a change into the configuration, once for each operation id.
-
-        :raises QuinceferryError: it is not known whether it was entered.
-        """
-
-    async def status_of_operation(self, operation_id: OperationId) -> ChangeStatus | None:
-        """Return how far a change has come; None when it was never entered."""
-
-    async def drain(
-        self, incarnation: IncarnationId, operation_id: OperationId
-    ) -> Result[Member, str]:
-        """Have a router stop gracefully."""
-
-
-class BudgetService(Protocol):
-    """What the calls need of budgets."""
-
-    async def top_up(
-        self, workspace: WorkspaceId, tokens: int, operation: OperationId
-    ) -> Result[Balance, TopUpRejected]:
-        """Grant tokens, once for each operation id."""
-
-    async def balance(self, workspace: WorkspaceId) -> Balance:
-        """Read a workspace's balance."""
-
-    async def bills(self, workspace: WorkspaceId, cursor: str = "") -> BillPage:
-        """Read a page of a workspace's bills."""
-
-
-class RequestCounter(Protocol):
-    """Counts the requests in progress at this router."""
-
-    open_requests: int
-
-
-class OperatedRouter(Protocol):
-    """One router, seen from its operators' interface."""
-
-    settings: Settings
-    blackboard: Blackboard
-    operators: OperatorService
-    budgets: BudgetService
-    pipeline: RequestCounter
-
-
 class OperatorApi:
     """Handles the calls of operators.
 
@@ -106,7 +55,7 @@
         self._application = application
         self._blackboard = application.blackboard
 
-    async def change(self, data: messages.Change) -> messages.ChangeReply:
+    async def change(self, data: messages.Change) -> replies.ChangeReply:
         """Change the configuration."""
         self._check_ready()
         changed = await self._application.operators.propose(
@@ -117,21 +66,21 @@
         )
         match changed:
             case Success(status):
-                return _change_reply(data.operation_id, status)
+                return change_reply(data.operation_id, status)
             case Failure(conflict):
                 raise conflict_failure(conflict)
         raise AssertionError("a result is a success or a failure")
 
-    async def get_change(self, data: messages.GetChange) -> messages.ChangeReply:
+    async def get_change(self, data: messages.GetChange) -> replies.ChangeReply:
         """Tell how far a change has come."""
         self._check_ready()
         operation = OperationId(data.operation_id)
         status = await self._application.operators.status_of_operation(operation)
         if status is None:
             raise call_failure("not_found", f"operation {data.operation_id} is not known")
-        return _change_reply(data.operation_id, status)
+        return change_reply(data.operation_id, status)
 
-    async def top_up(self, data: messages.TopUp) -> messages.BalanceReply:
+    async def top_up(self, data: messages.TopUp) -> replies.BalanceReply:
         """Add prepaid tokens to a workspace."""
         self._check_applied(data)
         workspace = self._workspace(data.workspace)
@@ -147,29 +96,29 @@
                 raise call_failure("operation_reused", rejected.detail)
         raise AssertionError("a result is a success or a failure")
 
-    async def get_balance(self, data: messages.GetBalance) -> messages.BalanceReply:
+    async def get_balance(self, data: messages.GetBalance) -> replies.BalanceReply:
         """Read the budget of a workspace."""
         workspace = self._workspace(data.workspace)
         return balance_reply(await self._application.budgets.balance(workspace))
 
-    async def list_bills(self, data: messages.ListBills) -> messages.ListBillsReply:
+    async def list_bills(self, data: messages.ListBills) -> replies.ListBillsReply:
         """Read a page of the bills of a workspace."""
         workspace = self._workspace(data.workspace)
         page = await self._application.budgets.bills(workspace, data.cursor)
         return bills_reply(workspace, page)
 
-    async def get_status(self, data: messages.GetStatus) -> messages.StatusReply:
+    async def get_status(self, data: messages.GetStatus) -> replies.StatusReply:
         """Tell the state of this router, in any of its states."""
         return status_reply(self._blackboard, self._application.pipeline.open_requests)
 
-    async def list_routers(self, data: messages.ListRouters) -> messages.ListRoutersReply:
+    async def list_routers(self, data: messages.ListRouters) -> replies.ListRoutersReply:
         """List the routers of the fleet."""
         self._check_ready()
         members = self._blackboard.members_by_incarnation
         routers = [router_reply(members[incarnation]) for incarnation in sorted(members)]
-        return messages.ListRoutersReply(routers=routers)
+        return replies.ListRoutersReply(routers=routers)
 
-    async def drain(self, data: messages.Drain) -> messages.DrainReply:
+    async def drain(self, data: messages.Drain) -> replies.DrainReply:
         """Stop a router gracefully."""
         self._check_applied(data)
         drained = await self._application.operators.drain(
@@ -177,13 +126,26 @@
         )
         match drained:
             case Success(member):
-                return messages.DrainReply(
+                return replies.DrainReply(
                     operation_id=data.operation_id, router=data.router, state=member.state.value
                 )
             case Failure(detail):
                 raise call_failure("not_found", detail)
         raise AssertionError("a result is a success or a failure")
 
+    async def declare_gone(self, data: messages.DeclareGone) -> replies.DeclareGoneReply:
+        """Take the operator's word that a router's process has ended."""
+        self._check_applied(data)
+        declared = await self._application.operators.declare_gone(IncarnationId(data.router))
+        match declared:
+            case Success(record):
+                return replies.DeclareGoneReply(
+                    operation_id=data.operation_id, router=data.router, vm=record.vm
+                )
+            case Failure(detail):
+                raise call_failure("refused", detail)
+        raise AssertionError("a result is a success or a failure")
+
     def holds_key(self, authorization: str) -> bool:
         """Return whether an ``Authorization`` header carries the operators' key."""
         return opens(authorization, self._application.settings.router.operator_key)
@@ -265,6 +227,7 @@
         messages.GetStatus: api.get_status,
         messages.ListRouters: api.list_routers,
         messages.Drain: api.drain,
+        messages.DeclareGone: api.declare_gone,
     }
     return methods_by_message.get(kind, api.change)
 
@@ -284,18 +247,8 @@
         summary=(kind.__doc__ or "").partition("\n")[0],
         responses={
             status: ResponseSpec(
-                messages.OperatorFailure, description="Refused or failed", generate_examples=False
+                replies.OperatorFailure, description="Refused or failed", generate_examples=False
             )
             for status in _FAILURE_STATUSES
         },
     )(handle)
-
-
-def _change_reply(operation_id: str, status: ChangeStatus) -> messages.ChangeReply:
-    """Return the answer to a change."""
-    return messages.ChangeReply(
-        operation_id=operation_id,
-        revision=status.revision,
-        state=status.state.value,
-        awaited_routers=[router.incarnation for router in status.awaited],
-    )
--- a/packages/quinceferry-daemon/src/quinceferryd/operator_failures.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_failures.py
@@ -7,7 +7,7 @@
 
 from quinceferry_core.configuration import ConfigurationConflict, ConflictReason
 from quinceferry_core.exceptions import QuinceferryError
-from quinceferry_core.operator_messages import OperatorFailure
+from quinceferry_core.operator_replies import OperatorFailure
 
 RETRY_SECONDS = 1.0
 """When to repeat a call that met an unavailable service."""
--- a/packages/quinceferry-daemon/src/quinceferryd/operator_schema.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_schema.py
@@ -12,7 +12,8 @@
 from litestar.openapi import OpenAPIConfig
 from litestar.openapi.spec import Components, SecurityScheme
 
-from quinceferryd.operator_api import SCHEMA_FILE, OperatedRouter, build_operator_routes
+from quinceferryd.operator_api import SCHEMA_FILE, build_operator_routes
+from quinceferryd.operator_interfaces import OperatedRouter
 
 SCHEMA_PATH = Path(__file__).with_name(SCHEMA_FILE)
 """Where the committed schema is."""
--- a/packages/quinceferry-daemon/src/quinceferryd/operator_views.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_views.py
@@ -2,8 +2,9 @@
 
 import os
 
-from quinceferry_core import operator_messages as messages
+from quinceferry_core import operator_replies as replies
 from quinceferry_core.bills import Balance, BillPage
+from quinceferry_core.configuration import ChangeStatus
 from quinceferry_core.membership import Member
 from quinceferry_core.models import UpstreamSpec, WorkspaceId
 from quinceferryd.blackboard import Blackboard, UpstreamStatus
@@ -12,14 +13,14 @@
 _RESIDENT_PAGES_FIELD = 1
 
 
-def status_reply(blackboard: Blackboard, open_requests: int) -> messages.StatusReply:
+def status_reply(blackboard: Blackboard, open_requests: int) -> replies.StatusReply:
     """Return the state of this router.
 
     :param open_requests: requests in progress here.
     """
     identity = blackboard.identity
     configuration = blackboard.configuration
-    return messages.StatusReply(
+    return replies.StatusReply(
         router=identity.incarnation,
         vm=identity.vm,
         zone=identity.zone,
@@ -39,21 +40,40 @@
     )
 
 
-def router_reply(member: Member) -> messages.RouterReply:
+def router_reply(member: Member) -> replies.RouterReply:
     """Return one router of the fleet."""
-    return messages.RouterReply(
+    return replies.RouterReply(
         router=member.incarnation,
         vm=member.vm,
         zone=member.zone,
         address=member.address,
         state=member.state.value,
-        applied_revision=member.applied_revision,
+        stop_step=member.stop_step,
+        open_requests=member.open_streams,
     )
 
 
-def balance_reply(balance: Balance) -> messages.BalanceReply:
+def change_reply(operation_id: str, status: ChangeStatus) -> replies.ChangeReply:
+    """Return how far a change has come."""
+    return replies.ChangeReply(
+        operation_id=operation_id,
+        revision=status.revision,
+        state=status.state.value,
+        awaited_routers=[
+            replies.AwaitedRouterReply(
+                router=router.incarnation,
+                vm=router.vm,
+                reason=router.reason.value,
+                applied_revision=router.applied_revision,
+            )
+            for router in status.awaited
+        ],
+    )
+
+
+def balance_reply(balance: Balance) -> replies.BalanceReply:
     """Return the budget of a workspace."""
-    return messages.BalanceReply(
+    return replies.BalanceReply(
         workspace=balance.workspace,
         granted=balance.granted,
         settled=balance.settled,
@@ -63,10 +83,10 @@
     )
 
 
-def bills_reply(workspace: WorkspaceId, page: BillPage) -> messages.ListBillsReply:
+def bills_reply(workspace: WorkspaceId, page: BillPage) -> replies.ListBillsReply:
     """Return a page of bills."""
     bills = [
-        messages.BillReply(
+        replies.BillReply(
             request_id=bill.request,
             tokens=bill.tokens,
             paid_by=bill.paid_by,
@@ -75,7 +95,7 @@
         )
         for bill in page.bills
     ]
-    return messages.ListBillsReply(workspace=workspace, bills=bills, cursor=page.next_cursor)
+    return replies.ListBillsReply(workspace=workspace, bills=bills, cursor=page.next_cursor)
 
 
 def resident_bytes() -> int:
@@ -88,10 +108,10 @@
     return int(fields[_RESIDENT_PAGES_FIELD]) * os.sysconf("SC_PAGE_SIZE")
 
 
-def _upstream_reply(spec: UpstreamSpec, status: UpstreamStatus) -> messages.UpstreamReply:
+def _upstream_reply(spec: UpstreamSpec, status: UpstreamStatus) -> replies.UpstreamReply:
     """Return what this router knows of an upstream."""
     report = status.report
-    return messages.UpstreamReply(
+    return replies.UpstreamReply(
         upstream=spec.id,
         zone=spec.zone,
         kind=spec.kind.value,
--- a/packages/quinceferry-lab/src/quinceferry_lab/demo_audit.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/demo_audit.py
@@ -9,7 +9,8 @@
 from quinceferry import OperatorClient
 from quinceferry_core.budgets import BudgetRecord, budget_key
 from quinceferry_core.models import RequestKind
-from quinceferry_core.operator_messages import BillReply, ListBills
+from quinceferry_core.operator_messages import ListBills
+from quinceferry_core.operator_replies import BillReply
 from quinceferry_core.platform_messages import KV_PATH, KvGetReply, KvGetRequest
 from quinceferry_lab.demo_fleet import DemoFleet
 from quinceferry_lab.demo_load import RequestResult
--- a/packages/quinceferry-lab/src/quinceferry_lab/demo_fleet.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/demo_fleet.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from quinceferry import OperatorClient, RequestError, RetryPolicy
-from quinceferry_core.operator_messages import GetStatus, StatusReply
+from quinceferry_core.operator_messages import GetStatus
+from quinceferry_core.operator_replies import StatusReply
 from quinceferry_lab.child_processes import ChildFailedError, ChildProcess, ChildProcesses
 
 ZONES = ("zone-a", "zone-b", "zone-c")
