Test limits shared by claims, and start over under a new incarnation

Cause of the change: a router that rejoined kept the parts its old incarnation had claimed, which others may take. It now drops them.

--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,189 @@
+"""Steps for workspace limits shared between routers."""
+
+import random
+
+from behave import given, then, when
+from fixtures_limits import LimitFleet, lone_router
+from fixtures_routing import request
+
+from quinceferry_core.limits import ClaimedPart
+from quinceferry_core.models import Limits
+from quinceferry_core.outcomes import NotRun
+
+
+@given("4 routers that share a limit of {streams:d} streams over late views, seed {seed:d}")
+def build_late(context, streams, seed):
+    context.fleet = LimitFleet(random.Random(seed), Limits(10.0, 0.0, streams))
+
+
+@given("4 routers that share a limit of {streams:d} streams over prompt views")
+def build_prompt(context, streams):
+    context.fleet = LimitFleet(random.Random(0), Limits(10.0, 0.0, streams), prompt=True)
+
+
+@given("the routers use their claims without reading them back")
+def break_guard(context):
+    class Unguarded(ClaimedPart):
+        """Uses what it claims at once."""
+
+        def propose(self, target, claimed_by_others, whole, goes_first):
+            super().propose(target, claimed_by_others, whole, goes_first)
+            self.in_use = self.wanted
+
+    for router in context.fleet.routers:
+        router.shares.update()
+        for share in router.shares._shares_by_id.values():
+            share.rate, share.streams = Unguarded(), Unguarded()
+
+
+@given("a router that holds the whole of a limit of {rate:d} requests a second")
+def build_rate(context, rate):
+    context.fleet = lone_router(Limits(requests_per_second=float(rate)))
+
+
+@given("a router that holds the whole of a limit of {streams:d} concurrent streams")
+def build_streams(context, streams):
+    context.fleet = lone_router(Limits(concurrent_streams=streams))
+
+
+@when("they claim parts under changing demand for {steps:d} steps")
+def claim_parts(context, steps):
+    fleet = context.fleet
+    hot = [fleet.rng.choice(fleet.routers) for _ in range(steps // 200 + 1)]
+
+    def demand(step):
+        hot_now = hot[step // 200]
+        return hot_now if fleet.rng.random() < 0.7 else fleet.rng.choice(fleet.routers)
+
+    fleet.run(steps, demand)
+
+
+@when("no requests come for {steps:d} steps")
+def idle(context, steps):
+    context.fleet.run(steps, lambda step: None)
+
+
+@when("all requests come to router 0 for {steps:d} steps")
+def heat_first(context, steps):
+    context.fleet.run(steps, lambda step: context.fleet.routers[0])
+
+
+@when("the lease of a router that holds a part lapses")
+def lapse(context):
+    fleet = context.fleet
+    context.lapsed = next(router for router in fleet.routers if router.in_use[1])
+    fleet.routers.remove(context.lapsed)
+    fleet.stopped.append(context.lapsed)
+    for router in fleet.routers:
+        fleet.read_all(router)
+        del router.blackboard.members_by_incarnation[context.lapsed.member.incarnation]
+
+
+@when("all requests come to another router for {steps:d} steps")
+def heat_other(context, steps):
+    context.fleet.run(steps, lambda step: context.fleet.routers[0])
+
+
+@when("the VM of the lapsed router is gone from the VM list")
+def remove_vm(context):
+    context.fleet.stopped.clear()
+    for router in context.fleet.routers:
+        del router.blackboard.vms_by_id[context.lapsed.member.vm]
+
+
+@when("a router that holds a part joins again under a new incarnation")
+def rejoin(context):
+    context.rejoined = next(router for router in context.fleet.routers if router.in_use[1])
+    context.rejoined.rejoin(f"{context.rejoined.name}.2")
+
+
+@when("{count:d} requests come at once")
+def ask_at_once(context, count):
+    shares = context.fleet.routers[0].shares
+    context.refusals = []
+    for number in range(count):
+        refusal = shares.refusal(request(f"r{number}"), 1)
+        context.refusals.append(refusal)
+        if refusal is None:
+            shares.take(request(f"r{number}"), 1)
+
+
+@then("the parts in use never added up to more than the whole")
+def check_sum(context):
+    rate, streams = context.fleet.highest
+    assert 0.5 < rate <= 1.0 + 1e-6, rate
+    assert 3 < streams <= 7, streams
+
+
+@then("the parts in use added up to more than the whole")
+def check_broken_sum(context):
+    rate, streams = context.fleet.highest
+    assert rate > 1.0 + 1e-6 and streams > 7, (rate, streams)
+
+
+@then("parts moved between routers at least {count:d} times")
+def check_moves(context, count):
+    assert context.fleet.moves >= count, context.fleet.moves
+
+
+@then("3 routers may use 3 streams each")
+def check_homes(context):
+    streams = sorted(router.in_use[1] for router in context.fleet.routers)
+    assert streams == [0, 3, 3, 3], streams
+
+
+@then("router 0 may use at least {count:d} streams")
+def check_first(context, count):
+    assert context.fleet.routers[0].in_use[1] >= count, context.fleet.routers[0].in_use
+
+
+@then("that other router may use at least {count:d} streams")
+def check_other(context, count):
+    check_first(context, count)
+
+
+@then("the parts in use with those of the lapsed router never exceed the whole")
+def check_lapsed(context):
+    assert context.fleet.highest[1] <= 9, context.fleet.highest
+    assert context.lapsed.in_use[1] > 0
+
+
+@then("it may use nothing until its new claim is read back")
+def check_rejoined(context):
+    context.rejoined.shares.update()
+    assert context.rejoined.in_use == (0.0, 0)
+    context.fleet.run(60, lambda step: context.rejoined)
+    assert context.rejoined.in_use[1] > 0
+    assert context.fleet.highest[1] <= 9
+
+
+@then("{count:d} requests are within the rate and the others are refused with rate_limited")
+def check_rate(context, count):
+    refused = [refusal for refusal in context.refusals if refusal is not None]
+    assert len(context.refusals) - len(refused) == count
+    assert all(refusal.reason.value == "rate_limited" for refusal in refused)
+    assert all(isinstance(refusal.outcome, NotRun) for refusal in refused)
+
+
+@then("a request that waits for the stated time is within the rate")
+def check_retry(context):
+    fleet = context.fleet
+    refusal = context.refusals[-1]
+    assert 0 < refusal.retry_after_seconds < 1
+    fleet.clock.seconds += refusal.retry_after_seconds * 0.9
+    assert fleet.routers[0].shares.refusal(request("early"), 1) is not None
+    fleet.clock.seconds += refusal.retry_after_seconds * 0.1 + 1e-6
+    assert fleet.routers[0].shares.refusal(request("late"), 1) is None
+
+
+@then("the last one is refused with streams_limited")
+def check_streams(context):
+    reasons = [refusal and refusal.reason.value for refusal in context.refusals]
+    assert reasons == [None, None, "streams_limited"], reasons
+
+
+@then("after one stream ends the next request is admitted")
+def check_next_stream(context):
+    shares = context.fleet.routers[0].shares
+    shares.leave(request("r0"))
+    assert shares.refusal(request("r9"), 1) is None
--- a/packages/quinceferry-daemon/src/quinceferryd/shares.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shares.py
@@ -49,6 +49,7 @@
         self._blackboard = blackboard
         self._clock = clock
         self._homes = homes
+        self._incarnation = blackboard.identity.incarnation
         self._shares_by_id: dict[WorkspaceId, _WorkspaceShare] = {}
         self._known_by_incarnation: dict[IncarnationId, Member] = {}
         self._absent_since: dict[IncarnationId, float] = {}
@@ -82,6 +83,7 @@
 
     def update(self) -> None:
         """Recompute claims and the parts in use; called every ``UPDATE_INTERVAL_SECONDS``."""
+        self._start_over_if_rejoined()
         self._remember_members()
         claims = self._claims_by_workspace()
         for workspace, spec in self._blackboard.configuration.workspaces_by_id.items():
@@ -136,6 +138,16 @@
         ranked = rendezvous_order(workspace, sorted({*live, own}))
         return demand_weights(demands, ranked[: self._homes])
 
+    def _start_over_if_rejoined(self) -> None:
+        """Drop all parts in use with the incarnation that claimed them; others may take them."""
+        own = self._blackboard.identity.incarnation
+        if own == self._incarnation:
+            return
+        self._incarnation = own
+        for share in self._shares_by_id.values():
+            share.rate = ClaimedPart()
+            share.streams = ClaimedPart()
+
     def _remember_members(self) -> None:
         """Keep the last claims of lapsed routers until their VMs are proven gone."""
         live = self._blackboard.members_by_incarnation
