--- a/features/fixtures_routing.py
+++ b/features/fixtures_routing.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from quinceferry_core.models import (
     CallerRequest,
@@ -101,6 +102,7 @@
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     streaming: StreamSettings = field(default_factory=StreamSettings)
     wrap: Callable = lambda upstreams: upstreams
+    scheduler_type: ClassVar[type[Scheduler]] = Scheduler
 
     def __post_init__(self) -> None:
         clock = VirtualClock()
@@ -109,7 +111,7 @@
         self.upstreams = FakeUpstreams(clock, self.site.engines_by_id)
         self.client = self.wrap(self.upstreams)
         rng = random.Random(self.seed)
-        self.scheduler = Scheduler(self.blackboard, clock, rng, self.routing)
+        self.scheduler = self.scheduler_type(self.blackboard, clock, rng, self.routing)
         self.loads = LoadController(
             self.blackboard, self.client, self.scheduler, clock, rng, self.routing
         )
