Order models in the router, and serve only with load reports

A router restarted under load answered "model not loaded" once in a rolling replacement, because it served before its first load report. The application gives orders to engines, counts demand, and says that its socket listens.

--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -6,6 +6,7 @@
 
 from quinceferry_core.adapters import KvStore, PeerClient, UpstreamClient, VmList
 from quinceferry_core.clocks import Clock
+from quinceferry_core.demand import DemandMeter
 from quinceferry_core.membership import Member
 from quinceferry_core.models import IncarnationId, Ticket, VmId, WorkspaceId
 from quinceferry_core.tickets import TicketSigner
@@ -24,8 +25,10 @@
 from quinceferryd.membership import MembershipController
 from quinceferryd.metrics import Metrics, NullMetrics
 from quinceferryd.operators import OperatorService
+from quinceferryd.orders import OrderController
 from quinceferryd.peer_health import MonitoredPeers, PeerHealth, PeerProbe
 from quinceferryd.pipeline import Pipeline
+from quinceferryd.readiness import UpstreamReadiness
 from quinceferryd.recovery import RecoveryController
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import Settings
@@ -69,6 +72,7 @@
         self.kv = MonitoredKv(dependencies.kv, self.blackboard, self.clock)
         self.tickets = TicketSigner(router.fleet_secret)
         self._rng = dependencies.rng
+        self.demand = DemandMeter(self.clock)
         self.peer_health = PeerHealth(self.clock)
         self.peers = MonitoredPeers(dependencies.peers, self.peer_health)
         self._build_membership(dependencies)
@@ -85,6 +89,7 @@
             self.copy_sender,
             self.recovery,
             self.folder,
+            self.orders,
             self.pipeline,
             self.shutdown,
             self.membership,
@@ -92,7 +97,12 @@
         self.is_stopped = False
 
     async def start(self) -> None:
-        """Start all controllers; the router serves once it has joined the fleet."""
+        """Start all controllers; the router serves once it has joined the fleet.
+
+        Its socket must listen already: the fleet takes that as the end of whichever process
+        listened there before.
+        """
+        self.membership.report_listening()
         for controller in self._controllers:
             await controller.start()
 
@@ -151,6 +161,8 @@
             self._rng,
             settings.routing,
         )
+        readiness = UpstreamReadiness(self.blackboard, self.clock, self.loads.active)
+        self.membership.add_join_hook(readiness.wait)
         streams = StreamRunner(
             dependencies.upstreams,
             self.scheduler,
@@ -180,6 +192,7 @@
             JournalVerdicts(self.kv),
             self.peers,
             self.clock,
+            self.demand,
         )
 
     def _build_operations(self, dependencies: Dependencies) -> None:
@@ -200,6 +213,15 @@
         )
         self.folder = JournalFolder(self.accounts, self.kv, self.clock, self._rng, settings.journal)
 
+        self.orders = OrderController(
+            self.blackboard,
+            self.kv,
+            self.clock,
+            self._rng,
+            self.membership,
+            dependencies.upstreams,
+            self.demand,
+        )
         self.operators = OperatorService(self.blackboard, self.kv, self.configuration)
         self.shutdown = ShutdownController(
             self.blackboard,
@@ -210,9 +232,14 @@
             self.membership,
             self.configuration,
             lambda: self.pipeline.open_requests,
-            self.accounts.leave,
+            self._leave_accounts,
         )
 
+    async def _leave_accounts(self) -> None:
+        """Make bills durable, also those held for other routers, and return all tokens."""
+        self.accounts.write_bills(self.copies.settlements())
+        await self.accounts.leave()
+
     async def _on_fenced(self, incarnation: IncarnationId) -> None:
         """Wind up the account of an incarnation that another router has closed."""
         await self.accounts.close(incarnation)
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -5,9 +5,10 @@
 
 from quinceferry_core.adapters import PeerClient
 from quinceferry_core.clocks import Clock
+from quinceferry_core.demand import DemandMeter
 from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_core.journals import RequestKey
-from quinceferry_core.models import CallerRequest, RequestId, Ticket, WorkspaceId
+from quinceferry_core.models import CallerRequest, RequestId, RequestKind, Ticket, WorkspaceId
 from quinceferry_core.outcomes import (
     AnswerEvent,
     AnswerStream,
@@ -43,8 +44,10 @@
         verdicts: JournalVerdicts,
         peers: PeerClient,
         clock: Clock,
+        demand: DemandMeter | None = None,
     ) -> None:
         super().__init__()
+        self._demand = demand
         self.runs = RunStore(clock)
         self._open_readers = 0
         self._blackboard = blackboard
@@ -140,6 +143,8 @@
         if self._blackboard.state not in _OPEN_STATES or self._accounts.current is None:
             yield not_ready("submit")
             return
+        if self._demand is not None and request.kind is not RequestKind.SERVICE:
+            self._demand.note(request.target)
         expires_at = request.ticket.expires_at if request.ticket else None
         run = self.runs.begin(key, _fingerprint(request), request.idempotent, expires_at)
         run.task = self.spawn(self._execute(run, request), f"request {key.request}")
