Test configuration changes under pairs of faults

Operators racing during a partition, the accepting router paused while an answer is lost, a router dying on a VM that was never listed, and a closed incarnation resuming. An operator's word ends the wait for the third, for which the platform gives no proof.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -130,6 +130,48 @@
     Then the append reports that the log has moved on
     And revision 5 is not in the log
 
+  Scenario: Operators race during a partition
+    Given workspace "choir" exists at revision 1
+    When router "vm-3" is cut off for 20 fleet seconds
+    And operators at "vm-1" and "vm-2" change "choir" at once, both expecting revision 1
+    Then one change is made and the other operator is told which operation came between
+    And 20 fleet seconds pass
+    And revision 2 is proposed and awaits "vm-3" as "lease_lapsed"
+    When router "vm-3" is reconnected and 10 fleet seconds pass
+    Then every router applies and reports revision 2 as accepted
+
+  Scenario: The router that accepts changes pauses while an answer is lost
+    Given the next write below "config/log/" loses its answer
+    When router "vm-1" is paused for 1 fleet seconds
+    And an operator at "vm-2" puts workspace "choir" expecting revision 0 as operation "op-1"
+    And 20 fleet seconds pass
+    Then the log ends at revision 1
+    When router "vm-1" resumes and 10 fleet seconds pass
+    Then every router applies and reports revision 1 as accepted
+
+  Scenario: A router on a VM that was never listed dies during a change
+    Given a router "vm-9" whose VM is not listed
+    And 10 fleet seconds pass
+    When router "vm-9" is killed and 200 fleet seconds pass
+    And an operator at "vm-1" puts workspace "choir" expecting revision 0 as operation "op-1"
+    And 200 fleet seconds pass
+    Then revision 1 is proposed and awaits "vm-9" as "lease_lapsed"
+    When an operator at "vm-1" declares "vm-9" gone
+    And 10 fleet seconds pass
+    Then revision 1 is accepted
+
+  Scenario: A live router cannot be declared gone
+    When an operator at "vm-1" declares "vm-2" gone
+    Then the declaration is refused
+
+  Scenario: A resumed router whose incarnation was closed applies what it missed before it serves
+    When router "vm-3" is paused for 20 fleet seconds
+    And the incarnation of router "vm-3" is closed by router "vm-2"
+    And an operator at "vm-1" puts workspace "choir" expecting revision 0 as operation "op-1"
+    And router "vm-3" resumes and 10 fleet seconds pass
+    Then router "vm-3" gave up its first incarnation
+    And router "vm-3" applies revision 1
+
   Scenario: Entries are applied only in order
     When a router is given an entry that it has applied before, and one that skips a revision
     Then neither changes its configuration
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -269,6 +269,18 @@
         assert router.blackboard.configuration == replayed.configuration, vm
 
 
+@when('an operator at "{at}" declares "{vm}" gone')
+def declare_gone(context, at, vm):
+    operators = context.fleet.routers_by_vm[at].operators
+    incarnation = context.first_incarnations_by_vm[vm]
+    context.declaration = context.fleet.run(operators.declare_gone(incarnation))
+
+
+@then("the declaration is refused")
+def check_declaration_refused(context):
+    assert isinstance(context.declaration, Failure), context.declaration
+
+
 @when("a router is given an entry that it has applied before, and one that skips a revision")
 def apply_out_of_order(context):
     state = ConfigurationState()
