Serve on through an outage, and give each holder an equal part

Change: the whole unspent allotment may be used unrecorded, charged with actual use; a router holds at most an equal part of what all hold and refills at three quarters; in an outage nothing is asked of the service and a request moves to a peer. Also: an unjoined router no longer says not run about another's ticket; a stopping router writes the bills it carries or holds for others (each with a scenario that fails without it); no bill for a run that used nothing.

--- a/features/router.feature
+++ b/features/router.feature
@@ -90,9 +90,9 @@
   Scenario: A dead router's unspent tokens are all freed
     Given 3 routers and a budget of 100000 tokens
     When 5 requests are sent to r2
-    And 20 seconds pass
+    And the fleet runs on for 20 seconds
     And r2 dies
-    And 120 seconds pass
+    And the fleet runs on for 120 seconds
     Then the budget has no tokens at r2 and withholds none
     And every request has one bill
 
@@ -100,14 +100,14 @@
     Given 3 routers and a budget of 100000 tokens
     When request "a" is under way at r2
     And r2 dies
-    And 120 seconds pass
+    And the fleet runs on for 120 seconds
     Then it ran 1 time and has 1 bill for what the engine used
 
   Scenario: A router closed during a pause accounts for itself exactly
     Given 3 routers and a budget of 100000 tokens
     When 5 requests are sent to r2
     And r2 is closed by recovery although it lives
-    And 120 seconds pass
+    And the fleet runs on for 120 seconds
     Then r2 serves under a new incarnation
     And the balance shows no withheld tokens
     And every request has one bill
@@ -135,29 +135,43 @@
   Scenario: A router that dies in an outage leaves its bills with other routers
     Given 3 routers and a budget of 100000 tokens
     When 3 requests are sent to r2
-    And 20 seconds pass
+    And the fleet runs on for 20 seconds
     And the service goes down
     And 4 further requests are sent to r2
     And r2 dies
     And the service comes back
-    And 120 seconds pass
+    And the fleet runs on for 120 seconds
     Then every request has one bill
     And the budget has no tokens at r2 and withholds none
 
   Scenario: Without the other routers' copies, what may have been spent is withheld
     Given 3 routers and a budget of 100000 tokens
     When 3 requests are sent to r2
-    And 20 seconds pass
+    And the fleet runs on for 20 seconds
     And the service goes down
     And r2 dies together with r3
     And the service comes back
-    And 400 seconds pass
+    And the fleet runs on for 400 seconds
     Then the budget withholds what r2 kept for outages
 
   Scenario: A router cut off from everything refuses rather than lose a bill
     Given 3 routers and a budget of 100000 tokens
     When 3 requests are sent to r2
-    And 20 seconds pass
+    And the fleet runs on for 20 seconds
     And r2 reaches neither the service nor other routers
     And request "a" is sent to r2
     Then request "a" is refused as "billing_unreachable" and was not run
+
+  Scenario: Holders of copies that are stopped write the bills they hold
+    Given 5 routers and a budget of 100000 tokens
+    When 3 requests are sent to r2
+    And the fleet runs on for 20 seconds
+    And the service goes down
+    And 4 further requests are sent to r2
+    And r2 dies and all holders of its copies stop before it is recovered
+    Then every request has one bill at the router that is left
+
+  Scenario: Bills of a closed incarnation are written by a process that stops
+    Given 2 routers and a budget of 100000 tokens
+    When r2 is closed with 4 bills in memory and then stops
+    Then the closed incarnation has 4 bills
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features.fixtures_routers import WORKSPACE, Fleet
+from quinceferry_core.journals import Settle
 from quinceferry_core.ledgers import Ledger
 from quinceferry_core.models import OperationId
 from quinceferry_core.outcomes import Failed, NotRun, Unknown
@@ -191,7 +192,7 @@
     wait(context, 120)
 
 
-@when("{seconds:d} seconds pass")
+@when("the fleet runs on for {seconds:d} seconds")
 def wait(context, seconds):
     add_act(context, lambda fleet: fleet.clock.sleep(seconds))
 
@@ -217,6 +218,41 @@
     add_act(context, act)
 
 
+@when("{router:w} dies and all holders of its copies stop before it is recovered")
+def stop_holders(context, router):
+    async def act(fleet):
+        holders = fleet.applications_by_name[router].membership.record.copy_holders
+        await fleet.kill(router)
+        stopping = [
+            asyncio.create_task(application.stop())
+            for application in fleet.applications_by_name.values()
+            if application.blackboard.identity.incarnation in holders
+        ]
+        assert len(stopping) == 3
+        await fleet.clock.sleep(60)
+        fleet.kv.faults.outage = False
+        await asyncio.gather(*stopping)
+        await fleet.clock.sleep(10)
+
+    add_act(context, act)
+
+
+@when("{router:w} is closed with {count:d} bills in memory and then stops")
+def close_with_bills(context, router, count):
+    async def act(fleet):
+        accounts = fleet.applications_by_name[router].accounts
+        fleet.connections_by_name[router].faults.outage = True
+        fleet.old_incarnation = accounts.current.incarnation
+        for number in range(count):
+            bill = Settle(WORKSPACE, f"b{number}", 7, True, fleet.old_incarnation)
+            accounts.current.journal.append(bill)
+        await accounts.close(fleet.old_incarnation)
+        fleet.connections_by_name[router].faults.outage = False
+        await accounts.leave()
+
+    add_act(context, act)
+
+
 @when("{router:w} draws {tokens:d} tokens that it does not need")
 def draw_unneeded(context, router, tokens):
     async def act(fleet):
@@ -358,6 +394,31 @@
     context.scene.play(check)
 
 
+@then("every request has one bill at the router that is left")
+def check_all_billed_there(context):
+    async def check(fleet):
+        left = [
+            name
+            for name, application in fleet.applications_by_name.items()
+            if application.blackboard.state is RouterState.SERVING and name not in fleet.cut_off
+        ]
+        assert len(left) == 1, left
+        billed = sorted(bill.request for bill in await fleet.bills(left[0]))
+        assert billed == sorted(fleet.sent), billed
+
+    context.scene.play(check)
+
+
+@then("the closed incarnation has {count:d} bills")
+def check_carried(context, count):
+    async def check(fleet):
+        bills = await fleet.bills()
+        assert len(bills) == count, bills
+        assert {bill.paid_by for bill in bills} == {fleet.old_incarnation}
+
+    context.scene.play(check)
+
+
 @then("every answered request has one bill and no other has any")
 def check_answered_billed(context):
     async def check(fleet):
--- a/packages/quinceferry-core/src/quinceferry_core/budgets.py
+++ b/packages/quinceferry-core/src/quinceferry_core/budgets.py
@@ -80,10 +80,10 @@
 
 @dataclass(slots=True, frozen=True)
 class DrawPolicy:
-    """How much a router draws at once.
+    """How many unused tokens a router holds ahead of demand.
 
-    ``horizon_seconds`` of its own demand, at most ``max_share`` of the free tokens, and at least
-    ``min_tokens`` while the budget is not nearly spent.
+    ``horizon_seconds`` of its own demand and at least ``min_tokens``, but not more than
+    ``max_share`` of the workspace's unspent tokens, nor than an equal part for each holder.
     """
 
     horizon_seconds: float
@@ -101,23 +101,31 @@
     return f"{TOP_UP_PREFIX}{workspace}/{operation}"
 
 
-def draw_size(
-    record: BudgetRecord, wanted: int, tokens_per_second: float, policy: DrawPolicy
+def target_size(
+    record: BudgetRecord,
+    incarnation: IncarnationId,
+    tokens_per_second: float,
+    policy: DrawPolicy,
 ) -> int:
-    """Decide how many tokens to draw.
+    """Decide how many unused tokens a router should hold.
 
-    The share of the free tokens shrinks as the budget empties, so that the last tokens are not held
-    by routers that do not need them.
+    An equal part for each holder leaves none without when the routers can no longer reach the
+    record. The parts shrink as the budget empties.
 
-    :param wanted: tokens needed now; always drawn when they are free.
-    :param tokens_per_second: this router's recent demand.
-    :return: tokens to draw, or zero when fewer than wanted are free.
+    :param tokens_per_second: the router's recent demand.
     """
-    if record.free < wanted:
-        return 0
-    target = max(policy.min_tokens, int(tokens_per_second * policy.horizon_seconds))
-    share = int(record.free * policy.max_share)
-    return max(wanted, min(target, share))
+    open_by_incarnation = {
+        name: allotment
+        for name, allotment in record.allotments_by_incarnation.items()
+        if not allotment.closed
+    }
+    unspent = record.free + sum(
+        max(0, allotment.drawn - allotment.spent) for allotment in open_by_incarnation.values()
+    )
+    holders = len(open_by_incarnation.keys() | {incarnation})
+    part = int(unspent * min(policy.max_share, 1.0 / holders))
+    wanted = max(policy.min_tokens, int(tokens_per_second * policy.horizon_seconds))
+    return min(wanted, part)
 
 
 def resize(
--- a/packages/quinceferry-core/src/quinceferry_core/ledgers.py
+++ b/packages/quinceferry-core/src/quinceferry_core/ledgers.py
@@ -17,6 +17,13 @@
     available: int
 
 
+@dataclass(slots=True)
+class UnrecordedUse:
+    """Tokens of one attempt that may be used and are not in the journal yet."""
+
+    tokens: int
+
+
 @dataclass(slots=True)
 class Ledger:
     """Tokens drawn, reserved and spent by one incarnation for one workspace.
@@ -62,19 +69,21 @@
         self.spent += charged
         return charged
 
-    def enter_unrecorded(self, tokens: int) -> bool:
+    def enter_unrecorded(self, tokens: int) -> UnrecordedUse | None:
         """Count tokens as used before their journal entry is committed.
 
-        :return: False when the part meant for outages does not cover them.
+        :return: the use, or None when the part meant for outages does not cover it.
         """
         if self.unrecorded + tokens > self.outage_tokens:
-            return False
+            return None
         self.unrecorded += tokens
-        return True
+        return UnrecordedUse(tokens)
 
-    def leave_unrecorded(self, tokens: int) -> None:
-        """Stop counting tokens whose journal entry has been committed."""
-        self.unrecorded -= tokens
+    def change_unrecorded(self, use: UnrecordedUse, tokens: int) -> None:
+        """Lower an unrecorded use to what is known to be used, or to zero once it is recorded."""
+        lowered = min(use.tokens, tokens)
+        self.unrecorded -= use.tokens - lowered
+        use.tokens = lowered
 
     def note_demand(self, tokens: int, now: float) -> None:
         """Update the moving average of demand.
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -1,5 +1,6 @@
 """The journal and the allotments of each incarnation that this process has been."""
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -18,6 +19,9 @@
 from quinceferryd.journal import Appended, JournalWriter
 from quinceferryd.settings import BudgetSettings, JournalSettings
 
+BILLS_SUFFIX = "+bills"
+"""Ends the name of a journal that holds only bills of a closed incarnation."""
+
 
 class Account:
     """Journal and allotments of one incarnation.
@@ -88,7 +92,13 @@
             incarnation, self._kv, self._clock, self._rng, self._journal_settings, self._note_fenced
         )
         allotments = self.allotments_type(
-            incarnation, self._kv, self._clock, self._rng, self._budget_settings, self._note_fenced
+            incarnation,
+            self._kv,
+            self._clock,
+            self._rng,
+            self._budget_settings,
+            self._note_fenced,
+            self._blackboard.kv,
         )
         self.current = Account(journal, allotments)
         for hook in self.on_open:
@@ -137,14 +147,20 @@
         except FencedError:
             return RecallReply(0, 0)
 
+    def write_bills(self, bills: list[Settle]) -> None:
+        """Append bills of other incarnations; one that is there already counts once."""
+        self._carry(list(bills))
+
     async def leave(self) -> None:
         """Flush the journal and settle all allotments, at a planned stop."""
         account = self.current
-        if account is None:
-            return
-        await account.journal.flush()
-        for workspace, holding in account.allotments.holdings_by_workspace.items():
-            await self._retire(account.incarnation, workspace, holding)
+        if account is not None:
+            await account.journal.flush()
+            for workspace, holding in account.allotments.holdings_by_workspace.items():
+                await self._retire(account.incarnation, workspace, holding)
+        elif self._carried:
+            await self._write_carried()
+        await asyncio.gather(*self._tasks)
 
     async def stop(self) -> None:
         """Stop the account's background work."""
@@ -154,6 +170,22 @@
         for account in self.former:
             await account.stop()
 
+    async def _write_carried(self) -> None:
+        """Make bills durable that no further incarnation of this process will write.
+
+        They go to a journal of their own, which nobody else appends to and which begins nothing.
+        """
+        name = IncarnationId(f"{self._carried[0].origin}{BILLS_SUFFIX}")
+        journal = JournalWriter(
+            name, self._kv, self._clock, self._rng, self._journal_settings, self._note_fenced
+        )
+        await journal.start()
+        for entry in self._carried:
+            journal.append(entry)
+        self._carried.clear()
+        await journal.flush()
+        await journal.stop()
+
     def _note_fenced(self) -> None:
         """Note that a write met a closed journal or allotment."""
         self._blackboard.state = RouterState.FENCED
--- a/packages/quinceferry-daemon/src/quinceferryd/allotments.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/allotments.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
@@ -16,13 +16,14 @@
     BudgetShortfall,
     DrawPolicy,
     budget_key,
-    draw_size,
     resize,
+    target_size,
 )
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import FencedError, KvConflictError, KvUnavailableError
 from quinceferry_core.ledgers import Ledger
 from quinceferry_core.models import IncarnationId, RequestId, WorkspaceId
+from quinceferryd.blackboard import KvHealth
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.settings import BudgetSettings
 
@@ -64,6 +65,7 @@
     """Draws, refills and returns allotments for one incarnation.
 
     :param on_fenced: called when a budget record shows that this incarnation was closed.
+    :param health: whether the key-value service answers; in an outage nothing is asked of it.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         rng: Random,
         settings: BudgetSettings,
         on_fenced: Callable[[], None],
+        health: KvHealth | None = None,
     ) -> None:
         super().__init__()
         self.incarnation = incarnation
@@ -83,6 +86,7 @@
         self._rng = rng
         self._settings = settings
         self._on_fenced = on_fenced
+        self._health = health or KvHealth()
         self._policy = DrawPolicy(
             settings.allotment_horizon_seconds,
             settings.min_allotment_tokens,
@@ -110,6 +114,8 @@
         if isinstance(holding.ledger.reserve(request, tokens), Success):
             self._refill_if_low(workspace, holding)
             return Success(tokens)
+        if not self._health.available:
+            return Failure(BudgetUnreachable(tokens))
         async with holding.lock:
             reserved = holding.ledger.reserve(request, tokens)
             if isinstance(reserved, Success):
@@ -178,10 +184,10 @@
                 missing = wanted - holding.ledger.available
                 if missing <= 0:
                     return Success(None)
-                rate = holding.ledger.demand_tokens_per_second
-                tokens = draw_size(record, missing, rate, self._policy)
-                if tokens == 0:
+                if missing > record.free:
                     return Failure(BudgetShortfall(missing, max(0, record.free)))
+                ahead = self._target(holding, record) - holding.ledger.available
+                tokens = min(record.free, max(missing, ahead))
                 await self._write(workspace, holding, entry, record, tokens)
                 return Success(None)
             except KvConflictError:
@@ -245,10 +251,10 @@
         holding.sequence += 1
         holding.unresolved = True
         drawn = ledger.drawn + tokens
-        wanted = Allotment(drawn, ledger.spent, 0, holding.sequence)
-        changed = resize(record, self.incarnation, wanted).unwrap()
-        outage_tokens = self._outage_target(holding, changed, tokens)
-        wanted = replace(wanted, outage_tokens=outage_tokens)
+        # All that is unspent may be spent in an outage. Tokens spent since the last write count
+        # twice, which is on the safe side.
+        outage_tokens = max(ledger.unrecorded, drawn - ledger.spent)
+        wanted = Allotment(drawn, ledger.spent, outage_tokens, holding.sequence)
         changed = resize(record, self.incarnation, wanted).unwrap()
         # The part for outages shrinks here before it shrinks in the record, and grows after it.
         ledger.outage_tokens = min(ledger.outage_tokens, outage_tokens)
@@ -259,25 +265,12 @@
         ledger.drawn = drawn
         ledger.outage_tokens = outage_tokens
 
-    def _outage_target(self, holding: Holding, record: BudgetRecord | None, extra: int = 0) -> int:
-        """Return how many tokens may be spent unrecorded during an outage.
-
-        None while the budget is nearly spent: such tokens are lost to the workspace if this router
-        fails.
-        """
-        ledger = holding.ledger
-        floor = ledger.unrecorded
-        if record is None or record.free < self._settings.min_allotment_tokens:
-            return floor
-        cover = int(ledger.demand_tokens_per_second * self._settings.outage_cover_seconds)
-        cover = max(cover, self._settings.min_allotment_tokens)
-        return max(floor, min(cover, ledger.available + extra + floor))
-
     def _refill_if_low(self, workspace: WorkspaceId, holding: Holding) -> None:
-        """Start a refill when less than half of the target is left."""
+        """Start a refill when too little of the target is left."""
         if holding.refilling or holding.record is None:
             return
-        if holding.ledger.available * 2 >= self._target(holding, holding.record):
+        low = self._target(holding, holding.record) * self._settings.refill_below_share
+        if holding.ledger.available >= low:
             return
         now = self._clock.monotonic()
         if now - holding.refilled_at < MIN_REFILL_INTERVAL_SECONDS:
@@ -288,7 +281,8 @@
 
     def _target(self, holding: Holding, record: BudgetRecord) -> int:
         """Return how many unused tokens this router should hold."""
-        return draw_size(record, 0, holding.ledger.demand_tokens_per_second, self._policy)
+        rate = holding.ledger.demand_tokens_per_second
+        return target_size(record, self.incarnation, rate, self._policy)
 
     async def _refill(self, workspace: WorkspaceId, holding: Holding) -> None:
         """Draw up to the target ahead of demand; the next request tries again if this fails."""
@@ -296,8 +290,9 @@
             async with holding.lock:
                 entry, record = await self._read(workspace, holding)
                 missing = self._target(holding, record) - holding.ledger.available
-                if 0 < missing <= record.free:
-                    await self._write(workspace, holding, entry, record, missing)
+                tokens = min(missing, record.free)
+                if tokens > 0:
+                    await self._write(workspace, holding, entry, record, tokens)
         except (FencedError, KvConflictError, KvUnavailableError):
             return
         finally:
--- a/packages/quinceferry-daemon/src/quinceferryd/billing.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/billing.py
@@ -23,7 +23,8 @@
 
     Every attempt that may have run is charged, with its cap if its use is not known. Only the last
     one is billed. A last attempt of unknown use is billed for the prompt and what was delivered,
-    and not at all if nothing was: it may never have reached the upstream.
+    and not at all if nothing was: it may never have reached the upstream. One that was stopped
+    before it used a token is not billed either.
 
     :param token_cap: bound on prompt and output of each attempt.
     :param max_output_tokens: bound on the output, a part of the cap.
@@ -33,6 +34,8 @@
     if not known:
         return RequestBill(0, 0, run=False)
     last = known[-1]
+    if last == 0 and not result.finished:
+        return RequestBill(0, charged, run=False)
     if last is not None:
         billed = min(last, token_cap)
         return RequestBill(billed, charged - billed, run=True)
--- a/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers, in the form that OpenAI client libraries use."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -15,7 +16,7 @@
     WorkspaceId,
     WorkspaceSpec,
 )
-from quinceferry_core.outcomes import Failed, RefusalReason
+from quinceferry_core.outcomes import Failed, RefusalReason, Unknown
 from quinceferryd.answers import AnswerFormat
 from quinceferryd.blackboard import RouterState
 from quinceferryd.bodies import BodyMemory, HeldBody, read_body
@@ -42,7 +43,7 @@
     relay_events,
     write_failure,
 )
-from quinceferryd.request_options import OptionReader
+from quinceferryd.request_options import TICKET_HEADER, OptionReader
 from quinceferryd.responses import Header, Relay, RelayResponse, ResponseWriter
 
 HttpRequest = Request[Any, Any, Any]
@@ -157,7 +158,7 @@
         """Authenticate a caller."""
         blackboard = self._application.blackboard
         if blackboard.state is RouterState.STARTING:
-            return Failure(_not_ready("this router has not joined the fleet yet"))
+            return Failure(_not_joined(request))
         authorization = request.headers.get("authorization", "")
         workspace = self._keys.find(authorization, blackboard.configuration)
         if workspace is None:
@@ -244,6 +245,15 @@
     return refusal(RefusalReason.ROUTER_NOT_READY, detail, _NOT_READY_RETRY_SECONDS)
 
 
+def _not_joined(request: HttpRequest) -> Failed:
+    """Return the refusal of a router that is not a member yet.
+
+    A ticket names another router, which may have run the request already.
+    """
+    failed = _not_ready("this router has not joined the fleet yet")
+    return replace(failed, outcome=Unknown()) if TICKET_HEADER in request.headers else failed
+
+
 def _service_target(request: HttpRequest) -> str:
     """Return path and query below the service's root, in the caller's own encoding."""
     raw_path = request.scope["raw_path"].decode("ascii", "replace")
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
@@ -147,7 +147,7 @@
                 continue
             if journal.is_flushed:
                 await self._release()
-                await self._register()
+                await self._register(journal)
 
     async def _release(self) -> None:
         """Tell holders that the entries they hold copies of are durable."""
@@ -155,7 +155,7 @@
             if lane.has_copies and not lane.waiting and await self._send(holder, ()):
                 lane.has_copies = False
 
-    async def _register(self) -> None:
+    async def _register(self, journal: JournalWriter) -> None:
         """Write a new choice of holders to the incarnation record."""
         members = self._blackboard.members_by_incarnation
         own = members.get(self._blackboard.identity.incarnation)
@@ -169,6 +169,8 @@
         chosen = choose_holders(own, others)
         if self._is_registered and chosen == self._holders:
             return
+        if not journal.is_flushed:
+            return
         # Until the record is known to name the new ones, only those in all sets tried may be used.
         self._holders = tuple(name for name in self._holders if name in chosen)
         self._has_tried_to_register = True
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
@@ -11,6 +11,7 @@
     HoldReply,
     HoldRequest,
 )
+from quinceferry_core.journals import Settle
 from quinceferry_core.models import IncarnationId
 
 MAX_HELD_BYTES = 6 * 1024 * 1024
@@ -32,6 +33,13 @@
     batches: list[_Batch] = field(default_factory=list)
     is_sealed: bool = False
 
+    def copies(self) -> list[EntryCopy]:
+        """Return all copies."""
+        decoded: list[EntryCopy] = []
+        for batch in self.batches:
+            decoded.extend(msgspec.json.decode(batch.encoded, type=tuple[EntryCopy, ...]))
+        return decoded
+
     def drop_before(self, position: int) -> int:
         """Drop batches whose entries all stand before a position; return their bytes."""
         dropped = [batch for batch in self.batches if batch.last_position < position]
@@ -82,10 +90,12 @@
             return CollectReply(False)
         held = self._held_by_owner.setdefault(request.owner, _Held())
         held.is_sealed = True
-        copies: list[EntryCopy] = []
-        for batch in held.batches:
-            copies.extend(msgspec.json.decode(batch.encoded, type=tuple[EntryCopy, ...]))
-        return CollectReply(True, tuple(copies))
+        return CollectReply(True, tuple(held.copies()))
+
+    def settlements(self) -> list[Settle]:
+        """Return the bills among all copies, for a router that stops to write them itself."""
+        copies = [copy for held in self._held_by_owner.values() for copy in held.copies()]
+        return [copy.entry for copy in copies if isinstance(copy.entry, Settle)]
 
     def forget(self, owner: IncarnationId) -> None:
         """Drop everything of an incarnation whose process is proven gone or knows it is closed."""
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -10,6 +10,7 @@
 from quinceferry_core.adapters import PeerClient
 from quinceferry_core.exceptions import FencedError, PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.journals import Begin, Settle
+from quinceferry_core.ledgers import UnrecordedUse
 from quinceferry_core.membership import Member
 from quinceferry_core.models import CallerRequest, RequestKind, UpstreamSpec
 from quinceferry_core.outcomes import (
@@ -52,6 +53,15 @@
 )
 
 
+_NO_HOLDER_REACHED = Failed(
+    RefusalReason.BUDGET_UNREACHABLE,
+    NEVER_SENT,
+    RETRY_SECONDS,
+    "no router that holds tokens can be reached",
+    step="budget.forward",
+)
+
+
 def not_ready(step: str) -> Failed:
     """Return the refusal of a router that has no incarnation to run a request under."""
     detail = "this router is not a member of the fleet now"
@@ -70,6 +80,7 @@
     token_cap: int
     attempts: int = 0
     result: StreamResult = field(default_factory=StreamResult)
+    unrecorded: list[UnrecordedUse] = field(default_factory=list)
 
 
 class Executor:
@@ -123,7 +134,7 @@
             case Failure(failed):
                 run.publish(failed)
             case Success(ForwardTo(members=members)):
-                await self._forward(run, request, members)
+                await self._forward(run, request, members, _NO_HOLDER_REACHED)
             case Success(_):
                 await self._run_here(run, execution)
 
@@ -145,7 +156,10 @@
             settled = self._settle(execution)
         if settled is not None and isinstance(last, Finished):
             await self._secure(settled)
-        if last is not None:
+        if last == _BILLING_UNREACHABLE and self._may_move(execution):
+            members = self._shortages.holders(execution.account, execution.request.workspace)
+            await self._forward(run, execution.request, members, _BILLING_UNREACHABLE)
+        elif last is not None:
             run.publish(last)
 
     async def _relay(self, run: RequestRun, execution: _Execution) -> AnswerEvent | None:
@@ -215,9 +229,13 @@
             committed.result()
             return None
         ledger = execution.account.allotments.ledger(begin.workspace)
-        if self._must_be_recorded(execution.request) or not ledger.enter_unrecorded(begin.reserved):
+        if self._must_be_recorded(execution.request):
+            return _BILLING_UNREACHABLE
+        use = ledger.enter_unrecorded(begin.reserved)
+        if use is None:
             return _BILLING_UNREACHABLE
-        committed.add_done_callback(lambda _: ledger.leave_unrecorded(begin.reserved))
+        execution.unrecorded.append(use)
+        committed.add_done_callback(lambda _: ledger.change_unrecorded(use, 0))
         if not await self._copies.place(appended.copy):
             return _BILLING_UNREACHABLE
         return None
@@ -228,6 +246,11 @@
         if not settled.committed.done():
             await self._copies.place(settled.copy)
 
+    def _may_move(self, execution: _Execution) -> bool:
+        """Tell whether another router may run a request that was not sent here."""
+        request = execution.request
+        return request.idempotent and not request.forwarded and not execution.result.uses
+
     def _patience(self) -> float:
         """Return how long to wait for a commit, in seconds; not at all during an outage."""
         return self._settings.commit_patience_seconds if self._blackboard.kv.available else 0.0
@@ -245,6 +268,10 @@
         bill = bill_of(execution.result, execution.token_cap, request.max_output_tokens)
         spent = bill.tokens + bill.lost
         account.allotments.settle(request.workspace, request.request_id, spent)
+        ledger = account.allotments.ledger(request.workspace)
+        for use in execution.unrecorded:
+            ledger.change_unrecorded(use, spent)
+            spent -= use.tokens
         entry = Settle(
             request.workspace,
             request.request_id,
@@ -258,16 +285,16 @@
         return self._accounts.settle(account, entry)
 
     async def _forward(
-        self, run: RequestRun, request: CallerRequest, members: tuple[Member, ...]
+        self,
+        run: RequestRun,
+        request: CallerRequest,
+        members: tuple[Member, ...],
+        failed: Failed,
     ) -> None:
-        """Have the first peer that can, run an idempotent request."""
-        failed = Failed(
-            RefusalReason.BUDGET_UNREACHABLE,
-            NEVER_SENT,
-            RETRY_SECONDS,
-            "no router that holds tokens can be reached",
-            step="budget.forward",
-        )
+        """Have the first peer that can, run an idempotent request.
+
+        :param failed: published if none can.
+        """
         for member in members:
             started = False
             try:
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -266,7 +266,7 @@
                 key.workspace,
                 key.request,
                 known[-1],
-                run=True,
+                run=any(known),
                 origin=incarnation,
                 partial=True,
                 lost=sum(known[:-1]),
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -35,7 +35,8 @@
 
     allotment_horizon_seconds: float = 900.0
     min_allotment_tokens: int = 4096
-    max_allotment_share: float = 0.5
+    max_allotment_share: float = 0.34
+    refill_below_share: float = 0.75
     idle_return_seconds: float = 300.0
     settle_wait_seconds: float = 2.0
 
--- a/packages/quinceferry-daemon/src/quinceferryd/shortages.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shortages.py
@@ -106,7 +106,7 @@
         async with lock:
             recalled = _Recalled()
             wanted = tokens - account.allotments.ledger(workspace).available
-            for member in self._holders(account, workspace):
+            for member in self.holders(account, workspace):
                 if recalled.returned >= wanted:
                     break
                 await self._recall_from(member, workspace, wanted - recalled.returned, recalled)
@@ -127,9 +127,9 @@
     def _forward(self, account: Account, request: CallerRequest) -> Result[Cover, Failed]:
         """Choose peers that may run the request while no token can move."""
         may_move = request.idempotent and not request.forwarded
-        holders = self._holders(account, request.workspace) if may_move else []
+        holders = self.holders(account, request.workspace) if may_move else ()
         if holders:
-            return Success(ForwardTo(tuple(holders)))
+            return Success(ForwardTo(holders))
         return Failure(
             Failed(
                 RefusalReason.BUDGET_UNREACHABLE,
@@ -140,11 +140,11 @@
             )
         )
 
-    def _holders(self, account: Account, workspace: WorkspaceId) -> list[Member]:
+    def holders(self, account: Account, workspace: WorkspaceId) -> tuple[Member, ...]:
         """Return live peers that held tokens when the record was last read, most first."""
         holding = account.allotments.holdings_by_workspace.get(workspace)
         if holding is None or holding.record is None:
-            return []
+            return ()
         unspent_by_incarnation = {
             incarnation: allotment.drawn - allotment.spent
             for incarnation, allotment in holding.record.allotments_by_incarnation.items()
@@ -153,7 +153,7 @@
         members = self._blackboard.members_by_incarnation
         live = [name for name in unspent_by_incarnation if name in members]
         live.sort(key=lambda name: (-unspent_by_incarnation[name], name))
-        return [members[name] for name in live]
+        return tuple(members[name] for name in live)
 
     def _refusal(self, account: Account, request: CallerRequest, recalled: _Recalled) -> Failed:
         """Tell whether the budget is spent, in use or partly out of reach."""
