End an interrupted demo without a trace

Cause: a SIGTERM to the demo ended all its processes but printed a traceback. Change: it says that it was interrupted and exits with 2.

--- a/packages/quinceferry-lab/src/quinceferry_lab/demo.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/demo.py
@@ -265,6 +265,9 @@
         click.echo(f"demo: failed: {reason}", err=True)
         click.echo(json.dumps({"failed": reason}))
         return _FAILED_EXIT_STATUS
+    except asyncio.CancelledError:
+        click.echo("demo: interrupted", err=True)
+        return _FAILED_EXIT_STATUS
     finally:
         await children.stop_all()
 
