--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -184,6 +184,8 @@
             self.peers,
             self.copy_sender,
             settings.journal,
+            self.clock,
+            self.metrics,
         )
         self.pipeline = Pipeline(
             self.blackboard,
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -5,9 +5,10 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from quinceferry_core.adapters import PeerClient
+from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import FencedError, PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.journals import Begin, Settle
 from quinceferry_core.ledgers import UnrecordedUse
@@ -29,6 +30,7 @@
 from quinceferryd.copy_sender import CopySender
 from quinceferryd.forwards import forward
 from quinceferryd.journal import Appended
+from quinceferryd.metrics import Metrics
 from quinceferryd.runs import RequestRun
 from quinceferryd.scheduling import Permit, Scheduler
 from quinceferryd.settings import JournalSettings
@@ -96,6 +98,8 @@
         peers: PeerClient,
         copies: CopySender,
         settings: JournalSettings,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._blackboard = blackboard
         self._accounts = accounts
@@ -105,6 +109,8 @@
         self._peers = peers
         self._copies = copies
         self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
 
     async def execute(self, run: RequestRun, request: CallerRequest) -> None:
         """Run a request and publish its events; the last one tells the outcome.
@@ -144,7 +150,7 @@
         last: AnswerEvent | None = None
         settled: Appended | None = None
         try:
-            admitted = await self._scheduler.enter(execution.request, execution.token_cap)
+            admitted = await self._admit(execution)
             if isinstance(admitted, Failure):
                 last = admitted.failure()
             else:
@@ -162,6 +168,15 @@
         elif last is not None:
             run.publish(last)
 
+    async def _admit(self, execution: _Execution) -> Result[Permit, Failed]:
+        """Enter the queue and record how long it took."""
+        request = execution.request
+        started_at = self._clock.monotonic()
+        admitted = await self._scheduler.enter(request, execution.token_cap)
+        waited = self._clock.monotonic() - started_at
+        self._metrics.queue_wait(request.workspace, request.priority, waited)
+        return admitted
+
     async def _relay(self, run: RequestRun, execution: _Execution) -> AnswerEvent | None:
         """Publish the chunks of the upstream's answer and return its last event."""
 
