--- a/packages/quinceferry-daemon/src/quinceferryd/configuration.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/configuration.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from itertools import count
 
 from returns.result import Failure, Result, Success
 
@@ -39,6 +40,8 @@
 """Delay of a watch's answer beyond its timeout after which its events are not trusted."""
 POLL_SECONDS = 4.0
 """Time between two reads of the end of the log, in case the watch is silent."""
+FULL_POLL_PERIOD = 4
+"""One in this many polls also notices that the log was compacted."""
 POLLS_PER_SECOND = 40.0
 """Polls of the whole fleet; beyond it each router polls more rarely."""
 CONFIRMATIONS_PER_SECOND = 200.0
@@ -257,12 +260,14 @@
             self._publish()
 
     async def _poll_forever(self) -> None:
-        while True:
+        for polls in count():
             members = len(self._blackboard.members_by_incarnation)
             interval = max(POLL_SECONDS, members / POLLS_PER_SECOND)
             await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
             try:
-                await self.synchronize()
+                is_full = polls % FULL_POLL_PERIOD == 0
+                if is_full or await self._log.has_entry(self._state.revision + 1):
+                    await self.synchronize()
             except KvError:
                 continue
 
--- a/packages/quinceferry-daemon/src/quinceferryd/configuration_log.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/configuration_log.py
@@ -54,6 +54,10 @@
         fleet, _ = await self._read_fleet_entry()
         return fleet
 
+    async def has_entry(self, revision: int) -> bool:
+        """Tell whether a revision is in the log; one that is not may have been compacted."""
+        return await self._kv.get(log_key(revision)) is not None
+
     async def catch_up(
         self, state: ConfigurationState
     ) -> tuple[ConfigurationState, FleetConfiguration]:
--- a/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/heartbeats.py
@@ -8,7 +8,12 @@
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvStore
 from quinceferry_core.clocks import Clock
-from quinceferry_core.exceptions import FencedError, KvUnavailableError, LeaseLostError
+from quinceferry_core.exceptions import (
+    FencedError,
+    KvConflictError,
+    KvUnavailableError,
+    LeaseLostError,
+)
 from quinceferry_core.membership import Member, member_key
 from quinceferryd.members import MemberView
 
@@ -36,6 +41,7 @@
         self._view = view
         self._ttl_seconds = ttl_seconds
         self._written: Member | None = None
+        self._version = ABSENT_VERSION
         self.lease = ""
         """The lease that the record lives under; empty while there is none."""
         self.valid_until = 0.0
@@ -96,14 +102,21 @@
         self._view.clear_own()
         self.lease = ""
         self._written = None
+        self._version = ABSENT_VERSION
         self.member = None
 
     async def _put(self, lease: str) -> None:
+        """Write the record over whatever stands there; nobody else writes it."""
         member = self._required()
         key = member_key(member.incarnation)
-        entry = await self._kv.get(key)
-        version = entry.version if entry else ABSENT_VERSION
-        await self._kv.put_if(key, msgspec.json.encode(member), version, lease)
+        value = msgspec.json.encode(member)
+        try:
+            entry = await self._kv.put_if(key, value, self._version, lease)
+        except KvConflictError:
+            stored = await self._kv.get(key)
+            version = stored.version if stored else ABSENT_VERSION
+            entry = await self._kv.put_if(key, value, version, lease)
+        self._version = entry.version
         self._written = member
 
     def _required(self) -> Member:
--- a/packages/quinceferry-daemon/src/quinceferryd/incarnations.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/incarnations.py
@@ -1,33 +1,54 @@
 """This router's lasting incarnation record, changed by compare-and-swap alone."""
 
+import random
 from dataclasses import replace
 from typing import Any
 
 import msgspec
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import FencedError, KvConflictError
 from quinceferry_core.membership import FENCING_KEY, IncarnationRecord, incarnation_key
 from quinceferry_core.models import IncarnationId
 from quinceferryd.blackboard import Identity
 
+_MIN_SPREAD_SECONDS = 0.05
+_MAX_SPREAD_SECONDS = 3.2
 
-async def draw_fencing(kv: KvStore) -> int:
-    """Add one to the fleet's fencing counter and return it.
 
-    A number whose write got no answer is skipped: nobody else can draw it either.
+class FencingCounter:
+    """The counter that all incarnations and order holders of the fleet draw from.
 
-    :raises KvUnavailableError: no answer came; call again.
+    :param kv: the key-value service.
+    :param clock: source of time.
+    :param rng: source of randomness, for spreading routers that draw at the same time.
     """
-    while True:
-        entry = await kv.get(FENCING_KEY)
-        drawn = int(entry.value) + 1 if entry else 1
-        version = entry.version if entry else ABSENT_VERSION
-        try:
-            await kv.put_if(FENCING_KEY, str(drawn).encode(), version)
-        except KvConflictError:
-            continue
-        return drawn
+
+    def __init__(self, kv: KvStore, clock: Clock, rng: random.Random) -> None:
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+
+    async def draw(self) -> int:
+        """Add one to the counter and return it.
+
+        A number whose write got no answer is skipped: nobody else can draw it either.
+
+        :raises KvUnavailableError: no answer came; call again.
+        """
+        spread = _MIN_SPREAD_SECONDS
+        while True:
+            entry = await self._kv.get(FENCING_KEY)
+            drawn = int(entry.value) + 1 if entry else 1
+            version = entry.version if entry else ABSENT_VERSION
+            try:
+                await self._kv.put_if(FENCING_KEY, str(drawn).encode(), version)
+            except KvConflictError:
+                await self._clock.sleep(self._rng.uniform(0.0, spread))
+                spread = min(2.0 * spread, _MAX_SPREAD_SECONDS)
+                continue
+            return drawn
 
 
 class OwnIncarnation:
@@ -37,10 +58,12 @@
     a record with this router's number can only be its own.
 
     :param kv: the key-value service.
+    :param fencing: source of fencing numbers.
     """
 
-    def __init__(self, kv: KvStore) -> None:
+    def __init__(self, kv: KvStore, fencing: FencingCounter) -> None:
         self._kv = kv
+        self._fencing = fencing
         self._version = ABSENT_VERSION
         self._has_lost_answer = False
         self.record: IncarnationRecord | None = None
@@ -55,7 +78,7 @@
         :raises KvConflictError: an earlier attempt was closed meanwhile; call again.
         """
         if self.record is None:
-            fencing = await draw_fencing(self._kv)
+            fencing = await self._fencing.draw()
             self.record = _new_record(identity, fencing, fields)
         key = incarnation_key(self.record.incarnation)
         value = msgspec.json.encode(self.record)
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -16,7 +16,7 @@
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.heartbeats import Beat, OwnHeartbeat
-from quinceferryd.incarnations import OwnIncarnation
+from quinceferryd.incarnations import FencingCounter, OwnIncarnation
 from quinceferryd.members import MemberView
 from quinceferryd.settings import MembershipSettings
 
@@ -59,7 +59,8 @@
         self._rng = rng
         self._settings = settings
         self.view = MemberView(blackboard, kv, clock, settings.lease_ttl_seconds)
-        self._incarnation = OwnIncarnation(kv)
+        self.fencing_counter = FencingCounter(kv, clock, rng)
+        self._incarnation = OwnIncarnation(kv, self.fencing_counter)
         self._heartbeat = OwnHeartbeat(kv, clock, self.view, settings.lease_ttl_seconds)
         self._join_hooks: list[JoinHook] = []
         self._is_listening = False
--- a/packages/quinceferry-daemon/src/quinceferryd/order_shards.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/order_shards.py
@@ -18,7 +18,6 @@
 from quinceferry_core.orders import EngineRecord
 from quinceferry_core.routing import rendezvous_order
 from quinceferryd.blackboard import Blackboard
-from quinceferryd.incarnations import draw_fencing
 from quinceferryd.membership import MembershipController
 
 ORDER_PREFIX = "orders/"
@@ -157,7 +156,7 @@
         own = self._blackboard.identity.incarnation
         existing = await self._kv.get(_key(name))
         if existing is None:
-            record = ShardRecord(own, await draw_fencing(self._kv))
+            record = ShardRecord(own, await self._membership.fencing_counter.draw())
         else:
             record = msgspec.json.decode(existing.value, type=ShardRecord)
         if record.holder != own:
