Bound a graceful stop above the longest deadline

The default bound of 300 s was below the longest deadline that callers may ask for, 600 s, so that a planned stop could cut a request. It is now 700 s.

--- a/features/fixtures_membership.py
+++ b/features/fixtures_membership.py
@@ -96,7 +96,7 @@
             self.blackboard,
             kv,
             self.clock,
-            ShutdownSettings(),
+            ShutdownSettings(max_drain_seconds=300.0),
             AddressSettings().answer_ttl_seconds,
             self.membership,
             self.configuration,
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -125,9 +125,13 @@
 
 @dataclass(slots=True, frozen=True)
 class ShutdownSettings:
-    """Graceful stop, table ``[shutdown]``."""
+    """Graceful stop, table ``[shutdown]``.
 
-    max_drain_seconds: float = 300.0
+    The bound covers the life of an address answer, the longest deadline of a request and a minute
+    for tokens and bills.
+    """
+
+    max_drain_seconds: float = 700.0
 
 
 @dataclass(slots=True, frozen=True)
