--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -20,6 +20,7 @@
 from quinceferryd.copy_store import CopyStore
 from quinceferryd.execution import Executor
 from quinceferryd.folds import JournalFolder
+from quinceferryd.forwards import Forwarder
 from quinceferryd.kv_health import KvProbe, MonitoredKv
 from quinceferryd.loads import LoadController
 from quinceferryd.membership import MembershipController
@@ -29,6 +30,7 @@
 from quinceferryd.peer_health import MonitoredPeers, PeerHealth, PeerProbe
 from quinceferryd.pipeline import Pipeline
 from quinceferryd.readiness import UpstreamReadiness
+from quinceferryd.recording import Recorder
 from quinceferryd.recovery import RecoveryController
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import Settings
@@ -175,15 +177,17 @@
         self.copy_sender = CopySender(self.blackboard, self.peers, self.membership, self.clock)
         self.copies = CopyStore()
         self.accounts.on_open.append(self._attach_copies)
+        recorder = Recorder(
+            self.blackboard, self.accounts, shortages, self.copy_sender, settings.journal
+        )
         executor = Executor(
             self.blackboard,
             self.accounts,
             shortages,
             self.scheduler,
             streams,
-            self.peers,
-            self.copy_sender,
-            settings.journal,
+            recorder,
+            Forwarder(self.peers),
             self.clock,
             self.metrics,
         )
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -23,8 +23,9 @@
 from quinceferryd.accounts import AccountController
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
-from quinceferryd.execution import NEVER_SENT, Executor, not_ready
+from quinceferryd.execution import Executor
 from quinceferryd.forwards import forward
+from quinceferryd.recording import NEVER_SENT, not_ready
 from quinceferryd.runs import RequestRun, RunStore
 from quinceferryd.verdicts import JournalVerdicts
 
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/recording.py
@@ -0,0 +1,175 @@
+"""Records what a request is about to run and what it came to: reservation, journal, bill."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from quinceferry_core.exceptions import FencedError
+from quinceferry_core.journals import Begin, Settle
+from quinceferry_core.ledgers import UnrecordedUse
+from quinceferry_core.models import CallerRequest, UpstreamSpec
+from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason, Unknown
+from quinceferryd.accounts import Account, AccountController
+from quinceferryd.billing import bill_of
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.copy_sender import CopySender
+from quinceferryd.journal import Appended
+from quinceferryd.settings import JournalSettings
+from quinceferryd.shortages import ForwardTo, ShortageHandler
+from quinceferryd.stream_results import StreamResult
+
+RETRY_SECONDS = 2.0
+"""When to ask again after a refusal that another router need not share."""
+
+NEVER_SENT = NotRun(NotRunProof.NEVER_SENT)
+
+BILLING_UNREACHABLE = Failed(
+    RefusalReason.BILLING_UNREACHABLE,
+    NEVER_SENT,
+    RETRY_SECONDS,
+    "the bill cannot be recorded now",
+    step="journal.append",
+)
+
+_NO_FURTHER_TOKENS = Failed(
+    RefusalReason.BUDGET_UNREACHABLE,
+    Unknown(),
+    RETRY_SECONDS,
+    "there are no tokens for another attempt",
+    step="budget.reserve",
+)
+
+
+def not_ready(step: str) -> Failed:
+    """Return the refusal of a router that has no incarnation to run a request under."""
+    detail = "this router is not a member of the fleet now"
+    return Failed(RefusalReason.ROUTER_NOT_READY, NEVER_SENT, RETRY_SECONDS, detail, step=step)
+
+
+@dataclass(slots=True)
+class Execution:
+    """One request in progress under one account.
+
+    ``token_cap`` bounds prompt and output of each attempt; ``attempts`` counts the reservations.
+    """
+
+    request: CallerRequest
+    account: Account
+    token_cap: int
+    attempts: int = 0
+    result: StreamResult = field(default_factory=StreamResult)
+    unrecorded: list[UnrecordedUse] = field(default_factory=list)
+
+
+class Recorder:
+    """Keeps budget and journal in step with the attempts of a request."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        accounts: AccountController,
+        shortages: ShortageHandler,
+        copies: CopySender,
+        settings: JournalSettings,
+    ) -> None:
+        self._blackboard = blackboard
+        self._accounts = accounts
+        self._shortages = shortages
+        self._copies = copies
+        self._settings = settings
+
+    async def begin(
+        self, execution: Execution, upstream: UpstreamSpec, attempt: int
+    ) -> Failed | None:
+        """Reserve for a further attempt and make its journal entry durable before it is sent.
+
+        :return: why the attempt must not be sent, or None.
+        """
+        if execution.attempts > 0:
+            failed = await self._reserve_again(execution)
+            if failed is not None:
+                return failed
+        execution.attempts += 1
+        request = execution.request
+        entry = Begin(
+            request.workspace, request.request_id, attempt, upstream.id, execution.token_cap
+        )
+        try:
+            return await self._commit(execution, entry)
+        except FencedError:
+            return not_ready("journal.append")
+
+    def settle(self, execution: Execution) -> Appended | None:
+        """Charge the budget and append the bill for whatever may have run."""
+        request, account = execution.request, execution.account
+        bill = bill_of(execution.result, execution.token_cap, request.max_output_tokens)
+        spent = bill.tokens + bill.lost
+        account.allotments.settle(request.workspace, request.request_id, spent)
+        ledger = account.allotments.ledger(request.workspace)
+        for use in execution.unrecorded:
+            ledger.change_unrecorded(use, spent)
+            spent -= use.tokens
+        entry = Settle(
+            request.workspace,
+            request.request_id,
+            bill.tokens,
+            run=bill.run,
+            origin=account.incarnation,
+            estimated=bill.estimated,
+            partial=not execution.result.finished,
+            lost=bill.lost,
+        )
+        return self._accounts.settle(account, entry)
+
+    async def secure(self, settled: Appended) -> None:
+        """Wait until a bill outlives this router: durable, or held by another router."""
+        await asyncio.wait([settled.committed], timeout=self._patience())
+        if not settled.committed.done():
+            await self._copies.place(settled.copy)
+
+    async def _reserve_again(self, execution: Execution) -> Failed | None:
+        """Reserve tokens for one more attempt, since the one before may be charged as well."""
+        covered = await self._shortages.cover(
+            execution.account, execution.request, execution.token_cap
+        )
+        match covered:
+            case Failure(failed):
+                return failed
+            case Success(ForwardTo()):
+                return _NO_FURTHER_TOKENS
+            case _:
+                return None
+
+    async def _commit(self, execution: Execution, begin: Begin) -> Failed | None:
+        """Wait for an entry to be durable, or use tokens that may be spent without.
+
+        :raises FencedError: another router has closed this incarnation.
+        """
+        appended = execution.account.journal.append(begin)
+        committed = appended.committed
+        await asyncio.wait([committed], timeout=self._patience())
+        if committed.done():
+            committed.result()
+            return None
+        if _must_be_recorded(execution.request):
+            return BILLING_UNREACHABLE
+        ledger = execution.account.allotments.ledger(begin.workspace)
+        use = ledger.enter_unrecorded(begin.reserved)
+        if use is None:
+            return BILLING_UNREACHABLE
+        execution.unrecorded.append(use)
+        committed.add_done_callback(lambda _: ledger.change_unrecorded(use, 0))
+        is_held = await self._copies.place(appended.copy)
+        return None if is_held else BILLING_UNREACHABLE
+
+    def _patience(self) -> float:
+        """Return how long to wait for a commit, in seconds; not at all during an outage."""
+        return self._settings.commit_patience_seconds if self._blackboard.kv.available else 0.0
+
+
+def _must_be_recorded(request: CallerRequest) -> bool:
+    """Tell whether others take the journal's silence as proof that the request did not run."""
+    if request.idempotent:
+        return False
+    return request.ticket is None or request.ticket.journaled
