Model a recoverer's questions about two attempts at one upstream

A use that an upstream tells is final only for the attempt that it was asked about. Asked about the request alone, it answers for the latest run it knows, and a later attempt that is still on its way runs on freed tokens. The model shows the guard that is needed: the question names the attempt.

--- a/features/model.feature
+++ b/features/model.feature
@@ -29,18 +29,19 @@
       | budget record (top-up alone)   | top-up mark read after the budget record        | a top-up is granted once         |
 
     Examples: journals and recovery
-      | model                                                                    | guard                                                                | promise                                  |
-      | journal and recovery (upstream ignores fencing numbers)                  | journal closed before tokens are reclaimed                           | tokens run stay within the grant         |
-      | journal and recovery (upstream ignores fencing numbers)                  | Begin committed before dispatch                                      | tokens run stay within the grant         |
-      | journal and recovery (upstream ignores fencing numbers)                  | closing slot ends the journal                                        | tokens run stay within the grant         |
-      | journal and recovery (upstream checks fencing numbers, one request)      | outage tokens counted as kept                                        | tokens run stay within the grant         |
-      | journal and recovery (upstream checks fencing numbers, one request)      | closed allotment cannot grow                                         | a closed allotment never grows           |
-      | journal and recovery (upstream checks fencing numbers, one request)      | holder whose allotment is gone counts as closed                      | a closed allotment never grows           |
-      | journal and recovery (upstream ignores fencing numbers, one request)     | unknown request settled only when it cannot arrive any more          | answered requests are billed in the end  |
-      | journal and recovery (upstream ignores fencing numbers)                  | requests of a vanished VM have arrived before its absence is a proof | tokens run stay within the grant         |
-      | journal and recovery (upstream ignores fencing numbers, one request)     | recovered bills durable before the incarnation is forgotten          | answered requests are billed in the end  |
-      | journal and recovery (upstream ignores fencing numbers, one request)     | bills keyed by request id                                            | one bill for a request                   |
-      | journal and recovery (holder without an allotment at first, one request) | recovery repeated while a closed incarnation holds tokens            | no tokens stay with a closed incarnation |
+      | model                                                                    | guard                                                                | promise                                      |
+      | journal and recovery (upstream ignores fencing numbers)                  | journal closed before tokens are reclaimed                           | tokens run stay within the grant             |
+      | journal and recovery (upstream ignores fencing numbers)                  | Begin committed before dispatch                                      | tokens run stay within the grant             |
+      | journal and recovery (upstream ignores fencing numbers)                  | closing slot ends the journal                                        | tokens run stay within the grant             |
+      | journal and recovery (upstream checks fencing numbers, one request)      | outage tokens counted as kept                                        | tokens run stay within the grant             |
+      | journal and recovery (upstream checks fencing numbers, one request)      | closed allotment cannot grow                                         | a closed allotment never grows               |
+      | journal and recovery (upstream checks fencing numbers, one request)      | holder whose allotment is gone counts as closed                      | a closed allotment never grows               |
+      | journal and recovery (upstream ignores fencing numbers, one request)     | unknown request settled only when it cannot arrive any more          | answered requests are billed in the end      |
+      | journal and recovery (upstream ignores fencing numbers)                  | requests of a vanished VM have arrived before its absence is a proof | tokens run stay within the grant             |
+      | journal and recovery (upstream ignores fencing numbers, one request)     | recovered bills durable before the incarnation is forgotten          | answered requests are billed in the end      |
+      | journal and recovery (upstream ignores fencing numbers, one request)     | bills keyed by request id                                            | one bill for a request                       |
+      | journal and recovery (holder without an allotment at first, one request) | recovery repeated while a closed incarnation holds tokens            | no tokens stay with a closed incarnation     |
+      | inquiry at an upstream                                                   | upstream asked about one attempt, not one request                    | freed tokens cannot be run by a late attempt |
 
     Examples: copies at peers
       | model                              | guard                                                  | promise                                  |
--- a/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/modelcheck.py
@@ -6,12 +6,14 @@
 from quinceferry_lab.budget_model import BUDGET_MODEL, TOP_UP_MODEL, TRANSFER_MODEL
 from quinceferry_lab.copies_model import COPIES_MODEL, ONE_REGISTRATION_MODEL
 from quinceferry_lab.execution_model import EXECUTION_MODELS
+from quinceferry_lab.inquiry_model import INQUIRY_MODEL
 from quinceferry_lab.protocol_model import Exploration, Guard, Model, explore
 from quinceferry_lab.recovery_model import ONE_REQUEST_MODELS, RECOVERY_MODELS
 
 MODELS: tuple[Model, ...] = (
     BUDGET_MODEL,
     *RECOVERY_MODELS,
+    INQUIRY_MODEL,
     COPIES_MODEL,
     *EXECUTION_MODELS,
 )
@@ -21,6 +23,7 @@
     TRANSFER_MODEL,
     TOP_UP_MODEL,
     *ONE_REQUEST_MODELS,
+    INQUIRY_MODEL,
     ONE_REGISTRATION_MODEL,
     *EXECUTION_MODELS,
 )
--- a/packages/quinceferry-lab/src/quinceferry_lab/protocol_model.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/protocol_model.py
@@ -35,6 +35,7 @@
     RECOVERY_REPEATED = "recovery repeated while a closed incarnation holds tokens"
     RECOVERED_BILL_DURABLE = "recovered bills durable before the incarnation is forgotten"
     UNKNOWN_NEEDS_PROOF = "unknown request settled only when it cannot arrive any more"
+    ATTEMPT_NAMED = "upstream asked about one attempt, not one request"
     NETWORK_DRAINED = "requests of a vanished VM have arrived before its absence is a proof"
     BILL_KEY = "bills keyed by request id"
     COPY_BEFORE_DISPATCH = "copy held before dispatch on outage tokens"
