Compare the pages with the code, and lead users, operators and contributors to theirs

Cause: nothing noticed when a page and the code parted: the settings page explained recovery.absence_seconds as an absence from the VM list (it is the time without a lease before another router closes an incarnation), the budget note described outage tokens and losses as they were before entries were copied to peers, and three links led nowhere.

--- /dev/null
+++ b/features/fixtures_docs.py
@@ -0,0 +1,183 @@
+"""Checks of the pages against the code: each returns what is wrong, one line for each fault."""
+
+import ast
+import dataclasses
+import importlib.util
+import random
+import re
+from functools import cache
+from pathlib import Path
+
+from fixtures_edge import FakeApplication
+
+from quinceferry_core.clocks import SystemClock
+from quinceferry_core.kv_calls import call_kind
+from quinceferry_core.models import Priority, Usage
+from quinceferry_core.outcomes import RefusalReason
+from quinceferryd.application import Application, Dependencies
+from quinceferryd.blackboard import RouterState
+from quinceferryd.exports import export_state
+from quinceferryd.metrics import ScrapedMetrics
+from quinceferryd.recovery import RecoveryCounters
+from quinceferryd.refusals import STATUS_BY_REASON
+from quinceferryd.settings import Settings
+from quinceferryd.workspace_labels import WorkspaceLabels
+
+ROOT = Path(__file__).resolve().parents[1]
+MIN_WORDS = 4
+"""Fewer words do not explain a reason."""
+
+_LINK = re.compile(r"\]\(([^)\s]+)\)")
+_FENCE = re.compile(r"^```.*?^```", re.MULTILINE | re.DOTALL)
+_SPAN = re.compile(r"`([^`\n]+)`")
+_MAKE = re.compile(r"\bmake ((?:[a-z][\w-]*)(?: +[a-z][\w-]*)*)")
+_TARGET = re.compile(r"^([a-z][\w-]*):(?!=)", re.MULTILINE)
+_SERIES = re.compile(r'(quinceferry_[a-z_]+)(?:\{(\w+)="([^"]*)"\})?')
+_REASON_ROW = re.compile(r"^\| `(\w+)` \| (\d+) \|(.*)\|$", re.MULTILINE)
+_EVENT = re.compile(r"event=([a-z_. ]+)")
+_MODULE = re.compile(r"quinceferry(?:d|_core|_lab|_standins)?\.[a-z_]+")
+_CHANGES = (".added", ".removed")
+_VALUES_BY_LABEL = {
+    "state": {state.value for state in RouterState},
+    "reason": {reason.value for reason in RefusalReason},
+    "result": {"admitted", *(reason.value for reason in RefusalReason)},
+    "what": {field.name for field in dataclasses.fields(RecoveryCounters)},
+    "outcome": {"run", "not_run", "unknown", "caller_left"},
+}
+
+
+def pages():
+    """Return every page for people."""
+    return sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
+
+
+def read(page):
+    return (ROOT / page).read_text()
+
+
+def link_faults(page, text):
+    """Return the relative links that lead to no file, or to no heading of one."""
+    faults = []
+    for target in _LINK.findall(_FENCE.sub("", text)):
+        if re.match(r"[a-z]+:", target):
+            continue
+        path, _, heading = target.partition("#")
+        linked = (page.parent / path).resolve() if path else page
+        if not linked.exists():
+            faults.append(f"{page.name}: no file {path}")
+        elif heading and heading not in _headings(linked.read_text()):
+            faults.append(f"{page.name}: no heading {target}")
+    return faults
+
+
+def make_faults(name, text):
+    """Return the ``make`` targets in code that the Makefile lacks."""
+    targets = set(_TARGET.findall(read("Makefile")))
+    code = "\n".join([*_FENCE.findall(text), *_SPAN.findall(_FENCE.sub("", text))])
+    named = {word for words in _MAKE.findall(code) for word in words.split()}
+    return [f"{name}: no target {target}" for target in sorted(named - targets)]
+
+
+def reason_faults(text):
+    """Return the reasons that have no row with their status and an explanation."""
+    rows = {name: (int(status), meaning) for name, status, meaning in _REASON_ROW.findall(text)}
+    known = {reason.value: status for reason, status in STATUS_BY_REASON.items()}
+    faults = [f"unknown reason {name}" for name in sorted(rows.keys() - known.keys())]
+    for name, status in known.items():
+        if name not in rows:
+            faults.append(f"{name} is not explained")
+        elif rows[name][0] != status:
+            faults.append(f"{name} has status {status}")
+        elif len(rows[name][1].split()) < MIN_WORDS:
+            faults.append(f"{name} is not explained")
+    return faults
+
+
+def series_faults(name, text):
+    """Return the metrics and label values that no router exports."""
+    faults = []
+    for series, label, value in _SERIES.findall(" ".join(_SPAN.findall(_FENCE.sub("", text)))):
+        if series in _packages():
+            continue
+        if series not in exported_series():
+            faults.append(f"{name}: no metric {series}")
+        elif label and value not in _VALUES_BY_LABEL.get(label, {value}):
+            faults.append(f"{name}: {series} has no {label} {value}")
+    return faults
+
+
+def event_faults(name, text):
+    """Return the log lines, named as ``event=...``, that the daemon's code does not write."""
+    constants = _daemon_strings()
+    faults = []
+    for event in _EVENT.findall("\n".join(_SPAN.findall(text))):
+        stem = event.strip()
+        for change in _CHANGES:
+            stem = stem.removesuffix(change)
+        if stem not in constants:
+            faults.append(f"{name}: no log line {event.strip()}")
+    return faults
+
+
+def settings_faults(name, text):
+    """Return the settings, named as ``table.key``, that do not exist."""
+    tables = {table.name: table.type for table in dataclasses.fields(Settings)}
+    faults = []
+    for span in _SPAN.findall(_FENCE.sub("", text)):
+        table, _, key = span.partition(".")
+        if table in tables and re.fullmatch(r"[a-z]+(_[a-z]+)+", key):
+            keys = {field.name for field in dataclasses.fields(tables[table])}
+            if key not in keys:
+                faults.append(f"{name}: no setting {span}")
+    return faults
+
+
+def module_faults(name, text):
+    """Return the modules that cannot be found."""
+    named = {module for span in _SPAN.findall(text) for module in _MODULE.findall(span)}
+    return [f"{name}: no module {module}" for module in sorted(named) if not _is_module(module)]
+
+
+@cache
+def exported_series():
+    """Return the names of all series of a router that has recorded each metric once."""
+    metrics = ScrapedMetrics(WorkspaceLabels())
+    metrics.refused(None, RefusalReason.INTERNAL)
+    metrics.request_finished("w", Priority.HIGH, "run", Usage(1, 1))
+    metrics.first_token("w", Priority.HIGH, 0.1)
+    metrics.between_tokens("w", Priority.HIGH, 0.1)
+    metrics.queue_wait("w", Priority.HIGH, 0.1)
+    unused = Dependencies(SystemClock(), None, None, None, None, random.Random(1))
+    router = Application(FakeApplication().settings, unused)
+    router.scheduler.counters.admitted[Priority.HIGH] += 1
+    router.kv.calls_by_kind[call_kind("get", "members/1")] += 1
+    export_state(router, metrics)
+    lines = metrics.exposition().decode().splitlines()
+    return {line.split()[2] for line in lines if line.startswith("# TYPE ")}
+
+
+def _headings(text):
+    """Return the anchors of a page's headings."""
+    lines = re.findall(r"^#+ (.+)$", _FENCE.sub("", text), re.MULTILINE)
+    return {re.sub(r"[^\w\- ]", "", line.lower()).replace(" ", "-") for line in lines}
+
+
+@cache
+def _packages():
+    return {path.name for path in ROOT.glob("packages/*/src/quinceferry*")}
+
+
+@cache
+def _daemon_strings():
+    """Return every string in the daemon's code."""
+    found = set()
+    for path in ROOT.glob("packages/quinceferry-daemon/src/quinceferryd/*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                found.add(node.value)
+    return found
+
+
+@cache
+def _is_module(name):
+    return importlib.util.find_spec(name) is not None
