Look only at known upstreams, and recheck for leaving before a request is sent

Cause: each choice went through every configured upstream, which a fleet with thousands cannot afford; a request whose dispatch was being recorded could still go to an upstream that had begun to leave; routers that started together polled each engine at the same moment; a request refused by the queue kept its part of the rate. Change: only upstreams with a status are looked at and forgotten after a minute; the dispatch is checked again; each router polls in its own order; a refused request gives its count back; the tracker is split in two.

--- a/packages/quinceferry-core/src/quinceferry_core/limits.py
+++ b/packages/quinceferry-core/src/quinceferry_core/limits.py
@@ -164,9 +164,17 @@
             self.tokens.level -= tokens
         self.streams += 1
 
+    def give_back(self, limits: Limits, tokens: int) -> None:
+        """Take back the count of a request that did not run."""
+        if limits.requests_per_second:
+            self.requests.level += 1
+        if limits.tokens_per_second:
+            self.tokens.level += tokens
+        self.leave()
+
     def leave(self) -> None:
         """Count the end of one stream."""
-        self.streams -= 1
+        self.streams = max(0, self.streams - 1)
 
 
 def _wait(bucket: TokenBucket, limit: float, share: float, cost: float, now: float) -> float:
--- a/packages/quinceferry-core/src/quinceferry_core/prefixes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/prefixes.py
@@ -16,7 +16,7 @@
 """Characters in one block of a prompt."""
 MAX_BLOCKS = 128
 """Blocks of a prompt that are hashed; what follows counts as not cached."""
-DEFAULT_MAX_HASHES = 8192
+DEFAULT_MAX_HASHES = 2048
 """Prefix hashes remembered for each engine."""
 
 _HASH_BYTES = 8
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -6,16 +6,11 @@
 """
 
 import asyncio
-import random
-from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
-from quinceferry_core.adapters import UpstreamClient
 from quinceferry_core.backoffs import Backoff
-from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import UpstreamError
 from quinceferry_core.models import CallerRequest, UpstreamId, UpstreamSpec
 from quinceferry_core.outcomes import (
@@ -29,12 +24,9 @@
     Unknown,
 )
 from quinceferry_core.reassembly import DeliveredText
-from quinceferry_core.retries import RetryBudget
 from quinceferryd.answer_buffer import AnswerBuffer
-from quinceferryd.blackboard import Identity
 from quinceferryd.connections import Connection, Ending, UpstreamRun
-from quinceferryd.scheduling import Scheduler
-from quinceferryd.settings import StreamSettings
+from quinceferryd.stream_contexts import StreamContext
 from quinceferryd.stream_results import Attempt, DispatchHook, StreamResult
 
 MAX_CANCEL_CALLS = 3
@@ -47,32 +39,6 @@
 }
 
 
-@dataclass(slots=True)
-class StreamCounters:
-    """Counts since start, for metrics."""
-
-    endings: Counter[Ending] = field(default_factory=Counter)
-    resumes: int = 0
-    reruns: int = 0
-    cancels: int = 0
-    retries_denied: int = 0
-    duplicate_chunks: int = 0
-
-
-@dataclass(slots=True)
-class StreamContext:
-    """What all streams of one router share."""
-
-    upstreams: UpstreamClient
-    scheduler: Scheduler
-    clock: Clock
-    rng: random.Random
-    settings: StreamSettings
-    identity: Callable[[], Identity]
-    retries: RetryBudget
-    counters: StreamCounters = field(default_factory=StreamCounters)
-
-
 class AttemptLoop:
     """Runs one request until its answer is whole or nothing more may be tried.
 
@@ -139,7 +105,7 @@
                 if aborted is not None:
                     return self._failed(aborted)
                 self._result.attempts.append(attempt)
-                ending = await self._run_at(upstream, attempt)
+                ending = await self._run_unless_leaving(upstream, attempt)
             finally:
                 scheduler.ended(self._request, upstream.id)
             if isinstance(ending, Finished):
@@ -161,6 +127,15 @@
         unsettled = {attempt.upstream for attempt in self._result.uses if attempt.tokens is None}
         return scheduler.choose(self._request, frozenset(unsettled))
 
+    async def _run_unless_leaving(
+        self, upstream: UpstreamSpec, attempt: Attempt
+    ) -> Finished | Ending:
+        """Run at an upstream, unless it began to leave while the dispatch was being recorded."""
+        if self._context.scheduler.tracker.is_leaving(upstream):
+            attempt.not_run = NotRunProof.NEVER_SENT
+            return Ending.NOT_SENT
+        return await self._run_at(upstream, attempt)
+
     async def _run_at(self, upstream: UpstreamSpec, attempt: Attempt) -> Finished | Ending:
         """Run at one upstream, through as many connections as it takes."""
         run = UpstreamRun(self._request, upstream, self._delivered)
--- a/packages/quinceferry-daemon/src/quinceferryd/choices.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/choices.py
@@ -7,7 +7,8 @@
 from quinceferry_core.prefixes import prefix_hashes
 from quinceferry_core.routing import Candidate, CostModel, rendezvous_order, sample_candidates
 from quinceferryd.settings import RoutingSettings
-from quinceferryd.tracking import UpstreamTracker, prompt_tokens
+from quinceferryd.tracking import UpstreamTracker
+from quinceferryd.upstream_views import prompt_tokens
 
 HOMES_PER_PREFIX = 2
 """Upstreams on which routers that never met agree for one prompt prefix."""
--- a/packages/quinceferry-daemon/src/quinceferryd/loads.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/loads.py
@@ -63,27 +63,32 @@
             if member.incarnation != self._blackboard.identity.incarnation
             for upstream in member.leaving_upstreams
         }
-        specs = self._blackboard.configuration.upstreams_by_id.values()
-        for spec in specs:
-            self._tracker.status(spec.id).told_leaving = spec.id in told
-        seen = {spec.id for spec in specs if self._tracker.sees_leaving(spec)}
-        self._blackboard.leaving_upstreams = seen
+        specs_by_id = self._blackboard.configuration.upstreams_by_id
+        for upstream in (*self._blackboard.upstreams_by_id, *(told & specs_by_id.keys())):
+            self._tracker.status(upstream).told_leaving = upstream in told
+        known = self._blackboard.upstreams_by_id.keys() & specs_by_id.keys()
+        self._blackboard.leaving_upstreams = {
+            upstream for upstream in known if self._tracker.sees_leaving(specs_by_id[upstream])
+        }
 
     def active(self) -> list[UpstreamSpec]:
-        """Return the upstreams to poll: those in use, and this router's likeliest choices."""
+        """Return the upstreams to poll: those in use, and this router's likeliest choices.
+
+        Each router has its own order, so that they do not all poll an upstream at the same moment.
+        """
         specs_by_id = self._blackboard.configuration.upstreams_by_id
-        if len(specs_by_id) <= self._settings.max_active_upstreams:
-            return list(specs_by_id.values())
         ranked = rendezvous_order(self._blackboard.identity.vm, list(specs_by_id))
-        chosen = set(ranked[: self._settings.max_active_upstreams - 1])
-        chosen.add(self._rng.choice(ranked))
-        chosen.update(upstream for upstream in ranked if self._tracker.in_flight(upstream))
+        chosen = set(ranked)
+        if len(ranked) > self._settings.max_active_upstreams:
+            chosen = set(ranked[: self._settings.max_active_upstreams - 1])
+            chosen.add(self._rng.choice(ranked))
+            chosen.update(upstream for upstream in ranked if self._tracker.in_flight(upstream))
         return [specs_by_id[upstream] for upstream in ranked if upstream in chosen]
 
     async def _poll_forever(self) -> None:
         for round_number in count():
             active = self.active()
-            self._tracker.forget_except(self._blackboard.configuration.upstreams_by_id)
+            self._tracker.forget_unused()
             for position, spec in enumerate(active):
                 self._poll_wanted()
                 with_events = (round_number + position) % CACHE_EVENT_PERIOD == 0
--- a/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
@@ -98,7 +98,7 @@
         try:
             admitted = await self.admission.admit(request, tokens)
         except BaseException:
-            self.shares.leave(request)
+            self.shares.give_back(request, tokens)
             raise
         match admitted:
             case Admitted(upstream=upstream):
@@ -106,7 +106,7 @@
                 self.counters.admitted[request.priority] += 1
                 return Success(Permit(request, tokens, self))
             case Failed() as refusal:
-                self.shares.leave(request)
+                self.shares.give_back(request, tokens)
                 return self._refuse(request, refusal)
 
     def choose(
--- a/packages/quinceferry-daemon/src/quinceferryd/shares.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shares.py
@@ -75,6 +75,13 @@
         if limits != Limits():
             self._share(request.workspace).meter.take(limits, tokens)
 
+    def give_back(self, request: CallerRequest, tokens: int) -> None:
+        """Take back the count of a request that was refused after all."""
+        limits = self._limits(request.workspace)
+        share = self._shares_by_id.get(request.workspace)
+        if limits != Limits() and share is not None:
+            share.meter.give_back(limits, tokens)
+
     def leave(self, request: CallerRequest) -> None:
         """Count the end of an admitted request."""
         share = self._shares_by_id.get(request.workspace)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/stream_contexts.py
@@ -0,0 +1,40 @@
+"""What all streams of one router share."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from quinceferry_core.adapters import UpstreamClient
+from quinceferry_core.clocks import Clock
+from quinceferry_core.retries import RetryBudget
+from quinceferryd.blackboard import Identity
+from quinceferryd.connections import Ending
+from quinceferryd.scheduling import Scheduler
+from quinceferryd.settings import StreamSettings
+
+
+@dataclass(slots=True)
+class StreamCounters:
+    """Counts since start, for metrics."""
+
+    endings: Counter[Ending] = field(default_factory=Counter)
+    resumes: int = 0
+    reruns: int = 0
+    cancels: int = 0
+    retries_denied: int = 0
+    duplicate_chunks: int = 0
+
+
+@dataclass(slots=True)
+class StreamContext:
+    """What all streams of one router share."""
+
+    upstreams: UpstreamClient
+    scheduler: Scheduler
+    clock: Clock
+    rng: random.Random
+    settings: StreamSettings
+    identity: Callable[[], Identity]
+    retries: RetryBudget
+    counters: StreamCounters = field(default_factory=StreamCounters)
--- a/packages/quinceferry-daemon/src/quinceferryd/streams.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/streams.py
@@ -10,10 +10,11 @@
 from quinceferry_core.outcomes import AnswerEvent
 from quinceferry_core.retries import RetryBudget
 from quinceferryd.answer_buffer import AnswerBuffer
-from quinceferryd.attempts import AttemptLoop, StreamContext, StreamCounters
+from quinceferryd.attempts import AttemptLoop
 from quinceferryd.blackboard import Blackboard, Identity
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import StreamSettings
+from quinceferryd.stream_contexts import StreamContext, StreamCounters
 from quinceferryd.stream_results import DispatchHook, StreamResult
 
 
--- a/packages/quinceferry-daemon/src/quinceferryd/tracking.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/tracking.py
@@ -1,7 +1,5 @@
 """What this router knows of each upstream, put together for choosing one."""
 
-import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from quinceferry_core.adapters import CacheEvent, LoadReport
@@ -10,11 +8,7 @@
 from quinceferry_core.models import (
     CallerRequest,
     Priority,
-    RequestKind,
     UpstreamId,
-    UpstreamKind,
-    UpstreamSpec,
-    VmState,
 )
 from quinceferry_core.prefixes import PrefixIndex, prefix_hashes
 from quinceferry_core.routing import (
@@ -22,26 +16,20 @@
     SentLedger,
     correct_load,
     free_room,
-    model_is_loaded,
-    rendezvous_order,
     smoothed_growth,
 )
 from quinceferryd.blackboard import Blackboard, UpstreamStatus
 from quinceferryd.settings import RoutingSettings
+from quinceferryd.upstream_views import UpstreamView, prompt_tokens
 
-CHARS_PER_TOKEN = 4
-"""Rough size of a token, for costs only; budgets are reserved by an upper bound instead."""
 HEADROOM_BY_PRIORITY = {Priority.HIGH: 0.125, Priority.NORMAL: -0.1875, Priority.LOW: -0.25}
 """Part of an engine's slots that a class may fill beyond them, or must leave free."""
-_LONG_WORK_KEY = "long work"
+RETENTION_SECONDS = 60.0
+"""How long an upstream that is no longer polled is remembered."""
 LOAD_CACHE_SECONDS = 0.02
 """How long a corrected load is used again, unless something was sent, ended or reported."""
 HELD_SHARE = 0.6
 """Part of a prompt's blocks that must be cached for its prefix to count as held."""
-MAX_WANTED_REPORTS = 4
-"""Stale reports asked for at once when no fresh one is left."""
-MAX_COOLDOWN_SECONDS = 30.0
-"""Longest time an upstream counts as failing after its last failure."""
 
 
 @dataclass(slots=True)
@@ -57,73 +45,12 @@
     long_keys: set[RequestKey] = field(default_factory=set)
 
 
-class UpstreamTracker:
-    """Combines configuration, load reports, cache events and own history for each upstream.
-
-    :param blackboard: configuration, VM list and load reports are read from it.
-    """
+class UpstreamTracker(UpstreamView):
+    """Adds this router's own history with each upstream to what the blackboard says."""
 
     def __init__(self, blackboard: Blackboard, clock: Clock, settings: RoutingSettings) -> None:
-        self._blackboard = blackboard
-        self._clock = clock
-        self._settings = settings
+        super().__init__(blackboard, clock, settings)
         self._records_by_id: dict[UpstreamId, _Record] = {}
-        self.wanted_reports: set[UpstreamId] = set()
-        """Upstreams whose load report is needed at once; emptied by the load controller."""
-
-    def eligible(
-        self, request: CallerRequest, excluded: frozenset[UpstreamId] = frozenset()
-    ) -> list[UpstreamSpec]:
-        """Return the upstreams that may get the request now.
-
-        They serve its target, are not leaving, and have a fresh load report, since a stale one may
-        hide that the upstream is leaving. When all reports are stale, some are asked for.
-        """
-        staying = [spec for spec in self.staying(request) if spec.id not in excluded]
-        fresh = [spec for spec in staying if self.is_reporting(spec)]
-        if not fresh:
-            self.wanted_reports.update(spec.id for spec in staying[:MAX_WANTED_REPORTS])
-        if not self.is_long(request):
-            return fresh
-        for_long_work = self.long_work_upstreams(staying)
-        return [spec for spec in fresh if spec.id in for_long_work] or fresh
-
-    def long_work_upstreams(self, among: list[UpstreamSpec]) -> set[UpstreamId]:
-        """Return the few upstreams that long work is sent to first; every router names the same.
-
-        A long prompt holds up an engine's prefill and evicts what its cache holds.
-        """
-        ranked = rendezvous_order(_LONG_WORK_KEY, [spec.id for spec in among])
-        return set(ranked[: math.ceil(self._settings.long_work_upstream_share * len(ranked))])
-
-    def staying(self, request: CallerRequest) -> list[UpstreamSpec]:
-        """Return the upstreams that serve the request's target and are not leaving."""
-        return [spec for spec in self.serving(request) if not self.is_leaving(spec)]
-
-    def serving(self, request: CallerRequest) -> list[UpstreamSpec]:
-        """Return the configured upstreams that have the request's target, leaving or not."""
-        specs = self._blackboard.configuration.upstreams_by_id.values()
-        return [spec for spec in specs if self._serves(spec, request)]
-
-    def is_leaving(self, spec: UpstreamSpec) -> bool:
-        """Return whether any sign says that an upstream is leaving."""
-        return self.status(spec.id).told_leaving or self.sees_leaving(spec)
-
-    def sees_leaving(self, spec: UpstreamSpec) -> bool:
-        """Return whether the VM list or the upstream itself says so, not another router."""
-        status = self.status(spec.id)
-        vm = self._blackboard.vms_by_id.get(spec.vm)
-        listed = vm is not None and vm.state is VmState.LEAVING
-        reported = status.report is not None and status.report.leaving
-        return status.leaving or listed or reported
-
-    def is_failing(self, upstream: UpstreamId) -> bool:
-        """Return whether an upstream failed lately; the time grows with each failure in a row."""
-        status = self.status(upstream)
-        if not status.failures:
-            return False
-        cooldown = min(MAX_COOLDOWN_SECONDS, 2.0 ** (status.failures - 1))
-        return self._clock.monotonic() - status.failed_at < cooldown
 
     def load(self, upstream: UpstreamId) -> CorrectedLoad:
         """Return the load of an upstream now, corrected by own history."""
@@ -141,7 +68,7 @@
             status.reported_at - self._settings.load_report_lag_seconds,
             now,
             record.ledger,
-            routers=self._routers(),
+            routers=self.routers(),
             prefill_rate=self._settings.prefill_tokens_per_second,
             default_slots=self._settings.default_slots,
         )
@@ -157,7 +84,7 @@
         age = self._clock.monotonic() - self.status(upstream).reported_at
         growth = record.growth_per_second * min(age, self._settings.max_report_age_seconds)
         usable = load.slots * (1.0 + headroom)
-        room = free_room(load, usable, record.ledger.in_flight(), self._routers(), growth)
+        room = free_room(load, usable, record.ledger.in_flight(), self.routers(), growth)
         if headroom <= 0 and record.ledger.prefill_tokens() >= self._prefill_backlog():
             return 0.0
         if is_long:
@@ -242,45 +169,26 @@
         """Return how many of this router's requests an upstream holds."""
         return self._record(upstream).ledger.in_flight()
 
-    def status(self, upstream: UpstreamId) -> UpstreamStatus:
-        """Return the upstream's entry on the blackboard, made when missing."""
-        return self._blackboard.upstreams_by_id.setdefault(upstream, UpstreamStatus())
-
-    def forget_except(self, upstreams: Iterable[UpstreamId]) -> None:
-        """Drop what is known of upstreams that are no longer configured and hold nothing."""
-        kept = set(upstreams)
-        for upstream in set(self._records_by_id) - kept:
+    def forget_unused(self) -> None:
+        """Drop what is known of upstreams that are not configured, or silent, and hold nothing."""
+        configured = self._blackboard.configuration.upstreams_by_id
+        for upstream, status in list(self._blackboard.upstreams_by_id.items()):
+            if upstream in configured and not self._is_forgettable(status):
+                continue
             if not self.in_flight(upstream):
-                del self._records_by_id[upstream]
-                self._blackboard.upstreams_by_id.pop(upstream, None)
-
-    def is_long(self, request: CallerRequest) -> bool:
-        """Return whether a request counts as long work."""
-        return prompt_tokens(request) >= self._settings.long_prompt_tokens
+                self._records_by_id.pop(upstream, None)
+                del self._blackboard.upstreams_by_id[upstream]
 
-    def _serves(self, spec: UpstreamSpec, request: CallerRequest) -> bool:
-        if request.kind is RequestKind.SERVICE:
-            return spec.kind is UpstreamKind.SERVICE and spec.service == request.target.model
-        report = self.status(spec.id).report
-        if spec.kind is not UpstreamKind.ENGINE or report is None:
-            return False
-        return model_is_loaded(request.target, report.loaded)
-
-    def is_reporting(self, spec: UpstreamSpec) -> bool:
-        """Return whether an upstream's load report is fresh; a service need not report."""
-        status = self.status(spec.id)
-        if status.report is None:
-            return spec.kind is UpstreamKind.SERVICE
-        age = self._clock.monotonic() - status.reported_at
-        return age <= self._settings.max_report_age_seconds
+    def _is_forgettable(self, status: UpstreamStatus) -> bool:
+        """Return whether an upstream has not reported for long and nothing is to be remembered."""
+        silent_since = max(status.reported_at, status.failed_at)
+        is_silent = self._clock.monotonic() - silent_since > RETENTION_SECONDS
+        return is_silent and not status.leaving and not status.told_leaving
 
     def _prefill_backlog(self) -> float:
         """Return this router's part of the prompt tokens that may wait at one engine."""
         backlog = self._settings.max_prefill_backlog_seconds
-        return self._settings.prefill_tokens_per_second * backlog / self._routers()
-
-    def _routers(self) -> int:
-        return max(1, len(self._blackboard.members_by_incarnation))
+        return self._settings.prefill_tokens_per_second * backlog / self.routers()
 
     def _record(self, upstream: UpstreamId) -> _Record:
         return self._records_by_id.setdefault(upstream, _Record())
@@ -289,8 +197,3 @@
 def request_key(request: CallerRequest) -> RequestKey:
     """Return the fleet-wide key of a request."""
     return RequestKey(request.workspace, request.request_id)
-
-
-def prompt_tokens(request: CallerRequest) -> int:
-    """Estimate the prompt's tokens, for costs only."""
-    return max(1, len(request.prompt or request.body) // CHARS_PER_TOKEN)
--- a/packages/quinceferry-lab/src/quinceferry_lab/routing_load.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/routing_load.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from quinceferry_core.clocks import Clock
 from quinceferry_core.models import (
     CallerRequest,
     ModelRef,
@@ -20,7 +21,10 @@
 from quinceferry_core.outcomes import Failed
 from quinceferry_standins.engine_settings import EngineSettings
 from quinceferry_standins.outputs import BYTES_PER_TOKEN
+from quinceferryd.blackboard import Blackboard
 from quinceferryd.scheduling import Permit, Scheduler
+from quinceferryd.settings import RoutingSettings
+from quinceferryd.tracking import UpstreamTracker
 
 MODEL = ModelRef("ledger")
 ENGINES = 10
@@ -142,8 +146,27 @@
         return self._rng.randbytes(tokens * BYTES_PER_TOKEN // 2).hex()
 
 
+class _HeedlessTracker(UpstreamTracker):
+    """Tracker that does not heed the signs of leaving."""
+
+    def is_leaving(self, spec: UpstreamSpec) -> bool:
+        """Return that no upstream leaves."""
+        return False
+
+
 class RandomScheduler(Scheduler):
-    """Baseline: admits everything and chooses at random."""
+    """Baseline: admits everything and chooses at random, also what is leaving."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+        settings: RoutingSettings,
+        homes: int = 3,
+    ) -> None:
+        super().__init__(blackboard, clock, rng, settings, homes)
+        self.tracker = _HeedlessTracker(blackboard, clock, settings)
 
     async def enter(self, request: CallerRequest, tokens: int) -> Result[Permit, Failed]:
         """Admit at once."""
