Leave the streams of a router that still answers, and split recovery

Change: requests are settled at the upstreams only with a proof of absence or when the process does not answer; evidence and budgets are modules of their own.

--- a/features/router.feature
+++ b/features/router.feature
@@ -175,3 +175,15 @@
     Given 2 routers and a budget of 100000 tokens
     When r2 is closed with 4 bills in memory and then stops
     Then the closed incarnation has 4 bills
+
+  Scenario: A stream goes on at a router that only lost the service
+    Given 3 routers and a budget of 100000 tokens
+    When request "a" is under way at r2
+    And r2 loses the service
+    And the fleet runs on for 200 seconds
+    Then request "a" is answered whole
+
+  Scenario: A later router's refusal does not hide that an earlier one may have run a request
+    Given 3 routers and a budget of 100000 tokens
+    When request "a" is forwarded to a router that breaks off and to one that refuses
+    Then request "a" is refused as "budget_spent" and may have run
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -5,14 +5,18 @@
 
 from behave import given, then, when
 
-from features.fixtures_routers import WORKSPACE, Fleet
-from quinceferry_core.journals import Settle
+from features.fixtures_routers import WORKSPACE, Answer, Fleet
+from quinceferry_core.exceptions import PeerUnavailableError
+from quinceferry_core.journals import RequestKey, Settle
 from quinceferry_core.ledgers import Ledger
+from quinceferry_core.membership import Member
 from quinceferry_core.models import OperationId
-from quinceferry_core.outcomes import Failed, NotRun, Unknown
+from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason, Unknown
 from quinceferry_lab.virtual_time import run_virtual
 from quinceferry_standins.upstream_faults import Break
 from quinceferryd.blackboard import RouterState
+from quinceferryd.forwards import Forwarder
+from quinceferryd.runs import RequestRun
 
 BILL_SECONDS = 2
 
@@ -99,7 +103,7 @@
 @when('request "{name:w}" is under way at {router:w}')
 def start_request(context, name, router):
     async def act(fleet):
-        request = fleet.request(name, max_output_tokens=2000)
+        request = fleet.request(name, max_output_tokens=6000)
         fleet.task = asyncio.create_task(send(fleet, router, request))
         await fleet.clock.sleep(1)
         assert fleet.answers_by_request[name].text
@@ -253,6 +257,36 @@
     add_act(context, act)
 
 
+class BreakingPeers:
+    """The first router breaks off before its first event, the second refuses."""
+
+    async def forward(self, address, request):
+        if address == "first":
+            raise PeerUnavailableError("broke off", step="forward", peer=address)
+        yield Failed(RefusalReason.BUDGET_SPENT, NotRun(NotRunProof.NEVER_SENT))
+
+
+@when('request "{name:w}" is forwarded to a router that breaks off and to one that refuses')
+def forward_to_breaking(context, name):
+    async def act(fleet):
+        request = fleet.request(name)
+        run = RequestRun(RequestKey(WORKSPACE, name), b"")
+        members = [Member(f"m{address}", "vm", "z", address, 1) for address in ("first", "second")]
+        await Forwarder(BreakingPeers()).forward(run, request, tuple(members))
+        fleet.answers_by_request[name] = Answer(failed=run.events[-1])
+
+    add_act(context, act)
+
+
+@when("{router:w} loses the service")
+def lose_service(context, router):
+    async def act(fleet):
+        fleet.connections_by_name[router].faults.outage = True
+        await fleet.clock.sleep(5)
+
+    add_act(context, act)
+
+
 @when("{router:w} draws {tokens:d} tokens that it does not need")
 def draw_unneeded(context, router, tokens):
     async def act(fleet):
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovered_budgets.py
@@ -0,0 +1,74 @@
+"""Frees what a closed incarnation provably did not spend of its allotments."""
+
+import msgspec
+
+from quinceferry_core.adapters import KvEntry, KvStore
+from quinceferry_core.budgets import BUDGET_PREFIX, BudgetRecord, close, retire
+from quinceferry_core.exceptions import KvConflictError
+from quinceferry_core.journals import JournalState
+from quinceferry_core.membership import IncarnationRecord
+from quinceferry_core.models import IncarnationId
+from quinceferryd.recovery_cases import RecoveryCase, RecoveryCounters
+
+
+class BudgetRecoverer:
+    """Closes and retires the allotments of one incarnation after another."""
+
+    def __init__(self, kv: KvStore, counters: RecoveryCounters) -> None:
+        self._kv = kv
+        self._counters = counters
+
+    async def held_by(self, incarnation: IncarnationId) -> list[KvEntry]:
+        """Return the budget records in which an incarnation has an allotment."""
+        entries = await self._kv.list(BUDGET_PREFIX)
+        return [
+            entry for entry in entries if incarnation in _decode(entry).allotments_by_incarnation
+        ]
+
+    async def close(
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        incarnation: IncarnationRecord,
+        entry: KvEntry,
+    ) -> None:
+        """Free what is proven unspent, or leave it to the next check after a conflict."""
+        record = _decode(entry)
+        workspace = record.workspace
+        held = record.allotments_by_incarnation[incarnation.incarnation]
+        unknown = case.unknown(journal, incarnation, workspace, held)
+        kept = case.spent(journal, workspace) + unknown
+        changed = close(record, incarnation.incarnation, kept)
+        if changed == record:
+            return
+        try:
+            await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
+        except KvConflictError:
+            return
+        self._counters.tokens_freed += changed.free - record.free
+
+    async def retire(
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        incarnation: IncarnationRecord,
+        entry: KvEntry,
+    ) -> None:
+        """Replace an allotment by what was spent and what may have been spent of it.
+
+        :raises KvConflictError: the record changed meanwhile; the next check tries again.
+        """
+        record = _decode(entry)
+        workspace = record.workspace
+        held = record.allotments_by_incarnation[incarnation.incarnation]
+        unknown = case.unknown(journal, incarnation, workspace, held)
+        spent = case.spent(journal, workspace)
+        changed = retire(record, incarnation.incarnation, spent, unknown)
+        await self._kv.put_if(entry.key, msgspec.json.encode(changed), entry.version)
+        self._counters.tokens_freed += changed.free - record.free
+        self._counters.tokens_withheld += changed.withheld - record.withheld
+
+
+def _decode(entry: KvEntry) -> BudgetRecord:
+    """Decode a budget record."""
+    return msgspec.json.decode(entry.value, type=BudgetRecord)
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery_cases.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_cases.py
@@ -12,6 +12,17 @@
 from quinceferryd.accounts import Account
 
 
+@dataclass(slots=True)
+class RecoveryCounters:
+    """Counts since start, for metrics; tokens freed and withheld are those of all workspaces."""
+
+    closed: int = 0
+    retired: int = 0
+    tokens_freed: int = 0
+    tokens_withheld: int = 0
+    requests_settled: int = 0
+
+
 @dataclass(slots=True)
 class RecoveryCase:
     """One incarnation under recovery; times are in monotonic seconds.
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
@@ -0,0 +1,156 @@
+"""Closes an incarnation and finds out what it ran."""
+
+from dataclasses import replace
+from random import Random
+
+import msgspec
+
+from quinceferry_core.adapters import (
+    ABSENT_VERSION,
+    KvEntry,
+    KvStore,
+    PeerClient,
+    UpstreamClient,
+)
+from quinceferry_core.copies import CollectReply, CollectRequest
+from quinceferry_core.exceptions import (
+    KvConflictError,
+    PeerNotBegunError,
+    PeerUnavailableError,
+    UpstreamError,
+)
+from quinceferry_core.journals import Begin, JournalState, Settle, Slot, slot_key
+from quinceferry_core.membership import IncarnationRecord
+from quinceferry_core.models import IncarnationId, RequestId, WorkspaceId
+from quinceferryd.accounts import Account
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.copy_store import CopyStore
+from quinceferryd.recovery_cases import RecoveryCase, RecoveryCounters
+from quinceferryd.verdicts import read_journal
+
+_PROBE_WORKSPACE = WorkspaceId("")
+_PROBE_REQUEST = RequestId("")
+
+
+class EvidenceCollector:
+    """Gathers what the journal, the holders of copies and the upstreams tell."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        upstreams: UpstreamClient,
+        peers: PeerClient,
+        copies: CopyStore,
+        rng: Random,
+        counters: RecoveryCounters,
+    ) -> None:
+        self._blackboard = blackboard
+        self._kv = kv
+        self._upstreams = upstreams
+        self._peers = peers
+        self._copies = copies
+        self._rng = rng
+        self._counters = counters
+
+    async def close_record(self, entry: KvEntry, record: IncarnationRecord) -> None:
+        """Mark an incarnation as closed; the next check goes on from there."""
+        closed = replace(record, closed_by=self._blackboard.identity.incarnation)
+        try:
+            await self._kv.put_if(entry.key, msgspec.json.encode(closed), entry.version)
+        except KvConflictError:
+            return
+        self._counters.closed += 1
+
+    async def close_journal(self, incarnation: IncarnationId) -> JournalState:
+        """Append the closing slot if it is missing, and return the whole journal."""
+        while True:
+            journal = await read_journal(self._kv, incarnation)
+            if journal.closed_by:
+                return journal
+            closer = self._blackboard.identity.incarnation
+            slot = Slot(f"close/{closer}/{self._rng.getrandbits(64):016x}", (), closer)
+            key = slot_key(incarnation, journal.next_slot)
+            try:
+                await self._kv.put_if(key, msgspec.json.encode(slot), ABSENT_VERSION)
+            except KvConflictError:
+                continue
+
+    async def collect_copies(self, case: RecoveryCase, record: IncarnationRecord) -> None:
+        """Ask the registered holders for copies of entries that did not become durable."""
+        own = self._blackboard.identity.incarnation
+        for holder in record.copy_holders:
+            if holder in case.answered:
+                continue
+            if holder == own:
+                reply = self._copies.collect(CollectRequest(holder, record.incarnation))
+            else:
+                reply = await self._ask_holder(holder, record.incarnation)
+            if reply.is_holder:
+                case.add_copies(holder, reply.copies)
+
+    async def _ask_holder(self, holder: IncarnationId, owner: IncarnationId) -> CollectReply:
+        """Ask another router for its copies; one that is gone cannot answer for them."""
+        member = self._blackboard.members_by_incarnation.get(holder)
+        if member is None:
+            return CollectReply(False)
+        try:
+            return await self._peers.collect(member.address, CollectRequest(holder, owner))
+        except PeerUnavailableError:
+            return CollectReply(False)
+
+    async def settle_requests(
+        self,
+        case: RecoveryCase,
+        journal: JournalState,
+        incarnation: IncarnationId,
+        account: Account,
+    ) -> None:
+        """Bill the requests in progress whose upstreams can tell what they used.
+
+        Each recorded attempt was sent at most once, so a use that the upstream tells is final.
+        """
+        for key, begins in journal.begins_by_request.items():
+            if key in case.settled_by_request:
+                continue
+            uses = [await self._stop_attempt(incarnation, begin) for begin in begins]
+            known = [tokens for tokens in uses if tokens is not None]
+            if len(known) < len(uses):
+                continue
+            entry = Settle(
+                key.workspace,
+                key.request,
+                known[-1],
+                run=any(known),
+                origin=incarnation,
+                partial=True,
+                lost=sum(known[:-1]),
+            )
+            case.settle(key, entry, account)
+            self._counters.requests_settled += 1
+
+    async def _stop_attempt(self, incarnation: IncarnationId, begin: Begin) -> int | None:
+        """Stop one attempt at its upstream; return its use, or None if nobody can tell."""
+        upstream = self._blackboard.configuration.upstreams_by_id.get(begin.upstream)
+        if upstream is None:
+            return None
+        try:
+            return await self._upstreams.cancel(
+                upstream, begin.request, begin.workspace, incarnation
+            )
+        except UpstreamError:
+            return None
+
+    async def answers(self, record: IncarnationRecord) -> bool:
+        """Tell whether the process still answers, so that its callers may have open streams.
+
+        It may only be cut off from the key-value service. Its runs are then left alone; what it
+        reserved for them stays counted.
+        """
+        try:
+            await self._peers.ask_outcome(record.address, _PROBE_WORKSPACE, _PROBE_REQUEST)
+        except PeerNotBegunError as error:
+            return error.detail.startswith("status")
+        except PeerUnavailableError:
+            return False
+        return True
--- a/packages/quinceferry-lab/src/quinceferry_lab/defects.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/defects.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 from typing import Any
 from unittest.mock import patch
@@ -10,14 +10,16 @@
 import msgspec
 from returns.result import Result, Success
 
+from quinceferry_core.adapters import ABSENT_VERSION
 from quinceferry_core.budgets import Allotment, BudgetRecord
-from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
+from quinceferry_core.exceptions import KvConflictError
 from quinceferry_core.journals import Slot, slot_key
-from quinceferry_core.models import CallerRequest, OperationId, WorkspaceId
+from quinceferry_core.models import CallerRequest, IncarnationId, OperationId, WorkspaceId
 from quinceferry_core.outcomes import Chunk, Failed, NotRun, NotRunProof, Outcome
 from quinceferry_core.reassembly import Reassembler
-from quinceferryd.accounts import Account
-from quinceferryd.allotments import AllotmentController, Holding
+from quinceferry_lab.trials import SHORT_PLAN, TrialPlan
+from quinceferry_lab.violations import Promise
+from quinceferryd.accounts import Account, AccountController
 from quinceferryd.attempts import AttemptLoop
 from quinceferryd.budgets import BudgetService
 from quinceferryd.journal import JournalWriter
@@ -47,7 +49,7 @@
         while True:
             key = slot_key(journal.incarnation, journal.next_slot)
             try:
-                await kv.put_if(key, value, 0)
+                await kv.put_if(key, value, ABSENT_VERSION)
                 return True
             except KvConflictError:
                 found = await kv.get(key)
@@ -55,9 +57,13 @@
                     return True
                 journal.next_slot += 1
 
+    async def close(accounts: AccountController, incarnation: IncarnationId) -> None:
+        return
+
     with (
         patch.object(JournalWriter, "_write", write),
         patch.object(JournalWriter, "fence", lambda journal: None),
+        patch.object(AccountController, "close", close),
     ):
         yield
 
@@ -122,26 +128,6 @@
         yield
 
 
-@contextmanager
-def credit_after_return() -> Iterator[None]:
-    """Take tokens off the own account only when their return is known to have taken effect."""
-
-    async def give_back(
-        controller: AllotmentController, workspace: WorkspaceId, holding: Holding, tokens: int
-    ) -> int:
-        try:
-            entry, record = await controller._read(workspace, holding)
-            tokens = min(tokens, holding.ledger.available)
-            holding.sequence += 1
-            await controller._write(workspace, holding, entry, record, -tokens)
-        except (KvConflictError, KvUnavailableError):
-            return 0
-        return tokens
-
-    with patch.object(AllotmentController, "_give_back", give_back):
-        yield
-
-
 @contextmanager
 def closed_allotment_freed() -> Iterator[None]:
     """Free the whole allotment of a router that seems dead, without any proof."""
@@ -153,19 +139,45 @@
         others = {**record.allotments_by_incarnation, incarnation: Allotment(closed=True)}
         return replace(record, allotments_by_incarnation=others)
 
-    with patch("quinceferryd.recovery.close", close):
+    with patch("quinceferryd.recovered_budgets.close", close):
         yield
 
 
-DEFECTS_BY_NAME: dict[str, Callable[[], AbstractContextManager[None]]] = {
-    "no-reservation": no_reservation,
-    "close-ignored": close_ignored,
-    "no-deduplication": no_deduplication,
-    "rerun-after-silence": rerun_after_silence,
-    "top-up-without-operation": top_up_without_operation,
-    "not-run-after-send": not_run_after_send,
-    "stale-chunks": stale_chunks,
-    "credit-after-return": credit_after_return,
-    "closed-allotment-freed": closed_allotment_freed,
+@dataclass(slots=True, frozen=True)
+class Defect:
+    """A defect, the runs that show it, and the promise that breaks in them."""
+
+    apply: Callable[[], AbstractContextManager[None]]
+    promise: Promise
+    plan: TrialPlan
+
+
+def _short(*fault_names: str) -> TrialPlan:
+    """Return a short run with some kinds of faults."""
+    return replace(SHORT_PLAN, fault_names=fault_names)
+
+
+_STREAM_FAULTS = ("silence-streams", "break-streams", "flaky-streams")
+_PAUSES = TrialPlan(("long-pause",), quiet_seconds=5.0, service_share=0.9)
+
+DEFECTS_BY_NAME = {
+    "no-reservation": Defect(no_reservation, Promise.SPEND_WITHIN_BUDGET, _short("kv-slow")),
+    "close-ignored": Defect(close_ignored, Promise.NOT_RUN_IS_TRUE, _PAUSES),
+    "no-deduplication": Defect(
+        no_deduplication, Promise.AT_MOST_ONCE, _short("break-connections", "flaky-streams")
+    ),
+    "rerun-after-silence": Defect(
+        rerun_after_silence, Promise.AT_MOST_ONCE, _short(*_STREAM_FAULTS)
+    ),
+    "top-up-without-operation": Defect(
+        top_up_without_operation, Promise.SPEND_WITHIN_BUDGET, _short("lost-answers")
+    ),
+    "not-run-after-send": Defect(
+        not_run_after_send, Promise.NOT_RUN_IS_TRUE, _short(*_STREAM_FAULTS, "engine-crash")
+    ),
+    "stale-chunks": Defect(stale_chunks, Promise.WHOLE_OWN_ANSWER, _short(*_STREAM_FAULTS)),
+    "closed-allotment-freed": Defect(
+        closed_allotment_freed, Promise.SPEND_WITHIN_BUDGET, _short("kill", "pause")
+    ),
 }
 """Defects by the name that the command line takes."""
