Export how streams and queues fare

Endings of upstream connections, resumes, re-runs, cancellations, denied retries, doubled chunks, and the queue's length were counted but not shown.

--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -165,7 +165,7 @@
         )
         readiness = UpstreamReadiness(self.blackboard, self.clock, self.loads.active)
         self.membership.add_join_hook(readiness.wait)
-        streams = StreamRunner(
+        self.streams = StreamRunner(
             dependencies.upstreams,
             self.scheduler,
             self.blackboard,
@@ -185,7 +185,7 @@
             self.accounts,
             shortages,
             self.scheduler,
-            streams,
+            self.streams,
             recorder,
             Forwarder(self.peers),
             self.clock,
--- a/packages/quinceferry-daemon/src/quinceferryd/exports.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/exports.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from quinceferryd.application import Application
+from quinceferryd.connections import Ending
 from quinceferryd.metrics import Reading, ScrapedMetrics
 
 
@@ -45,6 +46,21 @@
         "Requests by class and how admission ended",
         lambda: _admissions(application),
     )
+    metrics.observe_gauge(
+        "quinceferry_queued_requests",
+        "Requests that wait for admission",
+        lambda: [(float(len(application.scheduler.admission)), {})],
+    )
+    metrics.observe_counter(
+        "quinceferry_connection_endings",
+        "Upstream connections that ended otherwise than with the whole answer",
+        lambda: _connection_endings(application),
+    )
+    metrics.observe_counter(
+        "quinceferry_streams",
+        "Resumes, re-runs and cancellations of answers, retries denied and chunks that came twice",
+        lambda: _streams(application),
+    )
     metrics.observe_counter(
         "quinceferry_recovery",
         "Closed and retired incarnations, settled requests, and tokens freed and withheld",
@@ -67,6 +83,19 @@
         yield float(count), {"class": priority.name.lower(), "result": reason.value}
 
 
+def _connection_endings(application: Application) -> Iterator[Reading]:
+    """Return how connections to upstreams ended."""
+    for ending in Ending:
+        yield float(application.streams.counters.endings[ending]), {"ending": ending.value}
+
+
+def _streams(application: Application) -> Iterator[Reading]:
+    """Return what was done to bring answers home."""
+    counters = application.streams.counters
+    for what in ("resumes", "reruns", "cancels", "retries_denied", "duplicate_chunks"):
+        yield float(getattr(counters, what)), {"what": what}
+
+
 def _recovery(application: Application) -> Iterator[Reading]:
     """Return what recovery has done."""
     counters = application.recovery.counters
