Tell the use of the attempt that was asked for, and take a new ticket after a refusal

Cause: the model shows that a recoverer may take the use of an earlier attempt for a later one of the same request that is still on its way, and free tokens that are then spent; a resumed stream went out under the identity of the moment; and a client that kept its ticket after a proven refusal met the home's remembered refusal again. Change: cancel names the attempt, whose numbers are unique in the process; an attempt keeps its sender; the client takes a new ticket once every attempt is proven not to have run. The scenario of the closed home expected the old ticket after a refusal as never sent; it now expects a new one at each proven refusal, and a further scenario expects the old one while an attempt may have run.

--- a/features/client.feature
+++ b/features/client.feature
@@ -54,7 +54,13 @@
     When the client makes a non-idempotent service call
     Then the client has the service's status 200
     And the scripted requests share one request id
-    And the scripted requests carried the tickets "ticket-1, ticket-1, ticket-2"
+    And the scripted requests carried the tickets "ticket-1, ticket-2, ticket-3"
+
+  Scenario: A ticket stays with a request of which an attempt may have run
+    Given a scripted fleet that breaks off a call and then refuses it once as never sent
+    When the client makes a non-idempotent service call
+    Then the client has the service's status 200
+    And the scripted requests carried the tickets "ticket-1, ticket-1, ticket-1"
 
   Scenario: An error of the service itself is its answer
     Given a scripted fleet whose service answers with status 503
--- a/features/fixtures_streams.py
+++ b/features/fixtures_streams.py
@@ -72,7 +72,7 @@
             yield Chunk(position, 1, words[position])
         yield Finished(Usage(3, len(words)))
 
-    async def cancel(self, upstream, request_id, workspace=None, incarnation=None):
+    async def cancel(self, upstream, request_id, workspace=None, incarnation=None, attempt=None):
         """Note the cancellation."""
         self.cancelled.append(upstream.id)
         return
--- a/features/steps/client.py
+++ b/features/steps/client.py
@@ -90,6 +90,19 @@
     context.fleet = ScriptedFleet(lambda request: answers.pop(0))
 
 
+@given("a scripted fleet that breaks off a call and then refuses it once as never sent")
+def fleet_breaking_then_refusing(context):
+    answers = [None, refusal(503, "router_stopping", 1.0), httpx.Response(200, content=b"posted")]
+
+    def answer(request):
+        scripted = answers.pop(0)
+        if scripted is None:
+            raise httpx.ReadError("connection reset", request=request)
+        return scripted
+
+    context.fleet = ScriptedFleet(answer)
+
+
 @given("a scripted fleet whose service answers with status {status:d}")
 def fleet_with_failing_service(context, status):
     context.fleet = ScriptedFleet(lambda request: httpx.Response(status, content=b"busy"))
--- a/features/upstream_engine.feature
+++ b/features/upstream_engine.feature
@@ -70,6 +70,11 @@
     And the other workspace still receives its whole answer
     And cancelling an unknown or an ambiguous request reports nothing
 
+  Scenario: The use of one attempt is not told for another
+    Given a stand-in engine with 8 slots
+    When attempt 3 of a request has run and attempt 4 is still on its way
+    Then cancelling attempt 4 reports nothing and cancelling attempt 3 its use
+
   Scenario Outline: Orders with an old fencing number
     Given a stand-in engine that <checks> fencing numbers
     When orders with fencing numbers 5, 4 and 5 arrive
--- a/packages/quinceferry-cli/src/quinceferry/attempts.py
+++ b/packages/quinceferry-cli/src/quinceferry/attempts.py
@@ -45,9 +45,10 @@
 class Attempts:
     """Decides where each attempt of one call goes and whether another may follow.
 
-    The ticket of the first attempt stays with the request: a later one might name another home,
-    which would know nothing of the earlier attempts. Only when the closed journal of the first home
-    proves that the request never ran there, and never will, may it go to another home.
+    While an attempt may have begun, its ticket stays with the request: a later one might name
+    another home, which would know nothing of it. Once every attempt is told not to have run, the
+    request takes a new ticket, since a home keeps to its refusal of the old one. The closed journal
+    of a home proves that none of the attempts there ran.
 
     :param call: the call.
     :param book: address answers.
@@ -100,10 +101,10 @@
         if isinstance(error, RouterUnreachableError | AnswerBrokenError):
             self._book.forget()
         if isinstance(error, RefusedError) and error.proof == JOURNAL_CLOSED:
-            self._book.forget()
-            self._ticket = None
             self._may_have_begun = False
         self._may_have_begun |= _may_have_begun(error)
+        if isinstance(error, RefusedError) and not self._may_have_begun:
+            self._take_new_ticket()
         retry_after = _retry_after_seconds(error)
         if retry_after is None or self.made >= self._policy.max_attempts:
             raise self._final(error)
@@ -125,6 +126,12 @@
             self.made += 1
             await self.after(RouterUnreachableError("no router takes requests", step="address"))
 
+    def _take_new_ticket(self) -> None:
+        """Have the next attempt of a non-idempotent request ask for addresses again."""
+        if not self._call.idempotent:
+            self._book.forget()
+            self._ticket = None
+
     def _headers(self) -> dict[str, str]:
         """Return the headers of every attempt."""
         headers = {REQUEST_ID_HEADER: self._call.request_id, **self._call.headers}
--- a/packages/quinceferry-core/src/quinceferry_core/adapters.py
+++ b/packages/quinceferry-core/src/quinceferry_core/adapters.py
@@ -184,12 +184,15 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop the latest run of a request; a repeat returns the same use.
 
         :param workspace: owner of the request; two workspaces may use the same identifier, and
             without it such a request counts as unknown.
         :param incarnation: the router that sent it; None stops a run of any router.
+        :param attempt: number of the dispatch that began the run; a later one of the same request
+            may still be on its way, so that another run's use says nothing about it.
         :return: the tokens it used in all, or None if the upstream does not know it.
         """
 
--- a/packages/quinceferry-core/src/quinceferry_core/upstream_messages.py
+++ b/packages/quinceferry-core/src/quinceferry_core/upstream_messages.py
@@ -78,12 +78,12 @@
 
 
 class CancelRequest(msgspec.Struct, frozen=True):
-    """Stops the latest run of a request; None matches any workspace and any router."""
+    """Stops the latest run of a request; None matches any workspace, router and attempt."""
 
     request_id: RequestId
     workspace: WorkspaceId | None = None
     incarnation: IncarnationId | None = None
-    incarnation: IncarnationId | None = None
+    attempt: int | None = None
 
 
 class CancelReply(msgspec.Struct, frozen=True):
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -63,7 +63,7 @@
         self._result = result
         self._buffer = buffer
         self._delivered = DeliveredText()
-        self._connections = 0
+        self._connection = 0
         self._give_up_at = context.clock.monotonic() + request.deadline_seconds
         self._cancels: set[asyncio.Task[None]] = set()
 
@@ -97,13 +97,15 @@
             if isinstance(chosen, Failure):
                 return self._failed(chosen.failure())
             upstream = chosen.unwrap()
-            self._connections += 1
-            attempt = Attempt(self._connections, upstream.id)
+            self._connection = next(self._context.connection_numbers)
+            attempt = Attempt(self._connection, upstream.id)
             scheduler.sent(self._request, upstream.id)
             try:
-                aborted = await self._on_dispatch(upstream, self._connections)
+                aborted = await self._on_dispatch(upstream, self._connection)
                 if aborted is not None:
                     return self._failed(aborted)
+                # A resume, too, goes out under the incarnation whose journal names the attempt.
+                attempt.sender = replace(self._context.identity())
                 self._result.attempts.append(attempt)
                 ending = await self._run_unless_leaving(upstream, attempt)
             finally:
@@ -141,20 +143,22 @@
         run = UpstreamRun(self._request, upstream, self._delivered)
         ended: Finished | Ending = Ending.LOST
         try:
-            ended = await self._connect(run, is_resume=False)
+            ended = await self._connect(run, attempt, is_resume=False)
             while isinstance(ended, Ending) and self._may_resume(run, ended):
                 await self._back_off(run.fruitless)
-                self._connections += 1
+                self._connection = next(self._context.connection_numbers)
                 self._context.counters.resumes += 1
                 self._result.resumes += 1
-                ended = await self._connect(run, is_resume=True)
+                ended = await self._connect(run, attempt, is_resume=True)
         finally:
             self._context.counters.duplicate_chunks += run.chunks.duplicates
             self._note_end(upstream, attempt, ended)
         return ended
 
-    async def _connect(self, run: UpstreamRun, *, is_resume: bool) -> Finished | Ending:
-        identity = self._context.identity()
+    async def _connect(
+        self, run: UpstreamRun, attempt: Attempt, *, is_resume: bool
+    ) -> Finished | Ending:
+        identity = attempt.sender or self._context.identity()
         connection = Connection(
             self._context.upstreams,
             self._context.scheduler,
@@ -163,7 +167,7 @@
             self._buffer,
         )
         ended = await connection.relay(
-            identity, self._connections, self._token_cap, is_resume=is_resume
+            identity, self._connection, self._token_cap, is_resume=is_resume
         )
         tracker = self._context.scheduler.tracker
         if isinstance(ended, Ending):
@@ -254,7 +258,11 @@
         for call in range(1, MAX_CANCEL_CALLS + 1):
             try:
                 attempt.tokens = await self._context.upstreams.cancel(
-                    upstream, self._request.request_id, self._request.workspace
+                    upstream,
+                    self._request.request_id,
+                    self._request.workspace,
+                    attempt.sender.incarnation if attempt.sender else None,
+                    attempt.number,
                 )
                 return
             except UpstreamError:
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
@@ -136,7 +136,7 @@
             return None
         try:
             return await self._upstreams.cancel(
-                upstream, begin.request, begin.workspace, incarnation
+                upstream, begin.request, begin.workspace, incarnation, begin.attempt
             )
         except UpstreamError:
             return None
--- a/packages/quinceferry-daemon/src/quinceferryd/stream_contexts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/stream_contexts.py
@@ -1,8 +1,9 @@
 """What all streams of one router share."""
 
+import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from quinceferry_core.adapters import UpstreamClient
@@ -38,3 +39,5 @@
     identity: Callable[[], Identity]
     retries: RetryBudget
     counters: StreamCounters = field(default_factory=StreamCounters)
+    connection_numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    """Numbers of connections; unique in this process, so that no two runs share one."""
--- a/packages/quinceferry-daemon/src/quinceferryd/stream_results.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/stream_results.py
@@ -5,6 +5,7 @@
 
 from quinceferry_core.models import UpstreamId, UpstreamSpec
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, Outcome, Run
+from quinceferryd.blackboard import Identity
 
 DispatchHook = Callable[[UpstreamSpec, int], Awaitable[Failed | None]]
 """Called before any byte of a run leaves; a returned failure aborts the request."""
@@ -14,6 +15,7 @@
 class Attempt:
     """One run of a request at one upstream; resumes continue it under later connection numbers.
 
+    ``sender`` is this router's identity when the attempt was recorded.
     ``tokens`` used in all is None while not known. ``not_run`` is the proof that it did not begin.
     """
 
@@ -21,6 +23,7 @@
     upstream: UpstreamId
     tokens: int | None = None
     not_run: NotRunProof | None = None
+    sender: Identity | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
@@ -116,11 +116,12 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop a run; return the tokens it used in all, or None if the upstream does not know."""
         if upstream.kind is UpstreamKind.SERVICE:
             return None
-        body = msgspec.json.encode(CancelRequest(request_id, workspace, incarnation))
+        body = msgspec.json.encode(CancelRequest(request_id, workspace, incarnation, attempt))
         reply = await self._call(upstream, "cancel", CANCEL_PATH, body)
         return _decode(reply, CancelReply, "upstream.cancel", upstream).used_tokens
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/platform_links.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/platform_links.py
@@ -116,10 +116,11 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop the latest run of a request."""
         return await self._call(
-            lambda: self._upstreams.cancel(upstream, request_id, workspace, incarnation)
+            lambda: self._upstreams.cancel(upstream, request_id, workspace, incarnation, attempt)
         )
 
     async def load(self, upstream: UpstreamSpec) -> LoadReport:
--- a/packages/quinceferry-lab/src/quinceferry_lab/quick_upstreams.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/quick_upstreams.py
@@ -96,6 +96,7 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop a run; return what it used."""
         if workspace is None or incarnation is None:
--- a/packages/quinceferry-standins/src/quinceferry_standins/engine.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/engine.py
@@ -108,17 +108,19 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop the latest run of a request; a repeat returns the same use.
 
         :param workspace: None matches the request only if one workspace alone uses its identifier.
         :param incarnation: None matches the run of any router.
+        :param attempt: None matches any attempt.
         :return: tokens it used in all, or None if the engine does not know the request.
         """
         self._check_up("engine.cancel")
         self._forget_old_streams()
         stream = self._find_named(request_id, workspace, incarnation)
-        if stream is None:
+        if stream is None or attempt not in (None, stream.record.attempt):
             return None
         if stream.open:
             stream.cancel()
--- a/packages/quinceferry-standins/src/quinceferry_standins/engine_app.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/engine_app.py
@@ -76,7 +76,9 @@
 
     @post(CANCEL_PATH, status_code=200)
     async def cancel(data: CancelRequest) -> CancelReply:
-        return CancelReply(engine.cancel(data.request_id, data.workspace, data.incarnation))
+        return CancelReply(
+            engine.cancel(data.request_id, data.workspace, data.incarnation, data.attempt)
+        )
 
     @post(ORDER_PATH, status_code=200)
     async def order(data: EngineOrder) -> None:
--- a/packages/quinceferry-standins/src/quinceferry_standins/upstreams.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/upstreams.py
@@ -71,13 +71,14 @@
         request_id: RequestId,
         workspace: WorkspaceId | None = None,
         incarnation: IncarnationId | None = None,
+        attempt: int | None = None,
     ) -> int | None:
         """Stop a run; return the tokens it used in all, or None if the upstream does not know."""
 
         def cancel(target: FakeUpstream) -> int | None:
             if not isinstance(target, FakeEngine):
                 return None
-            return target.cancel(request_id, workspace, incarnation)
+            return target.cancel(request_id, workspace, incarnation, attempt)
 
         return await self._call(upstream, "upstream.cancel", cancel)
 
