--- a/features/steps/upstream_engine.py
+++ b/features/steps/upstream_engine.py
@@ -1,8 +1,8 @@
 """Steps for the stand-in model engine."""
 
 import asyncio
-from dataclasses import replace
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 from fixtures_upstreams import ENGINE_ID, MODEL, collect, error_of, make_dispatch, text_of
