--- a/packages/quinceferry-cli/src/quinceferry/operator_commands.py
+++ b/packages/quinceferry-cli/src/quinceferry/operator_commands.py
@@ -140,6 +140,7 @@
 )
 @click.option("--service", default="", help="Name of a plain service; a model engine if absent.")
 @click.option("--vm", default="", help="VM it runs on, as the platform lists it.")
+@click.option("--role", default="", help="Role that a model engine is ordered to take.")
 @change_options
 @click.pass_obj
 def register_upstream(
@@ -150,6 +151,7 @@
     checks_fencing: bool | None,
     service: str,
     vm: str,
+    role: str,
     **options: Any,
 ) -> None:
     """Add an upstream or replace its description."""
@@ -163,6 +165,7 @@
         "kind": "service" if service else "engine",
         "service": service,
         "vm": vm,
+        "role": role,
     }
     run_change(configuration, messages.RegisterUpstream, fields, options)
 
--- a/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
+++ b/packages/quinceferry-core/src/quinceferry_core/operator_messages.py
@@ -117,6 +117,9 @@
     kind: Literal["engine", "service"] = "engine"
     vm: str = ""
     service: str = ""
+    role: Annotated[
+        str, Meta(description="Role that the engine is ordered to take; empty leaves it as it is.")
+    ] = ""
 
 
 class RemoveUpstream(Change, frozen=True, kw_only=True):
--- a/packages/quinceferry-daemon/src/quinceferryd/operator_changes.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/operator_changes.py
@@ -140,6 +140,7 @@
         VmId(message.vm),
         message.checks_fencing,
         message.service,
+        message.role,
     )
     return Success(PutUpstream(spec))
 
