Leave empty claims out of the heartbeat record

Cause: every router published a claim for every limited workspace, most of them empty. Change: empty claims are left out, and count as read back when the record lacks them.

--- a/packages/quinceferry-core/src/quinceferry_core/limits.py
+++ b/packages/quinceferry-core/src/quinceferry_core/limits.py
@@ -40,6 +40,11 @@
     streams: int = 0
     demand: float = 0.0
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the claim may be left out of the record."""
+        return not (self.share or self.streams or self.demand)
+
 
 def demand_weights(
     demand_by_router: Mapping[IncarnationId, float], homes: Collection[IncarnationId]
--- a/packages/quinceferry-daemon/src/quinceferryd/shares.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shares.py
@@ -99,12 +99,8 @@
         for workspace in list(self._shares_by_id):
             if self._limits(workspace) == Limits():
                 del self._shares_by_id[workspace]
-        self._blackboard.limit_claims = tuple(
-            LimitClaim(
-                workspace, share.rate.wanted, int(share.streams.wanted), _published(share.demand)
-            )
-            for workspace, share in self._shares_by_id.items()
-        )
+        claims_here = (self._claim(workspace) for workspace in self._shares_by_id)
+        self._blackboard.limit_claims = tuple(claim for claim in claims_here if not claim.is_empty)
 
     def in_use(self, workspace: WorkspaceId) -> tuple[float, int]:
         """Return the share of the rates and the streams that this router may use."""
@@ -117,22 +113,48 @@
         own = self._blackboard.identity.incarnation
         share = self._share(workspace)
         share.demand *= 0.5 ** (UPDATE_INTERVAL_SECONDS / DEMAND_HALF_LIFE_SECONDS)
-        read_back = self._claim_read_back(workspace)
+        share.meter.rate_wait(limits, share.rate.in_use, 0, self._clock.monotonic())
         others = {router: claim for router, claim in claims.items() if router != own}
-        goes_first = all(own < router for router in others)
         weights = self._weights(workspace, _published(share.demand), others)
-        now = self._clock.monotonic()
-        share.meter.rate_wait(limits, share.rate.in_use, 0, now)
-
-        others_rate = sum(claim.share for claim in others.values())
-        share.rate.confirm(read_back.share if read_back else None, others_rate, 1.0)
-        share.rate.propose(weights.get(own, 0.0), others_rate, 1.0, goes_first)
-
+        goes_first = all(own < router for router in others)
+        read_back = self._claim_read_back(workspace)
+        self._divide_rate(share, weights.get(own, 0.0), read_back, others, goes_first)
+        streams = max(
+            apportion(limits.concurrent_streams, weights).get(own, 0), share.meter.streams
+        )
+        self._divide_streams(share, streams, limits, read_back, others, goes_first)
+
+    def _divide_rate(
+        self,
+        share: _WorkspaceShare,
+        target: float,
+        read_back: LimitClaim | None,
+        others: dict[IncarnationId, LimitClaim],
+        goes_first: bool,
+    ) -> None:
+        claimed = sum(claim.share for claim in others.values())
+        share.rate.confirm(read_back.share if read_back else None, claimed, 1.0)
+        share.rate.propose(target, claimed, 1.0, goes_first)
+
+    def _divide_streams(
+        self,
+        share: _WorkspaceShare,
+        target: int,
+        limits: Limits,
+        read_back: LimitClaim | None,
+        others: dict[IncarnationId, LimitClaim],
+        goes_first: bool,
+    ) -> None:
         whole = limits.concurrent_streams
-        others_streams = sum(claim.streams for claim in others.values())
-        share.streams.confirm(read_back.streams if read_back else None, others_streams, whole)
-        wanted = max(apportion(whole, weights).get(own, 0), share.meter.streams)
-        share.streams.propose(wanted, others_streams, whole, goes_first)
+        claimed = sum(claim.streams for claim in others.values())
+        share.streams.confirm(read_back.streams if read_back else None, claimed, whole)
+        share.streams.propose(target, claimed, whole, goes_first)
+
+    def _claim(self, workspace: WorkspaceId) -> LimitClaim:
+        """Return what the next heartbeat claims of a workspace."""
+        share = self._shares_by_id[workspace]
+        streams = int(share.streams.wanted)
+        return LimitClaim(workspace, share.rate.wanted, streams, _published(share.demand))
 
     def _weights(
         self, workspace: WorkspaceId, demand: float, others: dict[IncarnationId, LimitClaim]
@@ -186,8 +208,12 @@
         return claims
 
     def _claim_read_back(self, workspace: WorkspaceId) -> LimitClaim | None:
-        claims = self._blackboard.limit_claims_read or ()
-        return next((claim for claim in claims if claim.workspace == workspace), None)
+        """Return the own claim as read; one left out of the record counts as empty."""
+        claims = self._blackboard.limit_claims_read
+        if claims is None:
+            return None
+        empty = LimitClaim(workspace)
+        return next((claim for claim in claims if claim.workspace == workspace), empty)
 
     def _limits(self, workspace: WorkspaceId) -> Limits:
         spec = self._blackboard.configuration.workspaces_by_id.get(workspace)
