Show that the history check finds seeded defects

New faults: flaky streams and long pauses; faults of streams hit all routers half of the time and plain services too. Callers fetch a new ticket after a proven 'not run' and stretch their waits.

--- a/packages/quinceferry-lab/src/quinceferry_lab/callers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/callers.py
@@ -14,6 +14,7 @@
     Failed,
     Finished,
     NotRun,
+    NotRunProof,
     RefusalReason,
 )
 from quinceferry_lab.histories import (
@@ -31,8 +32,10 @@
 from quinceferryd.interfaces import AddressAnswer
 from quinceferryd.settings import StreamSettings
 
-MAX_ATTEMPTS = 7
+MAX_ATTEMPTS = 12
 GIVE_UP_SECONDS = 90.0
+MAX_STRETCH = 8.0
+"""Bound of the factor by which callers stretch their waits as attempts fail."""
 ADDRESS_TIMEOUT_SECONDS = 2.0
 WRITE_TIMEOUT_SECONDS = StreamSettings().reader_timeout_seconds
 VANISHING_SHARE = 0.05
@@ -130,6 +133,7 @@
         """
         give_up_at = self._clock.monotonic() + GIVE_UP_SECONDS
         ticket = ""
+        proven = True
         attempt: Attempt | None = None
         for number in range(1, MAX_ATTEMPTS + 1):
             answer = await self._address_answer(request)
@@ -141,14 +145,15 @@
             wait = self._wait_before_retry(attempt)
             if wait is None or self._clock.monotonic() + wait >= give_up_at:
                 return attempt
-            if _must_move(attempt):
-                self._kept, ticket = None, ""
+            proven = proven and _is_proven_not_run(attempt)
+            if _must_move(attempt, proven):
+                self._kept, ticket, proven = None, "", True
             await self._clock.sleep(wait)
         return attempt
 
     def _wait_before_retry(self, attempt: Attempt) -> float | None:
         """Return how long to wait before another attempt, or None to give up."""
-        jitter = self._rng.uniform(1.0, 1.3)
+        jitter = self._rng.uniform(1.0, 1.3) * _patience_factor(attempt.number)
         match attempt.end:
             case Answered() | Vanished():
                 return None
@@ -282,9 +287,32 @@
     return None
 
 
-def _must_move(attempt: Attempt) -> bool:
-    """Tell whether the request needs a new address and ticket."""
-    end = attempt.end
-    if not isinstance(end, Refused):
-        return False
-    return end.reason is RefusalReason.HOME_GONE and isinstance(end.outcome, NotRun)
+def _patience_factor(number: int) -> float:
+    """Return by how much a caller stretches its waits after so many attempts."""
+    return min(MAX_STRETCH, 1.5 ** max(0, number - 3))
+
+
+def _is_proven_not_run(attempt: Attempt) -> bool:
+    """Tell whether an attempt certainly ran nothing."""
+    match attempt.end:
+        case NotConnected():
+            return True
+        case Refused(outcome=NotRun()):
+            return True
+    return False
+
+
+def _must_move(attempt: Attempt, proven: bool) -> bool:
+    """Tell whether the request needs a new address and ticket.
+
+    A home remembers what it refused, so a non-idempotent request goes on under a new ticket. It
+    must not while an earlier attempt may still run, unless a closed journal proves that none did.
+
+    :param proven: whether all attempts so far certainly ran nothing.
+    """
+    match attempt.end:
+        case Refused(reason=RefusalReason.HOME_GONE, outcome=NotRun(proof=proof)):
+            return proven or proof is NotRunProof.JOURNAL_CLOSED_WITHOUT_IT
+        case Refused(outcome=NotRun()):
+            return proven and not attempt.request.idempotent
+    return False
--- a/packages/quinceferry-lab/src/quinceferry_lab/defects.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/defects.py
@@ -152,22 +152,24 @@
     plan: TrialPlan
 
 
-def _short(*fault_names: str) -> TrialPlan:
+def _short(*fault_names: str, service_share: float = 0.2) -> TrialPlan:
     """Return a short run with some kinds of faults."""
-    return replace(SHORT_PLAN, fault_names=fault_names)
+    return replace(SHORT_PLAN, fault_names=fault_names, service_share=service_share)
 
 
 _STREAM_FAULTS = ("silence-streams", "break-streams", "flaky-streams")
-_PAUSES = TrialPlan(("long-pause",), quiet_seconds=5.0, service_share=0.9)
+_PAUSES = TrialPlan(("long-pause",), 60.0, quiet_seconds=5.0, service_share=0.9)
 
 DEFECTS_BY_NAME = {
     "no-reservation": Defect(no_reservation, Promise.SPEND_WITHIN_BUDGET, _short("kv-slow")),
     "close-ignored": Defect(close_ignored, Promise.NOT_RUN_IS_TRUE, _PAUSES),
     "no-deduplication": Defect(
-        no_deduplication, Promise.AT_MOST_ONCE, _short("break-connections", "flaky-streams")
+        no_deduplication,
+        Promise.AT_MOST_ONCE,
+        _short("break-connections", "flaky-streams", service_share=0.6),
     ),
     "rerun-after-silence": Defect(
-        rerun_after_silence, Promise.AT_MOST_ONCE, _short(*_STREAM_FAULTS)
+        rerun_after_silence, Promise.AT_MOST_ONCE, _short(*_STREAM_FAULTS, service_share=0.6)
     ),
     "top-up-without-operation": Defect(
         top_up_without_operation, Promise.SPEND_WITHIN_BUDGET, _short("lost-answers")
--- a/packages/quinceferry-lab/src/quinceferry_lab/faults.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/faults.py
@@ -79,18 +79,27 @@
 
 @dataclass(slots=True, frozen=True)
 class SilenceStreams:
-    """The open connections of a router to an engine go silent for good."""
+    """The open connections to an upstream go silent for good; ``vm`` None means those of all."""
 
-    vm: VmId
+    vm: VmId | None
     upstream: UpstreamId
 
 
 @dataclass(slots=True, frozen=True)
 class BreakStreams:
-    """The open connections of a router to an engine break; the engine runs on."""
+    """The open connections to an upstream break; it runs on. ``vm`` None means those of all."""
+
+    vm: VmId | None
+    upstream: UpstreamId
+
+
+@dataclass(slots=True, frozen=True)
+class FlakyStreams:
+    """A share of new connections to an upstream breaks, goes silent, doubles or swaps pieces."""
 
-    vm: VmId
     upstream: UpstreamId
+    share: float
+    seconds: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -143,6 +152,7 @@
     | LoseKvAnswers
     | SilenceStreams
     | BreakStreams
+    | FlakyStreams
     | SilencePeers
     | BreakRouterConnections
     | CrashEngine
@@ -168,6 +178,7 @@
         self.rng = rng
         self.vms = list(fleet.zones_by_vm)
         self.engines = list(fleet.engines_by_id)
+        self.upstreams = list(fleet.upstreams_by_id)
 
     def vm(self) -> VmId:
         """Draw a router."""
@@ -177,6 +188,14 @@
         """Draw an engine."""
         return self.rng.choice(self.engines)
 
+    def upstream(self) -> UpstreamId:
+        """Draw an engine or a plain service."""
+        return self.rng.choice(self.upstreams)
+
+    def one_or_all(self) -> VmId | None:
+        """Draw a router, or None for all."""
+        return self.vm() if self.chance() else None
+
     def seconds(self, low: float = 3.0, high: float = 40.0) -> float:
         """Draw a duration; short ones are as likely as long ones."""
         return low * (high / low) ** self.rng.random()
@@ -209,6 +228,10 @@
     return PauseRouter(draw.vm(), draw.seconds(2.0, 90.0), draw.rng.choice(kinds))
 
 
+def _long_pause(draw: _Drawer) -> Fault:
+    return PauseRouter(draw.vm(), draw.seconds(50.0, 80.0), None)
+
+
 def _kv_down(draw: _Drawer) -> Fault:
     return KvDown(draw.seconds(3.0, 60.0))
 
@@ -223,11 +246,15 @@
 
 
 def _silence_streams(draw: _Drawer) -> Fault:
-    return SilenceStreams(draw.vm(), draw.engine())
+    return SilenceStreams(draw.one_or_all(), draw.upstream())
 
 
 def _break_streams(draw: _Drawer) -> Fault:
-    return BreakStreams(draw.vm(), draw.engine())
+    return BreakStreams(draw.one_or_all(), draw.upstream())
+
+
+def _flaky_streams(draw: _Drawer) -> Fault:
+    return FlakyStreams(draw.upstream(), draw.rng.uniform(0.1, 0.6), draw.seconds())
 
 
 def _silence_peers(draw: _Drawer) -> Fault:
@@ -255,11 +282,13 @@
     "cut": _cut_routers,
     "kill": _kill_router,
     "pause": _pause_router,
+    "long-pause": _long_pause,
     "kv-down": _kv_down,
     "kv-slow": _kv_slow,
     "lost-answers": _lose_kv_answers,
     "silence-streams": _silence_streams,
     "break-streams": _break_streams,
+    "flaky-streams": _flaky_streams,
     "silence-peers": _silence_peers,
     "break-connections": _break_router_connections,
     "engine-crash": _crash_engine,
--- a/packages/quinceferry-lab/src/quinceferry_lab/injection.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/injection.py
@@ -1,8 +1,10 @@
 """Puts faults into force in a running fleet, and takes them back."""
 
 import asyncio
+from random import Random
 
-from quinceferry_core.models import UpstreamId, VmId
+from quinceferry_core.adapters import Dispatch
+from quinceferry_core.models import RequestKind, UpstreamId, VmId
 from quinceferry_lab.faults import (
     BreakRouterConnections,
     BreakStreams,
@@ -10,6 +12,7 @@
     CutRouters,
     EngineLeaves,
     Fault,
+    FlakyStreams,
     KillRouter,
     KvDown,
     KvSlow,
@@ -26,18 +29,31 @@
 from quinceferry_lab.histories import UpstreamLeft
 from quinceferry_lab.operators import PLANS_BY_WORKSPACE, Operator
 from quinceferry_lab.processes import RouterProcess
+from quinceferry_standins.upstream_faults import (
+    Break,
+    Duplicate,
+    Link,
+    LoseRequest,
+    RefuseConnection,
+    Silence,
+    Stall,
+    StreamFault,
+    Swap,
+)
 
 
 class Injector:
     """Carries out a schedule of faults.
 
     :param operator: grants tokens during partitions.
+    :param rng: source of the faults of single connections.
     """
 
-    def __init__(self, fleet: Fleet, operator: Operator) -> None:
+    def __init__(self, fleet: Fleet, operator: Operator, rng: Random) -> None:
         self._fleet = fleet
         self._clock = fleet.clock
         self._operator = operator
+        self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, schedule: list[ScheduledFault]) -> None:
@@ -198,9 +214,17 @@
         fleet = self._fleet
         match fault:
             case SilenceStreams(vm=vm, upstream=upstream):
-                fleet.links(vm).link(upstream).silence_open_streams()
+                for link in self._links(vm, upstream):
+                    link.silence_open_streams()
             case BreakStreams(vm=vm, upstream=upstream):
-                fleet.links(vm).link(upstream).break_open_streams()
+                for link in self._links(vm, upstream):
+                    link.break_open_streams()
+            case FlakyStreams(upstream=upstream, share=share, seconds=seconds):
+                for link in self._links(None, upstream):
+                    link.draw_fault = lambda dispatch: self._draw_stream_fault(share, dispatch)
+                await self._clock.sleep(seconds)
+                for link in self._links(None, upstream):
+                    link.draw_fault = None
             case BreakRouterConnections(vm=vm):
                 fleet.network.break_connections(vm)
             case SilencePeers(source=source, target=target, seconds=seconds):
@@ -209,6 +233,27 @@
                 await self._clock.sleep(seconds)
                 fleet.network.unmute(source, target)
 
+    def _links(self, vm: VmId | None, upstream: UpstreamId) -> list[Link]:
+        """Return the links of one router or of all to an upstream."""
+        vms = [vm] if vm is not None else list(self._fleet.zones_by_vm)
+        return [self._fleet.links(one).link(upstream) for one in vms]
+
+    def _draw_stream_fault(self, share: float, dispatch: Dispatch) -> StreamFault | None:
+        """Draw the fault of one connection; the bytes of a plain service keep their order."""
+        if self._rng.random() >= share:
+            return None
+        piece = self._rng.randrange(0, 8)
+        faults: list[StreamFault] = [
+            RefuseConnection(),
+            LoseRequest(),
+            Silence(piece),
+            Stall(piece, self._rng.uniform(0.5, 15.0)),
+            Break(piece),
+        ]
+        if dispatch.request.kind is not RequestKind.SERVICE:
+            faults += [Duplicate(piece), Swap(piece)]
+        return self._rng.choice(faults)
+
     def _process(self, vm: VmId) -> RouterProcess | None:
         """Return the live process of a VM."""
         process = self._fleet.processes_by_vm.get(vm)
--- a/packages/quinceferry-lab/src/quinceferry_lab/refusal_counts.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/refusal_counts.py
@@ -1,5 +1,6 @@
 """Counts requests refused for budget reasons although the budget covered them."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from quinceferry_core.models import RequestKind
@@ -19,12 +20,29 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class RefusalKind:
+    """Reason of a refusal, and whether the request could have been repeated safely."""
+
+    reason: RefusalReason
+    idempotent: bool
+
+    def __str__(self) -> str:
+        """Return the words of the table."""
+        return f"{self.reason.value} {'idempotent' if self.idempotent else 'non-idempotent'}"
+
+
 @dataclass(slots=True, frozen=True)
 class RefusalCount:
     """Budget refusals of paid-for requests, as a share of all requests asked."""
 
     asked: int
-    falsely_refused: int
+    counts_by_kind: Counter[RefusalKind]
+
+    @property
+    def falsely_refused(self) -> int:
+        """Return the false refusals of all kinds."""
+        return self.counts_by_kind.total()
 
     @property
     def share(self) -> float:
@@ -38,12 +56,14 @@
     What the upstreams had used, and the caps of all requests in progress, count as not available.
     """
     attempts_by_key = history.attempts_by_key()
-    falsely_refused = 0
+    counts_by_kind: Counter[RefusalKind] = Counter()
     for attempts in attempts_by_key.values():
         last = attempts[-1]
-        if isinstance(last.end, Refused) and last.end.reason in BUDGET_REASONS:
-            falsely_refused += _is_covered(history, last)
-    return RefusalCount(len(attempts_by_key), falsely_refused)
+        if not isinstance(last.end, Refused) or last.end.reason not in BUDGET_REASONS:
+            continue
+        if _is_covered(history, last):
+            counts_by_kind[RefusalKind(last.end.reason, last.request.idempotent)] += 1
+    return RefusalCount(len(attempts_by_key), counts_by_kind)
 
 
 def _is_covered(history: History, refused: Attempt) -> bool:
--- a/packages/quinceferry-lab/src/quinceferry_lab/trials.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/trials.py
@@ -1,6 +1,7 @@
 """One seeded run of a fleet under faults, judged afterwards."""
 
 import asyncio
+import gc
 from collections import Counter
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
@@ -22,19 +23,33 @@
 from quinceferry_standins.outputs import BYTES_PER_TOKEN
 from quinceferryd.budgets import BudgetService
 
-FAULTY_SECONDS = 90.0
-"""Length of the part in which faults begin and callers send."""
-QUIET_SECONDS = 240.0
-"""Time without faults, in which callers finish and dead routers are recovered."""
 STOP_SECONDS = 400.0
 """Bound of the graceful stop of the whole fleet."""
-CALLERS_PER_WORKSPACE = 7
 CHANGE_MEAN_SECONDS = 15.0
-SERVICE_SHARE = 0.2
 NON_IDEMPOTENT_SHARE = 0.12
 PATIENCES_SECONDS = (3.0, 8.0, 25.0)
 
 
+@dataclass(slots=True, frozen=True)
+class TrialPlan:
+    """Length and load of a run.
+
+    Faults begin and callers send for ``faulty_seconds``. In the ``quiet_seconds`` that follow,
+    callers finish and dead routers are recovered. ``fault_names`` empty means faults of all kinds.
+    ``service_share`` of the requests are calls of a plain service.
+    """
+
+    fault_names: tuple[str, ...] = ()
+    faulty_seconds: float = 90.0
+    quiet_seconds: float = 240.0
+    callers_per_workspace: int = 7
+    service_share: float = 0.2
+
+
+SHORT_PLAN = TrialPlan(faulty_seconds=30.0, quiet_seconds=5.0)
+"""Enough for defects that show at once."""
+
+
 @dataclass(slots=True)
 class TrialResult:
     """What one seed came to."""
@@ -44,27 +59,23 @@
     history: History
     refusals: RefusalCount
     ends: Counter[str] = field(default_factory=Counter)
-    real_seconds: float = 0.0
 
 
 def run_trial(
-    seed: int,
-    fault_names: tuple[str, ...] = (),
-    defect: AbstractContextManager[None] | None = None,
+    seed: int, plan: TrialPlan | None = None, defect: AbstractContextManager[None] | None = None
 ) -> TrialResult:
     """Run one seed.
 
-    :param fault_names: kinds of faults to draw from; empty for all.
     :param defect: a defect in force during the run.
     """
     history = History()
     with defect or nullcontext():
-        run_gated(_run(seed, fault_names, history))
+        run_gated(_run(seed, plan or TrialPlan(), history))
     ends = Counter(_end_name(attempts[-1]) for attempts in history.attempts_by_key().values())
     return TrialResult(seed, check(history), history, count_false_refusals(history), ends)
 
 
-async def _run(seed: int, fault_names: tuple[str, ...], history: History) -> None:
+async def _run(seed: int, plan: TrialPlan, history: History) -> None:
     """Run a fleet from its start to its end."""
     rng = Random(seed)
     fleet = Fleet(rng, history)
@@ -77,18 +88,18 @@
         fleet.boot_all()
         await operator.set_up()
         background.append(asyncio.create_task(fleet.sample_forever()))
-        callers = _start_callers(fleet, rng)
+        callers = _start_callers(fleet, plan, rng)
         background += _start_operators(fleet, operator, rng)
-        injector = Injector(fleet, operator)
+        injector = Injector(fleet, operator, Random(rng.getrandbits(64)))
         schedule = draw_schedule(
-            Random(rng.getrandbits(64)), fleet, fault_names, FAULTY_SECONDS * 0.8
+            Random(rng.getrandbits(64)), fleet, plan.fault_names, plan.faulty_seconds * 0.8
         )
         await injector.run(schedule)
         await asyncio.gather(*callers)
         for task in background[1:]:
             task.cancel()
         fleet.note("all callers have ended")
-        await fleet.clock.sleep(QUIET_SECONDS)
+        await fleet.clock.sleep(plan.quiet_seconds)
         await _close(fleet)
     finally:
         for task in background:
@@ -101,13 +112,13 @@
     return f"{context.get('message')}: {context.get('exception')!r}"
 
 
-def _start_callers(fleet: Fleet, rng: Random) -> list[asyncio.Task[None]]:
+def _start_callers(fleet: Fleet, plan: TrialPlan, rng: Random) -> list[asyncio.Task[None]]:
     """Start all callers."""
-    until = fleet.clock.monotonic() + FAULTY_SECONDS
+    until = fleet.clock.monotonic() + plan.faulty_seconds
     tasks = []
     for workspace in WORKSPACES:
-        for number in range(CALLERS_PER_WORKSPACE):
-            plan = CallerPlan(
+        for number in range(plan.callers_per_workspace):
+            caller_plan = CallerPlan(
                 f"{workspace}-{number}",
                 workspace,
                 rng.choice(ZONES),
@@ -116,15 +127,17 @@
             )
             requests = Random(rng.getrandbits(64))
             caller = Caller(
-                plan,
+                caller_plan,
                 fleet.network,
                 fleet.addresses,
-                lambda plan, number, requests=requests: _make_request(plan, number, requests),
+                lambda plan, number, requests=requests, share=plan.service_share: _make_request(
+                    plan, number, requests, share
+                ),
                 fleet.history,
                 fleet.clock,
                 Random(rng.getrandbits(64)),
             )
-            tasks.append(asyncio.create_task(caller.run(until), name=plan.name))
+            tasks.append(asyncio.create_task(caller.run(until), name=caller_plan.name))
     return tasks
 
 
@@ -137,10 +150,12 @@
     return [asyncio.create_task(one) for one in work]
 
 
-def _make_request(plan: CallerPlan, number: int, rng: Random) -> CallerRequest:
+def _make_request(
+    plan: CallerPlan, number: int, rng: Random, service_share: float
+) -> CallerRequest:
     """Draw one request of a caller."""
     request_id = RequestId(f"{plan.name}-{number}")
-    if rng.random() < SERVICE_SHARE:
+    if rng.random() < service_share:
         return CallerRequest(
             workspace=plan.workspace,
             request_id=request_id,
@@ -170,6 +185,8 @@
     """Stop all routers, and record runs, bills and balances."""
     async with asyncio.timeout(STOP_SECONDS):
         await asyncio.gather(*(fleet.stop(process) for process in fleet.live()))
+    # Errors of tasks that nobody awaited are reported when the tasks are collected.
+    gc.collect()
     fleet.sample()
     fleet.collect_runs()
     auditor = BudgetService(fleet.kv.connect("auditor"))
