--- /dev/null
+++ b/features/steps/capacity.py
@@ -0,0 +1,119 @@
+"""Steps for capacity."""
+
+import asyncio
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from features.fixtures_budgets import WORKSPACE, Bench
+from quinceferry_core.journals import Begin, Settle
+from quinceferry_core.models import IncarnationId
+from quinceferry_lab.virtual_time import run_virtual
+from quinceferryd.folds import JournalFolder
+from quinceferryd.journal import JournalWriter
+from quinceferryd.settings import JournalSettings
+
+OWNER = IncarnationId("r1")
+
+
+def begin(number):
+    return Begin(WORKSPACE, f"q{number}", 1, "engine", 10)
+
+
+def settle(number):
+    return Settle(WORKSPACE, f"q{number}", 7, True, OWNER)
+
+
+@given("the journal of one router among {routers:d}")
+def given_fleet(context, routers):
+    context.fleet = SimpleNamespace(count_members=lambda: routers)
+
+
+def writer_of(context, bench):
+    return JournalWriter(
+        OWNER,
+        bench.connect(OWNER),
+        bench.clock,
+        random.Random(1),
+        JournalSettings(),
+        lambda: None,
+        context.fleet.count_members,
+    )
+
+
+@when("it records {count:d} requests, one every {milliseconds:d} milliseconds")
+def when_records(context, count, milliseconds):
+    async def scene():
+        bench = Bench()
+        writer = writer_of(context, bench)
+        await writer.start()
+        for number in range(count):
+            last = writer.append(begin(number))
+            began_at = bench.clock.monotonic()
+            if number < count - 1:
+                await bench.clock.sleep(milliseconds / 1000)
+        context.commits = writer.commits
+        await last.committed
+        context.waited = bench.clock.monotonic() - began_at
+        await writer.stop()
+
+    run_virtual(scene())
+
+
+@then("it has made at most {commits:d} commits")
+def then_commits(context, commits):
+    assert 0 < context.commits <= commits, context.commits
+
+
+@then("the last request was durable within {milliseconds:d} milliseconds")
+def then_durable(context, milliseconds):
+    assert context.waited <= milliseconds / 1000, context.waited
+
+
+@when("{count:d} settled slots of it are folded")
+def when_folded(context, count):
+    async def scene():
+        bench = Bench()
+        writer = JournalWriter(
+            OWNER,
+            bench.connect(OWNER),
+            bench.clock,
+            random.Random(1),
+            JournalSettings(),
+            lambda: None,
+        )
+        await writer.start()
+        for number in range(count):
+            both = [writer.append(begin(number)), writer.append(settle(number))]
+            await asyncio.gather(*(appended.committed for appended in both))
+        kv = TimedDeletes(bench.connect(OWNER), bench.clock)
+        folder = JournalFolder(context.fleet, kv, bench.clock, random.Random(1), JournalSettings())
+        context.folded = await folder.fold(OWNER)
+        context.deletes_by_second = Counter(int(at) for at in kv.deleted_at)
+        await writer.stop()
+
+    run_virtual(scene())
+    assert context.folded == count, context.folded
+
+
+class TimedDeletes:
+    """Passes calls on and notes when keys are deleted."""
+
+    def __init__(self, inner, clock):
+        self.deleted_at = []
+        self.list = inner.list
+        self.get = inner.get
+        self.put_if = inner.put_if
+        self._inner = inner
+        self._clock = clock
+
+    async def delete_if(self, key, expected_version):
+        self.deleted_at.append(self._clock.monotonic())
+        await self._inner.delete_if(key, expected_version)
+
+
+@then("no second of the fold has more than {count:d} deletes")
+def then_spread(context, count):
+    assert max(context.deletes_by_second.values()) <= count, context.deletes_by_second
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import msgspec
 from behave import given, then, when
@@ -153,7 +154,8 @@
 
 def folder(bench):
     connection = bench.connect("r1")
-    return JournalFolder(None, connection, bench.clock, random.Random(1), JournalSettings())
+    fleet = SimpleNamespace(count_members=lambda: 1)
+    return JournalFolder(fleet, connection, bench.clock, random.Random(1), JournalSettings())
 
 
 @when("the journal is folded with a crash between its writes")
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -89,7 +89,13 @@
         if self.current is not None and self.current.incarnation == incarnation:
             return
         journal = JournalWriter(
-            incarnation, self._kv, self._clock, self._rng, self._journal_settings, self._note_fenced
+            incarnation,
+            self._kv,
+            self._clock,
+            self._rng,
+            self._journal_settings,
+            self._note_fenced,
+            self.count_members,
         )
         allotments = self.allotments_type(
             incarnation,
@@ -170,6 +176,10 @@
         for account in self.former:
             await account.stop()
 
+    def count_members(self) -> int:
+        """Return how many routers share the key-value service."""
+        return len(self._blackboard.members_by_incarnation)
+
     async def _write_carried(self) -> None:
         """Make bills durable that no further incarnation of this process will write.
 
--- a/packages/quinceferry-daemon/src/quinceferryd/folds.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/folds.py
@@ -25,6 +25,8 @@
 
 MIN_SLOTS = 64
 """Fewer slots are not worth a segment."""
+MAX_FLEET_DELETES_PER_SECOND = 150.0
+"""Deletes of all routers together; somewhat more than their commits, so that no slots pile up."""
 MAX_BILLS = 4000
 """Bills in one segment; keeps its value well below the service's limit of one megabyte."""
 
@@ -72,8 +74,13 @@
             chosen += more
         for entry in chosen:
             await self._kv.delete_if(entry.key, entry.version)
+            await self._clock.sleep(self._delete_interval())
         return len(chosen)
 
+    def _delete_interval(self) -> float:
+        """Return the time between two deletes, which would otherwise come in one burst."""
+        return self._accounts.count_members() / MAX_FLEET_DELETES_PER_SECOND
+
     async def _run(self) -> None:
         """Fold whenever enough slots have come since the last time."""
         while True:
--- a/packages/quinceferry-daemon/src/quinceferryd/journal.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/journal.py
@@ -18,6 +18,10 @@
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.settings import JournalSettings
 
+MAX_FLEET_COMMITS_PER_SECOND = 125.0
+"""Commits of all routers together. A larger fleet commits more rarely, more entries at a time, so
+that journals take about a third of the writes that the key-value service admits."""
+
 _APPEND_STEP = "journal.append"
 
 
@@ -42,6 +46,7 @@
     fences the writer for good; entries not committed by then are returned by ``take_uncommitted``.
 
     :param on_fenced: called once when another router has closed the journal.
+    :param members: counts the routers that share the key-value service.
     """
 
     def __init__(
@@ -52,6 +57,7 @@
         rng: Random,
         settings: JournalSettings,
         on_fenced: Callable[[], None],
+        members: Callable[[], int] = lambda: 1,
     ) -> None:
         super().__init__()
         self.incarnation = incarnation
@@ -64,6 +70,7 @@
         self._rng = rng
         self._settings = settings
         self._on_fenced = on_fenced
+        self._members = members
         self._queue: deque[Appended] = deque()
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
@@ -122,7 +129,12 @@
                 continue
             await self._commit(batch)
             self._wake.set()
-            await self._clock.sleep(self._settings.min_commit_interval_seconds)
+            await self._clock.sleep(self._commit_interval())
+
+    def _commit_interval(self) -> float:
+        """Return the least time between two commits, which grows with the fleet."""
+        fair = self._members() / MAX_FLEET_COMMITS_PER_SECOND
+        return max(self._settings.min_commit_interval_seconds, fair)
 
     def _next_batch(self) -> list[Appended]:
         """Return the oldest entries without removing them from the queue."""
