--- a/features/orders.feature
+++ b/features/orders.feature
@@ -29,6 +29,13 @@
     Then at most 2 loads are in progress at any time in 200 fleet seconds
     And each of the 12 models is loaded
 
+  Scenario: Turns whose end got no answer do not block the queue
+    Given an order fleet of 3 routers and 6 engines
+    When workspace "choir" has 4 models attached at once
+    And the answers to all calls about turns are lost for 100 fleet seconds
+    And 120 fleet seconds pass
+    Then each of the 4 models is loaded
+
   Scenario: A cold model is loaded although others are in demand
     Given an order fleet of 3 routers and 6 engines
     When workspace "choir" has 6 models attached at once
@@ -136,3 +143,4 @@
       | 2    |
       | 3    |
       | 4    |
+      | 46   |
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -172,6 +172,17 @@
     raise AssertionError("no engine began to load")
 
 
+@when("the answers to all calls about turns are lost for {seconds:d} fleet seconds")
+def lose_turns(context, seconds):
+    """Refuse some and lose other answers, so that tickets are left behind."""
+    faults = context.fleet.kv.faults
+    faults.key_prefix = "loads/"
+    faults.refuse_probability = 0.5
+    faults.lose_probability = 0.5
+    context.fleet.advance(seconds)
+    faults.clear()
+
+
 @given("the weight store is out")
 def stop_weights(context):
     context.fleet.weights.outage = True
--- a/packages/quinceferry-daemon/src/quinceferryd/load_queue.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/load_queue.py
@@ -15,6 +15,8 @@
 MAX_CONCURRENT_LOADS = 2
 """Loads of the whole fleet at a time; more would only share the same rate."""
 CHECK_SECONDS = 1.0
+LATE_WRITE_SECONDS = 30.0
+"""How long after a call without an answer its write may still take effect."""
 
 
 class LoadQueue:
@@ -36,6 +38,7 @@
         self._clock = clock
         self._rng = rng
         self._membership = membership
+        self._abandoned_at_by_key: dict[str, float] = {}
 
     @asynccontextmanager
     async def turn(self) -> AsyncIterator[None]:
@@ -50,11 +53,25 @@
         finally:
             await self._give_back(key, version)
 
+    async def sweep(self) -> None:
+        """Delete tickets whose writing or deletion got no answer; the lease would keep them.
+
+        :raises KvError: the service did not answer; call again.
+        """
+        for key, abandoned_at in list(self._abandoned_at_by_key.items()):
+            entry = await self._kv.get(key)
+            if entry is not None:
+                await self._kv.delete_if(key, entry.version)
+            elif self._clock.monotonic() >= abandoned_at + LATE_WRITE_SECONDS:
+                del self._abandoned_at_by_key[key]
+
     async def _take_ticket(self) -> tuple[str, int]:
         number = await self._draw_number()
         incarnation = self._membership.record.incarnation if self._membership.record else ""
         key = f"{LOAD_PREFIX}{number:012d}-{incarnation}"
+        self._abandon(key)
         entry = await self._kv.put_if(key, b"{}", ABSENT_VERSION, self._membership.lease)
+        del self._abandoned_at_by_key[key]
         return key, entry.version
 
     async def _draw_number(self) -> int:
@@ -78,8 +95,13 @@
             await self._clock.sleep(CHECK_SECONDS * self._rng.uniform(0.8, 1.2))
 
     async def _give_back(self, key: str, version: int) -> None:
-        """Delete the ticket; one that cannot be deleted goes with the lease."""
+        """Delete the ticket; one that cannot be deleted now is swept later."""
+        self._abandon(key)
         try:
             await self._kv.delete_if(key, version)
         except KvError:
             return
+        del self._abandoned_at_by_key[key]
+
+    def _abandon(self, key: str) -> None:
+        self._abandoned_at_by_key[key] = self._clock.monotonic()
--- a/packages/quinceferry-daemon/src/quinceferryd/order_shards.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/order_shards.py
@@ -18,6 +18,7 @@
 from quinceferry_core.orders import EngineRecord
 from quinceferry_core.routing import rendezvous_order
 from quinceferryd.blackboard import Blackboard
+from quinceferryd.load_queue import LATE_WRITE_SECONDS
 from quinceferryd.membership import MembershipController
 
 ORDER_PREFIX = "orders/"
@@ -77,7 +78,7 @@
         self._clock = clock
         self._membership = membership
         self.held_by_name: dict[str, HeldShard] = {}
-        self._maybe_written: set[str] = set()
+        self._unsure_since_by_name: dict[str, float] = {}
 
     def engines_by_shard(self) -> dict[str, list[UpstreamSpec]]:
         """Return the configured engines of each shard."""
@@ -105,8 +106,8 @@
         wanted = {name for name in self.engines_by_shard() if self._ranks_first(name)}
         for name in [name for name in self.held_by_name if name not in wanted]:
             del self.held_by_name[name]
-            self._maybe_written.add(name)
-        for name in sorted(self._maybe_written - wanted):
+            self._unsure_since_by_name[name] = self._now()
+        for name in sorted(self._unsure_since_by_name.keys() - wanted):
             await self._release(name)
         if not self._membership.lease:
             return
@@ -161,7 +162,7 @@
             record = msgspec.json.decode(existing.value, type=ShardRecord)
         if record.holder != own:
             return
-        self._maybe_written.add(name)
+        self._unsure_since_by_name[name] = self._now()
         lease = self._membership.lease
         version = existing.version if existing else ABSENT_VERSION
         try:
@@ -181,14 +182,12 @@
         return record.fencing == shard.fencing
 
     async def _release(self, name: str) -> None:
-        """Delete this router's record, if there is one; repeated until that is certain."""
+        """Delete this router's record, if there is one, until no late write can bring it back."""
         entry = await self._kv.get(_key(name))
         if entry is not None and self._is_own(entry):
-            try:
-                await self._kv.delete_if(entry.key, entry.version)
-            except KvConflictError:
-                return
-        self._maybe_written.discard(name)
+            await self._kv.delete_if(entry.key, entry.version)
+        elif self._now() >= self._unsure_since_by_name[name] + LATE_WRITE_SECONDS:
+            del self._unsure_since_by_name[name]
 
     def _is_own(self, entry: KvEntry) -> bool:
         record = msgspec.json.decode(entry.value, type=ShardRecord)
--- a/packages/quinceferry-daemon/src/quinceferryd/orders.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/orders.py
@@ -87,6 +87,7 @@
         """
         await self.shards.update()
         await self._demand.publish()
+        await self._queue.sweep()
         if not self.shards.held_by_name:
             return
         await self._read_fleet()
