--- a/features/docs.feature
+++ b/features/docs.feature
@@ -29,6 +29,7 @@
       | a missing make target     | Run `make haste` first.                       | page.md: no target haste                        |
       | a metric that is not      | Watch `quinceferry_moons_total`.              | page.md: no metric quinceferry_moons_total      |
       | a label value that is not | `quinceferry_router_state{state="asleep"}`    | page.md: quinceferry_router_state has no state asleep |
+      | a label of another metric | `quinceferry_streams_total{what="closed"}`    | page.md: quinceferry_streams_total has no what closed |
       | a log line that is not    | Look for `event=moon.rises`.                  | page.md: no log line moon.rises                 |
       | a setting that is not     | Raise `budgets.max_moon_share`.               | page.md: no setting budgets.max_moon_share      |
       | a module that is not      | It lives in `quinceferryd.moons`.             | page.md: no module quinceferryd.moons           |
--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -18,7 +18,6 @@
 from quinceferryd.blackboard import RouterState
 from quinceferryd.exports import export_state
 from quinceferryd.metrics import ScrapedMetrics
-from quinceferryd.recovery import RecoveryCounters
 from quinceferryd.refusals import STATUS_BY_REASON
 from quinceferryd.settings import Settings
 from quinceferryd.workspace_labels import WorkspaceLabels
@@ -41,7 +40,6 @@
     "state": {state.value for state in RouterState},
     "reason": {reason.value for reason in RefusalReason},
     "result": {"admitted", *(reason.value for reason in RefusalReason)},
-    "what": {field.name for field in dataclasses.fields(RecoveryCounters)},
     "outcome": {"run", "not_run", "unknown", "caller_left"},
 }
 
@@ -101,7 +99,7 @@
             continue
         if series not in exported_series():
             faults.append(f"{name}: no metric {series}")
-        elif label and value not in _VALUES_BY_LABEL.get(label, {value}):
+        elif label and value not in _label_values(series, label):
             faults.append(f"{name}: {series} has no {label} {value}")
     return faults
 
@@ -138,9 +136,26 @@
     return [f"{name}: no module {module}" for module in sorted(named) if not _is_module(module)]
 
 
-@cache
 def exported_series():
-    """Return the names of all series of a router that has recorded each metric once."""
+    """Return the names of all series of a router."""
+    types = [line.split() for line in _exposition() if line.startswith("# TYPE ")]
+    return {words[2] for words in types}
+
+
+def _label_values(series, label):
+    """Return the values that a label of a series may have."""
+    shown = {
+        value
+        for line in _exposition()
+        if line.startswith(series + "{")
+        for value in re.findall(rf'{label}="([^"]*)"', line)
+    }
+    return shown | _VALUES_BY_LABEL.get(label, set()) if shown else set()
+
+
+@cache
+def _exposition():
+    """Return the metrics of a router that has recorded each of them once."""
     metrics = ScrapedMetrics(WorkspaceLabels())
     metrics.refused(None, RefusalReason.INTERNAL)
     metrics.request_finished("w", Priority.HIGH, "run", Usage(1, 1))
@@ -152,8 +167,7 @@
     router.scheduler.counters.admitted[Priority.HIGH] += 1
     router.kv.calls_by_kind[call_kind("get", "members/1")] += 1
     export_state(router, metrics)
-    lines = metrics.exposition().decode().splitlines()
-    return {line.split()[2] for line in lines if line.startswith("# TYPE ")}
+    return metrics.exposition().decode().splitlines()
 
 
 def _headings(text):
