Ask the process that held copies, and never wait in a circle

Change: holders are asked at the address of their record; own address and requests that are being forwarded are left out; the end of an answer waits up to 5 s for its bill to be durable or copied. What stays: a router cut off from everything for longer than that and then killed loses such bills; their tokens are withheld.

--- a/features/router.feature
+++ b/features/router.feature
@@ -203,3 +203,15 @@
     And the fleet runs on for 300 seconds
     Then every request has one bill
     And the budget has no tokens at r2 and withholds none
+
+  Scenario: Two routers without tokens do not wait for each other's answer
+    Given 3 routers and a budget of 10000 tokens
+    When r1 and r2 each believe that the other holds tokens
+    And the service goes down
+    And request "a" is sent to r1 and to r2 at once
+    Then request "a" is refused as "budget_unreachable" and was not run
+
+  Scenario: A holder that was closed and joined again is still asked for its copies
+    Given 2 routers and a budget of 100000 tokens
+    When r2 holds a copy of a dead router and is closed and joins again
+    Then r1 learns the copy from r2
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -2,24 +2,29 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from features.fixtures_routers import WORKSPACE, Answer, Fleet
+from quinceferry_core.copies import EntryCopy, HoldReply, HoldRequest
 from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_core.journals import RequestKey, Settle
 from quinceferry_core.ledgers import Ledger
-from quinceferry_core.membership import Member
-from quinceferry_core.models import OperationId
+from quinceferry_core.membership import IncarnationRecord, Member, incarnation_key
+from quinceferry_core.models import IncarnationId, OperationId
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason, Unknown
 from quinceferry_lab.virtual_time import run_virtual
 from quinceferry_standins.upstream_faults import Break
 from quinceferryd.blackboard import RouterState
 from quinceferryd.forwards import Forwarder
+from quinceferryd.recovery_cases import RecoveryCase
 from quinceferryd.runs import RequestRun
 from quinceferryd.settings import JournalSettings
 
 BILL_SECONDS = 2
+DEAD = IncarnationId("dead-1")
 
 
 class Scene:
@@ -266,6 +271,68 @@
     add_act(context, act)
 
 
+@when("r1 and r2 each believe that the other holds tokens")
+def believe_each_other(context):
+    async def act(fleet):
+        for name in ("r3", "r2", "r1"):
+            allotments = fleet.applications_by_name[name].accounts.current.allotments
+            (await allotments.reserve(WORKSPACE, "look", 1000)).unwrap()
+        for name in ("r1", "r2"):
+            allotments = fleet.applications_by_name[name].accounts.current.allotments
+            await allotments.reserve(WORKSPACE, "look again", 10**9)
+        for name in ("r1", "r2"):
+            allotments = fleet.applications_by_name[name].accounts.current.allotments
+            ledger = allotments.ledger(WORKSPACE)
+            (await allotments.reserve(WORKSPACE, "use", ledger.available)).unwrap()
+
+    add_act(context, act)
+
+
+@when('request "{name:w}" is sent to r1 and to r2 at once')
+def send_to_both(context, name):
+    async def act(fleet):
+        fleet.cut_off.add("r3")
+        request = fleet.request(name)
+        async with asyncio.timeout(60):
+            await asyncio.gather(*(send(fleet, router, request) for router in ("r1", "r2")))
+
+    add_act(context, act)
+
+
+@when("{router:w} holds a copy of a dead router and is closed and joins again")
+def close_holder(context, router):
+    async def act(fleet):
+        holder = fleet.applications_by_name[router]
+        name = holder.blackboard.identity.incarnation
+        copies = (EntryCopy(0, Settle(WORKSPACE, "a", 7, True, DEAD)),)
+        reply = holder.copies.hold(HoldRequest(name, DEAD, copies))
+        assert reply is HoldReply.HELD
+        connection = fleet.connections_by_name["r1"]
+        entry = await connection.get(incarnation_key(name))
+        record = msgspec.json.decode(entry.value, type=IncarnationRecord)
+        closed = replace(record, closed_by=IncarnationId("other"))
+        await connection.put_if(entry.key, msgspec.json.encode(closed), entry.version)
+        holder.membership.report_fenced()
+        await fleet.clock.sleep(15)
+        assert holder.blackboard.identity.incarnation != name
+        fleet.holder_record = closed
+
+    add_act(context, act)
+
+
+@then("r1 learns the copy from r2")
+def check_copy_learned(context):
+    async def check(fleet):
+        asked = fleet.applications_by_name["r1"]
+        holder = fleet.holder_record
+        dead = IncarnationRecord(DEAD, "vm", "z", 1, copy_holders=(holder.incarnation,))
+        case = RecoveryCase(0.0)
+        await asked.recovery._evidence.collect_copies(case, dead, (holder,))
+        assert case.knows_all(dead) and len(case.copies_by_position) == 1, case
+
+    context.scene.play(check)
+
+
 class BreakingPeers:
     """The first router breaks off before its first event, the second refuses."""
 
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -178,7 +178,12 @@
         self.copies = CopyStore()
         self.accounts.on_open.append(self._attach_copies)
         recorder = Recorder(
-            self.blackboard, self.accounts, shortages, self.copy_sender, settings.journal
+            self.blackboard,
+            self.accounts,
+            shortages,
+            self.copy_sender,
+            self.clock,
+            settings.journal,
         )
         executor = Executor(
             self.blackboard,
--- a/packages/quinceferry-daemon/src/quinceferryd/forwards.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/forwards.py
@@ -59,6 +59,7 @@
 
         :param unreached: published if no peer is reached.
         """
+        run.is_forwarded = True
         failed = unreached
         may_have_run = False
         for member in members:
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -31,6 +31,14 @@
 
 HOME_RETRY_SECONDS = 2.0
 """When to ask the home of a request again."""
+_CIRCULAR = Failed(
+    RefusalReason.BUDGET_UNREACHABLE,
+    NEVER_SENT,
+    HOME_RETRY_SECONDS,
+    "this router has asked others to run the request",
+    step="forward",
+)
+"""Two routers without tokens must not wait for each other's answer."""
 _OPEN_STATES = (RouterState.SERVING, RouterState.STOPPING)
 
 
@@ -84,6 +92,8 @@
         """Choose how to answer a request."""
         key = RequestKey(request.workspace, request.request_id)
         known = self.runs.find(key)
+        if known is not None and request.forwarded and known.is_forwarded:
+            return _only(_CIRCULAR)
         if known is not None and self._answers(known, request):
             return self._follow(known, request)
         refusal = self._ticket_refusal(request)
@@ -246,9 +256,11 @@
         return Failed(RefusalReason.HOME_GONE, outcome, 0.0, detail)
 
     def _address_of(self, ticket: Ticket) -> str:
-        """Return the address of a ticket's home while it is a member, else nothing."""
+        """Return the address of a ticket's home while it is another member, else nothing."""
         member = self._blackboard.members_by_incarnation.get(ticket.home)
-        return member.address if member else ""
+        if member is None or member.address == self._blackboard.identity.address:
+            return ""
+        return member.address
 
 
 def _home_failure(error: PeerUnavailableError, outcome: Outcome) -> Failed:
--- a/packages/quinceferry-daemon/src/quinceferryd/recording.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recording.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Success
 
+from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import FencedError
 from quinceferry_core.journals import Begin, Settle
 from quinceferry_core.ledgers import UnrecordedUse
@@ -71,12 +72,14 @@
         accounts: AccountController,
         shortages: ShortageHandler,
         copies: CopySender,
+        clock: Clock,
         settings: JournalSettings,
     ) -> None:
         self._blackboard = blackboard
         self._accounts = accounts
         self._shortages = shortages
         self._copies = copies
+        self._clock = clock
         self._settings = settings
 
     async def begin(
@@ -123,10 +126,17 @@
         return self._accounts.settle(account, entry)
 
     async def secure(self, settled: Appended) -> None:
-        """Wait until a bill outlives this router: durable, or held by another router."""
-        await asyncio.wait([settled.committed], timeout=self._patience(must_be_recorded=False))
-        if not settled.committed.done():
-            await self._copies.place(settled.copy)
+        """Wait until a bill outlives this router: durable, or held by another router.
+
+        A router that reaches neither gives up after some seconds, since its caller has the text.
+        """
+        give_up_at = self._clock.monotonic() + self._settings.commit_patience_seconds
+        patience = self._patience(must_be_recorded=False)
+        while not settled.committed.done() and self._clock.monotonic() < give_up_at:
+            await asyncio.wait([settled.committed], timeout=patience)
+            if settled.committed.done() or await self._copies.place(settled.copy):
+                return
+            patience = self._settings.copy_after_seconds
 
     async def _reserve_again(self, execution: Execution) -> Failed | None:
         """Reserve tokens for one more attempt, since the one before may be charged as well."""
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -121,7 +121,7 @@
         journal = await self._evidence.close_journal(incarnation)
         if case.closed_at is None:
             case.closed_at = now
-        await self._evidence.collect_copies(case, record)
+        await self._evidence.collect_copies(case, record, others)
         case.complete(journal, incarnation, account)
         proof = absence_proof(record, others, vm_gone)
         if proof is not None or not await self._evidence.answers(record):
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
@@ -76,26 +76,35 @@
             except KvConflictError:
                 continue
 
-    async def collect_copies(self, case: RecoveryCase, record: IncarnationRecord) -> None:
-        """Ask the registered holders for copies of entries that did not become durable."""
-        own = self._blackboard.identity.incarnation
+    async def collect_copies(
+        self,
+        case: RecoveryCase,
+        record: IncarnationRecord,
+        others: tuple[IncarnationRecord, ...],
+    ) -> None:
+        """Ask the registered holders for copies of entries that did not become durable.
+
+        A holder that was closed itself may have joined again: its process still has the copies.
+
+        :param others: records of other incarnations, which tell where a holder lives.
+        """
+        address_by_incarnation = {other.incarnation: other.address for other in others}
         for holder in record.copy_holders:
             if holder in case.answered:
                 continue
-            if holder == own:
-                reply = self._copies.collect(CollectRequest(holder, record.incarnation))
-            else:
-                reply = await self._ask_holder(holder, record.incarnation)
+            request = CollectRequest(holder, record.incarnation)
+            reply = self._copies.collect(request)
+            if not reply.is_holder:
+                reply = await self._ask(address_by_incarnation.get(holder, ""), request)
             if reply.is_holder:
                 case.add_copies(holder, reply.copies)
 
-    async def _ask_holder(self, holder: IncarnationId, owner: IncarnationId) -> CollectReply:
-        """Ask another router for its copies; one that is gone cannot answer for them."""
-        member = self._blackboard.members_by_incarnation.get(holder)
-        if member is None:
+    async def _ask(self, address: str, request: CollectRequest) -> CollectReply:
+        """Ask whichever router lives at an address for its copies."""
+        if not address:
             return CollectReply(False)
         try:
-            return await self._peers.collect(member.address, CollectRequest(holder, owner))
+            return await self._peers.collect(address, request)
         except PeerUnavailableError:
             return CollectReply(False)
 
--- a/packages/quinceferry-daemon/src/quinceferryd/runs.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/runs.py
@@ -32,7 +32,10 @@
 
 @dataclass(slots=True, eq=False)
 class RequestRun:
-    """One request with the events of its answer so far."""
+    """One request with the events of its answer so far.
+
+    ``is_forwarded`` says that another router was asked to run it.
+    """
 
     key: RequestKey
     fingerprint: bytes
@@ -44,6 +47,7 @@
     finished_at: float = 0.0
     stored_bytes: int = 0
     text_dropped: bool = False
+    is_forwarded: bool = False
     task: asyncio.Task[None] | None = None
     _changed: asyncio.Event | None = None
 
--- a/packages/quinceferry-daemon/src/quinceferryd/shortages.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shortages.py
@@ -151,7 +151,12 @@
             if incarnation != account.incarnation and not allotment.closed
         }
         members = self._blackboard.members_by_incarnation
-        live = [name for name in unspent_by_incarnation if name in members]
+        own_address = self._blackboard.identity.address
+        live = [
+            name
+            for name in unspent_by_incarnation
+            if name in members and members[name].address != own_address
+        ]
         live.sort(key=lambda name: (-unspent_by_incarnation[name], name))
         return tuple(members[name] for name in live)
 
