--- a/features/steps/history_gates.py
+++ b/features/steps/history_gates.py
@@ -9,8 +9,9 @@
 
 from quinceferry_core.models import Usage
 from quinceferry_core.outcomes import Chunk, Finished
+from quinceferry_lab.connections import NotConnectedError
 from quinceferry_lab.gates import CallKind, Gate, PauseAtSend, run_gated
-from quinceferry_lab.network import Network, NotConnectedError
+from quinceferry_lab.network import Network
 from quinceferry_lab.platform_links import GatedKv
 from quinceferry_lab.virtual_time import VirtualClock
 from quinceferry_standins.kv import FakeKv
--- a/packages/quinceferry-lab/src/quinceferry_lab/callers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/callers.py
@@ -7,16 +7,26 @@
 from random import Random
 
 from quinceferry_core.clocks import Clock
-from quinceferry_core.models import CallerRequest, WorkspaceId
+from quinceferry_core.models import CallerRequest
 from quinceferry_core.outcomes import (
     AnswerEvent,
     Chunk,
     Failed,
     Finished,
     NotRun,
-    NotRunProof,
     RefusalReason,
 )
+from quinceferry_lab.caller_habits import (
+    CallerPlan,
+    Reading,
+    Slow,
+    Vanishing,
+    draw_reading,
+    is_proven_not_run,
+    must_move,
+    patience_factor,
+)
+from quinceferry_lab.connections import ConnectionBrokenError, Item, NotConnectedError
 from quinceferry_lab.histories import (
     Answered,
     Attempt,
@@ -27,60 +37,19 @@
     Refused,
     Vanished,
 )
-from quinceferry_lab.network import ConnectionBrokenError, Item, Network, NotConnectedError
+from quinceferry_lab.network import Network
 from quinceferry_lab.processes import RouterProcess
 from quinceferryd.interfaces import AddressAnswer
 from quinceferryd.settings import StreamSettings
 
 MAX_ATTEMPTS = 12
 GIVE_UP_SECONDS = 90.0
-MAX_STRETCH = 8.0
-"""Bound of the factor by which callers stretch their waits as attempts fail."""
 ADDRESS_TIMEOUT_SECONDS = 2.0
 WRITE_TIMEOUT_SECONDS = StreamSettings().reader_timeout_seconds
-VANISHING_SHARE = 0.05
-SLOW_SHARE = 0.08
 LATE_REPEAT_SHARE = 0.3
 """Share of requests answered "not run, ask for a new address" that are sent again so."""
 
 
-@dataclass(slots=True, frozen=True)
-class Patient:
-    """Reads everything as it comes."""
-
-
-@dataclass(slots=True, frozen=True)
-class Vanishing:
-    """Goes away after some pieces of the answer, or while it waits for the first."""
-
-    after_pieces: int
-    after_seconds: float
-
-
-@dataclass(slots=True, frozen=True)
-class Slow:
-    """Waits after each piece."""
-
-    seconds: float
-
-
-Reading = Patient | Vanishing | Slow
-
-
-@dataclass(slots=True, frozen=True)
-class CallerPlan:
-    """Habits of one caller.
-
-    ``patience_seconds`` is how long it waits for the next piece.
-    """
-
-    name: str
-    workspace: WorkspaceId
-    zone: str
-    patience_seconds: float
-    pause_seconds: float
-
-
 @dataclass(slots=True)
 class _KeptAnswer:
     """An address answer and when it becomes stale."""
@@ -145,15 +114,15 @@
             wait = self._wait_before_retry(attempt)
             if wait is None or self._clock.monotonic() + wait >= give_up_at:
                 return attempt
-            proven = proven and _is_proven_not_run(attempt)
-            if _must_move(attempt, proven):
+            proven = proven and is_proven_not_run(attempt)
+            if must_move(attempt, proven):
                 self._kept, ticket, proven = None, "", True
             await self._clock.sleep(wait)
         return attempt
 
     def _wait_before_retry(self, attempt: Attempt) -> float | None:
         """Return how long to wait before another attempt, or None to give up."""
-        jitter = self._rng.uniform(1.0, 1.3) * _patience_factor(attempt.number)
+        jitter = self._rng.uniform(1.0, 1.3) * patience_factor(attempt.number)
         match attempt.end:
             case Answered() | Vanished():
                 return None
@@ -204,7 +173,7 @@
             return endpoint.edge.serve(attempt.request, ticket)
 
         connection = await self._network.open(self.plan.name, address, serve, WRITE_TIMEOUT_SECONDS)
-        reading = self._draw_reading()
+        reading = draw_reading(self._rng)
         pieces = 0
         async with aclosing(self._network.read(connection)) as items:
             while True:
@@ -231,15 +200,6 @@
         async with asyncio.timeout(self.plan.patience_seconds):
             return await anext(items, None)
 
-    def _draw_reading(self) -> Reading:
-        """Draw how the caller reads one answer."""
-        drawn = self._rng.random()
-        if drawn < VANISHING_SHARE:
-            return Vanishing(self._rng.randrange(0, 12), self._rng.uniform(0.05, 2.0))
-        if drawn < VANISHING_SHARE + SLOW_SHARE:
-            return Slow(self._rng.uniform(0.05, 0.4))
-        return Patient()
-
     async def _address_answer(self, request: CallerRequest) -> AddressAnswer | None:
         """Return the kept answer, or ask known routers for a new one."""
         now = self._clock.monotonic()
@@ -285,34 +245,3 @@
                 event.step,
             )
     return None
-
-
-def _patience_factor(number: int) -> float:
-    """Return by how much a caller stretches its waits after so many attempts."""
-    return min(MAX_STRETCH, 1.5 ** max(0, number - 3))
-
-
-def _is_proven_not_run(attempt: Attempt) -> bool:
-    """Tell whether an attempt certainly ran nothing."""
-    match attempt.end:
-        case NotConnected():
-            return True
-        case Refused(outcome=NotRun()):
-            return True
-    return False
-
-
-def _must_move(attempt: Attempt, proven: bool) -> bool:
-    """Tell whether the request needs a new address and ticket.
-
-    A home remembers what it refused, so a non-idempotent request goes on under a new ticket. It
-    must not while an earlier attempt may still run, unless a closed journal proves that none did.
-
-    :param proven: whether all attempts so far certainly ran nothing.
-    """
-    match attempt.end:
-        case Refused(reason=RefusalReason.HOME_GONE, outcome=NotRun(proof=proof)):
-            return proven or proof is NotRunProof.JOURNAL_CLOSED_WITHOUT_IT
-        case Refused(outcome=NotRun()):
-            return proven and not attempt.request.idempotent
-    return False
--- a/packages/quinceferry-lab/src/quinceferry_lab/edges.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/edges.py
@@ -30,7 +30,7 @@
 
     async def serve(self, request: CallerRequest, ticket: str) -> AsyncIterator[AnswerEvent]:
         """Run a request and return its answer."""
-        refused = self._refusal(request)
+        refused = self._refusal(request, ticket)
         if refused is not None:
             yield refused
             return
@@ -66,11 +66,13 @@
                 return
             yield Failed(RefusalReason.INTERNAL, Unknown(), detail=repr(error))
 
-    def _refusal(self, request: CallerRequest) -> AnswerEvent | None:
+    def _refusal(self, request: CallerRequest, ticket: str) -> AnswerEvent | None:
         """Refuse what is refused before the pipeline."""
         blackboard = self._application.blackboard
         if blackboard.state is RouterState.STARTING:
-            return refusal(RefusalReason.ROUTER_NOT_READY, "not joined", RETRY_SECONDS)
+            refused = refusal(RefusalReason.ROUTER_NOT_READY, "not joined", RETRY_SECONDS)
+            # A ticket names another router, which may have run the request already.
+            return replace(refused, outcome=Unknown()) if ticket else refused
         workspace = blackboard.configuration.workspaces_by_id.get(request.workspace)
         if workspace is None:
             return refusal(RefusalReason.UNAUTHENTICATED, "the workspace key is wrong")
--- a/packages/quinceferry-lab/src/quinceferry_lab/fleets.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/fleets.py
@@ -1,5 +1,6 @@
 """A fleet of real router applications on virtual time, among stand-ins and a fake network."""
 
+import asyncio
 from dataclasses import dataclass
 from random import Random
 
@@ -10,6 +11,7 @@
     VmRecord,
     WorkspaceId,
 )
+from quinceferry_lab.gates import in_network
 from quinceferry_lab.histories import GracefulStop, History, Note, RevisionSeen, SpendSample
 from quinceferry_lab.network import Network
 from quinceferry_lab.processes import RouterProcess
@@ -70,6 +72,7 @@
         self.vms = FakeVmList(self.clock, VM_LIST_LAG_SECONDS, records)
         self._rng = rng
         self._boots = 0
+        self._drains: list[asyncio.Task[None]] = []
 
     @property
     def upstreams_by_id(self) -> dict[UpstreamId, FakeEngine | FakeService]:
@@ -104,6 +107,7 @@
         )
         self.processes_by_vm[vm] = process
         process.start()
+        self._drains.append(in_network(self._stop_when_ordered(process), "drain"))
         self.note(f"{process.label} starts")
         return process
 
@@ -178,9 +182,17 @@
 
     def discard(self) -> None:
         """Let all processes be cancelled at the end of a run."""
+        for task in self._drains:
+            task.cancel()
         for process in (*self.former, *self.processes_by_vm.values()):
             process.gate.discard()
 
+    async def _stop_when_ordered(self, process: RouterProcess) -> None:
+        """Stop a process as its daemon does when an operator has ordered it."""
+        await process.application.shutdown.requested.wait()
+        if not process.stopping:
+            await self.stop(process)
+
     def _note_error(self, label: str, error: Exception) -> None:
         """Record an error that a router raised while it served."""
         self.note(f"{label}: internal error: {error!r}")
--- a/packages/quinceferry-lab/src/quinceferry_lab/history.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/history.py
@@ -18,7 +18,7 @@
 from quinceferry_core.outcomes import RefusalReason
 from quinceferry_lab.defects import DEFECTS_BY_NAME
 from quinceferry_lab.explanations import account_of
-from quinceferry_lab.faults import DRAWS_BY_NAME
+from quinceferry_lab.fault_schedules import DRAWS_BY_NAME
 from quinceferry_lab.histories import History
 from quinceferry_lab.refusal_counts import RefusalCount, RefusalKind
 from quinceferry_lab.trials import SHORT_PLAN, TrialPlan, TrialResult, run_trial
--- a/packages/quinceferry-lab/src/quinceferry_lab/injection.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/injection.py
@@ -5,6 +5,7 @@
 
 from quinceferry_core.adapters import Dispatch
 from quinceferry_core.models import RequestKind, UpstreamId, VmId
+from quinceferry_lab.fault_schedules import ScheduledFault
 from quinceferry_lab.faults import (
     BreakRouterConnections,
     BreakStreams,
@@ -19,7 +20,6 @@
     LoseKvAnswers,
     PartitionZone,
     PauseRouter,
-    ScheduledFault,
     SilencePeers,
     SilenceStreams,
     StopRouter,
@@ -41,6 +41,8 @@
     Swap,
 )
 
+MAX_DRAIN_WAIT_SECONDS = 120.0
+
 
 class Injector:
     """Carries out a schedule of faults.
@@ -178,11 +180,23 @@
         process = self._process(fault.vm)
         if process is None or process.stopping:
             return
-        await self._fleet.stop(process)
+        if fault.by_operator:
+            await self._operator.drain(process)
+            await self._wait_for_end(process)
+        else:
+            await self._fleet.stop(process)
         await self._clock.sleep(fault.restart_seconds)
         if self._process(fault.vm) is None:
             self._fleet.boot(fault.vm)
 
+    async def _wait_for_end(self, process: RouterProcess) -> None:
+        """Wait for the end of a router that was ordered to stop; the order may have been lost."""
+        try:
+            async with asyncio.timeout(MAX_DRAIN_WAIT_SECONDS):
+                await process.gate.ended.wait()
+        except TimeoutError:
+            self._fleet.note(f"{process.label} has not stopped")
+
     async def _end_engine(self, fault: CrashEngine | EngineLeaves) -> None:
         """Crash an engine and restart it, or let it leave for good."""
         engine = self._fleet.engines_by_id[fault.upstream]
--- a/packages/quinceferry-lab/src/quinceferry_lab/network.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/network.py
@@ -3,46 +3,33 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
-from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol, TypeVar
 
 from quinceferry_core.clocks import Clock
-from quinceferry_core.outcomes import AnswerEvent, Chunk
+from quinceferry_core.outcomes import Chunk
+from quinceferry_lab.connections import (
+    Connection,
+    ConnectionBrokenError,
+    End,
+    Item,
+    NotConnectedError,
+)
 from quinceferry_lab.gates import Gate, GateState, in_network
 from quinceferryd.interfaces import RouterApplication
 from quinceferryd.peer_client import CONNECT_TIMEOUT_SECONDS
 from quinceferryd.settings import StreamSettings
 
 T = TypeVar("T")
-Item = AnswerEvent | None
-"""An event, or None for a sign of life."""
 Serve = Callable[[], AsyncIterator[Item]]
 
 ZONE_LATENCY_SECONDS = 0.0005
 REGION_LATENCY_SECONDS = 0.002
 CALLER_LATENCY_SECONDS = 0.008
-SOCKET_BUFFER_ITEMS = 32
-"""Items on their way before the sender has to wait for the reader."""
 
 WRITE_TIMEOUT_SECONDS = StreamSettings().reader_timeout_seconds
 
 
-class NotConnectedError(Exception):
-    """No connection came about; nothing was sent."""
-
-
-class ConnectionBrokenError(Exception):
-    """The connection ended before the answer did.
-
-    :param by: ``router`` when the sender ended it, ``network`` when a fault did.
-    """
-
-    def __init__(self, by: str) -> None:
-        super().__init__(by)
-        self.by = by
-
-
 class Endpoint(Protocol):
     """A router as the network sees it."""
 
@@ -54,36 +41,6 @@
     listening: bool
 
 
-@dataclass(slots=True, frozen=True)
-class _End:
-    """End of an answer; ``broken`` when the sender broke off."""
-
-    broken: bool
-
-
-@dataclass(slots=True, eq=False)
-class Connection:
-    """One connection on which one answer travels; the faults act on it.
-
-    ``label`` names the serving process.
-    """
-
-    source: str
-    target: str
-    label: str
-    arrivals: "asyncio.Queue[Item | _End]" = field(
-        default_factory=lambda: asyncio.Queue(SOCKET_BUFFER_ITEMS)
-    )
-    silent: bool = False
-    ended_by: str = "network"
-    broken: asyncio.Event = field(default_factory=asyncio.Event)
-    server: asyncio.Task[None] | None = None
-
-    def break_off(self) -> None:
-        """Break the connection; both ends learn of it."""
-        self.broken.set()
-
-
 class Network:
     """Connects callers and routers; nodes are named by router name or caller name.
 
@@ -180,9 +137,9 @@
         try:
             while True:
                 item = await self._next(connection)
-                if isinstance(item, _End):
+                if isinstance(item, End):
                     if item.broken:
-                        raise ConnectionBrokenError("router")
+                        raise ConnectionBrokenError(connection.breaker)
                     return
                 yield item
         finally:
@@ -211,7 +168,7 @@
             raise ConnectionBrokenError("router")
         return replies[0]
 
-    async def _next(self, connection: Connection) -> Item | _End:
+    async def _next(self, connection: Connection) -> Item | End:
         """Return the next item, when the path lets it through."""
         receiving = asyncio.ensure_future(connection.arrivals.get())
         breaking = asyncio.ensure_future(connection.broken.wait())
@@ -221,7 +178,7 @@
             breaking.cancel()
             receiving.cancel()
         if not receiving.done() or receiving.cancelled():
-            raise ConnectionBrokenError(connection.ended_by)
+            raise ConnectionBrokenError(connection.breaker)
         await self._wait_for_path(connection)
         return receiving.result()
 
@@ -256,7 +213,8 @@
             self._on_error(endpoint.label, error)
         finally:
             watcher.cancel()
-            in_network(connection.arrivals.put(_End(broken)), "end of answer")
+            if endpoint.gate.state is not GateState.DISCARDED:
+                in_network(connection.arrivals.put(End(broken)), "end of answer")
 
     def _close(self, connection: Connection) -> None:
         """Close a connection from the reader's end."""
@@ -295,5 +253,5 @@
 
 
 def _accepts(endpoint: Endpoint) -> bool:
-    """Tell whether the router's host accepts connections; it does so for a paused process."""
+    """Tell whether the host accepts connections, as it does for a paused process."""
     return endpoint.listening and endpoint.gate.state in (GateState.OPEN, GateState.PAUSED)
--- a/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/network_peers.py
@@ -10,15 +10,9 @@
 from quinceferry_core.exceptions import PeerNotBegunError, PeerUnavailableError
 from quinceferry_core.models import CallerRequest, RequestId, WorkspaceId
 from quinceferry_core.outcomes import AnswerEvent, Chunk, Outcome
+from quinceferry_lab.connections import ConnectionBrokenError, Item, NotConnectedError
 from quinceferry_lab.gates import CallKind
-from quinceferry_lab.network import (
-    WRITE_TIMEOUT_SECONDS,
-    ConnectionBrokenError,
-    Endpoint,
-    Item,
-    Network,
-    NotConnectedError,
-)
+from quinceferry_lab.network import WRITE_TIMEOUT_SECONDS, Endpoint, Network
 from quinceferryd import wire
 from quinceferryd.interfaces import RouterApplication
 from quinceferryd.peer_api import KEEP_ALIVE_SECONDS
--- a/packages/quinceferry-lab/src/quinceferry_lab/operators.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/operators.py
@@ -11,9 +11,9 @@
 from quinceferry_core.configuration import ChangeState, ChangeStatus
 from quinceferry_core.exceptions import QuinceferryError
 from quinceferry_core.models import OperationId, UpstreamId, VmId, WorkspaceId
+from quinceferry_lab.connections import ConnectionBrokenError, NotConnectedError
 from quinceferry_lab.fleets import MODEL, SERVICE, WORKSPACES, Fleet
 from quinceferry_lab.histories import Accepted, TopUp
-from quinceferry_lab.network import ConnectionBrokenError, NotConnectedError
 from quinceferry_lab.processes import RouterProcess
 from quinceferryd.blackboard import RouterState
 from quinceferryd.operator_changes import builder_of, fingerprint_of
@@ -91,6 +91,16 @@
         if await self._repeat(work, vms):
             grant.acknowledged_at = self._clock.monotonic()
 
+    async def drain(self, process: RouterProcess) -> None:
+        """Order a router to stop gracefully."""
+        operation = self._next_operation()
+        incarnation = process.application.blackboard.identity.incarnation
+
+        async def work(other: RouterProcess) -> bool:
+            return isinstance(await _service(other).drain(incarnation, operation), Success)
+
+        await self._repeat(work, operation=f"stop of {process.label}")
+
     async def _propose(self, message: messages.Change) -> None:
         """Enter a change; a conflict with another operator ends it."""
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/trials.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/trials.py
@@ -10,9 +10,10 @@
 
 from quinceferry_core.bills import Bill
 from quinceferry_core.models import CallerRequest, RequestId, RequestKind, WorkspaceId
-from quinceferry_lab.callers import Caller, CallerPlan
+from quinceferry_lab.caller_habits import CallerPlan
+from quinceferry_lab.callers import Caller
 from quinceferry_lab.checker import check
-from quinceferry_lab.faults import draw_schedule
+from quinceferry_lab.fault_schedules import draw_schedule
 from quinceferry_lab.fleets import MODEL, SERVICE, WORKSPACES, ZONES, Fleet
 from quinceferry_lab.gates import run_gated
 from quinceferry_lab.histories import Answered, Attempt, Closing, History, Refused
