--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -308,6 +308,8 @@
         reply = holder.copies.hold(HoldRequest(name, DEAD, copies))
         assert reply is HoldReply.HELD
         connection = fleet.connections_by_name["r1"]
+        dead = msgspec.json.encode(IncarnationRecord(DEAD, "vm", "z", 1))
+        await connection.put_if(incarnation_key(DEAD), dead, 0)
         entry = await connection.get(incarnation_key(name))
         record = msgspec.json.decode(entry.value, type=IncarnationRecord)
         closed = replace(record, closed_by=IncarnationId("other"))
