--- a/features/steps/budgets.py
+++ b/features/steps/budgets.py
@@ -11,7 +11,7 @@
 from quinceferry_core.exceptions import FencedError
 from quinceferry_core.models import IncarnationId
 from quinceferry_lab.virtual_time import run_virtual
-from quinceferryd.allotments import decode_budget
+from quinceferryd.holdings import decode_budget
 from quinceferryd.settings import BudgetSettings
 
 
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -13,9 +13,10 @@
 from quinceferry_core.exceptions import FencedError, KvConflictError, KvUnavailableError
 from quinceferry_core.journals import Begin, Entry, Settle
 from quinceferry_core.models import IncarnationId, WorkspaceId
-from quinceferryd.allotments import AllotmentController, Holding, decode_budget
+from quinceferryd.allotments import AllotmentController
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
+from quinceferryd.holdings import Holding, decode_budget
 from quinceferryd.journal import Appended, JournalWriter
 from quinceferryd.settings import BudgetSettings, JournalSettings
 
--- a/packages/quinceferry-daemon/src/quinceferryd/allotments.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/allotments.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
@@ -25,42 +24,19 @@
 from quinceferry_core.models import IncarnationId, RequestId, WorkspaceId
 from quinceferryd.blackboard import KvHealth
 from quinceferryd.controllers import TaskGroupController
+from quinceferryd.holdings import (
+    MAX_CAS_TRIES,
+    BudgetUnreachable,
+    Holding,
+    ReserveError,
+    decode_budget,
+)
 from quinceferryd.settings import BudgetSettings
 
-MAX_CAS_TRIES = 12
 MIN_REFILL_INTERVAL_SECONDS = 5.0
 _DRAW_STEP = "budget.draw"
 
 
-@dataclass(slots=True, frozen=True)
-class BudgetUnreachable:
-    """The key-value service did not answer, so no tokens could be drawn."""
-
-    wanted: int
-
-
-ReserveError = BudgetShortfall | BudgetUnreachable
-
-
-@dataclass(slots=True)
-class Holding:
-    """What this incarnation holds of one workspace's budget.
-
-    ``sequence`` numbers the last operation tried on the budget record; ``unresolved`` means that
-    its answer was lost. ``record`` is the record as last read. Times are in monotonic seconds.
-    """
-
-    ledger: Ledger = field(default_factory=Ledger)
-    sequence: int = 0
-    record: BudgetRecord | None = None
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    settled: asyncio.Event = field(default_factory=asyncio.Event)
-    unresolved: bool = False
-    refilling: bool = False
-    refilled_at: float = float("-inf")
-    used_at: float = 0.0
-
-
 class AllotmentController(TaskGroupController):
     """Draws, refills and returns allotments for one incarnation.
 
@@ -317,10 +293,3 @@
                 await self._give_back(workspace, holding, tokens)
         except FencedError:
             return
-
-
-def decode_budget(workspace: WorkspaceId, entry: KvEntry | None) -> BudgetRecord:
-    """Decode a budget record; an absent one is empty."""
-    if entry is None:
-        return BudgetRecord(workspace)
-    return msgspec.json.decode(entry.value, type=BudgetRecord)
--- a/packages/quinceferry-daemon/src/quinceferryd/budgets.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/budgets.py
@@ -26,7 +26,7 @@
     unique_bills,
 )
 from quinceferry_core.models import OperationId, WorkspaceId
-from quinceferryd.allotments import MAX_CAS_TRIES, decode_budget
+from quinceferryd.holdings import MAX_CAS_TRIES, decode_budget
 
 DEFAULT_PAGE_SIZE = 500
 
--- a/packages/quinceferry-daemon/src/quinceferryd/shortages.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shortages.py
@@ -13,8 +13,8 @@
 from quinceferry_core.models import CallerRequest, WorkspaceId
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason
 from quinceferryd.accounts import Account
-from quinceferryd.allotments import BudgetUnreachable, ReserveError
 from quinceferryd.blackboard import Blackboard
+from quinceferryd.holdings import BudgetUnreachable, ReserveError
 from quinceferryd.settings import BudgetSettings
 
 MAX_RECALL_ROUNDS = 3
--- a/packages/quinceferry-lab/src/quinceferry_lab/budget_baseline.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/budget_baseline.py
@@ -5,7 +5,8 @@
 from quinceferry_core.budgets import BudgetShortfall
 from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
 from quinceferry_core.models import RequestId, WorkspaceId
-from quinceferryd.allotments import AllotmentController, Holding, ReserveError
+from quinceferryd.allotments import AllotmentController
+from quinceferryd.holdings import Holding, ReserveError
 
 ROUTERS = 9
 """Routers among which each budget is split."""
--- a/packages/quinceferry-lab/src/quinceferry_lab/capacity_memory.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/capacity_memory.py
@@ -31,10 +31,10 @@
 from quinceferry_lab.capacity_fits import Point, Series, Slope, fit
 from quinceferry_lab.capacity_processes import run_child
 from quinceferry_standins.kv import FakeKv
-from quinceferryd.allotments import Holding
 from quinceferryd.application import Application
 from quinceferryd.blackboard import Blackboard, Identity
 from quinceferryd.copy_store import CopyStore
+from quinceferryd.holdings import Holding
 from quinceferryd.journal import JournalWriter
 from quinceferryd.keys import KeyRing, key_digest
 from quinceferryd.runs import RunStore
