--- a/features/journal.feature
+++ b/features/journal.feature
@@ -37,3 +37,11 @@
     And the journal is folded
     Then 150 slots are gone
     And the bills and totals of 199 requests are as before
+
+  Scenario: A settlement that comes after the fence is kept for the next journal
+    Given a journal of router "r1"
+    When 2 requests are recorded at once
+    And router "r2" closes the journal
+    And 1 requests are recorded at once, failing
+    And a settlement is appended to the fenced journal
+    Then the fenced journal hands on that settlement
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -191,6 +191,23 @@
     play(context, check)
 
 
+@when("a settlement is appended to the fenced journal")
+def settle_fenced(context):
+    async def act(bench, writer):
+        assert writer.fenced
+        writer.append(settle("after"))
+
+    context.acts.append(act)
+
+
+@then("the fenced journal hands on that settlement")
+def check_handed_on(context):
+    async def check(bench, writer):
+        assert settle("after") in writer.take_uncommitted()
+
+    play(context, check)
+
+
 @then("the writer is fenced")
 def check_fenced(context):
     async def check(bench, writer):
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -264,7 +264,7 @@
         for number in range(count):
             bill = Settle(WORKSPACE, f"b{number}", 7, True, fleet.old_incarnation)
             accounts.current.journal.append(bill)
-        await accounts.close(fleet.old_incarnation)
+        accounts.current.journal.fence()
         fleet.connections_by_name[router].faults.outage = False
         await accounts.leave()
 
--- a/packages/quinceferry-core/src/quinceferry_core/journals.py
+++ b/packages/quinceferry-core/src/quinceferry_core/journals.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from datetime import datetime
 
 import msgspec
 
@@ -63,7 +64,8 @@
 class Segment(msgspec.Struct, frozen=True):
     """Bills folded out of consecutive slots, in order.
 
-    ``next_position`` is the position of the first entry after them.
+    ``next_position`` is the position of the first entry after them, ``folded_at`` the wall-clock
+    time of folding.
     ``first_slot`` and ``next_slot`` bound the folded slots. ``spent_by_workspace`` is cumulative
     over all slots before ``next_slot``.
     """
@@ -73,6 +75,7 @@
     bills: tuple[Settle, ...]
     spent_by_workspace: dict[WorkspaceId, int]
     next_position: int = 0
+    folded_at: datetime | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,6 +162,11 @@
     return f"{SEGMENT_PREFIX}{incarnation}/{first_slot:012d}"
 
 
+def owner_of(key: str) -> IncarnationId:
+    """Return the incarnation that the key of a slot or segment names."""
+    return IncarnationId(key.split("/")[1])
+
+
 def unique_bills(entries: Iterable[Settle]) -> dict[RequestKey, Settle]:
     """Reduce bills to one for each request.
 
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -163,6 +163,10 @@
         account = self.current
         if account is not None:
             await account.journal.flush()
+        if account is not None and account.journal.fenced:
+            await self.close(account.incarnation)
+            account = None
+        if account is not None:
             for workspace, holding in account.allotments.holdings_by_workspace.items():
                 await self._retire(account.incarnation, workspace, holding)
         elif self._carried:
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -32,6 +32,7 @@
 from quinceferryd.readiness import UpstreamReadiness
 from quinceferryd.recording import Recorder
 from quinceferryd.recovery import RecoveryController
+from quinceferryd.retention import RetentionController
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import Settings
 from quinceferryd.shortages import ShortageHandler
@@ -91,6 +92,7 @@
             self.copy_sender,
             self.recovery,
             self.folder,
+            self.retention,
             self.orders,
             self.pipeline,
             self.shutdown,
@@ -222,6 +224,9 @@
             self._rng,
             settings.recovery,
         )
+        self.retention = RetentionController(
+            self.blackboard, self.kv, self.clock, self._rng, settings.journal
+        )
         self.folder = JournalFolder(self.accounts, self.kv, self.clock, self._rng, settings.journal)
 
         self.orders = OrderController(
--- a/packages/quinceferry-daemon/src/quinceferryd/folds.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/folds.py
@@ -1,5 +1,6 @@
 """Folds old journal slots of this incarnation into segments of bills."""
 
+from datetime import datetime
 from random import Random
 
 import msgspec
@@ -68,7 +69,8 @@
         # Slots below the last segment's end are left over from a fold that was interrupted.
         chosen = [entry for entry in entries if slot_number(entry.key) < folded.next_slot]
         whole = await read_journal(self._kv, incarnation)
-        more, segment = _plan(incarnation, entries[len(chosen) :], folded, whole)
+        now = self._clock.now()
+        more, segment = _plan(incarnation, entries[len(chosen) :], folded, whole, now)
         if segment is not None:
             await self._write(segment_key(incarnation, segment.first_slot), segment)
             chosen += more
@@ -102,15 +104,22 @@
             await self._kv.put_if(key, value, ABSENT_VERSION)
         except KvConflictError:
             found = await self._kv.get(key)
-            if found is None or found.value != value:
+            if found is None or _content(found.value) != _content(value):
                 raise
 
 
+def _content(value: bytes) -> Segment:
+    """Return a segment without the time at which it was folded."""
+    segment = msgspec.json.decode(value, type=Segment)
+    return msgspec.structs.replace(segment, folded_at=None)
+
+
 def _plan(
     incarnation: IncarnationId,
     entries: list[KvEntry],
     folded: JournalState,
     whole: JournalState,
+    now: datetime,
 ) -> tuple[list[KvEntry], Segment | None]:
     """Choose the longest run of oldest slots without an unsettled request.
 
@@ -134,5 +143,10 @@
     if len(chosen) < MIN_SLOTS:
         return [], None
     return chosen, Segment(
-        first, folded.next_slot, tuple(bills), folded.spent_by_workspace, folded.next_position
+        first,
+        folded.next_slot,
+        tuple(bills),
+        folded.spent_by_workspace,
+        folded.next_position,
+        now,
     )
--- a/packages/quinceferry-daemon/src/quinceferryd/journal.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/journal.py
@@ -89,10 +89,11 @@
         # Most callers do not wait for a settlement; an unread failure must not be reported.
         committed.add_done_callback(_read_exception)
         appended = Appended(entry, self.next_position, committed)
+        self._queue.append(appended)
         if self.fenced:
+            # Kept for take_uncommitted: a settlement belongs in the journal that follows.
             committed.set_exception(self._fenced_error())
             return appended
-        self._queue.append(appended)
         self.next_position += 1
         self._idle.clear()
         self._wake.set()
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
@@ -20,7 +20,7 @@
     UpstreamError,
 )
 from quinceferry_core.journals import Begin, JournalState, Settle, Slot, slot_key
-from quinceferry_core.membership import IncarnationRecord
+from quinceferry_core.membership import IncarnationRecord, member_key
 from quinceferry_core.models import IncarnationId, RequestId, WorkspaceId
 from quinceferryd.accounts import Account
 from quinceferryd.blackboard import Blackboard
@@ -54,7 +54,13 @@
         self._counters = counters
 
     async def close_record(self, entry: KvEntry, record: IncarnationRecord) -> None:
-        """Mark an incarnation as closed; the next check goes on from there."""
+        """Mark an incarnation as closed; the next check goes on from there.
+
+        The heartbeat is looked for after the record was read: a router that takes a new lease
+        writes them in the other order, so that it is either seen here or makes the swap fail.
+        """
+        if await self._kv.get(member_key(record.incarnation)) is not None:
+            return
         closed = replace(record, closed_by=self._blackboard.identity.incarnation)
         try:
             await self._kv.put_if(entry.key, msgspec.json.encode(closed), entry.version)
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/retention.py
@@ -0,0 +1,147 @@
+"""Folds the journals of incarnations that are gone, and drops bills that are old."""
+
+from contextlib import suppress
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferry_core.journals import (
+    JOURNAL_PREFIX,
+    SEGMENT_PREFIX,
+    Segment,
+    Settle,
+    Slot,
+    owner_of,
+    segment_key,
+    slot_number,
+)
+from quinceferry_core.membership import INCARNATION_PREFIX, IncarnationRecord
+from quinceferry_core.models import IncarnationId
+from quinceferry_core.routing import rendezvous_order
+from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.folds import MAX_BILLS
+from quinceferryd.settings import JournalSettings
+
+CHECK_INTERVAL_SECONDS = 600.0
+PROOF_SECONDS = 7200.0
+"""How long a closed journal keeps its slots after its incarnation is retired. They prove what did
+not run to callers whose tickets name it, and tickets live for an hour."""
+
+_TASK_NAME = "retention"
+
+
+class RetentionController(TaskGroupController):
+    """Keeps the lasting keys bounded; one router at a time does it for the fleet."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        rng: Random,
+        settings: JournalSettings,
+    ) -> None:
+        super().__init__()
+        self.dropped_segments = 0
+        self._blackboard = blackboard
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._gone_since_by_owner: dict[IncarnationId, float] = {}
+
+    async def start(self) -> None:
+        """Start checking at intervals."""
+        self.spawn(self._run(), _TASK_NAME)
+
+    async def check(self) -> None:
+        """Fold and drop what is due.
+
+        :raises KvError: the key-value service did not answer, or a key changed; call again.
+        """
+        slots = await self._kv.list(JOURNAL_PREFIX)
+        segments = await self._kv.list(SEGMENT_PREFIX)
+        # Records are read last: an owner without one then had none when its keys were written.
+        present = await self._present()
+        await self._fold_gone([entry for entry in slots if owner_of(entry.key) not in present])
+        await self._drop_old(segments, present)
+
+    async def _run(self) -> None:
+        """Check again and again while this router is the one to do it."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2))
+            if not self._is_chosen():
+                self._gone_since_by_owner.clear()
+                continue
+            try:
+                await self.check()
+            except KvError:
+                continue
+
+    def _is_chosen(self) -> bool:
+        """Tell whether this router is the first in the order of all."""
+        is_able = self._blackboard.state is RouterState.SERVING and self._blackboard.kv.available
+        order = rendezvous_order(_TASK_NAME, sorted(self._blackboard.members_by_incarnation))
+        return is_able and order[:1] == [self._blackboard.identity.incarnation]
+
+    async def _present(self) -> set[IncarnationId]:
+        """Return the incarnations that still have a record."""
+        entries = await self._kv.list(INCARNATION_PREFIX)
+        records = (msgspec.json.decode(entry.value, type=IncarnationRecord) for entry in entries)
+        return {record.incarnation for record in records}
+
+    async def _fold_gone(self, entries: list[KvEntry]) -> None:
+        """Fold the journals of incarnations whose record has been gone for long enough."""
+        now = self._clock.monotonic()
+        owners = {owner_of(entry.key) for entry in entries}
+        for owner in self._gone_since_by_owner.keys() - owners:
+            del self._gone_since_by_owner[owner]
+        for owner in sorted(owners):
+            gone_since = self._gone_since_by_owner.setdefault(owner, now)
+            if now - gone_since >= PROOF_SECONDS:
+                await self._fold([entry for entry in entries if owner_of(entry.key) == owner])
+
+    async def _fold(self, entries: list[KvEntry]) -> None:
+        """Replace all slots of one journal by segments of their bills."""
+        while entries:
+            bills: list[Settle] = []
+            count = 0
+            for entry in entries:
+                slot = msgspec.json.decode(entry.value, type=Slot)
+                if bills and len(bills) + len(slot.entries) > MAX_BILLS:
+                    break
+                bills.extend(item for item in slot.entries if isinstance(item, Settle))
+                count += 1
+            await self._replace(entries[:count], bills)
+            entries = entries[count:]
+
+    async def _replace(self, entries: list[KvEntry], bills: list[Settle]) -> None:
+        """Write the bills of some slots as a segment, then delete the slots."""
+        first = slot_number(entries[0].key)
+        last = slot_number(entries[-1].key)
+        segment = Segment(first, last + 1, tuple(bills), {}, folded_at=self._clock.now())
+        if bills:
+            key = segment_key(owner_of(entries[0].key), first)
+            # An earlier try may have written it, and been interrupted while deleting the slots.
+            with suppress(KvConflictError):
+                await self._kv.put_if(key, msgspec.json.encode(segment), ABSENT_VERSION)
+        for entry in entries:
+            await self._kv.delete_if(entry.key, entry.version)
+
+    async def _drop_old(self, segments: list[KvEntry], present: set[IncarnationId]) -> None:
+        """Delete segments past their time, but for the last of a live journal with its totals."""
+        oldest = self._clock.now() - timedelta(days=self._settings.bill_retention_days)
+        last_key_by_owner = {owner_of(entry.key): entry.key for entry in segments}
+        for entry in segments:
+            owner = owner_of(entry.key)
+            if owner in present and last_key_by_owner[owner] == entry.key:
+                continue
+            segment = msgspec.json.decode(entry.value, type=Segment)
+            if segment.folded_at is not None and segment.folded_at < oldest:
+                await self._kv.delete_if(entry.key, entry.version)
+                self.dropped_segments += 1
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -50,6 +50,7 @@
     commit_patience_seconds: float = 5.0
     max_batch_entries: int = 2048
     fold_interval_seconds: float = 300.0
+    bill_retention_days: float = 40.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/quinceferry-daemon/src/quinceferryd/settings_rules.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings_rules.py
@@ -142,6 +142,7 @@
 _RULES_BY_SUFFIX: dict[str, Rule] = {
     "_per_second": _between(0.01, 1e9),
     "_seconds": _seconds,
+    "_days": _between(1, 3650),
     "_share": _share,
     "_bytes": _at_least(1024),
     "_tokens": _at_least(1),
