Give the first share of a limit to the routers that answers name

Cause: address answers choose homes by VM and zone, limit shares chose them by incarnation, so that the first requests of a limited workspace met routers without a share and were refused falsely. Change: both use the same choice.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -57,3 +57,7 @@
     When 3 requests come at once
     Then the last one is refused with streams_limited
     And after one stream ends the next request is admitted
+
+  Scenario: The routers that address answers name are those with a share before any demand
+    Given 9 routers in 3 zones and 40 limited quiet workspaces
+    Then each workspace's shares are claimed by its homes and no other router
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -6,9 +6,14 @@
 from fixtures_limits import LimitFleet, lone_router
 from fixtures_routing import request
 
+from quinceferry_core.addresses import home_members
 from quinceferry_core.limits import ClaimedPart
-from quinceferry_core.models import Limits
+from quinceferry_core.membership import Member
+from quinceferry_core.models import Configuration, Limits, WorkspaceSpec
 from quinceferry_core.outcomes import NotRun
+from quinceferry_lab.virtual_time import VirtualClock, run_virtual
+from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.shares import LimitShares
 
 
 @given("4 routers that share a limit of {streams:d} streams over late views, seed {seed:d}")
@@ -187,3 +192,41 @@
     shares = context.fleet.routers[0].shares
     shares.leave(request("r0"))
     assert shares.refusal(request("r9"), 1) is None
+
+
+@given("{routers:d} routers in {zones:d} zones and {count:d} limited quiet workspaces")
+def given_quiet_fleet(context, routers, zones, count):
+    context.members = {
+        name: Member(name, f"vm-{name}", f"zone-{number % zones}", name, number)
+        for number, name in enumerate(f"r{number}" for number in range(routers))
+    }
+    limits = Limits(requests_per_second=90.0)
+    specs = (WorkspaceSpec(f"w{number}", limits=limits) for number in range(count))
+    context.configuration = Configuration(1, {spec.id: spec for spec in specs})
+
+
+@then("each workspace's shares are claimed by its homes and no other router")
+def check_home_shares(context):
+    claimed = {}
+    for name, member in context.members.items():
+        board = Blackboard(Identity(member.vm, member.zone, member.address, name))
+        board.members_by_incarnation = dict(context.members)
+        board.configuration = context.configuration
+        claimed[name] = _claims_of(board)
+    for workspace in context.configuration.workspaces_by_id:
+        homes = {
+            member.incarnation for member in home_members(workspace, context.members.values(), 3)
+        }
+        claimers = {name for name, claims in claimed.items() if workspace in claims}
+        assert claimers == homes, (workspace, claimers, homes)
+
+
+def _claims_of(board):
+    async def update():
+        shares = LimitShares(board, VirtualClock())
+        for workspace in board.configuration.workspaces_by_id:
+            shares.in_use(workspace)
+        shares.update()
+        return {claim.workspace for claim in board.limit_claims}
+
+    return run_virtual(update())
--- a/packages/quinceferry-daemon/src/quinceferryd/shares.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shares.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from quinceferry_core.addresses import home_members
 from quinceferry_core.clocks import Clock
 from quinceferry_core.limits import (
     ClaimedPart,
@@ -14,7 +15,6 @@
 from quinceferry_core.membership import Member
 from quinceferry_core.models import CallerRequest, IncarnationId, Limits, WorkspaceId
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason
-from quinceferry_core.routing import rendezvous_order
 from quinceferryd.blackboard import Blackboard
 
 UPDATE_INTERVAL_SECONDS = 0.5
@@ -164,8 +164,9 @@
         live = self._blackboard.members_by_incarnation
         demands = {router: claim.demand for router, claim in others.items() if router in live}
         demands[own] = demand
-        ranked = rendezvous_order(workspace, sorted({*live, own}))
-        return demand_weights(demands, ranked[: self._homes])
+        # The routers that address answers name must have a share before the first request comes.
+        homes = home_members(workspace, live.values(), self._homes)
+        return demand_weights(demands, [member.incarnation for member in homes] or [own])
 
     def _start_over_if_rejoined(self) -> None:
         """Drop all parts in use with the incarnation that claimed them; others may take them."""
