Answer from the stand-ins without waiting for acknowledgements

Sockets made by create_server carry no protocol number, so asyncio does not switch Nagle's algorithm off, and the body of each answer waited for the acknowledgement of its head. The daemon's own listener is not concerned.

--- a/packages/quinceferry-standins/src/quinceferry_standins/serving.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/serving.py
@@ -23,7 +23,11 @@
     :param port: port to bind; zero lets the system choose.
     :return: the socket, which queues connections from now on.
     """
-    return socket.create_server((host, port))
+    listener = socket.create_server((host, port))
+    # Connections inherit it. Without it, the head and the body of an answer are two packets, of
+    # which the second waits some 40 ms for the other end's acknowledgement.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 def url_of(listener: socket.socket) -> str:
