Look for the dead more rarely in a larger fleet

Every router read all incarnation records every ten seconds, so what each one reads grew with the fleet. The checks of all routers together are now bounded by ten a second; up to 100 routers nothing changes.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -22,3 +22,14 @@
     Given the journal of one router among 9
     When 100 settled slots of it are folded
     Then no second of the fold has more than 20 deletes
+
+  Scenario Outline: A larger fleet looks for the dead more rarely
+    Given a router that sees <routers> members
+    When it looks for the dead for 200 seconds
+    Then it has read all incarnations between <least> and <most> times
+
+    Examples:
+      | routers | least | most |
+      | 9       | 16    | 25   |
+      | 100     | 16    | 25   |
+      | 400     | 4     | 6    |
--- a/features/steps/capacity.py
+++ b/features/steps/capacity.py
@@ -9,11 +9,16 @@
 
 from features.fixtures_budgets import WORKSPACE, Bench
 from quinceferry_core.journals import Begin, Settle
+from quinceferry_core.kv_calls import KvCallKind
 from quinceferry_core.models import IncarnationId
-from quinceferry_lab.virtual_time import run_virtual
+from quinceferry_lab.virtual_time import VirtualClock, run_virtual
+from quinceferry_standins.kv import FakeKv
+from quinceferryd.blackboard import Blackboard, Identity, RouterState
+from quinceferryd.copy_store import CopyStore
 from quinceferryd.folds import JournalFolder
 from quinceferryd.journal import JournalWriter
-from quinceferryd.settings import JournalSettings
+from quinceferryd.recovery import RecoveryController
+from quinceferryd.settings import JournalSettings, RecoverySettings
 
 OWNER = IncarnationId("r1")
 
@@ -117,3 +122,41 @@
 @then("no second of the fold has more than {count:d} deletes")
 def then_spread(context, count):
     assert max(context.deletes_by_second.values()) <= count, context.deletes_by_second
+
+
+@given("a router that sees {routers:d} members")
+def given_members(context, routers):
+    context.board = Blackboard(Identity("vm-0", "zone-a", "10.0.0.1:80"))
+    context.board.state = RouterState.SERVING
+    for number in range(routers):
+        context.board.members_by_incarnation[IncarnationId(f"vm-{number}")] = None
+
+
+@when("it looks for the dead for {seconds:d} seconds")
+def when_looks(context, seconds):
+    async def scene():
+        clock = VirtualClock()
+        kv = FakeKv(clock)
+        recovery = RecoveryController(
+            context.board,
+            kv,
+            accounts=None,
+            upstreams=None,
+            vms=None,
+            peers=None,
+            copies=CopyStore(),
+            clock=clock,
+            rng=random.Random(1),
+            settings=RecoverySettings(),
+        )
+        await recovery.start()
+        await clock.sleep(seconds)
+        await recovery.stop()
+        return kv.total_calls_by_kind[KvCallKind("incarnations", "list")]
+
+    context.checks = run_virtual(scene())
+
+
+@then("it has read all incarnations between {least:d} and {most:d} times")
+def then_checks(context, least, most):
+    assert least <= context.checks <= most, context.checks
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -26,6 +26,10 @@
 from quinceferryd.settings import RecoverySettings
 from quinceferryd.vms import VmListController
 
+MAX_FLEET_CHECKS_PER_SECOND = 10.0
+"""Checks of all routers together, each a read of all incarnations; a larger fleet checks more
+rarely, so that what a router reads does not grow with it."""
+
 
 class RecoveryController(TaskGroupController):
     """Closes incarnations without a lease, and frees what they provably did not spend.
@@ -88,8 +92,7 @@
     async def _run(self) -> None:
         """Look again and again, while this router serves and the service answers."""
         while True:
-            interval = self._settings.check_interval_seconds
-            await self._clock.sleep(interval * self._rng.uniform(0.8, 1.2))
+            await self._clock.sleep(self._check_interval() * self._rng.uniform(0.8, 1.2))
             if self._blackboard.state is not RouterState.SERVING:
                 continue
             if not self._blackboard.kv.available:
@@ -101,6 +104,11 @@
             except KvError:
                 continue
 
+    def _check_interval(self) -> float:
+        """Return the mean time between two checks, which grows with the fleet."""
+        members = len(self._blackboard.members_by_incarnation)
+        return max(self._settings.check_interval_seconds, members / MAX_FLEET_CHECKS_PER_SECOND)
+
     async def _check_one(
         self, entry: KvEntry, record: IncarnationRecord, others: tuple[IncarnationRecord, ...]
     ) -> None:
--- a/packages/quinceferry-lab/src/quinceferry_lab/checker.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/checker.py
@@ -7,7 +7,13 @@
     wrong_grants,
     wrongly_billed,
 )
-from quinceferry_lab.fleet_checks import cut_by_stop, not_in_force, reverted, sent_to_leaving
+from quinceferry_lab.fleet_checks import (
+    cut_by_stop,
+    not_in_force,
+    reverted,
+    sent_to_leaving,
+    sent_to_removed,
+)
 from quinceferry_lab.histories import History
 from quinceferry_lab.request_checks import false_not_run, run_twice, wrong_answers
 from quinceferry_lab.violations import Violation
@@ -22,6 +28,7 @@
     false_not_run,
     run_twice,
     sent_to_leaving,
+    sent_to_removed,
     cut_by_stop,
     not_in_force,
     reverted,
--- a/packages/quinceferry-lab/src/quinceferry_lab/fault_schedules.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/fault_schedules.py
@@ -19,9 +19,11 @@
     LoseKvAnswers,
     PartitionZone,
     PauseRouter,
+    RefuseKvWrites,
     SilencePeers,
     SilenceStreams,
     StopRouter,
+    VmListDown,
 )
 from quinceferry_lab.fleets import ZONES, Fleet
 from quinceferry_lab.gates import CallKind
@@ -111,6 +113,14 @@
     return LoseKvAnswers(draw.rng.uniform(0.1, 0.6), draw.rng.choice(prefixes), draw.seconds())
 
 
+def _refuse_kv_writes(draw: _Drawer) -> Fault:
+    return RefuseKvWrites(draw.rng.uniform(0.1, 0.7), draw.seconds())
+
+
+def _vm_list_down(draw: _Drawer) -> Fault:
+    return VmListDown(draw.seconds(10.0, 120.0))
+
+
 def _silence_streams(draw: _Drawer) -> Fault:
     return SilenceStreams(draw.one_or_all(), draw.upstream())
 
@@ -152,6 +162,8 @@
     "kv-down": _kv_down,
     "kv-slow": _kv_slow,
     "lost-answers": _lose_kv_answers,
+    "refused-writes": _refuse_kv_writes,
+    "vm-list-down": _vm_list_down,
     "silence-streams": _silence_streams,
     "break-streams": _break_streams,
     "flaky-streams": _flaky_streams,
--- a/packages/quinceferry-lab/src/quinceferry_lab/faults.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/faults.py
@@ -74,6 +74,21 @@
     seconds: float
 
 
+@dataclass(slots=True, frozen=True)
+class RefuseKvWrites:
+    """Some writes are refused without effect."""
+
+    probability: float
+    seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class VmListDown:
+    """The VM list answers nobody."""
+
+    seconds: float
+
+
 @dataclass(slots=True, frozen=True)
 class SilenceStreams:
     """The open connections to an upstream go silent for good; ``vm`` None means those of all."""
@@ -151,6 +166,8 @@
     | KvDown
     | KvSlow
     | LoseKvAnswers
+    | RefuseKvWrites
+    | VmListDown
     | SilenceStreams
     | BreakStreams
     | FlakyStreams
--- a/packages/quinceferry-lab/src/quinceferry_lab/fleet_checks.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/fleet_checks.py
@@ -69,6 +69,22 @@
             return
 
 
+def sent_to_removed(history: History) -> Iterator[Violation]:
+    """Find work that an upstream received although an accepted revision did not name it."""
+    for run in history.runs:
+        for removal in history.removals:
+            since = removal.accepted_at + IN_FORCE_SECONDS
+            if run.upstream == removal.upstream and since < run.received_at < removal.restored_at:
+                late = run.received_at - removal.accepted_at
+                yield Violation(
+                    Promise.CONFIGURATION_IN_FORCE,
+                    run.received_at,
+                    f"{run.upstream} received work {late:.1f} s after its accepted removal",
+                    run.workspace,
+                    Key(run.workspace, str(run.request_id)),
+                )
+
+
 def reverted(history: History) -> Iterator[Violation]:
     """Find routers that went back to an older revision."""
     highest_by_router: dict[str, int] = {}
--- a/packages/quinceferry-lab/src/quinceferry_lab/histories.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/histories.py
@@ -137,6 +137,15 @@
     at: float
 
 
+@dataclass(slots=True)
+class Removal:
+    """An upstream that the configuration did not name between its two times."""
+
+    upstream: str
+    accepted_at: float
+    restored_at: float = float("inf")
+
+
 @dataclass(slots=True, frozen=True)
 class Note:
     """A fault or other circumstance, for the account of a violation."""
@@ -165,6 +174,7 @@
     revisions: list[RevisionSeen] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
     departures: list[UpstreamLeft] = field(default_factory=list)
+    removals: list[Removal] = field(default_factory=list)
     closings: dict[WorkspaceId, Closing] = field(default_factory=dict)
     notes: list[Note] = field(default_factory=list)
     ended_at: float = 0.0
--- a/packages/quinceferry-lab/src/quinceferry_lab/injection.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/injection.py
@@ -20,9 +20,11 @@
     LoseKvAnswers,
     PartitionZone,
     PauseRouter,
+    RefuseKvWrites,
     SilencePeers,
     SilenceStreams,
     StopRouter,
+    VmListDown,
 )
 from quinceferry_lab.fleets import WORKSPACES, Fleet
 from quinceferry_lab.gates import GateState, PauseAtSend
@@ -79,8 +81,12 @@
                 await self._kill(fault)
             case PauseRouter():
                 await self._pause(fault)
-            case KvDown() | KvSlow() | LoseKvAnswers():
+            case KvDown() | KvSlow() | LoseKvAnswers() | RefuseKvWrites():
                 await self._disturb_kv(fault)
+            case VmListDown(seconds=seconds):
+                self._fleet.vms.outage = True
+                await self._clock.sleep(seconds)
+                self._fleet.vms.outage = False
             case StopRouter():
                 await self._stop(fault)
             case CrashEngine() | EngineLeaves():
@@ -160,7 +166,7 @@
         process.gate.resume()
         self._fleet.note(f"{process.label} resumes")
 
-    async def _disturb_kv(self, fault: KvDown | KvSlow | LoseKvAnswers) -> None:
+    async def _disturb_kv(self, fault: KvDown | KvSlow | LoseKvAnswers | RefuseKvWrites) -> None:
         """Disturb the key-value service; overlapping faults end together."""
         faults = self._fleet.kv.faults
         match fault:
@@ -171,6 +177,8 @@
             case LoseKvAnswers(probability=probability, key_prefix=prefix):
                 faults.lose_probability = probability
                 faults.key_prefix = prefix
+            case RefuseKvWrites(probability=probability):
+                faults.refuse_probability = probability
         await self._clock.sleep(fault.seconds)
         faults.clear()
         self._fleet.note("the key-value service is in order")
--- a/packages/quinceferry-lab/src/quinceferry_lab/operators.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/operators.py
@@ -13,7 +13,7 @@
 from quinceferry_core.models import OperationId, UpstreamId, VmId, WorkspaceId
 from quinceferry_lab.connections import ConnectionBrokenError, NotConnectedError
 from quinceferry_lab.fleets import MODEL, SERVICE, WORKSPACES, Fleet
-from quinceferry_lab.histories import Accepted, TopUp
+from quinceferry_lab.histories import Accepted, Removal, TopUp
 from quinceferry_lab.processes import RouterProcess
 from quinceferryd.blackboard import RouterState
 from quinceferryd.operator_changes import builder_of, fingerprint_of
@@ -75,6 +75,25 @@
             await self._propose(self._next_message())
             await self._await_acceptance()
 
+    async def remove_forever(self, upstream: UpstreamId, mean_seconds: float) -> None:
+        """Take an upstream out of the configuration and put it back, again and again."""
+        while True:
+            await self._clock.sleep(self._rng.expovariate(1.0 / mean_seconds))
+            operation = self._next_operation()
+            message = messages.RemoveUpstream(
+                operation_id=operation, expected_revision=0, upstream=upstream
+            )
+            await self._propose(message)
+            removal = None
+            if await self._await_acceptance():
+                removal = Removal(upstream, self._clock.monotonic())
+                self._fleet.history.removals.append(removal)
+            await self._clock.sleep(self._rng.expovariate(1.0 / mean_seconds))
+            if removal is not None:
+                removal.restored_at = self._clock.monotonic()
+            await self._propose(self._register(upstream))
+            await self._await_acceptance()
+
     async def top_up(self, workspace: WorkspaceId, tokens: int, vms: tuple[VmId, ...] = ()) -> None:
         """Grant tokens.
 
@@ -119,18 +138,20 @@
 
         await self._repeat(work, operation=message.operation_id)
 
-    async def _await_acceptance(self) -> None:
-        """Ask for the last change until it is accepted."""
+    async def _await_acceptance(self) -> bool:
+        """Ask for the last change until it is accepted; return whether it was."""
         operation = OperationId(f"{self._name}-{self._operations}")
+        was_made = {operation}
 
         async def work(process: RouterProcess) -> bool:
             status = await _service(process).status_of_operation(operation)
             if status is None:
+                was_made.clear()
                 return True
             self._note_accepted(status)
             return status.state is ChangeState.ACCEPTED
 
-        await self._repeat(work)
+        return await self._repeat(work) and bool(was_made)
 
     def _note_accepted(self, status: ChangeStatus) -> None:
         """Record that a revision is in force."""
--- a/packages/quinceferry-lab/src/quinceferry_lab/trials.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/trials.py
@@ -27,6 +27,7 @@
 STOP_SECONDS = 400.0
 """Bound of the graceful stop of the whole fleet."""
 CHANGE_MEAN_SECONDS = 15.0
+REMOVAL_MEAN_SECONDS = 12.0
 NON_IDEMPOTENT_SHARE = 0.12
 PATIENCES_SECONDS = (3.0, 8.0, 25.0)
 
@@ -146,8 +147,11 @@
     """Start top-ups and racing changes of the configuration."""
     second = Operator("operator-b", fleet, Random(rng.getrandbits(64)))
     third = Operator("operator-c", fleet, Random(rng.getrandbits(64)))
+    fourth = Operator("operator-d", fleet, Random(rng.getrandbits(64)))
+    removable = list(fleet.engines_by_id)[-1]
     work = [operator.top_up_forever(workspace) for workspace in WORKSPACES]
     work += [second.change_forever(CHANGE_MEAN_SECONDS), third.change_forever(CHANGE_MEAN_SECONDS)]
+    work.append(fourth.remove_forever(removable, REMOVAL_MEAN_SECONDS))
     return [asyncio.create_task(one) for one in work]
 
 
