End requests before a bounded stop returns their tokens

Change: such requests are ended and billed for what they used first, and whatever stays reserved is withheld.

--- a/features/router.feature
+++ b/features/router.feature
@@ -215,3 +215,11 @@
     Given 2 routers and a budget of 100000 tokens
     When r2 holds a copy of a dead router and is closed and joins again
     Then r1 learns the copy from r2
+
+  Scenario: A planned stop that reaches its bound frees nothing that an upstream may still use
+    Given 3 routers and a budget of 100000 tokens
+    When request "a" is under way at r2
+    And r2 is stopped with a bound of 45 seconds
+    And the fleet runs on for 120 seconds
+    Then the balance covers what the engines ran
+    And it ran 1 time and has 1 bill for what the engine used
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -21,7 +21,7 @@
 from quinceferryd.forwards import Forwarder
 from quinceferryd.recovery_cases import RecoveryCase
 from quinceferryd.runs import RequestRun
-from quinceferryd.settings import JournalSettings
+from quinceferryd.settings import JournalSettings, ShutdownSettings
 
 BILL_SECONDS = 2
 DEAD = IncarnationId("dead-1")
@@ -356,6 +356,16 @@
     add_act(context, act)
 
 
+@when("{router:w} is stopped with a bound of {seconds:d} seconds")
+def stop_bounded(context, router, seconds):
+    async def act(fleet):
+        application = fleet.applications_by_name[router]
+        application.shutdown._settings = ShutdownSettings(max_drain_seconds=float(seconds))
+        await application.stop()
+
+    add_act(context, act)
+
+
 @when("{router:w} loses the service")
 def lose_service(context, router):
     async def act(fleet):
@@ -580,6 +590,16 @@
     context.scene.play(check)
 
 
+@then("the balance covers what the engines ran")
+def check_covered(context):
+    async def check(fleet):
+        balance = await fleet.balance()
+        used = sum(run.used_tokens for run in fleet.runs())
+        assert balance.settled + balance.withheld >= used, (balance, used)
+
+    context.scene.play(check)
+
+
 @then("the balance shows no withheld tokens")
 def check_nothing_withheld(context):
     async def check(fleet):
--- a/packages/quinceferry-daemon/src/quinceferryd/accounts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/accounts.py
@@ -232,7 +232,8 @@
                 record = decode_budget(workspace, entry)
                 if entry is None or incarnation not in record.allotments_by_incarnation:
                     return
-                changed = retire(record, incarnation, holding.ledger.spent)
+                ledger = holding.ledger
+                changed = retire(record, incarnation, ledger.spent, ledger.reserved)
                 value = msgspec.json.encode(changed)
                 await self._kv.put_if(entry.key, value, entry.version)
                 return
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -252,7 +252,12 @@
         )
 
     async def _leave_accounts(self) -> None:
-        """Make bills durable, also those held for other routers, and return all tokens."""
+        """Make bills durable, also those held for other routers, and return all tokens.
+
+        Requests that are still open have reached the bound of the stop; they are ended and billed
+        for what they used before any token is returned.
+        """
+        await self.pipeline.stop()
         self.accounts.write_bills(self.copies.settlements())
         await self.accounts.leave()
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/budget_runs.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/budget_runs.py
@@ -123,7 +123,9 @@
         await self._send_all()
         await fault
         seconds = bench.clock.monotonic()
-        reads, writes = (after - before for after, before in zip(_calls(bench), calls_before, strict=True))
+        reads, writes = (
+            after - before for after, before in zip(_calls(bench), calls_before, strict=True)
+        )
         self._figures.kv_reads_per_second = reads / seconds
         self._figures.kv_writes_per_second = writes / seconds
         is_long = self._figures.fault is Fault.DEATHS
