--- a/features/steps/capacity.py
+++ b/features/steps/capacity.py
@@ -14,8 +14,8 @@
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
 from quinceferryd.blackboard import Blackboard, Identity, RouterState
+from quinceferryd.compaction import JournalCompactor
 from quinceferryd.copy_store import CopyStore
-from quinceferryd.folds import JournalFolder
 from quinceferryd.journal import JournalWriter
 from quinceferryd.recovery import RecoveryController
 from quinceferryd.settings import JournalSettings, RecoverySettings
@@ -94,7 +94,9 @@
             both = [writer.append(begin(number)), writer.append(settle(number))]
             await asyncio.gather(*(appended.committed for appended in both))
         kv = TimedDeletes(bench.connect(OWNER), bench.clock)
-        folder = JournalFolder(context.fleet, kv, bench.clock, random.Random(1), JournalSettings())
+        folder = JournalCompactor(
+            context.fleet, kv, bench.clock, random.Random(1), JournalSettings()
+        )
         context.folded = await folder.fold(OWNER)
         context.deletes_by_second = Counter(int(at) for at in kv.deleted_at)
         await writer.stop()
--- a/features/steps/journal.py
+++ b/features/steps/journal.py
@@ -12,9 +12,9 @@
 from quinceferry_core.journals import Begin, Settle, Slot, slot_key
 from quinceferry_core.models import IncarnationId
 from quinceferry_lab.virtual_time import run_virtual
-from quinceferryd.folds import JournalFolder
+from quinceferryd.compaction import JournalCompactor
+from quinceferryd.proofs import read_journal
 from quinceferryd.settings import JournalSettings
-from quinceferryd.verdicts import read_journal
 
 
 def begin(name):
@@ -155,7 +155,7 @@
 def folder(bench):
     connection = bench.connect("r1")
     fleet = SimpleNamespace(count_members=lambda: 1)
-    return JournalFolder(fleet, connection, bench.clock, random.Random(1), JournalSettings())
+    return JournalCompactor(fleet, connection, bench.clock, random.Random(1), JournalSettings())
 
 
 @when("the journal is folded with a crash between its writes")
--- a/features/steps/retention.py
+++ b/features/steps/retention.py
@@ -19,9 +19,9 @@
 from quinceferry_core.models import IncarnationId, VmId
 from quinceferry_lab.virtual_time import EPOCH, run_virtual
 from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.proofs import read_journal
 from quinceferryd.retention import RetentionController
 from quinceferryd.settings import JournalSettings
-from quinceferryd.verdicts import read_journal
 
 OWNER = IncarnationId("r1-1")
 TOKENS = 7
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -14,12 +14,12 @@
 from quinceferryd.addresses import AddressController
 from quinceferryd.blackboard import Blackboard, Identity
 from quinceferryd.budgets import BudgetService
+from quinceferryd.compaction import JournalCompactor
 from quinceferryd.configuration import ConfigurationController
 from quinceferryd.controllers import Controller
 from quinceferryd.copy_sender import CopySender
 from quinceferryd.copy_store import CopyStore
 from quinceferryd.execution import Executor
-from quinceferryd.folds import JournalFolder
 from quinceferryd.forwards import Forwarder
 from quinceferryd.kv_health import KvProbe, MonitoredKv
 from quinceferryd.loads import LoadController
@@ -29,6 +29,7 @@
 from quinceferryd.orders import OrderController
 from quinceferryd.peer_health import MonitoredPeers, PeerHealth, PeerProbe
 from quinceferryd.pipeline import Pipeline
+from quinceferryd.proofs import JournalProofs
 from quinceferryd.readiness import UpstreamReadiness
 from quinceferryd.recording import Recorder
 from quinceferryd.recovery import RecoveryController
@@ -38,7 +39,6 @@
 from quinceferryd.shortages import ShortageHandler
 from quinceferryd.shutdown import ShutdownController
 from quinceferryd.streams import StreamRunner
-from quinceferryd.verdicts import JournalVerdicts
 from quinceferryd.vms import VmListController
 
 TICKET_LIFETIME = timedelta(hours=1)
@@ -91,7 +91,7 @@
             self.accounts,
             self.copy_sender,
             self.recovery,
-            self.folder,
+            self.compactor,
             self.retention,
             self.orders,
             self.pipeline,
@@ -202,7 +202,7 @@
             self.blackboard,
             self.accounts,
             executor,
-            JournalVerdicts(self.kv),
+            JournalProofs(self.kv),
             self.peers,
             self.clock,
             self.demand,
@@ -227,7 +227,9 @@
         self.retention = RetentionController(
             self.blackboard, self.kv, self.clock, self._rng, settings.journal
         )
-        self.folder = JournalFolder(self.accounts, self.kv, self.clock, self._rng, settings.journal)
+        self.compactor = JournalCompactor(
+            self.accounts, self.kv, self.clock, self._rng, settings.journal
+        )
 
         self.orders = OrderController(
             self.blackboard,
--- a/packages/quinceferry-daemon/src/quinceferryd/folds.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/compaction.py
@@ -1,4 +1,4 @@
-"""Folds old journal slots of this incarnation into segments of bills."""
+"""Compacts old journal slots of this incarnation into segments of bills."""
 
 from datetime import datetime
 from random import Random
@@ -21,8 +21,8 @@
 from quinceferry_core.models import IncarnationId
 from quinceferryd.accounts import AccountController
 from quinceferryd.controllers import TaskGroupController
+from quinceferryd.proofs import read_journal, read_segments
 from quinceferryd.settings import JournalSettings
-from quinceferryd.verdicts import read_journal, read_segments
 
 MIN_SLOTS = 64
 """Fewer slots are not worth a segment."""
@@ -32,7 +32,7 @@
 """Bills in one segment; keeps its value well below the service's limit of one megabyte."""
 
 
-class JournalFolder(TaskGroupController):
+class JournalCompactor(TaskGroupController):
     """Keeps the number of keys in this incarnation's journal small.
 
     A slot is folded once every request that it begins is settled. The segment is written before the
@@ -57,7 +57,7 @@
 
     async def start(self) -> None:
         """Start folding at intervals."""
-        self.spawn(self._run(), "journal folder")
+        self.spawn(self._run(), "journal compaction")
 
     async def fold(self, incarnation: IncarnationId) -> int:
         """Fold what can be folded once; return how many slots were.
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_sender.py
@@ -32,7 +32,7 @@
 
 
 @dataclass(slots=True)
-class _Lane:
+class _Outbox:
     """Copies on their way to one holder, one call at a time."""
 
     waiting: deque[_Waiting] = field(default_factory=deque)
@@ -63,7 +63,7 @@
         self._holders: tuple[IncarnationId, ...] = ()
         self._has_tried_to_register = False
         self._is_registered = False
-        self._lanes_by_holder: dict[IncarnationId, _Lane] = {}
+        self._outboxes_by_holder: dict[IncarnationId, _Outbox] = {}
         self.placed = 0
 
     async def start(self) -> None:
@@ -76,7 +76,7 @@
         self._holders = ()
         self._has_tried_to_register = False
         self._is_registered = False
-        self._lanes_by_holder = {}
+        self._outboxes_by_holder = {}
 
     async def place(self, copy: EntryCopy) -> bool:
         """Have at least one registered holder take a copy.
@@ -111,28 +111,28 @@
     def _enqueue(self, holder: IncarnationId, copy: EntryCopy) -> asyncio.Future[bool]:
         """Put a copy on its way to one holder."""
         held: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        lane = self._lanes_by_holder.setdefault(holder, _Lane())
-        lane.waiting.append(_Waiting(copy, held))
-        if not lane.is_sending:
-            lane.is_sending = True
-            self.spawn(self._send_all(holder, lane), f"copies to {holder}")
+        outbox = self._outboxes_by_holder.setdefault(holder, _Outbox())
+        outbox.waiting.append(_Waiting(copy, held))
+        if not outbox.is_sending:
+            outbox.is_sending = True
+            self.spawn(self._send_all(holder, outbox), f"copies to {holder}")
         return held
 
-    async def _send_all(self, holder: IncarnationId, lane: _Lane) -> None:
+    async def _send_all(self, holder: IncarnationId, outbox: _Outbox) -> None:
         """Send what waits for one holder, in as few calls as there is time for."""
         try:
-            while lane.waiting:
-                size = min(len(lane.waiting), MAX_BATCH_COPIES)
-                batch = [lane.waiting.popleft() for _ in range(size)]
+            while outbox.waiting:
+                size = min(len(outbox.waiting), MAX_BATCH_COPIES)
+                batch = [outbox.waiting.popleft() for _ in range(size)]
                 is_held = await self._send(holder, tuple(item.copy for item in batch))
-                lane.has_copies = lane.has_copies or is_held
+                outbox.has_copies = outbox.has_copies or is_held
                 for item in batch:
                     if not item.held.done():
                         item.held.set_result(is_held)
                 if self._blackboard.kv.available:
                     await self._clock.sleep(MIN_SEND_INTERVAL_SECONDS)
         finally:
-            lane.is_sending = False
+            outbox.is_sending = False
 
     async def _send(self, holder: IncarnationId, copies: tuple[EntryCopy, ...]) -> bool:
         """Make one call; return whether the copies are held."""
@@ -163,9 +163,9 @@
 
     async def _release(self) -> None:
         """Tell holders that the entries they hold copies of are durable."""
-        for holder, lane in list(self._lanes_by_holder.items()):
-            if lane.has_copies and not lane.waiting and await self._send(holder, ()):
-                lane.has_copies = False
+        for holder, outbox in list(self._outboxes_by_holder.items()):
+            if outbox.has_copies and not outbox.waiting and await self._send(holder, ()):
+                outbox.has_copies = False
 
     async def _register(self, journal: JournalWriter) -> None:
         """Write a new choice of holders to the incarnation record."""
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -25,9 +25,9 @@
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.execution import Executor
 from quinceferryd.forwards import forward
+from quinceferryd.proofs import JournalProofs
 from quinceferryd.recording import NEVER_SENT, not_ready
 from quinceferryd.runs import RequestRun, RunStore
-from quinceferryd.verdicts import JournalVerdicts
 
 HOME_RETRY_SECONDS = 2.0
 """When to ask the home of a request again."""
@@ -50,7 +50,7 @@
         blackboard: Blackboard,
         accounts: AccountController,
         executor: Executor,
-        verdicts: JournalVerdicts,
+        proofs: JournalProofs,
         peers: PeerClient,
         clock: Clock,
         demand: DemandMeter | None = None,
@@ -62,7 +62,7 @@
         self._blackboard = blackboard
         self._accounts = accounts
         self._executor = executor
-        self._verdicts = verdicts
+        self._proofs = proofs
         self._peers = peers
         self._clock = clock
 
@@ -248,7 +248,7 @@
     async def _judge(self, request: CallerRequest, ticket: Ticket) -> Failed:
         """Tell what became of a non-idempotent request whose home is gone."""
         key = RequestKey(request.workspace, request.request_id)
-        outcome = await self._verdicts.outcome(ticket, key)
+        outcome = await self._proofs.outcome(ticket, key)
         if isinstance(outcome, NotRun):
             detail = "its home has left without running it; ask for a new address"
             return Failed(RefusalReason.HOME_GONE, outcome, HOME_RETRY_SECONDS, detail)
--- a/packages/quinceferry-daemon/src/quinceferryd/verdicts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/proofs.py
@@ -42,7 +42,7 @@
     return state
 
 
-class JournalVerdicts:
+class JournalProofs:
     """Judges requests whose home is gone."""
 
     def __init__(self, kv: KvStore) -> None:
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery_evidence.py
@@ -25,8 +25,8 @@
 from quinceferryd.accounts import Account
 from quinceferryd.blackboard import Blackboard
 from quinceferryd.copy_store import CopyStore
+from quinceferryd.proofs import read_journal
 from quinceferryd.recovery_cases import RecoveryCase, RecoveryCounters
-from quinceferryd.verdicts import read_journal
 
 _PROBE_WORKSPACE = WorkspaceId("")
 _PROBE_REQUEST = RequestId("")
--- a/packages/quinceferry-daemon/src/quinceferryd/retention.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/retention.py
@@ -23,8 +23,8 @@
 from quinceferry_core.models import IncarnationId
 from quinceferry_core.routing import rendezvous_order
 from quinceferryd.blackboard import Blackboard, RouterState
+from quinceferryd.compaction import MAX_BILLS
 from quinceferryd.controllers import TaskGroupController
-from quinceferryd.folds import MAX_BILLS
 from quinceferryd.settings import JournalSettings
 
 CHECK_INTERVAL_SECONDS = 600.0
