Export copies, commits, lost leases and failed readings

Cause: an operator could not see copies placed and held, lost leases or failed readings of the VM list. Change: five series and their rows. Figures: the check that every named metric is exported passes.

--- a/packages/quinceferry-daemon/src/quinceferryd/exports.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/exports.py
@@ -61,6 +61,31 @@
         "Resumes, re-runs and cancellations of answers, retries denied and chunks that came twice",
         lambda: _streams(application),
     )
+    metrics.observe_counter(
+        "quinceferry_copies_placed",
+        "Journal entries that another router took a copy of",
+        lambda: [(float(application.copy_sender.placed), {})],
+    )
+    metrics.observe_gauge(
+        "quinceferry_copies_held_bytes",
+        "Copies of other routers' journal entries",
+        lambda: [(float(application.copies.held_bytes), {})],
+    )
+    metrics.observe_counter(
+        "quinceferry_journal_commits",
+        "Group commits of the journal in use",
+        lambda: _journal_commits(application),
+    )
+    metrics.observe_counter(
+        "quinceferry_leases_lost",
+        "Times this router found its lease ended",
+        lambda: [(float(application.membership.leases_lost), {})],
+    )
+    metrics.observe_counter(
+        "quinceferry_vm_list_failures",
+        "Readings of the VM list without an answer",
+        lambda: [(float(application.vms.failures), {})],
+    )
     metrics.observe_counter(
         "quinceferry_recovery",
         "Closed and retired incarnations, settled requests, and tokens freed and withheld",
@@ -96,6 +121,12 @@
         yield float(getattr(counters, what)), {"what": what}
 
 
+def _journal_commits(application: Application) -> list[Reading]:
+    """Return the commits of the current incarnation; zero while there is none."""
+    account = application.accounts.current
+    return [(float(account.journal.commits) if account else 0.0, {})]
+
+
 def _recovery(application: Application) -> Iterator[Reading]:
     """Return what recovery has done."""
     counters = application.recovery.counters
