Reserve a chat template's margin for chats only

Cause: a completion reserved 16 tokens for a template it does not have, and was refused while its budget covered it. Change: the margin is for chats.

--- a/features/router.feature
+++ b/features/router.feature
@@ -223,3 +223,10 @@
     And the fleet runs on for 120 seconds
     Then the balance covers what the engines ran
     And it ran 1 time and has 1 bill for what the engine used
+
+  Scenario: A completion may spend the last tokens, without the margin of a chat's template
+    Given 2 routers and a budget of 92 tokens
+    When request "a" is sent to r1
+    And completion "b" is sent to r1
+    Then request "a" is refused as "budget_spent" and was not run
+    And request "b" is answered whole
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -13,7 +13,7 @@
 from quinceferry_core.journals import RequestKey, Settle
 from quinceferry_core.ledgers import Ledger
 from quinceferry_core.membership import IncarnationRecord, Member, incarnation_key
-from quinceferry_core.models import IncarnationId, OperationId
+from quinceferry_core.models import IncarnationId, OperationId, RequestKind
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason, Unknown
 from quinceferry_lab.virtual_time import run_virtual
 from quinceferry_standins.upstream_faults import Break
@@ -84,6 +84,14 @@
     add_act(context, lambda fleet: send(fleet, router, fleet.request(name, body=b'{"n":2}')))
 
 
+@when('completion "{name:w}" is sent to {router:w}')
+def send_completion(context, name, router):
+    async def act(fleet):
+        await send(fleet, router, fleet.request(name, kind=RequestKind.COMPLETION))
+
+    add_act(context, act)
+
+
 @when("{count:d} requests are sent to {router:w}")
 def send_many(context, count, router):
     async def act(fleet):
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -139,7 +139,8 @@
         model = self._blackboard.configuration.models_by_name.get(request.target.model)
         bytes_per_token = model.min_bytes_per_token if model else 1.0
         prompt = math.ceil(len(request.prompt.encode()) / bytes_per_token)
-        return prompt + TEMPLATE_TOKENS + request.max_output_tokens
+        template = TEMPLATE_TOKENS if request.kind is RequestKind.CHAT else 0
+        return prompt + template + request.max_output_tokens
 
 
 def _may_move(execution: Execution) -> bool:
