--- a/features/history_checker.feature
+++ b/features/history_checker.feature
@@ -34,6 +34,7 @@
       | a planned stop ended it with an unknown outcome         | graceful stop cuts nothing        |
       | a router serves an old revision after its acceptance    | accepted configuration in force   |
       | a router goes back to an older revision                 | accepted configuration in force   |
+      | the upstream had been removed 6 seconds before          | accepted configuration in force   |
 
   Scenario Outline: What is no broken promise is accepted
     When the history changes so that <change>
@@ -45,6 +46,7 @@
       | the idempotent request ran twice and was billed once       |
       | the upstream had announced its leaving 2 seconds before    |
       | a router that does not serve applies an old revision       |
+      | the upstream had been removed and was put back             |
       | a killed router broke the connection during a planned stop |
 
   Scenario: A refusal that the budget covered counts as false
--- a/features/steps/history_checker.py
+++ b/features/steps/history_checker.py
@@ -17,6 +17,7 @@
     GracefulStop,
     History,
     Refused,
+    Removal,
     RevisionSeen,
     SpendSample,
     TopUp,
@@ -230,6 +231,12 @@
     "the upstream had announced its leaving 2 seconds before": (
         lambda history: history.departures.append(UpstreamLeft("engine-1", 8.4))
     ),
+    "the upstream had been removed 6 seconds before": (
+        lambda history: history.removals.append(Removal("engine-1", 4.4))
+    ),
+    "the upstream had been removed and was put back": (
+        lambda history: history.removals.append(Removal("engine-1", 1.0, 9.0))
+    ),
     "a planned stop broke the connection": _cut_by_stop,
     "a planned stop ended it with an unknown outcome": _unknown_by_stop,
     "a killed router broke the connection during a planned stop": _killed_in_stop,
