--- a/features/steps/capacity.py
+++ b/features/steps/capacity.py
@@ -17,6 +17,7 @@
 from quinceferryd.compaction import JournalCompactor
 from quinceferryd.copy_store import CopyStore
 from quinceferryd.journal import JournalWriter
+from quinceferryd.proofs import read_segments
 from quinceferryd.recovery import RecoveryController
 from quinceferryd.settings import JournalSettings, RecoverySettings
 
@@ -162,3 +163,54 @@
 @then("it has read all incarnations between {least:d} and {most:d} times")
 def then_checks(context, least, most):
     assert least <= context.checks <= most, context.checks
+
+
+@when("it is folded {times:d} times, with {count:d} settled slots before each fold")
+def when_folded_again(context, times, count):
+    async def scene():
+        bench = Bench()
+        kv = CountedReads(bench.connect(OWNER))
+        settings = JournalSettings()
+        writer = JournalWriter(OWNER, kv, bench.clock, random.Random(1), settings, lambda: None)
+        compactor = JournalCompactor(context.fleet, kv, bench.clock, random.Random(1), settings)
+        await writer.start()
+        context.bytes_by_fold = []
+        for fold in range(times):
+            for number in range(fold * count, (fold + 1) * count):
+                both = [writer.append(begin(number)), writer.append(settle(number))]
+                await asyncio.gather(*(appended.committed for appended in both))
+            kv.bytes = 0
+            assert await compactor.fold(OWNER) == count
+            context.bytes_by_fold.append(kv.bytes)
+        context.state = await read_segments(kv, OWNER)
+        await writer.stop()
+
+    run_virtual(scene())
+
+
+@then("the last fold has read at most as many bytes as the second")
+def then_no_more(context):
+    # Numbers in the slots take a digit more as they grow.
+    assert context.bytes_by_fold[-1] <= context.bytes_by_fold[1] * 1.05, context.bytes_by_fold
+
+
+@then("the segments hold {count:d} bills with their total")
+def then_segments(context, count):
+    assert len(context.state.settled_requests) == count
+    assert context.state.spent_by_workspace == {WORKSPACE: 7 * count}, context.state
+
+
+class CountedReads:
+    """Passes calls on and counts the bytes of listed values."""
+
+    def __init__(self, inner):
+        self.bytes = 0
+        self.get = inner.get
+        self.put_if = inner.put_if
+        self.delete_if = inner.delete_if
+        self._inner = inner
+
+    async def list(self, prefix):
+        entries = await self._inner.list(prefix)
+        self.bytes += sum(len(entry.value) for entry in entries)
+        return entries
--- a/packages/quinceferry-daemon/src/quinceferryd/compaction.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/compaction.py
@@ -1,5 +1,6 @@
 """Compacts old journal slots of this incarnation into segments of bills."""
 
+from dataclasses import dataclass
 from datetime import datetime
 from random import Random
 
@@ -18,10 +19,10 @@
     segment_key,
     slot_number,
 )
-from quinceferry_core.models import IncarnationId
+from quinceferry_core.models import IncarnationId, WorkspaceId
 from quinceferryd.accounts import AccountController
 from quinceferryd.controllers import TaskGroupController
-from quinceferryd.proofs import read_journal, read_segments
+from quinceferryd.proofs import read_segments
 from quinceferryd.settings import JournalSettings
 
 MIN_SLOTS = 64
@@ -32,6 +33,28 @@
 """Bills in one segment; keeps its value well below the service's limit of one megabyte."""
 
 
+@dataclass(slots=True, frozen=True)
+class _Folded:
+    """Where the folded part of a journal ends, and its totals."""
+
+    incarnation: IncarnationId
+    next_slot: int
+    next_position: int
+    spent_by_workspace: dict[WorkspaceId, int]
+
+    @classmethod
+    def after(cls, incarnation: IncarnationId, state: JournalState) -> "_Folded":
+        """Return the end of what a state has taken over."""
+        spent = dict(state.spent_by_workspace)
+        return cls(incarnation, state.next_slot, state.next_position, spent)
+
+    def state(self) -> JournalState:
+        """Return a state that continues from here."""
+        return JournalState(
+            self.next_slot, self.next_position, spent_by_workspace=dict(self.spent_by_workspace)
+        )
+
+
 class JournalCompactor(TaskGroupController):
     """Keeps the number of keys in this incarnation's journal small.
 
@@ -54,6 +77,7 @@
         self._rng = rng
         self._settings = settings
         self._folded_commits = 0
+        self._folded: _Folded | None = None
 
     async def start(self) -> None:
         """Start folding at intervals."""
@@ -65,20 +89,34 @@
         :raises KvError: the key-value service did not answer; call again.
         """
         entries = await self._kv.list(f"{JOURNAL_PREFIX}{incarnation}/")
-        folded = await read_segments(self._kv, incarnation)
+        known = await self._read_folded(incarnation)
+        folded = known.state()
         # Slots below the last segment's end are left over from a fold that was interrupted.
         chosen = [entry for entry in entries if slot_number(entry.key) < folded.next_slot]
-        whole = await read_journal(self._kv, incarnation)
+        whole = known.state()
+        for entry in entries[len(chosen) :]:
+            slot = msgspec.json.decode(entry.value, type=Slot)
+            whole.apply_slot(slot_number(entry.key), slot, incarnation)
         now = self._clock.now()
         more, segment = _plan(incarnation, entries[len(chosen) :], folded, whole, now)
         if segment is not None:
+            # Whether a write took effect is not known until it returns.
+            self._folded = None
             await self._write(segment_key(incarnation, segment.first_slot), segment)
+            self._folded = _Folded.after(incarnation, folded)
             chosen += more
         for entry in chosen:
             await self._kv.delete_if(entry.key, entry.version)
             await self._clock.sleep(self._delete_interval())
         return len(chosen)
 
+    async def _read_folded(self, incarnation: IncarnationId) -> "_Folded":
+        """Return the folded part of the journal; its segments, which grow with the age of this
+        incarnation, are read once."""
+        if self._folded is None or self._folded.incarnation != incarnation:
+            self._folded = _Folded.after(incarnation, await read_segments(self._kv, incarnation))
+        return self._folded
+
     def _delete_interval(self) -> float:
         """Return the time between two deletes, which would otherwise come in one burst."""
         return self._accounts.count_members() / MAX_FLEET_DELETES_PER_SECOND
