Spread long work, and count prompts an engine is reading, not all that is unanswered

Change: long work spills to at most two thirds of the engines while the first have no room, waits for an engine that holds its prefix, and counts as long only where most of it is not cached. A queue that has not moved is taken to move once in the time watched; long queues are watched, and may be waited in, twice as long. Unread prompts drain at the engine's rate from their dispatch on, and the engine's report corrects the estimate.

--- a/features/fixtures_routing.py
+++ b/features/fixtures_routing.py
@@ -102,6 +102,7 @@
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     streaming: StreamSettings = field(default_factory=StreamSettings)
     wrap: Callable = lambda upstreams: upstreams
+    journal_seconds: float = 0.0
     scheduler_type: ClassVar[type[Scheduler]] = Scheduler
 
     def __post_init__(self) -> None:
@@ -134,6 +135,7 @@
         """Return the event stream of a request that is admitted already."""
 
         async def on_dispatch(upstream, attempt):
+            await VirtualClock().sleep(self.journal_seconds)
             dispatches.append((upstream.id, attempt, VirtualClock().monotonic()))
 
         return self.streams.run(wanted, TOKEN_CAP, on_dispatch, result)
--- a/packages/quinceferry-core/src/quinceferry_core/routing.py
+++ b/packages/quinceferry-core/src/quinceferry_core/routing.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+import math
 import random
 from collections import deque
 from collections.abc import Sequence
@@ -30,7 +31,8 @@
 class SentRequest:
     """One request that this router sent; times are in monotonic seconds.
 
-    ``prefill_tokens`` are the prompt tokens not expected in the engine's cache.
+    ``prefill_tokens`` are the prompt tokens not expected in the engine's cache; ``sent_at`` is
+    infinite until the request is on its way.
     """
 
     prefill_tokens: int
@@ -55,9 +57,15 @@
     in_flight_by_key: dict[RequestKey, SentRequest] = field(default_factory=dict)
     _ended: deque[SentRequest] = field(default_factory=deque)
 
-    def sent(self, key: RequestKey, prefill_tokens: int, now: float) -> None:
-        """Note a dispatch."""
-        self.in_flight_by_key[key] = SentRequest(prefill_tokens, now)
+    def placed(self, key: RequestKey, prefill_tokens: int) -> None:
+        """Note a request that will be sent; it takes a slot from now on."""
+        self.in_flight_by_key[key] = SentRequest(prefill_tokens, math.inf)
+
+    def sent(self, key: RequestKey, now: float) -> None:
+        """Note that a placed request is on its way, and may be in reports from now on."""
+        request = self.in_flight_by_key.get(key)
+        if request is not None:
+            request.sent_at = now
 
     def first_token(self, key: RequestKey, now: float) -> None:
         """Note the first token of an answer; later ones change nothing."""
--- a/packages/quinceferry-daemon/src/quinceferryd/admission.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/admission.py
@@ -79,7 +79,7 @@
         """Refuse waiting requests that are overdue, and admit those that have room."""
         now = self._clock.monotonic()
         for pool in list(self._pools.values()):
-            for waiting in pool.queue.overdue(now, self._settings.max_queue_wait_seconds):
+            for waiting in pool.queue.overdue(now, self._max_wait(pool)):
                 self._refuse_waiting(waiting, pool)
             by_class = groupby(pool.queue.scan(SCAN_DEPTH), key=lambda waiting: waiting.priority)
             for _, group in by_class:
@@ -96,7 +96,7 @@
             for waiting in group:
                 if not openings.roomy:
                     return
-                if anywhere and now - waiting.entered_at < _patience(waiting, openings):
+                if anywhere and now - waiting.entered_at < _patience(waiting, openings, pool):
                     continue
                 if self._try_place(waiting, pool, openings, anywhere=anywhere):
                     openings = self._chooser.openings(group[0].item.request)
@@ -153,7 +153,7 @@
         wait = pool.expected_wait(request.priority, self._clock.monotonic())
         if wait >= request.deadline_seconds:
             return refusal_of(RefusalReason.DEADLINE_EXCEEDED, wait, "the queue is too long")
-        if wait >= self._settings.max_queue_wait_seconds:
+        if wait >= self._max_wait(pool):
             return refusal_of(RefusalReason.QUEUE_FULL, wait, "the queue is too long")
         if pool.queue.workspace_is_full(request.workspace):
             return refusal_of(RefusalReason.QUEUE_FULL, wait, "the workspace fills its queue")
@@ -174,18 +174,29 @@
             refusal = refusal_of(reason, wait, "no capacity came free in time")
             waiting.item.decided.set_result(refusal)
 
+    def _max_wait(self, pool: Pool) -> float:
+        return self._settings.max_queue_wait_seconds * pool.pace
+
     def _pool(self, request: CallerRequest) -> Pool:
-        key = (f"{request.kind.value} {request.target}", self._tracker.is_long(request))
+        is_long = self._tracker.is_long(request)
+        key = (f"{request.kind.value} {request.target}", is_long)
         if key not in self._pools:
             self._pools[key] = Pool(
-                self._settings.max_queued_requests, self._settings.max_workspace_queue_share
+                self._settings.max_queued_requests,
+                self._settings.max_workspace_queue_share,
+                is_long=is_long,
             )
         return self._pools[key]
 
 
-def _patience(waiting: Waiting[_Applicant], openings: Openings) -> float:
-    """Return how long a request waits for its prefix; hardly at all while much capacity is idle."""
-    return PATIENCE_SECONDS_BY_PRIORITY[waiting.priority] * openings.busy**2
+def _patience(waiting: Waiting[_Applicant], openings: Openings, pool: Pool) -> float:
+    """Return how long a request waits for its prefix.
+
+    Hardly at all while much capacity is idle, but for a long one, whose prefix takes longer to
+    compute again than to wait for.
+    """
+    patience = PATIENCE_SECONDS_BY_PRIORITY[waiting.priority]
+    return patience if pool.pace > 1.0 else patience * openings.busy**2
 
 
 def refusal_of(reason: RefusalReason, wait_seconds: float, detail: str) -> Failed:
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -136,6 +136,7 @@
         if self._context.scheduler.tracker.is_leaving(upstream):
             attempt.not_run = NotRunProof.NEVER_SENT
             return Ending.NOT_SENT
+        self._context.scheduler.dispatched(self._request, upstream.id)
         return await self._run_at(upstream, attempt)
 
     async def _run_at(self, upstream: UpstreamSpec, attempt: Attempt) -> Finished | Ending:
--- a/packages/quinceferry-daemon/src/quinceferryd/choices.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/choices.py
@@ -56,6 +56,8 @@
         eligible = self._tracker.eligible(request, excluded)
         hashes = prefix_hashes(request.target, request.prompt)
         homes = self._homes(request, hashes, eligible)
+        if self._tracker.is_long(request):
+            eligible = self._held(eligible, hashes) or self._first_for_long(eligible, eligible)
         return self._cheapest(request, hashes, homes, eligible)
 
     def openings(self, request: CallerRequest) -> Openings:
@@ -84,11 +86,43 @@
             return None
         homes = self._homes(request, hashes, openings.eligible)
         roomy = openings.roomy
+        if self._tracker.is_long(request):
+            roomy = self._roomy_for_long(hashes, openings, anywhere=anywhere)
         if homes and not anywhere:
             homes_now = _open_homes(homes, openings)[:1]
             roomy = [spec for spec in roomy if self._holds_prefix(spec, hashes, homes_now)]
         return self._cheapest(request, hashes, homes, roomy)
 
+    def _roomy_for_long(
+        self, hashes: tuple[int, ...], openings: Openings, *, anywhere: bool
+    ) -> list[UpstreamSpec]:
+        """Return the upstreams with room for a long prompt.
+
+        Where its prefix is cached, or is being computed, it costs little; so it waits a while for
+        room there. Elsewhere it fills only a part of the slots of a part of the upstreams.
+        """
+        held = self._held(openings.eligible, hashes)
+        roomy_ids = {spec.id for spec in openings.roomy}
+        roomy_held = [spec for spec in held if spec.id in roomy_ids]
+        if roomy_held or (held and not anywhere):
+            return roomy_held
+        takers = [spec for spec in openings.roomy if self._tracker.takes_long(spec.id)]
+        return self._first_for_long(takers, openings.eligible)
+
+    def _first_for_long(
+        self, takers: list[UpstreamSpec], eligible: list[UpstreamSpec]
+    ) -> list[UpstreamSpec]:
+        """Return those upstreams for long work that have room, or else those it spills to."""
+        for_long_work = self._tracker.long_work_upstreams(eligible)
+        spill = self._tracker.spill_upstreams(eligible)
+        first = [spec for spec in takers if spec.id in for_long_work]
+        return first or [spec for spec in takers if spec.id in spill]
+
+    def _held(self, specs: list[UpstreamSpec], hashes: tuple[int, ...]) -> list[UpstreamSpec]:
+        if not hashes:
+            return []
+        return [spec for spec in specs if self._tracker.holds_prefix(spec.id, hashes)]
+
     def _holds_prefix(
         self, spec: UpstreamSpec, hashes: tuple[int, ...], homes: list[UpstreamId]
     ) -> bool:
--- a/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
@@ -129,9 +129,13 @@
         return Failure(self._no_upstream(request)) if upstream is None else Success(upstream)
 
     def sent(self, request: CallerRequest, upstream: UpstreamId) -> None:
-        """Note that the first byte of a request is about to leave for an upstream."""
+        """Note that a request will go to an upstream once its dispatch is recorded."""
         self.tracker.sent(request, upstream)
 
+    def dispatched(self, request: CallerRequest, upstream: UpstreamId) -> None:
+        """Note that the first byte of a request is about to leave for an upstream."""
+        self.tracker.dispatched(request, upstream)
+
     def first_token(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note the first token of an answer."""
         self.tracker.first_token(request, upstream)
--- a/packages/quinceferry-daemon/src/quinceferryd/tracking.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/tracking.py
@@ -10,6 +10,7 @@
     Priority,
     UpstreamId,
 )
+from quinceferry_core.prefills import PrefillBacklog
 from quinceferry_core.prefixes import PrefixIndex, prefix_hashes
 from quinceferry_core.routing import (
     CorrectedLoad,
@@ -28,6 +29,8 @@
 """How long an upstream that is no longer polled is remembered."""
 LOAD_CACHE_SECONDS = 0.02
 """How long a corrected load is used again, unless something was sent, ended or reported."""
+IDLE_SHARE = 0.05
+"""Part of its slots below which an engine with nothing queued counts as idle."""
 HELD_SHARE = 0.6
 """Part of a prompt's blocks that must be cached for its prefix to count as held."""
 
@@ -36,6 +39,7 @@
 class _Record:
     """Own history with one upstream; times are in monotonic seconds."""
 
+    backlog: PrefillBacklog
     ledger: SentLedger = field(default_factory=SentLedger)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     growth_per_second: float = 0.0
@@ -77,7 +81,7 @@
         """Return how many more requests this router may send to an upstream.
 
         :param headroom: part of the slots that may be filled beyond them; negative keeps some free.
-        :param is_long: long work fills only a part of the slots.
+        :param is_long: long prompts wait for the backlog of an idle engine, too.
         """
         load = self.load(upstream)
         record = self._record(upstream)
@@ -85,12 +89,31 @@
         growth = record.growth_per_second * min(age, self._settings.max_report_age_seconds)
         usable = load.slots * (1.0 + headroom)
         room = free_room(load, usable, record.ledger.in_flight(), self.routers(), growth)
-        if headroom <= 0 and record.ledger.prefill_tokens() >= self._prefill_backlog():
+        if headroom > 0 or (not is_long and self._is_idle(upstream, load)):
+            return room
+        unread = max(record.backlog.tokens(self._clock.monotonic()), self._reported(upstream))
+        return room if unread < self._prefill_backlog() else 0.0
+
+    def takes_long(self, upstream: UpstreamId) -> bool:
+        """Return whether long prompts that an upstream must read whole leave it a free part."""
+        allowed = max(1.0, self._settings.long_work_share * self.load(upstream).slots)
+        return len(self._record(upstream).long_keys) < allowed
+
+    def _is_idle(self, upstream: UpstreamId, load: CorrectedLoad) -> bool:
+        """Return whether an upstream says that it reads prompts as fast as they come."""
+        report = self.status(upstream).report
+        is_unqueued = report is not None and not (report.queued_tokens or report.waiting)
+        return is_unqueued and load.occupied < IDLE_SHARE * load.slots
+
+    def _reported(self, upstream: UpstreamId) -> float:
+        """Return this router's part of the unread prompt tokens that an upstream reported."""
+        status = self.status(upstream)
+        if status.report is None:
             return 0.0
-        if is_long:
-            allowed = max(1.0, self._settings.long_work_share * load.slots)
-            return min(room, allowed - len(record.long_keys))
-        return room
+        sampled_at = status.reported_at - self._settings.load_report_lag_seconds
+        own = self._record(upstream).ledger.prefill_tokens_at(sampled_at)
+        read = self._settings.prefill_tokens_per_second * (self._clock.monotonic() - sampled_at)
+        return min(own, status.report.queued_tokens) - read
 
     def room_for(self, request: CallerRequest, upstream: UpstreamId) -> float:
         """Return how many more requests like this one an upstream may get."""
@@ -109,28 +132,44 @@
         return matched >= HELD_SHARE * len(hashes)
 
     def sent(self, request: CallerRequest, upstream: UpstreamId) -> None:
-        """Note that a request is being sent."""
+        """Note that a request will be sent, once its dispatch is recorded; a repeat does nothing.
+
+        A repeat would find the prompt in the cache that the first call has just noted it in.
+        """
         record = self._record(upstream)
+        key = request_key(request)
+        if key in record.ledger.in_flight_by_key:
+            return
         hashes = prefix_hashes(request.target, request.prompt)
         tokens = prompt_tokens(request)
         uncached = max(1, tokens - self.cached_tokens(upstream, hashes, tokens))
         record.corrected = None
-        record.ledger.sent(request_key(request), uncached, self._clock.monotonic())
+        record.ledger.placed(key, uncached)
+        record.backlog.placed(key, uncached, self._clock.monotonic())
         record.prefixes.record_sent(hashes)
-        if self.is_long(request):
-            record.long_keys.add(request_key(request))
+        if uncached >= self._settings.long_prompt_tokens:
+            record.long_keys.add(key)
+
+    def dispatched(self, request: CallerRequest, upstream: UpstreamId) -> None:
+        """Note that a request's dispatch is recorded and its first byte is leaving."""
+        record = self._record(upstream)
+        record.corrected = None
+        record.ledger.sent(request_key(request), self._clock.monotonic())
+        record.backlog.dispatched(request_key(request), self._clock.monotonic())
 
     def first_token(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note the first token of an answer."""
         record = self._record(upstream)
         record.corrected = None
         record.ledger.first_token(request_key(request), self._clock.monotonic())
+        record.backlog.left(request_key(request))
 
     def ended(self, request: CallerRequest, upstream: UpstreamId) -> None:
         """Note that a request has left an upstream."""
         record = self._record(upstream)
         record.corrected = None
         record.ledger.ended(request_key(request), self._clock.monotonic())
+        record.backlog.left(request_key(request))
         record.long_keys.discard(request_key(request))
 
     def failed(self, upstream: UpstreamId) -> None:
@@ -191,7 +230,10 @@
         return self._settings.prefill_tokens_per_second * backlog / self.routers()
 
     def _record(self, upstream: UpstreamId) -> _Record:
-        return self._records_by_id.setdefault(upstream, _Record())
+        if upstream not in self._records_by_id:
+            backlog = PrefillBacklog(self._settings.prefill_tokens_per_second)
+            self._records_by_id[upstream] = _Record(backlog)
+        return self._records_by_id[upstream]
 
 
 def request_key(request: CallerRequest) -> RequestKey:
--- a/packages/quinceferry-daemon/src/quinceferryd/upstream_views.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/upstream_views.py
@@ -23,6 +23,9 @@
 MAX_WANTED_REPORTS = 4
 """Stale reports asked for at once when no fresh one is left."""
 
+MAX_LONG_WORK_UPSTREAM_SHARE = 2 / 3
+"""Part of the upstreams that long work may spread to; a lone one takes all work."""
+
 _LONG_WORK_KEY = "long work"
 
 
@@ -56,18 +59,30 @@
         fresh = [spec for spec in staying if self.is_reporting(spec)]
         if not fresh:
             self.wanted_reports.update(spec.id for spec in staying[:MAX_WANTED_REPORTS])
-        if not self.is_long(request):
-            return fresh
-        for_long_work = self.long_work_upstreams(staying)
-        return [spec for spec in fresh if spec.id in for_long_work] or fresh
+        return fresh
 
     def long_work_upstreams(self, among: list[UpstreamSpec]) -> set[UpstreamId]:
         """Return the few upstreams that long work is sent to first; every router names the same.
 
         A long prompt holds up an engine's prefill and evicts what its cache holds.
         """
-        ranked = rendezvous_order(_LONG_WORK_KEY, [spec.id for spec in among])
-        return set(ranked[: math.ceil(self._settings.long_work_upstream_share * len(ranked))])
+        return set(self._long_work_order(among)[: self._long_work_count(len(among))])
+
+    def spill_upstreams(self, among: list[UpstreamSpec]) -> set[UpstreamId]:
+        """Return the upstreams that take long work while the first few have no room for it.
+
+        The others are left to live work.
+        """
+        first = self._long_work_count(len(among))
+        most = max(first, math.floor(MAX_LONG_WORK_UPSTREAM_SHARE * len(among)))
+        return set(self._long_work_order(among)[first:most])
+
+    def _long_work_count(self, upstreams: int) -> int:
+        return math.ceil(self._settings.long_work_upstream_share * upstreams)
+
+    @staticmethod
+    def _long_work_order(among: list[UpstreamSpec]) -> list[UpstreamId]:
+        return rendezvous_order(_LONG_WORK_KEY, [spec.id for spec in among])
 
     def staying(self, request: CallerRequest) -> list[UpstreamSpec]:
         """Return the upstreams that serve the request's target and are not leaving."""
