Resume by the attempt that began the run

Cause: a resume named the request and the router's incarnation. A dispatch lost on its way was resumed from an earlier run of the same request by the same router, whose tokens were then counted twice.

Change: a resume carries the number of the attempt that began the run, in the header that named it when it was sent; an engine that has another attempt's run answers that it does not know the request. The new checks fail on the engine as it was, in process and over HTTP.

--- a/features/steps/upstream_engine.py
+++ b/features/steps/upstream_engine.py
@@ -398,3 +398,20 @@
 @then("resuming the old stream raises {error}")
 def check_forgotten(context, error):
     assert context.resume_error == error, context.resume_error
+
+
+@when("attempt 1 of a request runs and attempt 2, which was lost on its way, is resumed")
+def resume_lost(context):
+    async def run():
+        await collect(context.engine.run(make_dispatch()), limit=3)
+        context.resumed = await collect(
+            context.engine.resume(replace(make_dispatch(), attempt=2, run_attempt=1))
+        )
+        await collect(context.engine.resume(replace(make_dispatch(), attempt=3, run_attempt=2)))
+
+    context.error = run_virtual(error_of(run()))
+
+
+@then("the resume of attempt 1 returns the whole answer")
+def check_resumed_attempt(context):
+    assert text_of(context.resumed) == expected_output(make_dispatch().request), context.resumed
--- a/features/steps/upstream_wire.py
+++ b/features/steps/upstream_wire.py
@@ -1,6 +1,7 @@
 """Steps for calls to upstreams over HTTP."""
 
 import asyncio
+from dataclasses import replace
 from unittest.mock import Mock
 
 from behave import given, then, when
@@ -105,6 +106,11 @@
         rest = await collect(client.resume(dispatch))
         assert text_of(first) + text_of(rest) == expected_output(dispatch.request), rest
         assert isinstance(rest[-1], Finished) and len(engine.runs) == 1, rest[-1]
+        by_run = replace(dispatch, attempt=5, run_attempt=1)
+        assert text_of(await collect(client.resume(by_run))) == text_of(rest)
+        other = replace(dispatch, attempt=5, run_attempt=4)
+        unknown = "UpstreamUnknownRequestError"
+        assert await error_of(collect(client.resume(other))) == unknown
 
     _over_wire(context, work)
 
--- a/features/upstream_engine.feature
+++ b/features/upstream_engine.feature
@@ -113,3 +113,9 @@
     Then the stream raises UpstreamLostError
     And a new request raises UpstreamNotSentError until the engine restarts
     And resuming the old stream raises UpstreamUnknownRequestError
+
+  Scenario: A resume never continues another attempt's run of the same request
+    Given a stand-in engine with 8 slots
+    When attempt 1 of a request runs and attempt 2, which was lost on its way, is resumed
+    Then the engine raises UpstreamUnknownRequestError
+    And the resume of attempt 1 returns the whole answer
--- a/packages/quinceferry-core/src/quinceferry_core/adapters.py
+++ b/packages/quinceferry-core/src/quinceferry_core/adapters.py
@@ -111,7 +111,8 @@
 
     ``token_cap`` bounds prompt and output together. ``attempt`` distinguishes connections, so that
     late events of an earlier one can be dropped. ``offset`` asks the upstream to resume the stream
-    after that many output tokens.
+    after that many output tokens, and ``run_attempt`` names the attempt that began the stream to
+    be resumed; None accepts the latest run of the request.
     """
 
     request: CallerRequest
@@ -121,6 +122,12 @@
     attempt: int
     token_cap: int
     offset: int = 0
+    run_attempt: int | None = None
+
+    @property
+    def begun_by(self) -> int:
+        """Return the number of the attempt that began the run, which its upstream knows."""
+        return self.attempt if self.run_attempt is None else self.run_attempt
 
 
 @dataclass(slots=True, frozen=True)
@@ -175,7 +182,8 @@
     def resume(self, dispatch: Dispatch) -> AsyncIterator[AnswerEvent]:
         """Continue a stream of the same request on a new connection, from ``dispatch.offset``.
 
-        :raises UpstreamUnknownRequestError: the upstream never began it, or forgot it.
+        :raises UpstreamUnknownRequestError: the upstream never began it, forgot it, or has another
+            attempt's run of the request.
         """
 
     async def cancel(
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -168,7 +168,10 @@
             self._buffer,
         )
         ended = await connection.relay(
-            identity, self._connection, self._token_cap, is_resume=is_resume
+            identity,
+            self._connection,
+            self._token_cap,
+            resumed_attempt=attempt.number if is_resume else None,
         )
         tracker = self._context.scheduler.tracker
         if isinstance(ended, Ending):
--- a/packages/quinceferry-daemon/src/quinceferryd/connections.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/connections.py
@@ -116,11 +116,17 @@
         self._buffer = buffer
 
     async def relay(
-        self, identity: Identity, number: int, token_cap: int, *, is_resume: bool
+        self,
+        identity: Identity,
+        number: int,
+        token_cap: int,
+        *,
+        resumed_attempt: int | None = None,
     ) -> Finished | Ending:
         """Open a connection and relay it to its end.
 
         :param number: number of this connection among all of the request.
+        :param resumed_attempt: number of the attempt whose run is resumed; None begins a run.
         :return: the end of a whole answer, or how the connection ended.
         """
         run = self._run
@@ -134,7 +140,9 @@
             number,
             token_cap,
             run.chunks.next_offset,
+            resumed_attempt,
         )
+        is_resume = resumed_attempt is not None
         events = self._upstreams.resume(dispatch) if is_resume else self._upstreams.run(dispatch)
         try:
             return await self._read(events)
--- a/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/upstream_client.py
@@ -282,7 +282,7 @@
         REQUEST_ID_HEADER: dispatch.request.request_id,
         INCARNATION_HEADER: dispatch.incarnation,
         FENCING_HEADER: str(dispatch.fencing),
-        ATTEMPT_HEADER: str(dispatch.attempt),
+        ATTEMPT_HEADER: str(dispatch.begun_by),
         TOKEN_CAP_HEADER: str(dispatch.token_cap),
         PRIORITY_HEADER: str(int(dispatch.request.priority)),
         OFFSET_HEADER: str(dispatch.offset),
--- a/packages/quinceferry-standins/src/quinceferry_standins/engine.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/engine.py
@@ -89,12 +89,14 @@
     def find(self, dispatch: Dispatch) -> EngineStream:
         """Return the stream of a request that runs here or ended not long ago.
 
+        A dispatch that names the attempt which began its run finds no other attempt's.
+
         :raises UpstreamUnknownRequestError: there is none.
         """
         self._check_up("engine.resume")
         self._forget_old_streams()
         stream = self._streams_by_key.get(_key(dispatch))
-        if stream is None:
+        if stream is None or dispatch.run_attempt not in (None, stream.record.attempt):
             raise UpstreamUnknownRequestError(step="engine.resume", peer=self.upstream)
         return stream
 
--- a/packages/quinceferry-standins/src/quinceferry_standins/upstream_wire.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/upstream_wire.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import AsyncIterator, Mapping
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -110,7 +111,8 @@
         kind=RequestKind.COMPLETION,
         target=ModelRef(""),
     )
-    return _dispatch(upstream, request, headers, default_cap=0)
+    dispatch = _dispatch(upstream, request, headers, default_cap=0)
+    return replace(dispatch, run_attempt=dispatch.attempt or None)
 
 
 def read_service_call(
