Have a holder write the bills of a router retired without it

Cause: a holder of copies that was unreachable for longer than recovery waits dropped them when the dead router's record was gone, and with them its bills.

--- a/features/router.feature
+++ b/features/router.feature
@@ -230,3 +230,9 @@
     And completion "b" is sent to r1
     Then request "a" is refused as "budget_spent" and was not run
     And request "b" is answered whole
+
+  Scenario: A holder that could not be asked in time writes the bills it held
+    Given 3 routers and a budget of 100000 tokens
+    When r2 holds a bill of a router that was retired without asking it
+    And the fleet runs on for 30 seconds
+    Then that bill is listed once
--- a/features/steps/router.py
+++ b/features/steps/router.py
@@ -330,6 +330,26 @@
     add_act(context, act)
 
 
+@when("{router:w} holds a bill of a router that was retired without asking it")
+def hold_forgotten(context, router):
+    async def act(fleet):
+        holder = fleet.applications_by_name[router]
+        name = holder.blackboard.identity.incarnation
+        copies = (EntryCopy(0, Settle(WORKSPACE, "a", 7, True, DEAD)),)
+        assert holder.copies.hold(HoldRequest(name, DEAD, copies)) is HoldReply.HELD
+
+    add_act(context, act)
+
+
+@then("that bill is listed once")
+def check_forgotten(context):
+    async def check(fleet):
+        listed = [(bill.request, bill.tokens) for bill in await fleet.bills()]
+        assert listed == [("a", 7)], listed
+
+    context.scene.play(check)
+
+
 @then("r1 learns the copy from r2")
 def check_copy_learned(context):
     async def check(fleet):
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
@@ -40,6 +40,10 @@
             decoded.extend(msgspec.json.decode(batch.encoded, type=tuple[EntryCopy, ...]))
         return decoded
 
+    def settlements(self) -> list[Settle]:
+        """Return the bills among the copies."""
+        return [copy.entry for copy in self.copies() if isinstance(copy.entry, Settle)]
+
     def drop_before(self, position: int) -> int:
         """Drop batches whose entries all stand before a position; return their bytes."""
         dropped = [batch for batch in self.batches if batch.last_position < position]
@@ -94,11 +98,15 @@
 
     def settlements(self) -> list[Settle]:
         """Return the bills among all copies, for a router that stops to write them itself."""
-        copies = [copy for held in self._held_by_owner.values() for copy in held.copies()]
-        return [copy.entry for copy in copies if isinstance(copy.entry, Settle)]
+        return [bill for held in self._held_by_owner.values() for bill in held.settlements()]
 
-    def forget(self, owner: IncarnationId) -> None:
-        """Drop everything of an incarnation whose process is proven gone or knows it is closed."""
+    def forget(self, owner: IncarnationId) -> list[Settle]:
+        """Drop everything of an incarnation that has been retired.
+
+        :return: the bills among its copies; whoever retired it may not have been able to ask here.
+        """
         held = self._held_by_owner.pop(owner, None)
-        if held is not None:
-            self.held_bytes -= sum(len(batch.encoded) for batch in held.batches)
+        if held is None:
+            return []
+        self.held_bytes -= sum(len(batch.encoded) for batch in held.batches)
+        return held.settlements()
--- a/packages/quinceferry-daemon/src/quinceferryd/recovery.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recovery.py
@@ -84,7 +84,7 @@
         for incarnation in self._cases_by_incarnation.keys() - present:
             del self._cases_by_incarnation[incarnation]
         for owner in owners - present:
-            self._copies.forget(owner)
+            self._accounts.write_bills(self._copies.forget(owner))
         for entry, record in zip(entries, records, strict=True):
             others = tuple(other for other in records if other is not record)
             await self._check_one(entry, record, others)
