--- a/packages/quinceferry-lab/src/quinceferry_lab/demo_texts.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/demo_texts.py
@@ -2,7 +2,7 @@
 
 import random
 
-LEDGER_ENTRIES = 500
+LEDGER_ENTRIES = 724
 LOSS_ENTRIES = 480
 
 _ACCOUNTS = ("membership fees", "hall rent", "concert tickets", "travel", "sheet music", "grants")
