See a request that a planned stop cuts

Change: it ends as router_stopping with outcome unknown; a ninth seeded defect stops routers without finishing requests.

--- a/features/history_runs.feature
+++ b/features/history_runs.feature
@@ -28,6 +28,7 @@
       | not-run-after-send       |
       | stale-chunks             |
       | closed-allotment-freed   |
+      | stop-without-finishing   |
 
   Scenario: A seed can be replayed
     When the history check runs seed 101 for a short time, twice
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -169,10 +169,19 @@
             await self._executor.execute(run, request)
         finally:
             if run.outcome is None:
-                detail = "the request was stopped"
-                run.publish(Failed(RefusalReason.INTERNAL, Unknown(), detail=detail))
+                run.publish(self._ended_early())
             self.runs.finish(run)
 
+    def _ended_early(self) -> Failed:
+        """Return the failure of a request that ended without a last event."""
+        if self._blackboard.state is RouterState.LEFT:
+            detail = "the request was open when its router's stop reached its bound"
+            return Failed(
+                RefusalReason.ROUTER_STOPPING, Unknown(), HOME_RETRY_SECONDS, detail, "stop"
+            )
+        detail = "the request was ended"
+        return Failed(RefusalReason.INTERNAL, Unknown(), detail=detail)
+
     async def _read(self, run: RequestRun) -> AnswerStream:
         """Return a run's events.
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/defects.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/defects.py
@@ -21,10 +21,12 @@
 from quinceferry_lab.violations import Promise
 from quinceferryd.accounts import Account, AccountController
 from quinceferryd.attempts import AttemptLoop
+from quinceferryd.blackboard import RouterState
 from quinceferryd.budgets import BudgetService
 from quinceferryd.journal import JournalWriter
 from quinceferryd.runs import RunStore
 from quinceferryd.shortages import Cover, Reserved, ShortageHandler
+from quinceferryd.shutdown import ShutdownController
 
 
 @contextmanager
@@ -143,6 +145,23 @@
         yield
 
 
+@contextmanager
+def stop_without_finishing() -> Iterator[None]:
+    """Stop as planned, but wait neither for stale answers nor for open requests."""
+
+    async def leave_at_once(shutdown: ShutdownController) -> None:
+        shutdown._blackboard.state = RouterState.LEFT
+
+    async def wait_not(shutdown: ShutdownController) -> None:
+        return
+
+    with (
+        patch.object(ShutdownController, "_wait_for_answers", wait_not),
+        patch.object(ShutdownController, "_finish_requests", leave_at_once),
+    ):
+        yield
+
+
 @dataclass(slots=True, frozen=True)
 class Defect:
     """A defect, the runs that show it, and the promise that breaks in them."""
@@ -181,5 +200,8 @@
     "closed-allotment-freed": Defect(
         closed_allotment_freed, Promise.SPEND_WITHIN_BUDGET, _short("kill", "pause")
     ),
+    "stop-without-finishing": Defect(
+        stop_without_finishing, Promise.STOP_CUTS_NOTHING, _short("stop")
+    ),
 }
 """Defects by the name that the command line takes."""
