Let an idle router's scheduler sleep

The scheduler looked at its queue every 50 ms, whether or not anything waited: half of the wake-ups of an idle daemon. Its timer now runs only while requests wait.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -66,3 +66,13 @@
     When it is folded 5 times, with 100 settled slots before each fold
     Then the last fold has read at most as many bytes as the second
     And the segments hold 500 bills with their total
+
+  Scenario: The scheduler of an idle router does not wake
+    Given a scheduler that nothing waits for
+    When 60 seconds pass for the scheduler
+    Then it has looked at waiting requests 0 times
+
+  Scenario: The scheduler wakes while a request waits
+    Given a scheduler that nothing waits for
+    When a request waits for 5 seconds of 60
+    Then it has looked at waiting requests between 90 and 110 times
--- a/features/steps/capacity.py
+++ b/features/steps/capacity.py
@@ -10,7 +10,7 @@
 from features.fixtures_budgets import WORKSPACE, Bench
 from quinceferry_core.journals import Begin, Settle
 from quinceferry_core.kv_calls import KvCallKind
-from quinceferry_core.models import IncarnationId
+from quinceferry_core.models import CallerRequest, IncarnationId, ModelRef, RequestKind
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
 from quinceferryd.blackboard import Blackboard, Identity, RouterState
@@ -19,7 +19,8 @@
 from quinceferryd.journal import JournalWriter
 from quinceferryd.proofs import read_segments
 from quinceferryd.recovery import RecoveryController
-from quinceferryd.settings import JournalSettings, RecoverySettings
+from quinceferryd.scheduling import Scheduler
+from quinceferryd.settings import JournalSettings, RecoverySettings, RoutingSettings
 
 OWNER = IncarnationId("r1")
 
@@ -214,3 +215,49 @@
         entries = await self._inner.list(prefix)
         self.bytes += sum(len(entry.value) for entry in entries)
         return entries
+
+
+@given("a scheduler that nothing waits for")
+def given_scheduler(context):
+    context.waiting_seconds = 0
+
+
+@when("{seconds:d} seconds pass for the scheduler")
+def when_idle(context, seconds):
+    context.looks = run_virtual(looks_of_scheduler(0, seconds))
+
+
+@when("a request waits for {waiting:d} seconds of {seconds:d}")
+def when_waiting(context, waiting, seconds):
+    context.looks = run_virtual(looks_of_scheduler(waiting, seconds))
+
+
+async def looks_of_scheduler(waiting_seconds, seconds):
+    clock = VirtualClock()
+    board = Blackboard(Identity("vm-0", "zone-a", "10.0.0.1:80"))
+    scheduler = Scheduler(board, clock, random.Random(1), RoutingSettings())
+    looks = []
+    pump = scheduler.admission.pump
+    scheduler.admission.pump = lambda: (looks.append(clock.monotonic()), pump())
+    await scheduler.start()
+    await clock.sleep(10)
+    if waiting_seconds:
+        target = ModelRef("ledger")
+        kind = RequestKind.CHAT
+        request = CallerRequest(WORKSPACE, "q", kind, target, deadline_seconds=waiting_seconds)
+        # No engine serves the target, so the request waits until its deadline.
+        pool = scheduler.admission._pool(request)
+        await scheduler.admission._wait(request, 10, (), pool)
+    await clock.sleep(seconds - clock.monotonic())
+    await scheduler.stop()
+    return len(looks)
+
+
+@then("it has looked at waiting requests {count:d} times")
+def then_looks(context, count):
+    assert context.looks == count, context.looks
+
+
+@then("it has looked at waiting requests between {least:d} and {most:d} times")
+def then_looks_between(context, least, most):
+    assert least <= context.looks <= most, context.looks
--- a/packages/quinceferry-daemon/src/quinceferryd/admission.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/admission.py
@@ -56,6 +56,7 @@
         self._clock = clock
         self._settings = settings
         self._pools: dict[tuple[str, bool], Pool] = {}
+        self._entered = asyncio.Event()
 
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -75,6 +76,12 @@
         refusal = self._queue_refusal(request, pool)
         return refusal or await self._wait(request, tokens, hashes, pool)
 
+    async def wait_for_waiting(self) -> None:
+        """Return once a request waits, at once if one does."""
+        while not len(self):
+            self._entered.clear()
+            await self._entered.wait()
+
     def pump(self) -> None:
         """Refuse waiting requests that are overdue, and admit those that have room."""
         now = self._clock.monotonic()
@@ -134,6 +141,7 @@
             now,
         )
         pool.push(waiting, now)
+        self._entered.set()
         try:
             return await applicant.decided
         except asyncio.CancelledError:
--- a/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/scheduling.py
@@ -154,7 +154,9 @@
         self.admission.pump()
 
     async def _pump_forever(self) -> None:
+        """Look at waiting requests again and again; an idle router does not wake for it."""
         while True:
+            await self.admission.wait_for_waiting()
             await self._clock.sleep(PUMP_INTERVAL_SECONDS)
             self.admission.pump()
 
