Measure requests and tokens a second through one router

Cause: what one router process carries was known only from trials. Change: make throughput loads one router of the demo's fleet over HTTP.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab
 SEEDS ?= 20
 
-.PHONY: install test format schema demo history model measure capacity
+.PHONY: install test format schema demo history model measure capacity throughput
 
 install: $(VENV)/.installed
 
@@ -39,3 +39,6 @@
 
 capacity: install
 	$(BIN)/python -m quinceferry_lab.capacity
+
+throughput: install
+	$(BIN)/python -m quinceferry_lab.throughput
