--- a/packages/quinceferry-lab/src/quinceferry_lab/throughput.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/throughput.py
@@ -7,6 +7,7 @@
 import os
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -23,6 +24,8 @@
 TOP_UP_TOKENS = 50_000_000
 WAIT_SECONDS = 60.0
 
+_ANSWERED = "answered"
+
 _CPU_FIELDS = slice(13, 15)
 """User and system time in ``/proc/<pid>/stat``, in clock ticks."""
 
@@ -34,7 +37,7 @@
     kind: str
     concurrency: int
     requests: int
-    failed: int
+    refusals: str
     tokens: int
     seconds: float
     cores: float
@@ -81,7 +84,7 @@
         "stream": kind == "streamed",
         "stand_in_output_tokens": tokens,
     }
-    counts = {True: 0, False: 0}
+    ends: Counter[str] = Counter()
     started_at, cpu_before = time.monotonic(), _cpu_seconds(router)
     async with httpx.AsyncClient(
         base_url=router.url, headers=headers, limits=limits, timeout=WAIT_SECONDS
@@ -90,13 +93,19 @@
         async def keep_asking() -> None:
             while time.monotonic() - started_at < LOAD_SECONDS:
                 response = await client.post("/v1/chat/completions", json=document)
-                counts[response.is_success] += 1
+                ends[_end(response)] += 1
 
         await asyncio.gather(*(keep_asking() for _ in range(concurrency)))
     seconds = time.monotonic() - started_at
     cores = (_cpu_seconds(router) - cpu_before) / seconds
-    done = counts[True]
-    return Reading(kind, concurrency, done, counts[False], done * tokens, seconds, cores)
+    done = ends.pop(_ANSWERED, 0)
+    refusals = ", ".join(f"{reason} {count}" for reason, count in sorted(ends.items()))
+    return Reading(kind, concurrency, done, refusals, done * tokens, seconds, cores)
+
+
+def _end(response: httpx.Response) -> str:
+    """Return the reason of a refusal, or the mark of an answer."""
+    return _ANSWERED if response.is_success else response.json()["error"]["reason"]
 
 
 def _cpu_seconds(process: ChildProcess) -> float:
@@ -113,7 +122,7 @@
     return (
         f"{reading.kind:8}  {reading.concurrency:3} at a time  "
         f"{reading.requests / reading.seconds:7.1f} requests/s  "
-        f"{reading.tokens / reading.seconds:8.0f} tokens/s  {reading.failed} failed  "
+        f"{reading.tokens / reading.seconds:8.0f} tokens/s  refused: {reading.refusals or 'none'}  "
         f"{reading.cores:.2f} cores  {per_request * 1e3:.2f} ms/request  "
         f"{per_token * 1e6:.0f} µs/token"
     )
