Drop dead code around shortages, and ask once whether a request may move

Cause: reading the whole change once more found a constant, a field and a method that nothing uses (MAX_RECALL_ROUNDS, the tokens a peer still holds, return_all), a wrapper of one call, and the same rule for moving a request in two modules. Change: they are gone; may_move stands in shortages and serves both. No behaviour changes.

--- a/packages/quinceferry-daemon/src/quinceferryd/allotments.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/allotments.py
@@ -138,13 +138,6 @@
                 returned = await self._give_back(workspace, holding, returned)
             return RecallReply(returned, holding.ledger.available)
 
-    async def return_all(self) -> None:
-        """Return every unused token, at a planned stop."""
-        for workspace, holding in self.holdings_by_workspace.items():
-            async with holding.lock:
-                if holding.ledger.available > 0 or holding.ledger.outage_tokens > 0:
-                    await self._give_back(workspace, holding, holding.ledger.available)
-
     def _holding(self, workspace: WorkspaceId) -> Holding:
         """Return the holding of a workspace, creating it."""
         return self.holdings_by_workspace.setdefault(workspace, Holding())
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -17,7 +17,7 @@
 from quinceferryd.recording import BILLING_UNREACHABLE, Execution, Recorder, not_ready
 from quinceferryd.runs import RequestRun
 from quinceferryd.scheduling import Permit, Scheduler
-from quinceferryd.shortages import ForwardTo, ShortageHandler
+from quinceferryd.shortages import ForwardTo, ShortageHandler, may_move
 from quinceferryd.streams import StreamRunner
 
 TEMPLATE_TOKENS = 16
@@ -99,7 +99,8 @@
             settled = self._recorder.settle(execution)
         if settled is not None and isinstance(last, Finished):
             await self._recorder.secure(settled)
-        if last == BILLING_UNREACHABLE and _may_move(execution):
+        is_unsent = not execution.result.uses
+        if last == BILLING_UNREACHABLE and is_unsent and may_move(execution.request):
             members = self._shortages.holders(execution.account, execution.request.workspace)
             await self._forwarder.forward(run, execution.request, members, BILLING_UNREACHABLE)
         elif last is not None:
@@ -141,9 +142,3 @@
         prompt = math.ceil(len(request.prompt.encode()) / bytes_per_token)
         template = TEMPLATE_TOKENS if request.kind is RequestKind.CHAT else 0
         return prompt + template + request.max_output_tokens
-
-
-def _may_move(execution: Execution) -> bool:
-    """Tell whether another router may run a request that was not sent here."""
-    request = execution.request
-    return request.idempotent and not request.forwarded and not execution.result.uses
--- a/packages/quinceferry-daemon/src/quinceferryd/shortages.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shortages.py
@@ -14,10 +14,9 @@
 from quinceferry_core.outcomes import Failed, NotRun, NotRunProof, RefusalReason
 from quinceferryd.accounts import Account
 from quinceferryd.blackboard import Blackboard
-from quinceferryd.holdings import BudgetUnreachable, ReserveError
+from quinceferryd.holdings import BudgetUnreachable
 from quinceferryd.settings import BudgetSettings
 
-MAX_RECALL_ROUNDS = 3
 BUSY_RETRY_SECONDS = 2.0
 """When to ask again while tokens are reserved for requests in progress."""
 UNREACHABLE_RETRY_SECONDS = 5.0
@@ -44,10 +43,14 @@
     """What the peers answered to a recall."""
 
     returned: int = 0
-    still_held: int = 0
     unreachable: int = 0
 
 
+def may_move(request: CallerRequest) -> bool:
+    """Tell whether another router may be asked to run a request that was not sent here."""
+    return request.idempotent and not request.forwarded
+
+
 class ShortageHandler:
     """Finds tokens for a request beyond this router's own allotment.
 
@@ -77,7 +80,9 @@
         """
         give_up_at = self._clock.monotonic() + self._settings.settle_wait_seconds
         while True:
-            reserved = await self._reserve(account, request, tokens)
+            reserved = await account.allotments.reserve(
+                request.workspace, request.request_id, tokens
+            )
             if isinstance(reserved, Success):
                 return Success(Reserved())
             match reserved.failure():
@@ -92,12 +97,6 @@
             if wait <= 0 or not await account.allotments.wait_settled(workspace, wait):
                 return Failure(self._refusal(account, request, recalled))
 
-    async def _reserve(
-        self, account: Account, request: CallerRequest, tokens: int
-    ) -> Result[int, ReserveError]:
-        """Reserve from the own allotment or the budget record."""
-        return await account.allotments.reserve(request.workspace, request.request_id, tokens)
-
     async def _recall_once(
         self, account: Account, workspace: WorkspaceId, tokens: int
     ) -> _Recalled:
@@ -122,12 +121,10 @@
             recalled.unreachable += 1
             return
         recalled.returned += reply.returned
-        recalled.still_held += reply.still_held
 
     def _forward(self, account: Account, request: CallerRequest) -> Result[Cover, Failed]:
         """Choose peers that may run the request while no token can move."""
-        may_move = request.idempotent and not request.forwarded
-        holders = self.holders(account, request.workspace) if may_move else ()
+        holders = self.holders(account, request.workspace) if may_move(request) else ()
         if holders:
             return Success(ForwardTo(holders))
         return Failure(
