--- a/Makefile
+++ b/Makefile
@@ -1,26 +1,29 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab
+PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab \
+	quinceferry-gateway
+FOLDERS := $(PACKAGES:%=packages/%) platform
+SOURCES := packages platform features
 SEEDS ?= 20
 
 .PHONY: install test format schema demo history model measure capacity throughput
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(VENV)/.installed: requirements-dev.txt $(FOLDERS:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements-dev.txt $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install --quiet -r requirements-dev.txt $(FOLDERS:%=-e %)
 	touch $@
 
 test: install
-	$(BIN)/black --quiet --check packages features
-	$(BIN)/ruff check --quiet packages features
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
 	$(BIN)/python -m quinceferry_lab.verdict
 
 format: install
-	$(BIN)/black --quiet packages features
-	$(BIN)/ruff check --quiet --fix packages features
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
 
 schema: install
 	$(BIN)/python -m quinceferryd.operator_schema
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -0,0 +1,98 @@
+"""What one attempt at an upstream can come to, and what a caller can be told."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from quinceferry_gateway.catalog import AnswerHead
+
+
+class Reason(Enum):
+    """Why the gateway answered a request by itself."""
+
+    STARTING = "starting"
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_OUT_OF_REACH = "budget_out_of_reach"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAMS_REFUSED = "upstreams_refused"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMED_OUT = "timed_out"
+    TIMED_OUT_UNSENT = "timed_out_unsent"
+    INTERNAL = "internal"
+
+
+STATUS_BY_REASON = {
+    Reason.STARTING: 503,
+    Reason.MALFORMED: 400,
+    Reason.OVERSIZED: 413,
+    Reason.NO_ROUTE: 404,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.BUDGET_EXHAUSTED: 402,
+    Reason.BUDGET_OUT_OF_REACH: 429,
+    Reason.NO_UPSTREAM: 503,
+    Reason.UPSTREAMS_REFUSED: 503,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.TIMED_OUT: 504,
+    Reason.TIMED_OUT_UNSENT: 503,
+    Reason.INTERNAL: 502,
+}
+"""Statuses 429 and 503 promise that the request has not run and never will."""
+
+RETRY_SECONDS_BY_REASON = {
+    Reason.STARTING: 0.5,
+    Reason.BUDGET_OUT_OF_REACH: 0.7,
+    Reason.NO_UPSTREAM: 0.4,
+    Reason.UPSTREAMS_REFUSED: 0.3,
+    Reason.TIMED_OUT_UNSENT: 0.3,
+}
+"""When it is worth asking again: a store reading, a draw, or a few upstream answers later."""
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """An answer that the gateway gives by itself."""
+
+    reason: Reason
+    detail: str = ""
+    status: int = 0
+
+    @property
+    def http_status(self) -> int:
+        """Return the status to send."""
+        return self.status or STATUS_BY_REASON[self.reason]
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """The attempt has not run: nothing was sent, or the upstream said so."""
+
+    detail: str
+    sent: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """The attempt may have run; ``detail`` says what happened to the connection."""
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class Whole:
+    """A whole answer of an upstream, ready to be passed on."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Streamed:
+    """A stream that was passed on to its end."""
+
+    events: int
+
+
+AttemptOutcome = NotRun | Unknown | Whole | Streamed
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -0,0 +1,161 @@
+"""The gateway as a whole: makes its parts, starts them, and stops them in order."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Callable
+from functools import cache
+
+from quinceferry_core.adapters import KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.budgets import DrawPolicy
+from quinceferry_gateway.callers import CallerApi
+from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
+from quinceferry_gateway.fleet_api import PeerApi
+from quinceferry_gateway.holder import TokenHolder
+from quinceferry_gateway.interfaces import CatalogSource, Dialect
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.membership import MemberReader, Registration
+from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.peers import PeerClient
+from quinceferry_gateway.relay import Relay
+from quinceferry_gateway.reservations import Reservations
+from quinceferry_gateway.retries import RetryBudget
+from quinceferry_gateway.routing import Router
+from quinceferry_gateway.server import HttpListener
+from quinceferry_gateway.settings import Settings
+from quinceferry_gateway.transport import HttpClient
+
+PEER_IDLE_SECONDS = 5.0
+HOUSEKEEPING_SECONDS = 0.2
+CLOSE_MARGIN_SECONDS = 0.8
+"""Time kept at the end of a planned stop for returning tokens and closing."""
+
+Listeners = Callable[["Application"], list[HttpListener]]
+
+
+class Application:
+    """One gateway.
+
+    :param settings: checked settings.
+    :param store: the platform's key-value store.
+    :param source: configuration and upstreams of the platform.
+    :param dialect: headers of the platform.
+    :param listeners: makes further listeners, for calls whose form the platform decides.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: KvStore,
+        source: CatalogSource,
+        dialect: Dialect,
+        clock: Clock,
+        metrics: Metrics,
+        http: HttpClient,
+        listeners: Listeners,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self._clock = clock
+        self.blackboard = Blackboard(_own_member(settings))
+        board = self.blackboard
+        peers = PeerClient(http)
+        policy = DrawPolicy(settings.budgets.target_share, settings.budgets.refill_share)
+        self.holder = TokenHolder(board, store, clock, policy)
+        self.reservations = Reservations(board, self.holder, peers, clock)
+        self._registration = Registration(board, store, clock)
+        self._router = Router(settings.gateway.zone, clock, random.Random())
+        self._controllers = [
+            ConfigurationReader(board, source, clock),
+            UpstreamReader(board, source, clock),
+            MemberReader(board, store, peers, clock),
+            self._registration,
+            self.holder,
+            self.reservations,
+        ]
+        relay = Relay(board, self._router, dialect, http, clock, self._retry_budgets())
+        self.caller_api = CallerApi(
+            board, dialect, self.reservations, relay, metrics, clock, random.Random()
+        )
+        self._callers = HttpListener(
+            self.caller_api, settings.listen.callers, PEER_IDLE_SECONDS * 3
+        )
+        peer_api = PeerApi(board, self.holder, metrics)
+        self._others = [
+            HttpListener(peer_api, settings.listen.peers, PEER_IDLE_SECONDS),
+            HttpListener(peer_api, settings.listen.metrics, PEER_IDLE_SECONDS),
+            *listeners(self),
+        ]
+
+    async def run(self, stop_requested: asyncio.Event) -> None:
+        """Serve until a stop is requested, then stop in order."""
+        await self._start()
+        housekeeping = asyncio.create_task(self._keep_house())
+        await stop_requested.wait()
+        await self._stop()
+        housekeeping.cancel()
+
+    async def _start(self) -> None:
+        """Start all parts."""
+        own = self.blackboard.own
+        log.change("gateway.starting", incarnation=own.incarnation, zone=own.zone)
+        for listener in self._others:
+            await listener.start()
+        for controller in self._controllers:
+            await controller.start()
+        await self._callers.start()
+        self.blackboard.phase = Phase.SERVING
+
+    async def _stop(self) -> None:
+        """Leave the address answers, serve what comes, finish, return tokens, close."""
+        ends_at = self._clock.monotonic() + self.settings.stop.grace_seconds
+        self.blackboard.phase = Phase.DRAINING
+        log.change("gateway.draining", in_progress=self.caller_api.in_progress)
+        await self._registration.withdraw()
+        await self._clock.sleep(self.settings.stop.leave_seconds)
+        self.caller_api.close_connections()
+        while self.caller_api.in_progress:
+            if self._clock.monotonic() > ends_at - CLOSE_MARGIN_SECONDS:
+                break
+            await self._clock.sleep(HOUSEKEEPING_SECONDS / 4)
+        await self._callers.stop()
+        await self.reservations.flush()
+        await self.holder.give_back()
+        for controller in self._controllers:
+            await controller.stop()
+        for listener in self._others:
+            await listener.stop()
+        log.change("gateway.stopped", in_progress=self.caller_api.in_progress)
+        log.flush()
+
+    async def _keep_house(self) -> None:
+        """Follow what the configuration says of connections, and forget upstreams that are gone."""
+        while True:
+            configuration = self.blackboard.configuration
+            if configuration is not None:
+                self._callers.set_idle_seconds(configuration.limits.idle_seconds)
+            self._router.forget(self.blackboard.upstreams_by_id)
+            await self._clock.sleep(HOUSEKEEPING_SECONDS)
+
+    def _retry_budgets(self) -> Callable[[str], RetryBudget]:
+        """Return a function that gives each service its retry budget."""
+        retries, clock = self.settings.retries, self._clock
+
+        @cache
+        def budget(service: str) -> RetryBudget:
+            return RetryBudget(clock, retries.ratio, retries.slack, retries.window_seconds)
+
+        return budget
+
+
+def _own_member(settings: Settings) -> Member:
+    """Return how this incarnation is registered."""
+    return Member(
+        f"{settings.gateway.vm}-{uuid.uuid4().hex[:8]}",
+        settings.gateway.vm,
+        settings.gateway.zone,
+        settings.listen.peers,
+        settings.listen.callers,
+    )
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -0,0 +1,79 @@
+"""State that the controllers of a gateway read and write."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from quinceferry_gateway.catalog import Configuration, Upstream
+
+
+class Phase(Enum):
+    """Where a gateway stands in its life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One incarnation of a gateway, as registered in the store.
+
+    Addresses have the form ``host:port``.
+    """
+
+    incarnation: str
+    vm: str
+    zone: str
+    peer_address: str
+    caller_address: str
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """All that a gateway believes of itself and of the world.
+
+    ``document`` and ``revision`` are the configuration as the store holds it. ``store_reachable``
+    says whether the last call to the store was answered. ``unreachable`` holds the incarnations
+    that do not answer, ``leaving`` those that said they are about to stop.
+    """
+
+    own: Member
+    phase: Phase = Phase.STARTING
+    configuration: Configuration | None = None
+    document: bytes = b""
+    revision: int = 0
+    upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
+    upstreams_revision: int = 0
+    members_by_incarnation: dict[str, Member] = field(default_factory=dict)
+    unreachable: set[str] = field(default_factory=set)
+    leaving: set[str] = field(default_factory=set)
+    store_reachable: bool = False
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new callers may be sent here."""
+        return (
+            self.phase is Phase.SERVING
+            and self.configuration is not None
+            and bool(self.upstreams_by_id)
+        )
+
+    def peers(self) -> list[Member]:
+        """Return all other members."""
+        return [
+            member
+            for key, member in self.members_by_incarnation.items()
+            if key != self.own.incarnation
+        ]
+
+    def usable_members(self) -> list[Member]:
+        """Return the members that answer and stay, this one included while it serves."""
+        usable = [
+            member
+            for member in self.peers()
+            if member.incarnation not in self.unreachable and member.incarnation not in self.leaving
+        ]
+        if self.phase is not Phase.DRAINING:
+            usable.append(self.own)
+        return usable
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -0,0 +1,326 @@
+"""The callers' side: reads a request, decides what it may do, and answers it."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.answers import (
+    RETRY_SECONDS_BY_REASON,
+    Reason,
+    Refusal,
+    Streamed,
+    Whole,
+)
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.catalog import (
+    AnswerHead,
+    Call,
+    CallerLimits,
+    Route,
+    Workspace,
+)
+from quinceferry_gateway.events import EventBuffer
+from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
+from quinceferry_gateway.interfaces import Dialect, Headers
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.relay import CallerStream, Progress, Relay
+from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+_OVERSIZED_BODY = 413
+_OVERSIZED_HEADERS = 431
+_SPREAD = 0.5
+"""Share by which times to come back are spread, so that callers don't return all at once."""
+
+
+class Exchange:
+    """One request and its answer on a caller's connection.
+
+    :param closing: tells whether the connection should end after this answer.
+    """
+
+    def __init__(
+        self, scope: Scope, receive: Receive, send: Send, closing: Callable[[], bool]
+    ) -> None:
+        self.scope = scope
+        self._receive = receive
+        self._send = send
+        self._closing = closing
+        self.begun = False
+
+    async def read_body(self, limits: CallerLimits) -> bytes:
+        """Return the whole body.
+
+        :raises BadCallError: it is too large.
+        :raises CallerGoneError: the caller closed the connection first.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CallerGoneError("connection closed", step="read")
+            part = message.get("body", b"")
+            size += len(part)
+            if size > limits.max_body_bytes:
+                raise BadCallError("the body is too large", status=_OVERSIZED_BODY, step="read")
+            parts.append(part)
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def gone(self) -> None:
+        """Return once the caller has closed the connection or has its whole answer."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self._start(status, [*headers, length])
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head of an answer whose length is not known."""
+        await self._start(head.status, head.headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body, as fast as the caller reads."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def _start(self, status: int, headers: Headers) -> None:
+        """Send a status line and headers."""
+        self.begun = True
+        ending = [(b"connection", b"close")] if self._closing() else []
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": [*headers, *ending]}
+        )
+
+
+class CallerApi:
+    """ASGI application that takes the requests of callers.
+
+    :param source: draws the service of a split route and spreads times to come back.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        dialect: Dialect,
+        reservations: Reservations,
+        relay: Relay,
+        metrics: Metrics,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._blackboard = blackboard
+        self._dialect = dialect
+        self._reservations = reservations
+        self._relay = relay
+        self._metrics = metrics
+        self._clock = clock
+        self._random = source
+        self._closing = False
+        self.in_progress = 0
+
+    def close_connections(self) -> None:
+        """End each connection after the answer it waits for."""
+        self._closing = True
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        exchange = Exchange(scope, receive, send, lambda: self._closing)
+        self.in_progress += 1
+        try:
+            await self._serve(exchange)
+        except CallerGoneError as error:
+            log.failure("caller.gone", error=str(error))
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(self, exchange: Exchange) -> None:
+        """Read, decide and answer."""
+        started_at = self._clock.monotonic()
+        request_id = self._dialect.request_id(exchange.scope["headers"])
+        try:
+            admitted = await self._admit(exchange, started_at)
+        except BadCallError as error:
+            admitted = Refusal(_malformed(error), str(error), error.status)
+        if isinstance(admitted, Refusal):
+            await self._refuse(exchange, request_id, admitted, started_at)
+            return
+        work = asyncio.create_task(self._work(exchange, admitted, started_at))
+        gone = asyncio.create_task(exchange.gone())
+        try:
+            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                log.failure("caller.left", request=request_id, route=admitted.route.name)
+                self._metrics.finished(_workspace(admitted), admitted.route.name, "caller_left")
+        finally:
+            gone.cancel()
+            work.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+        if not work.cancelled() and (error := work.exception()) is not None:
+            log.failure("request.bug", request=request_id, error=repr(error))
+
+    async def _admit(self, exchange: Exchange, started_at: float) -> Progress | Refusal:
+        """Decode a request and find its route, service and workspace."""
+        scope = exchange.scope
+        configuration = self._blackboard.configuration
+        limits = configuration.limits if configuration else CallerLimits()
+        if sum(len(name) + len(value) for name, value in scope["headers"]) > (
+            limits.max_header_bytes
+        ):
+            return Refusal(Reason.OVERSIZED, "headers too large", _OVERSIZED_HEADERS)
+        body = await exchange.read_body(limits)
+        if configuration is None:
+            return Refusal(Reason.STARTING, "no configuration yet")
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        call = self._dialect.decode_call(
+            scope["method"], target, scope["path"], scope["headers"], body
+        )
+        # The configuration may have changed while the body arrived.
+        configuration = self._blackboard.configuration or configuration
+        route = configuration.route(call.host, call.path)
+        if route is None:
+            return Refusal(Reason.NO_ROUTE, f"version {configuration.version}")
+        workspace = configuration.workspaces_by_key.get(call.credential)
+        if workspace is None and configuration.workspaces_by_key and not route.anonymous:
+            return Refusal(Reason.UNKNOWN_KEY, f"version {configuration.version}")
+        return self._progress(exchange, call, route, workspace, started_at)
+
+    def _progress(
+        self,
+        exchange: Exchange,
+        call: Call,
+        route: Route,
+        workspace: Workspace | None,
+        started_at: float,
+    ) -> Progress:
+        """Return the state of a request that begins."""
+        timeout = route.timeout_seconds
+        if call.timeout_seconds is not None:
+            timeout = min(timeout, call.timeout_seconds)
+        stream = CallerStream(exchange.begin, exchange.send, EventBuffer(call.resume_after))
+        return Progress(call, route, self._service(route), workspace, started_at + timeout, stream)
+
+    def _service(self, route: Route) -> str:
+        """Draw the service of a request by the weights of its route."""
+        weights = [destination.weight for destination in route.destinations]
+        return self._random.choices(route.destinations, weights)[0].service
+
+    async def _work(self, exchange: Exchange, progress: Progress, started_at: float) -> None:
+        """Reserve, run, answer and settle."""
+        reservation = await self._reserve(progress)
+        if isinstance(reservation, Refusal):
+            await self._refuse(exchange, progress.call.request_id, reservation, started_at)
+            return
+        try:
+            outcome = await self._relay.run(progress)
+        except BaseException:
+            # Cancelled or failed on the way: an upstream may have begun.
+            progress.may_have_run = True
+            raise
+        finally:
+            if reservation is not None:
+                self._reservations.settle(reservation, self._used(progress))
+        await self._answer(exchange, progress, outcome, started_at)
+
+    async def _reserve(self, progress: Progress) -> Reservation | Refusal | None:
+        """Set the request's tokens aside, where its workspace has a budget."""
+        workspace, call = progress.workspace, progress.call
+        if workspace is None or workspace.prepaid_tokens is None or not call.max_tokens:
+            return None
+        found = await self._reservations.reserve(call.request_id, workspace.name, call.max_tokens)
+        if isinstance(found, Shortage):
+            detail = f"{call.max_tokens} tokens of {workspace.name}; {'; '.join(found.asked)}"
+            reason = Reason.BUDGET_EXHAUSTED if found.exhausted else Reason.BUDGET_OUT_OF_REACH
+            return Refusal(reason, detail)
+        return found
+
+    def _used(self, progress: Progress) -> int:
+        """Return the tokens that a request has used at most."""
+        call = progress.call
+        events = progress.stream.buffer.count
+        if not progress.may_have_run and not events:
+            return 0
+        configuration = self._blackboard.configuration
+        service = configuration.services_by_name.get(progress.service) if configuration else None
+        if service is None or not service.tokens_per_event:
+            return call.max_tokens
+        return call.prompt_tokens + min(call.max_output_tokens, events * service.tokens_per_event)
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        progress: Progress,
+        outcome: Whole | Streamed | Refusal,
+        started_at: float,
+    ) -> None:
+        """Send what a request came to."""
+        request_id = progress.call.request_id
+        if isinstance(outcome, Refusal):
+            if exchange.begun:
+                # Returning with the body unfinished closes the connection; the caller sees a break.
+                log.failure("stream.broken", request=request_id, detail=outcome.detail)
+                self._metrics.finished(_workspace(progress), progress.route.name, "broken")
+                return
+            await self._refuse(exchange, request_id, outcome, started_at, progress)
+            return
+        if isinstance(outcome, Streamed):
+            await exchange.finish()
+        else:
+            await exchange.answer(outcome.head.status, outcome.head.headers, outcome.body)
+        seconds = self._clock.monotonic() - started_at
+        self._metrics.answered(_workspace(progress), progress.route.name, seconds)
+        log.success("request.answered", request=request_id, seconds=round(seconds, 4))
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        refusal: Refusal,
+        started_at: float,
+        progress: Progress | None = None,
+    ) -> None:
+        """Answer a request by ourselves."""
+        seconds = self._clock.monotonic() - started_at
+        workspace = _workspace(progress) if progress else "none"
+        route = progress.route.name if progress else "none"
+        self._metrics.finished(workspace, route, refusal.reason.value)
+        log.failure(
+            "request.refused",
+            request=request_id,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            workspace=workspace,
+            route=route,
+            may_have_run=bool(progress and progress.may_have_run),
+            seconds=round(seconds, 4),
+        )
+        retry_after = RETRY_SECONDS_BY_REASON.get(refusal.reason)
+        if retry_after is not None:
+            retry_after *= 1 + _SPREAD * self._random.random()
+        headers = self._dialect.refusal_headers(request_id, retry_after)
+        await exchange.answer(refusal.http_status, headers, b"")
+
+
+def _malformed(error: BadCallError) -> Reason:
+    """Return the reason that belongs to a malformed request."""
+    return Reason.OVERSIZED if error.status == _OVERSIZED_BODY else Reason.MALFORMED
+
+
+def _workspace(progress: Progress) -> str:
+    """Return the label of a request's workspace."""
+    return progress.workspace.name if progress.workspace else "none"
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -0,0 +1,174 @@
+"""What the operators configured and which upstreams exist, as plain values."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class RouteKind(Enum):
+    """What may be repeated on a route, and how its answer arrives."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(slots=True, frozen=True)
+class Destination:
+    """A service that takes part of a route's requests."""
+
+    service: str
+    weight: int
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of a host and path prefix go, and how long they may take."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    destinations: tuple[Destination, ...]
+    timeout_seconds: float
+    objective_seconds: float
+    priority: int
+    attempts: int
+    anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may be sent again after it may have run."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """A set of interchangeable upstreams.
+
+    ``tokens_per_event`` is the most output tokens that one event of a stream carries; zero for a
+    service that generates none.
+    """
+
+    name: str
+    max_connections: int
+    tokens_per_event: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """A customer; ``prepaid_tokens`` is None when nothing is counted."""
+
+    name: str
+    prepaid_tokens: int | None = None
+    priority: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long a connection may stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_seconds: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    """One version of all that operators configured."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    services_by_name: dict[str, Service]
+    workspaces_by_name: dict[str, Workspace] = field(default_factory=dict)
+    workspaces_by_key: dict[str, Workspace] = field(default_factory=dict)
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        matching = (r for r in self.routes_by_host.get(host, ()) if path.startswith(r.prefix))
+        return max(matching, key=lambda route: len(route.prefix), default=None)
+
+
+@dataclass(slots=True, frozen=True)
+class Upstream:
+    """One lifetime of an upstream; a restart gives it another identifier."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamList:
+    """All registered upstreams, read at one revision of the store."""
+
+    revision: int
+    by_id: dict[str, Upstream]
+
+
+@dataclass(slots=True, frozen=True)
+class PromptPart:
+    """A piece of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One request of a caller; its body and headers stay opaque.
+
+    ``headers`` are those that travel on to an upstream. ``resume_after`` is the last event that the
+    caller already has.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes = b""
+    credential: str = ""
+    timeout_seconds: float | None = None
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+    resume_after: str = ""
+
+    @property
+    def max_tokens(self) -> int:
+        """Return the most tokens that the request can cost."""
+        return self.prompt_tokens + self.max_output_tokens
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What an upstream last said of its own load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """Status line and headers of an upstream's answer.
+
+    ``not_run`` is the upstream's own statement that it did not begin the request. ``request_id`` is
+    the request it answers, empty when it does not say. ``genuine`` tells that the headers bear the
+    upstream's mark.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    not_run: bool
+    request_id: str
+    genuine: bool
+    load: Load | None = None
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/events.py
@@ -0,0 +1,49 @@
+"""Events of a stream, cut at their ends so that a stream can go on at another upstream."""
+
+_END = b"\n\n"
+_END_CRLF = b"\r\n\r\n"
+
+
+class EventBuffer:
+    """Collects the bytes of a stream and returns whole events.
+
+    :param last_id: identifier of the last event that the caller already has, or an empty string.
+    """
+
+    def __init__(self, last_id: str = "") -> None:
+        self.last_id = last_id
+        self.count = 0
+        self._pending = b""
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Take a piece of a body and return all events that it completes, as received."""
+        data = self._pending + chunk
+        end = _end_of_last_event(data)
+        self._pending = data[end:]
+        whole = data[:end]
+        if whole:
+            self._note(whole)
+        return whole
+
+    def restart(self) -> None:
+        """Drop the part of an event that a broken upstream left behind."""
+        self._pending = b""
+
+    @property
+    def pending(self) -> bytes:
+        """Return the bytes after the last whole event."""
+        return self._pending
+
+    def _note(self, whole: bytes) -> None:
+        """Remember how many events passed and the identifier of the last."""
+        for line in whole.replace(b"\r\n", b"\n").split(b"\n"):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                self.count += 1
+
+
+def _end_of_last_event(data: bytes) -> int:
+    """Return the position after the last blank line, or zero."""
+    plain = data.rfind(_END)
+    crlf = data.rfind(_END_CRLF)
+    return max(plain + len(_END) if plain >= 0 else 0, crlf + len(_END_CRLF) if crlf >= 0 else 0)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -0,0 +1,84 @@
+"""The fleet's side: address answers, readiness, calls of peers, metrics."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST
+
+from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.holder import TokenHolder
+from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.peers import Acknowledged, ReserveRequest, SettleRequest, Status
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+MAX_PEER_BODY_BYTES = 1_048_576
+_JSON = b"application/json"
+
+
+class PeerApi:
+    """ASGI application for calls of other gateways and of scrapers."""
+
+    def __init__(self, blackboard: Blackboard, holder: TokenHolder, metrics: Metrics) -> None:
+        self._blackboard = blackboard
+        self._holder = holder
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        try:
+            status, kind, body = await self._answer(scope["path"], receive)
+        except msgspec.DecodeError as error:
+            status, kind, body = 400, b"text/plain", str(error).encode()
+        await respond(send, status, body, kind)
+
+    async def _answer(self, path: str, receive: Receive) -> tuple[int, bytes, bytes]:
+        """Return status, content type and body."""
+        match path:
+            case "/status":
+                draining = self._blackboard.phase is Phase.DRAINING
+                return _json(Status(self._blackboard.own.incarnation, draining))
+            case "/reserve":
+                asked = msgspec.json.decode(await _read(receive), type=ReserveRequest)
+                return _json(self._holder.reserve(asked.reservation, asked.workspace, asked.tokens))
+            case "/settle":
+                ended = msgspec.json.decode(await _read(receive), type=SettleRequest)
+                for settlement in ended.settlements:
+                    self._holder.settle(settlement)
+                return _json(Acknowledged())
+            case "/metrics":
+                return 200, CONTENT_TYPE_LATEST.encode(), self._metrics.exposition()
+            case _:
+                return 404, b"text/plain", b""
+
+
+def addresses(board: Blackboard, max_addresses: int) -> list[str]:
+    """Return the addresses that callers may use now."""
+    members: list[Member] = board.usable_members()
+    return [member.caller_address for member in members][:max_addresses]
+
+
+async def respond(send: Send, status: int, body: bytes, kind: bytes = _JSON) -> None:
+    """Send a whole answer."""
+    headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def _json(message: msgspec.Struct) -> tuple[int, bytes, bytes]:
+    """Return a successful answer with a message."""
+    return 200, _JSON, msgspec.json.encode(message)
+
+
+async def _read(receive: Receive) -> bytes:
+    """Return a call's body, up to the bound."""
+    body = b""
+    while len(body) <= MAX_PEER_BODY_BYTES:
+        message = await receive()
+        body += message.get("body", b"")
+        if not message.get("more_body"):
+            return body
+    raise msgspec.DecodeError("the body is too large")
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/logs.py
@@ -0,0 +1,169 @@
+"""Structured log lines on standard output, bounded in volume and never waiting for the reader.
+
+Lines are collected in memory and written a few times a second. Beyond a number of lines a second,
+successes are dropped first and failures last; the count of dropped lines follows in a line.
+"""
+
+import asyncio
+import logging
+import os
+import sys
+from collections import deque
+from typing import Any
+
+import structlog
+
+SUCCESS_LINES_PER_SECOND = 100
+"""Lines about requests that went well; several times the rate of one small vm."""
+FAILURE_LINES_PER_SECOND = 300
+"""Lines about failures and changes of state."""
+BUFFERED_LINES = 2_000
+"""Lines kept for a reader that does not read; about 600 KB."""
+FLUSH_SECONDS = 0.1
+
+_SECRET_FIELDS = ("credential", "authorization", "secret")
+
+
+class LogBuffer:
+    """Lines that wait to be written to a file descriptor.
+
+    :param descriptor: where to write; it is set not to block.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._success_left = SUCCESS_LINES_PER_SECOND
+        self._failure_left = FAILURE_LINES_PER_SECOND
+        self._dropped = 0
+
+    def admit(self, failure: bool) -> bool:
+        """Tell whether one more line may be written in this second; count it as dropped if not."""
+        left = self._failure_left if failure else self._success_left
+        if left <= 0 or len(self._lines) >= BUFFERED_LINES:
+            self._dropped += 1
+            return False
+        if failure:
+            self._failure_left -= 1
+        else:
+            self._success_left -= 1
+        return True
+
+    def add(self, line: str) -> None:
+        """Append a line."""
+        self._lines.append(line.encode() + b"\n")
+
+    def refill(self) -> int:
+        """Begin another second and return the number of lines dropped in the last."""
+        self._success_left = SUCCESS_LINES_PER_SECOND
+        self._failure_left = FAILURE_LINES_PER_SECOND
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+    def flush(self) -> None:
+        """Write what the descriptor takes without waiting, and keep the rest."""
+        data = self._rest + b"".join(self._lines)
+        self._lines.clear()
+        if not data:
+            return
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            written = len(data)
+        self._keep(data[written:])
+
+    def _keep(self, rest: bytes) -> None:
+        """Keep unwritten bytes, within the bound."""
+        lines = rest.splitlines(keepends=True)
+        if len(lines) > BUFFERED_LINES:
+            self._dropped += len(lines) - BUFFERED_LINES
+            lines = lines[:1] + lines[1 - BUFFERED_LINES :]
+        self._rest = b"".join(lines)
+
+
+class EventLog:
+    """Writes one line for each decision or change of belief."""
+
+    def __init__(self) -> None:
+        self._buffer: LogBuffer | None = None
+        self._writer: Any = None
+
+    def configure(self, descriptor: int, **identity: str) -> None:
+        """Write to a file descriptor from now on.
+
+        :param identity: fields of every line, such as the vm.
+        """
+        os.set_blocking(descriptor, False)
+        self._buffer = LogBuffer(descriptor)
+        logging.basicConfig(stream=sys.stderr, level=logging.CRITICAL, force=True)
+        structlog.configure(
+            processors=[
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                _hide_secrets,
+                structlog.processors.JSONRenderer(),
+            ],
+            logger_factory=lambda *_: _BufferLogger(self._buffer),
+            cache_logger_on_first_use=True,
+        )
+        self._writer = structlog.get_logger().bind(**identity)
+
+    def success(self, event: str, **fields: Any) -> None:
+        """Log a decision that went well; dropped first under load."""
+        self._write(event, failure=False, fields=fields)
+
+    def failure(self, event: str, **fields: Any) -> None:
+        """Log a failure, a refusal or a change of state; dropped last."""
+        self._write(event, failure=True, fields=fields)
+
+    change = failure
+
+    def flush(self) -> None:
+        """Write what can be written without waiting."""
+        if self._buffer is not None:
+            self._buffer.flush()
+
+    async def run(self) -> None:
+        """Write collected lines until cancelled."""
+        ticks = 0
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            ticks += 1
+            if ticks % round(1 / FLUSH_SECONDS) == 0:
+                self._report_dropped()
+            self.flush()
+
+    def _report_dropped(self) -> None:
+        """Say how many lines the last second lost."""
+        dropped = self._buffer.refill() if self._buffer is not None else 0
+        if dropped:
+            self.failure("log.dropped", lines=dropped)
+
+    def _write(self, event: str, failure: bool, fields: dict[str, Any]) -> None:
+        """Write a line within the bound."""
+        if self._buffer is not None and self._buffer.admit(failure):
+            self._writer.info(event, **fields)
+
+
+class _BufferLogger:
+    """Logger of structlog that appends to the buffer."""
+
+    def __init__(self, buffer: LogBuffer) -> None:
+        self._buffer = buffer
+
+    def info(self, message: str) -> None:
+        """Append a rendered line."""
+        self._buffer.add(message)
+
+
+def _hide_secrets(logger: Any, method: str, event: Any) -> Any:
+    """Drop fields that would tell a key."""
+    for name in _SECRET_FIELDS:
+        event.pop(name, None)
+    return event
+
+
+log = EventLog()
+"""The log of this process."""
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -0,0 +1,162 @@
+"""Registration of this incarnation, and which other gateways live and answer."""
+
+import asyncio
+import random
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvError, LeaseLostError
+from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.peers import PeerClient, PeerError
+
+MEMBER_PREFIX = "quinceferry/members/"
+LEASE_SECONDS = 5.0
+"""Time to live of a registration: several renewals, and longer than a brief loss of the store."""
+RENEW_SECONDS = 1.5
+LIST_SECONDS = 1.0
+"""Interval of readings of the member list; probes find a dead member sooner."""
+PROBE_SECONDS = 0.5
+"""Interval of probes of peers: twice within the shortest time for which an address answer holds."""
+PROBE_TIMEOUT_SECONDS = 0.6
+PROBE_FANOUT = 16
+"""Peers probed in one round, so that a large fleet's probes stay linear in its size."""
+FAILED_PROBES = 2
+"""Failures in a row after which a peer counts as unreachable; one may be a lost packet."""
+
+
+class Registration(Controller):
+    """Keeps this incarnation registered under a lease until the gateway begins to stop."""
+
+    def __init__(self, blackboard: Blackboard, store: KvStore, clock: Clock) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._store = store
+        self._clock = clock
+        self._lease = ""
+
+    async def start(self) -> None:
+        """Begin to register."""
+        self.spawn(self._keep(), "registration")
+
+    async def withdraw(self) -> None:
+        """End the registration, so that others stop naming this gateway."""
+        await self.stop()
+        if not self._lease:
+            return
+        try:
+            await self._store.revoke_lease(self._lease)
+        except KvError as error:
+            log.failure("registration.not_withdrawn", error=str(error))
+
+    async def _keep(self) -> None:
+        """Register, renew, and register again after a loss."""
+        while self._blackboard.phase is not Phase.DRAINING:
+            try:
+                if not self._lease:
+                    await self._register()
+                else:
+                    await self._store.keep_alive(self._lease)
+            except LeaseLostError:
+                self._lease = ""
+                log.change("registration.lost")
+                continue
+            except KvError:
+                pass  # The reader of upstreams logs each loss and return of the store.
+            await self._clock.sleep(RENEW_SECONDS)
+
+    async def _register(self) -> None:
+        """Write the registration under a new lease."""
+        own = self._blackboard.own
+        lease = await self._store.grant_lease(LEASE_SECONDS)
+        key = MEMBER_PREFIX + own.incarnation
+        try:
+            await self._store.put_if(key, msgspec.json.encode(own), ABSENT_VERSION, lease)
+        except KvConflictError:
+            log.change("registration.still_there")
+            return
+        self._lease = lease
+        log.change("registration.written", lease=lease)
+
+
+class MemberReader(Controller):
+    """Reads the registered members and probes them."""
+
+    def __init__(
+        self, blackboard: Blackboard, store: KvStore, peers: PeerClient, clock: Clock
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._failures_by_incarnation: dict[str, int] = {}
+        self._random = random.Random()
+
+    async def start(self) -> None:
+        """Begin to read and to probe."""
+        self.spawn(self._read_forever(), "members")
+        self.spawn(self._probe_forever(), "probes")
+
+    def offer(self, members: list[Member]) -> None:
+        """Replace the list of members."""
+        board = self._blackboard
+        by_incarnation = {member.incarnation: member for member in members}
+        for key in by_incarnation.keys() - board.members_by_incarnation.keys():
+            log.change("member.added", member=key, addr=by_incarnation[key].peer_address)
+        for key in board.members_by_incarnation.keys() - by_incarnation.keys():
+            log.change("member.removed", member=key)
+        board.members_by_incarnation = by_incarnation
+        board.unreachable &= by_incarnation.keys()
+        board.leaving &= by_incarnation.keys()
+
+    async def _read_forever(self) -> None:
+        """Read the list again and again; in an outage keep the last one."""
+        while True:
+            try:
+                entries = await self._store.list(MEMBER_PREFIX)
+                self.offer([msgspec.json.decode(entry.value, type=Member) for entry in entries])
+            except KvError:
+                pass  # The reader of upstreams logs each loss and return of the store.
+            except msgspec.DecodeError as error:
+                log.failure("member.malformed", error=str(error))
+            await self._clock.sleep(LIST_SECONDS)
+
+    async def _probe_forever(self) -> None:
+        """Probe peers round by round."""
+        while True:
+            await self._clock.sleep(PROBE_SECONDS)
+            peers = self._blackboard.peers()
+            chosen = self._random.sample(peers, min(PROBE_FANOUT, len(peers)))
+            await asyncio.gather(*(self._probe(peer) for peer in chosen))
+
+    async def _probe(self, peer: Member) -> None:
+        """Ask one peer how it is."""
+        board = self._blackboard
+        try:
+            status = await self._peers.status(peer, PROBE_TIMEOUT_SECONDS)
+        except PeerError as error:
+            self._failed(peer, str(error))
+            return
+        if status.incarnation != peer.incarnation:
+            self._failed(peer, "another incarnation")
+            return
+        self._failures_by_incarnation.pop(peer.incarnation, None)
+        if peer.incarnation in board.unreachable:
+            board.unreachable.discard(peer.incarnation)
+            log.change("member.answers", member=peer.incarnation)
+        if status.draining and peer.incarnation not in board.leaving:
+            board.leaving.add(peer.incarnation)
+            log.change("member.leaving", member=peer.incarnation)
+
+    def _failed(self, peer: Member, error: str) -> None:
+        """Count a failed probe."""
+        key = peer.incarnation
+        count = self._failures_by_incarnation.get(key, 0) + 1
+        self._failures_by_incarnation[key] = count
+        if count >= FAILED_PROBES and key not in self._blackboard.unreachable:
+            self._blackboard.unreachable.add(key)
+            log.change("member.unreachable", member=key, error=error, probes=count)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+
+LATENCY_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
+MAX_LABELS = 200
+"""Names of workspaces and routes kept apart; further ones share one label."""
+_OTHERS = "others"
+
+
+class Metrics:
+    """Counts what becomes of requests, for each workspace and route."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        self._provider = MeterProvider(
+            metric_readers=[reader],
+            resource=Resource.get_empty(),
+            exemplar_filter=AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("quinceferry_gateway")
+        self._labels: set[str] = set()
+        self._requests = meter.create_counter(
+            "quinceferry_gateway_requests", description="Requests by what became of them"
+        )
+        self._store_calls = meter.create_counter(
+            "quinceferry_gateway_store_calls", description="Calls to the store by step and result"
+        )
+        self._latency = meter.create_histogram(
+            "quinceferry_gateway_latency",
+            unit="s",
+            description="Request to last byte of its answer",
+            explicit_bucket_boundaries_advisory=list(LATENCY_BOUNDS_SECONDS),
+        )
+
+    def answered(self, workspace: str, route: str, seconds: float) -> None:
+        """Count a request that got an upstream's answer."""
+        self.finished(workspace, route, "answered")
+        self._latency.record(
+            seconds, {"workspace": self._label(workspace), "route": self._label(route)}
+        )
+
+    def finished(self, workspace: str, route: str, outcome: str) -> None:
+        """Count a request by what became of it."""
+        labels = {"workspace": self._label(workspace), "route": self._label(route)}
+        self._requests.add(1, {**labels, "outcome": outcome})
+
+    def store_called(self, step: str, result: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.add(1, {"step": step, "result": result})
+
+    def exposition(self) -> bytes:
+        """Return all series in the text format that scrapers read."""
+        return generate_latest(self._registry)
+
+    def _label(self, name: str) -> str:
+        """Return a label, of which there are at most so many."""
+        if name not in self._labels and len(self._labels) >= MAX_LABELS:
+            return _OTHERS
+        self._labels.add(name)
+        return name
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -0,0 +1,303 @@
+"""Attempts of one request at upstreams, until one answers or no further attempt is allowed."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.answers import (
+    AttemptOutcome,
+    NotRun,
+    Reason,
+    Refusal,
+    Streamed,
+    Unknown,
+    Whole,
+)
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.catalog import AnswerHead, Call, Route, RouteKind, Upstream, Workspace
+from quinceferry_gateway.events import EventBuffer
+from quinceferry_gateway.exceptions import (
+    ConnectionBrokenError,
+    ForeignAnswerError,
+    NotSentError,
+)
+from quinceferry_gateway.interfaces import Dialect
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.retries import RetryBudget
+from quinceferry_gateway.routing import Router
+from quinceferry_gateway.transport import HttpClient, OpenReply
+
+EVENT_SILENCE_SECONDS = 2.0
+"""How long a resumable stream may pause before it is taken up elsewhere; callers give up after two
+seconds at the earliest, and preempted streams pause for some hundred milliseconds."""
+FIRST_ERROR = 300
+SERVER_ERROR = 500
+OK = 200
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest plain answer that is kept in memory."""
+
+SendHead = Callable[[AnswerHead], Awaitable[None]]
+SendBytes = Callable[[bytes], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class CallerStream:
+    """The answer to the caller, as far as it has gone."""
+
+    send_head: SendHead
+    send_events: SendBytes
+    buffer: EventBuffer
+    begun: bool = False
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a request has come.
+
+    ``may_have_run`` tells that some attempt reached an upstream that did not say it refused.
+    """
+
+    call: Call
+    route: Route
+    service: str
+    workspace: Workspace | None
+    ends_at: float
+    stream: CallerStream
+    tried: list[str] = field(default_factory=list)
+    arrivals: int = 0
+    may_have_run: bool = False
+    last_failure: Whole | None = None
+    last_detail: str = ""
+
+
+class Relay:
+    """Sends requests to upstreams and passes their answers on.
+
+    :param retry_budget: returns the retry budget of a service.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        router: Router,
+        dialect: Dialect,
+        http: HttpClient,
+        clock: Clock,
+        retry_budget: Callable[[str], RetryBudget],
+    ) -> None:
+        self._blackboard = blackboard
+        self._router = router
+        self._dialect = dialect
+        self._http = http
+        self._clock = clock
+        self._retry_budget = retry_budget
+
+    async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
+        """Attempt a request until it is answered or must be given up."""
+        self._retry_budget(progress.service).count_request()
+        while True:
+            upstream = self._next_upstream(progress)
+            if not isinstance(upstream, Upstream):
+                return upstream
+            progress.tried.append(upstream.id)
+            outcome = await self._attempt(progress, upstream)
+            self._log_attempt(progress, upstream, outcome)
+            match outcome:
+                case Streamed():
+                    return outcome
+                case Whole(head, _):
+                    if not self._worth_another(progress, head):
+                        return outcome
+                    progress.may_have_run = True
+                    progress.last_failure = outcome
+                case NotRun(detail, sent):
+                    progress.arrivals += sent
+                    progress.last_detail = detail
+                case Unknown(detail):
+                    progress.arrivals += 1
+                    progress.may_have_run = True
+                    progress.last_detail = detail
+                    if not progress.route.repeatable:
+                        return self._unrepeatable(progress)
+
+    def _unrepeatable(self, progress: Progress) -> Refusal:
+        """Return the answer to a request that may have run and must not run again."""
+        if self._clock.monotonic() >= progress.ends_at:
+            return self._timed_out(progress)
+        return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+
+    def _next_upstream(self, progress: Progress) -> Upstream | Refusal | Whole:
+        """Return where to send the request next, or why it ends here."""
+        if self._clock.monotonic() >= progress.ends_at:
+            return self._timed_out(progress)
+        if progress.arrivals >= progress.route.attempts:
+            return self._given_up(progress)
+        candidates = [
+            item
+            for item in self._blackboard.upstreams_by_id.values()
+            if item.service == progress.service
+        ]
+        upstream = self._router.choose(progress.call, candidates, progress.tried)
+        if upstream is None:
+            return self._given_up(progress)
+        if progress.arrivals and not self._retry_budget(progress.service).take(
+            len(self._blackboard.usable_members())
+        ):
+            log.failure("retry.budget_spent", request=progress.call.request_id)
+            return self._given_up(progress)
+        return upstream
+
+    def _given_up(self, progress: Progress) -> Refusal | Whole:
+        """Return the answer to a request for which no attempt is left."""
+        if progress.last_failure is not None:
+            return progress.last_failure
+        if progress.may_have_run:
+            return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+        reason = Reason.UPSTREAMS_REFUSED if progress.tried else Reason.NO_UPSTREAM
+        return Refusal(reason, progress.last_detail)
+
+    @staticmethod
+    def _timed_out(progress: Progress) -> Refusal:
+        """Return the answer to a request whose time is up."""
+        reason = Reason.TIMED_OUT if progress.may_have_run else Reason.TIMED_OUT_UNSENT
+        return Refusal(reason, progress.last_detail)
+
+    def _worth_another(self, progress: Progress, head: AnswerHead) -> bool:
+        """Tell whether an upstream's own failure should be tried elsewhere."""
+        if head.status < SERVER_ERROR or not progress.route.repeatable or progress.stream.begun:
+            return False
+        progress.arrivals += 1
+        return progress.arrivals < progress.route.attempts
+
+    async def _attempt(self, progress: Progress, upstream: Upstream) -> AttemptOutcome:
+        """Send the request to one upstream."""
+        remaining = progress.ends_at - self._clock.monotonic()
+        headers = self._dialect.upstream_headers(
+            progress.call,
+            upstream,
+            remaining_seconds=remaining,
+            workspace=progress.workspace.name if progress.workspace else None,
+            priority=_priority(progress),
+            resume_after=progress.stream.buffer.last_id,
+        )
+        self._router.sent(upstream.id, progress.call.prompt_tokens)
+        try:
+            async with asyncio.timeout(remaining):
+                return await self._exchange(progress, upstream, headers)
+        except NotSentError as error:
+            self._router.failed(upstream.id)
+            return NotRun(str(error), sent=False)
+        except ForeignAnswerError as error:
+            return Unknown(str(error))
+        except ConnectionBrokenError as error:
+            self._router.failed(upstream.id)
+            return Unknown(str(error))
+        except TimeoutError:
+            return Unknown("the request's time is up")
+        finally:
+            self._router.ended(upstream.id)
+
+    async def _exchange(
+        self, progress: Progress, upstream: Upstream, headers: list[tuple[bytes, bytes]]
+    ) -> AttemptOutcome:
+        """Send the request and take the answer."""
+        call = progress.call
+        async with self._http.open(
+            upstream.address, call.method, call.target, headers, call.body
+        ) as reply:
+            head = self._dialect.decode_answer(reply.status, reply.headers)
+            if head.load is not None:
+                self._router.reported(upstream.id, head.load)
+            if head.not_run:
+                return NotRun(f"status {head.status}", sent=True)
+            if head.request_id and head.request_id != call.request_id:
+                raise ForeignAnswerError("answer to another request", peer=upstream.address)
+            if head.status < FIRST_ERROR and not head.genuine:
+                raise ConnectionBrokenError("answer without its mark", peer=upstream.address)
+            if progress.route.kind is RouteKind.STREAM and head.status == OK:
+                return await self._pass_events(progress, head, reply)
+            return Whole(head, await _whole_body(reply, upstream.address))
+
+    async def _pass_events(
+        self, progress: Progress, head: AnswerHead, reply: OpenReply
+    ) -> Streamed:
+        """Pass a stream on, event by event."""
+        stream = progress.stream
+        stream.buffer.restart()
+        chunks = reply.chunks()
+        while True:
+            try:
+                async with asyncio.timeout(self._silence(progress)):
+                    chunk = await anext(chunks, None)
+            except TimeoutError as error:
+                raise ConnectionBrokenError("stream fell silent", step="events") from error
+            if chunk is None:
+                break
+            events = stream.buffer.feed(chunk)
+            if events:
+                await self._send_events(stream, head, events)
+        if stream.buffer.pending:
+            raise ConnectionBrokenError("stream ended within an event", step="events")
+        if not stream.begun:
+            await self._send_events(stream, head, b"")
+        return Streamed(stream.buffer.count)
+
+    @staticmethod
+    async def _send_events(stream: CallerStream, head: AnswerHead, events: bytes) -> None:
+        """Send events to the caller, after the head of the first upstream."""
+        if not stream.begun:
+            stream.begun = True
+            await stream.send_head(head)
+        if events:
+            await stream.send_events(events)
+
+    @staticmethod
+    def _silence(progress: Progress) -> float | None:
+        """Return how long the stream may pause; without limit where it can't be resumed."""
+        if progress.stream.begun and progress.route.resumable:
+            return EVENT_SILENCE_SECONDS
+        return None
+
+    @staticmethod
+    def _log_attempt(progress: Progress, upstream: Upstream, outcome: AttemptOutcome) -> None:
+        """Log what an attempt came to."""
+        fields = {
+            "request": progress.call.request_id,
+            "upstream": upstream.id,
+            "address": upstream.address,
+            "attempt": len(progress.tried),
+        }
+        match outcome:
+            case NotRun(detail, sent):
+                log.failure("attempt.not_run", sent=sent, detail=detail, **fields)
+            case Unknown(detail):
+                events = progress.stream.buffer.count
+                log.failure("attempt.unknown", detail=detail, events=events, **fields)
+            case Whole(head, _):
+                log.success("attempt.answered", status=head.status, **fields)
+            case Streamed(events):
+                log.success("attempt.streamed", events=events, **fields)
+
+
+def _priority(progress: Progress) -> int:
+    """Return the priority that the upstream is told; a workspace's own goes first."""
+    workspace = progress.workspace
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return progress.route.priority
+
+
+async def _whole_body(reply: OpenReply, address: str) -> bytes:
+    """Return the whole body of an answer.
+
+    :raises ConnectionBrokenError: it ended early or is too large.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in reply.chunks():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise ConnectionBrokenError("answer too large", step="body", peer=address)
+        parts.append(chunk)
+    return b"".join(parts)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -0,0 +1,147 @@
+"""Tokens set aside for requests of this gateway, at whichever holder has them."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.holder import TokenHolder, holders_of
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.peers import (
+    PeerClient,
+    PeerError,
+    ReserveRequest,
+    Settlement,
+    SettleRequest,
+)
+
+RESERVE_TIMEOUT_SECONDS = 0.35
+"""Longest wait for one holder: a lost packet takes 200 ms, and another holder may have tokens."""
+SETTLE_SECONDS = 0.25
+"""How long settlements are collected before they are sent."""
+SETTLE_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """Tokens that a holder has set aside."""
+
+    id: str
+    workspace: str
+    tokens: int
+    holder: str
+
+
+@dataclass(slots=True, frozen=True)
+class Shortage:
+    """No holder set the tokens aside.
+
+    ``exhausted`` tells that the workspace as a whole has too few left; ``asked`` lists the holders
+    with what came of each, for the log.
+    """
+
+    exhausted: bool
+    asked: tuple[str, ...]
+
+
+class Reservations(Controller):
+    """Reserves at the holders and settles afterwards.
+
+    :param holder: the tokens that this gateway holds itself.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, holder: TokenHolder, peers: PeerClient, clock: Clock
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._holder = holder
+        self._peers = peers
+        self._clock = clock
+        self._unsent_by_holder: dict[str, list[Settlement]] = defaultdict(list)
+
+    async def start(self) -> None:
+        """Begin to send settlements."""
+        self.spawn(self._send_forever(), "settlements")
+
+    async def reserve(self, request_id: str, workspace: str, tokens: int) -> Reservation | Shortage:
+        """Set tokens aside at the first holder that has them."""
+        asked: list[str] = []
+        least_left: int | None = None
+        reservation_id = f"{self._blackboard.own.incarnation}/{request_id}"
+        for incarnation in self._holders():
+            request = ReserveRequest(reservation_id, workspace, tokens)
+            try:
+                reply = await self._ask(incarnation, request)
+            except PeerError as error:
+                asked.append(f"{incarnation}: {error}")
+                if error.sent:
+                    self._later(incarnation, Settlement(reservation_id, workspace, 0))
+                continue
+            if reply.reserved:
+                return Reservation(reservation_id, workspace, tokens, incarnation)
+            asked.append(f"{incarnation}: left at most {reply.left_at_most}")
+            left = reply.left_at_most
+            least_left = left if least_left is None else min(least_left, left)
+        exhausted = least_left is not None and least_left < tokens
+        return Shortage(exhausted, tuple(asked))
+
+    def settle(self, reservation: Reservation, tokens: int) -> None:
+        """Tell the holder what a request really used."""
+        settlement = Settlement(reservation.id, reservation.workspace, tokens)
+        if reservation.holder == self._blackboard.own.incarnation:
+            self._holder.settle(settlement)
+        else:
+            self._later(reservation.holder, settlement)
+
+    async def flush(self) -> None:
+        """Send all settlements that wait."""
+        await asyncio.gather(*(self._send(holder) for holder in list(self._unsent_by_holder)))
+
+    def _holders(self) -> list[str]:
+        """Return the holders to ask: this gateway, then those of its zone, then the others."""
+        board = self._blackboard
+        members = board.members_by_incarnation
+        own = board.own
+
+        def distance(incarnation: str) -> int:
+            if incarnation == own.incarnation:
+                return 0
+            member = members.get(incarnation)
+            return 1 if member is not None and member.zone == own.zone else 2
+
+        return sorted(holders_of(board), key=distance)
+
+    async def _ask(self, incarnation: str, request: ReserveRequest):
+        """Ask one holder."""
+        if incarnation == self._blackboard.own.incarnation:
+            return self._holder.reserve(request.reservation, request.workspace, request.tokens)
+        peer = self._blackboard.members_by_incarnation[incarnation]
+        return await self._peers.reserve(peer, request, RESERVE_TIMEOUT_SECONDS)
+
+    def _later(self, holder: str, settlement: Settlement) -> None:
+        """Send a settlement with the next batch."""
+        self._unsent_by_holder[holder].append(settlement)
+
+    async def _send_forever(self) -> None:
+        """Send batches again and again."""
+        while True:
+            await self._clock.sleep(SETTLE_SECONDS)
+            await self.flush()
+
+    async def _send(self, holder: str) -> None:
+        """Send one holder's batch; keep it when the holder does not answer."""
+        batch = self._unsent_by_holder.pop(holder, [])
+        peer: Member | None = self._blackboard.members_by_incarnation.get(holder)
+        if not batch or peer is None:
+            if batch:
+                # The holder is gone, and with it all that it held; nothing can be settled there.
+                log.change("settlements.dropped", holder=holder, count=len(batch))
+            return
+        try:
+            await self._peers.settle(peer, SettleRequest(batch), SETTLE_TIMEOUT_SECONDS)
+        except PeerError as error:
+            self._unsent_by_holder[holder] = batch + self._unsent_by_holder.get(holder, [])
+            log.failure("settlements.unsent", holder=holder, count=len(batch), error=str(error))
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
@@ -0,0 +1,79 @@
+"""Listens on several addresses with uvicorn, each with an ASGI application of its own."""
+
+import asyncio
+import socket
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+BACKLOG = 512
+"""Connections that may wait to be accepted."""
+
+
+class HttpListener:
+    """Serves one ASGI application on one address; a life-cycle hook.
+
+    :param app: the ASGI application.
+    :param address: ``host:port``.
+    :param idle_seconds: how long a connection may stay idle.
+    """
+
+    def __init__(self, app: Any, address: str, idle_seconds: float) -> None:
+        self._address = address
+        self._config = uvicorn.Config(
+            app,
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            ws="none",
+            interface="asgi3",
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=idle_seconds,
+        )
+        self._state = ServerState()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen and serve.
+
+        :raises OSError: the address can't be bound.
+        """
+        self._config.load()
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connection, sock=_listen(self._address)
+        )
+
+    async def stop(self) -> None:
+        """Take no more connections and close the idle ones."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._state.connections):
+            connection.shutdown()
+
+    def set_idle_seconds(self, seconds: float) -> None:
+        """Change how long connections made from now on may stay idle."""
+        self._config.timeout_keep_alive = seconds
+
+    def _connection(self) -> HttpToolsProtocol:
+        """Return the protocol of a new connection."""
+        return HttpToolsProtocol(self._config, self._state, {})
+
+
+def _listen(address: str) -> socket.socket:
+    """Return a listening socket.
+
+    The protocol is named, since the event loop sends small writes at once only on sockets that name
+    it.
+    """
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -0,0 +1,132 @@
+"""Settings of a gateway: a TOML file, checked whole."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from quinceferry_core.exceptions import SettingsError
+
+
+class Identity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who this gateway is."""
+
+    vm: str
+    zone: str
+    region: str
+
+
+class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where it listens, as ``host:port``; ``directory`` may be empty."""
+
+    callers: str
+    readiness: str
+    directory: str
+    peers: str
+    metrics: str
+
+
+class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's store."""
+
+    address: str
+    timeout_seconds: float = 0.8
+
+
+class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The fleet's budget of repeated sends, for each service."""
+
+    ratio: float
+    slack: float
+    window_seconds: float
+
+
+class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a planned stop proceeds.
+
+    ``grace_seconds`` is the time until the process is killed; ``leave_seconds`` how long new
+    requests are still taken, until callers have stopped using the address.
+    """
+
+    grace_seconds: float
+    leave_seconds: float = 3.5
+
+
+class DirectorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Answers to callers that ask where to connect."""
+
+    answer_seconds: float = 1.0
+    max_addresses: int = 64
+
+
+class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many tokens a holder keeps at hand, as shares of what a workspace has left."""
+
+    target_share: float = 0.2
+    refill_share: float = 0.6
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of a gateway."""
+
+    gateway: Identity
+    listen: Addresses
+    store: StoreSettings
+    retries: RetrySettings
+    stop: StopSettings
+    directory: DirectorySettings = DirectorySettings()
+    budgets: BudgetSettings = BudgetSettings()
+
+    @classmethod
+    def load(cls, path: Path) -> "Settings":
+        """Read and check a file.
+
+        :raises SettingsError: it can't be read or holds faults; all of them are named.
+        """
+        try:
+            settings = msgspec.convert(tomllib.loads(path.read_text()), type=cls, strict=False)
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+            raise SettingsError(str(error), step="settings.read", peer=str(path)) from error
+        except msgspec.ValidationError as error:
+            raise SettingsError(str(error), step="settings.check", peer=str(path)) from error
+        faults = settings.faults()
+        if faults:
+            raise SettingsError("; ".join(faults), step="settings.check", peer=str(path))
+        return settings
+
+    def faults(self) -> list[str]:
+        """Return what is wrong with the values."""
+        named = {
+            "listen.callers": self.listen.callers,
+            "listen.readiness": self.listen.readiness,
+            "listen.peers": self.listen.peers,
+            "listen.metrics": self.listen.metrics,
+            "store.address": self.store.address,
+        }
+        if self.listen.directory:
+            named["listen.directory"] = self.listen.directory
+        faults = [f"{name} is not host:port" for name, value in named.items() if _bad(value)]
+        positive = {
+            "store.timeout_seconds": self.store.timeout_seconds,
+            "retries.window_seconds": self.retries.window_seconds,
+            "stop.grace_seconds": self.stop.grace_seconds,
+            "directory.answer_seconds": self.directory.answer_seconds,
+            "directory.max_addresses": self.directory.max_addresses,
+        }
+        faults += [f"{name} must be above zero" for name, value in positive.items() if value <= 0]
+        shares = {
+            "budgets.target_share": self.budgets.target_share,
+            "budgets.refill_share": self.budgets.refill_share,
+        }
+        faults += [
+            f"{name} must be in 0 to 1" for name, value in shares.items() if not 0 < value < 1
+        ]
+        if self.stop.leave_seconds >= self.stop.grace_seconds:
+            faults.append("stop.leave_seconds must be below stop.grace_seconds")
+        return faults
+
+
+def _bad(address: str) -> bool:
+    """Tell whether an address lacks a host or a port."""
+    host, _, port = address.rpartition(":")
+    return not host or not port.isdigit()
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -0,0 +1,142 @@
+"""HTTP client for upstreams, peers and the store: one connection for each exchange.
+
+A connection of its own costs one round trip and rules out what shared ones suffer from: an idle
+connection that fell silent, an answer to an earlier request, an address that changed hands.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import httpcore
+
+from quinceferry_core.exceptions import QuinceferryError
+from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+
+CONNECT_SECONDS = 0.7
+"""Longest wait for a connection; links of one region answer in a few milliseconds, a lost packet
+takes some 200 ms, and callers give a new connection one second."""
+UNACKNOWLEDGED_MILLISECONDS = 2_500
+"""How long sent bytes may stay without acknowledgement; longer than two lost packets in a row."""
+
+_SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+]
+
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.UnsupportedProtocol)
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class OpenReply:
+    """An answer whose body is still arriving.
+
+    :param response: the answer of the HTTP library.
+    :param peer: address of the other side, for errors.
+    """
+
+    def __init__(self, response: httpcore.Response, peer: str) -> None:
+        self.status = response.status
+        self.headers = tuple(response.headers)
+        self._response = response
+        self._peer = peer
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the pieces of the body as they arrive.
+
+        :raises ConnectionBrokenError: the body ended early.
+        """
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except _BROKEN as error:
+            raise _broken(error, "body", self._peer) from error
+
+
+class HttpClient:
+    """Sends requests, each on a connection of its own."""
+
+    @asynccontextmanager
+    async def open(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes = b"",
+        *,
+        connect_seconds: float = CONNECT_SECONDS,
+    ) -> AsyncIterator[OpenReply]:
+        """Send a request and return its answer once the headers are there.
+
+        Leaving the context closes the connection. The caller bounds the time.
+
+        :raises NotSentError: no connection came about.
+        :raises ConnectionBrokenError: the connection failed after bytes may have left.
+        """
+        host, _, port = address.rpartition(":")
+        request = httpcore.Request(
+            method,
+            httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=target),
+            headers=list(headers),
+            content=body,
+            extensions={"timeout": {"connect": connect_seconds}},
+        )
+        connection = httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b"http", host.encode(), int(port)), socket_options=_SOCKET_OPTIONS
+        )
+        try:
+            try:
+                response = await connection.handle_async_request(request)
+            except _NOT_SENT as error:
+                raise NotSentError(repr(error), step="connect", peer=address) from error
+            except _BROKEN as error:
+                raise _broken(error, "exchange", address) from error
+            yield OpenReply(response, address)
+        finally:
+            await connection.aclose()
+
+    async def fetch(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes = b"",
+        *,
+        timeout_seconds: float,
+    ) -> Reply:
+        """Send a request and return its whole answer.
+
+        :raises NotSentError: no connection came about.
+        :raises ConnectionBrokenError: it failed or took too long after bytes may have left.
+        """
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                async with self.open(address, method, target, headers, body) as reply:
+                    parts = [chunk async for chunk in reply.chunks()]
+                    return Reply(reply.status, reply.headers, b"".join(parts))
+        except TimeoutError as error:
+            raise ConnectionBrokenError("timeout", step="exchange", peer=address) from error
+
+
+def _broken(error: Exception, step: str, peer: str) -> QuinceferryError:
+    """Return the error of a connection that failed in use."""
+    return ConnectionBrokenError(repr(error), step=step, peer=peer)
