Hold tokens at every gateway and join reservations from several

A large request also had to fit into one holder's part. Change: all gateways hold an equal part of half of what is left; a first draw waits for a settled member list; surplus is given back; peers tell what they have with each probe; a request takes its tokens here and, where these are too few, the rest from those that have most.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -62,8 +62,8 @@
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         peers = PeerClient(http)
-        policy = DrawPolicy(settings.budgets.target_share, settings.budgets.refill_share)
-        self.holder = TokenHolder(board, store, clock, policy)
+        policy = DrawPolicy(settings.budgets.held_share)
+        self.holder = TokenHolder(board, store, clock, policy, settings.budgets.max_holders)
         self.reservations = Reservations(board, self.holder, peers, clock)
         self._registration = Registration(board, store, clock)
         self._router = Router(settings.gateway.zone, clock, random.Random())
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -34,8 +34,10 @@
     """All that a gateway believes of itself and of the world.
 
     ``document`` and ``revision`` are the configuration as the store holds it. ``store_reachable``
-    says whether the last call to the store was answered. ``unreachable`` holds the incarnations
-    that do not answer, ``leaving`` those that said they are about to stop.
+    says whether the last call to the store was answered. ``members_changed_at`` is None until the
+    members were read once. ``unreachable`` holds the incarnations that do not answer, ``leaving``
+    those that said they are about to stop. ``available_by_incarnation`` holds the tokens that peers
+    could reserve, by workspace, as of the last probe.
     """
 
     own: Member
@@ -46,6 +48,8 @@
     upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
     upstreams_revision: int = 0
     members_by_incarnation: dict[str, Member] = field(default_factory=dict)
+    members_changed_at: float | None = None
+    available_by_incarnation: dict[str, dict[str, int]] = field(default_factory=dict)
     unreachable: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
     store_reachable: bool = False
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -5,6 +5,7 @@
 spent until the holder itself returns it.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 import msgspec
@@ -60,15 +61,12 @@
 class Account:
     """What one holder knows of its own allotment in one workspace.
 
-    ``drawn`` counts only draws that the store has confirmed. ``remaining`` and ``settled`` describe
-    the whole workspace as of the last reading of the record.
+    ``drawn`` counts only draws that the store has confirmed.
     """
 
     drawn: int = 0
     spent: int = 0
     reserved_by_id: dict[str, int] = field(default_factory=dict)
-    undrawn: int = 0
-    settled: int = 0
 
     @property
     def reserved(self) -> int:
@@ -80,17 +78,17 @@
         """Return the tokens that a new request may reserve."""
         return self.drawn - self.spent - self.reserved
 
-    def reserve(self, reservation: str, tokens: int) -> bool:
-        """Set tokens aside; a repeated call changes nothing.
+    def reserve(self, reservation: str, tokens: int) -> int:
+        """Set tokens aside, or as many as there are; a repeated call changes nothing.
 
-        :return: False when the allotment does not cover them.
+        :return: the tokens set aside.
         """
         if reservation in self.reserved_by_id:
-            return True
-        if tokens > self.available:
-            return False
-        self.reserved_by_id[reservation] = tokens
-        return True
+            return self.reserved_by_id[reservation]
+        granted = max(0, min(tokens, self.available))
+        if granted:
+            self.reserved_by_id[reservation] = granted
+        return granted
 
     def settle(self, reservation: str, tokens: int) -> None:
         """End a reservation with the tokens really used; a repeated call changes nothing."""
@@ -101,41 +99,59 @@
 
 @dataclass(slots=True, frozen=True)
 class DrawPolicy:
-    """How much a holder keeps at hand, as shares of what the workspace has left.
+    """How much the holders keep at hand together, as a share of what a workspace has left.
 
-    ``target_share`` is what a full allotment holds unreserved; ``refill_share`` of the target is
-    the level below which more is drawn. A larger target serves longer through an outage of the
-    store and strands more when all holders are killed.
+    A larger share serves longer through an outage of the store, and strands more when holders are
+    killed. A holder draws when it has less than ``refill_share`` of its part, and gives back what
+    exceeds ``surplus_share`` of it.
     """
 
-    target_share: float
-    refill_share: float
+    held_share: float
+    refill_share: float = 0.75
+    surplus_share: float = 1.6
+
+    def target(self, left: int, holders: int) -> int:
+        """Return the tokens that one holder should have available.
+
+        :param left: tokens that nobody holds or that live holders hold.
+        :param holders: number of holders.
+        """
+        return int(self.held_share * max(0, left)) // max(1, holders)
+
+    def due(self, available: int, target: int, undrawn: int) -> bool:
+        """Tell whether an allotment is far enough from its target to write the record."""
+        if available > self.surplus_share * target:
+            return True
+        return undrawn > 0 and available < self.refill_share * target
 
-    def target(self, account: Account, undrawn: int) -> int:
-        """Return the tokens that the holder should have available."""
-        return int(self.target_share * max(0, undrawn + account.available))
 
-    def wants_refill(self, account: Account, undrawn: int) -> bool:
-        """Tell whether a draw is due."""
-        target = self.target(account, undrawn)
-        return undrawn > 0 and account.available < self.refill_share * target
+def left_tokens(budget: WorkspaceBudget, prepaid: int, live_holders: Collection[str]) -> int:
+    """Return the tokens that nobody holds or that live holders hold."""
+    held = sum(
+        entry.outstanding
+        for holder, entry in budget.allotments_by_holder.items()
+        if holder in live_holders
+    )
+    return max(0, budget.undrawn(prepaid)) + held
 
 
 def update_allotment(
-    budget: WorkspaceBudget, holder: str, account: Account, prepaid: int, policy: DrawPolicy
+    budget: WorkspaceBudget, holder: str, account: Account, undrawn: int, target: int
 ) -> int:
-    """Report a holder's spending in the record and draw up to the target.
+    """Report a holder's spending in the record, and draw or give back up to the target.
 
+    Tokens to be given back leave the account at once, before the record is written.
+
+    :param undrawn: tokens that nobody holds.
     :return: the holder's drawn tokens once the record is written.
     """
     entry = budget.allotments_by_holder.setdefault(holder, HolderAllotment())
     account.drawn = min(account.drawn, entry.drawn)
     budget.spent += account.spent - entry.reported
     entry.reported = account.spent
-    undrawn = max(0, budget.undrawn(prepaid))
     available = entry.drawn - account.spent - account.reserved
-    target = int(policy.target_share * max(0, undrawn + available))
-    entry.drawn += min(undrawn, max(0, target - available))
+    entry.drawn += min(max(0, undrawn), target - available)
+    account.drawn = min(account.drawn, entry.drawn)
     return entry.drawn
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -40,7 +40,8 @@
         match path:
             case "/status":
                 draining = self._blackboard.phase is Phase.DRAINING
-                return _json(Status(self._blackboard.own.incarnation, draining))
+                available = self._holder.available_by_workspace()
+                return _json(Status(self._blackboard.own.incarnation, draining, available))
             case "/reserve":
                 asked = msgspec.json.decode(await _read(receive), type=ReserveRequest)
                 return _json(self._holder.reserve(asked.reservation, asked.workspace, asked.tokens))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -11,6 +11,7 @@
     BudgetRecord,
     DrawPolicy,
     WorkspaceBudget,
+    left_tokens,
     return_allotment,
     update_allotment,
 )
@@ -23,64 +24,81 @@
 """All workspaces of a small fleet share one record, so that one write renews all allotments."""
 CHECK_SECONDS = 0.25
 """How often a holder looks whether to draw more."""
-REPORT_SECONDS = 2.0
-"""How often spending is reported though no draw is due; bounds what a killed holder strands."""
+WRITE_SECONDS = 0.75
+"""Shortest time between two draws, so that nine holders stay near ten writes a second."""
+SETTLED_SECONDS = 1.0
+"""How long the member list must stay unchanged before a first draw: a gateway that does not know
+the others yet would draw their parts too."""
+PATIENCE_SECONDS = 3.0
+"""Longest wait for an unchanged member list."""
 TRIES = 5
 """Conflicts in a row after which a write waits for the next check."""
 RETURN_TRIES = 3
+ENDED_KEPT_SECONDS = 60.0
+"""How long a settlement that came before its reservation is remembered; no call lasts longer."""
 
 
-def holders_of(board: Blackboard) -> list[str]:
-    """Return the incarnations that should hold tokens: one for each availability zone."""
-    members_by_incarnation = {member.incarnation: member for member in board.usable_members()}
-    chosen_by_zone: dict[str, str] = {}
-    for incarnation in ranked(BUDGET_KEY, members_by_incarnation):
-        chosen_by_zone.setdefault(members_by_incarnation[incarnation].zone, incarnation)
-    return list(chosen_by_zone.values())
+def holders_of(board: Blackboard, count: int) -> list[str]:
+    """Return the incarnations that should hold tokens.
+
+    :param count: most holders.
+    """
+    members = [member.incarnation for member in board.usable_members()]
+    return ranked(BUDGET_KEY, members)[:count]
 
 
 class TokenHolder(Controller):
     """Holds allotments of workspaces and sets tokens aside for requests of all gateways.
 
     :param policy: how much to keep at hand.
+    :param max_holders: most gateways that hold tokens.
     """
 
     def __init__(
-        self, blackboard: Blackboard, store: KvStore, clock: Clock, policy: DrawPolicy
+        self,
+        blackboard: Blackboard,
+        store: KvStore,
+        clock: Clock,
+        policy: DrawPolicy,
+        max_holders: int,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._store = store
         self._clock = clock
         self._policy = policy
+        self._max_holders = max_holders
         self._entry: KvEntry | None = None
         self._record = BudgetRecord()
         self._known = False
         self._closed = False
-        self._reported_at = clock.monotonic()
+        self._began_at = clock.monotonic()
+        self._written_at = float("-inf")
         self._ended_early: dict[str, float] = {}
-        self.accounts_by_workspace: dict[str, Account] = {}
+        self._accounts_by_workspace: dict[str, Account] = {}
 
     async def start(self) -> None:
         """Begin to draw."""
+        self._began_at = self._clock.monotonic()
         self.spawn(self._draw_forever(), "allotments")
 
-    @property
-    def holding(self) -> bool:
-        """Tell whether this gateway is one that should hold tokens."""
-        return self._blackboard.own.incarnation in holders_of(self._blackboard)
+    def available_by_workspace(self) -> dict[str, int]:
+        """Return the tokens that could be reserved here."""
+        if self._closed:
+            return {}
+        return {name: account.available for name, account in self._accounts_by_workspace.items()}
 
     def reserve(self, reservation: str, workspace: str, tokens: int) -> ReserveReply:
-        """Set tokens aside, if the allotment covers them."""
-        account = self.accounts_by_workspace.get(workspace)
+        """Set tokens aside, or as many as the allotment has."""
+        account = self._accounts_by_workspace.get(workspace)
         if account is None or self._closed or reservation in self._ended_early:
-            return ReserveReply(False, self._left_at_most(workspace))
+            return ReserveReply(0, self._left_at_most(workspace))
         reserved = account.reserve(reservation, tokens)
         return ReserveReply(reserved, self._left_at_most(workspace))
 
     def settle(self, settlement: Settlement) -> None:
         """End a reservation; one that has not arrived yet is refused when it does."""
-        account = self.accounts_by_workspace.get(settlement.workspace)
+        account = self._accounts_by_workspace.get(settlement.workspace)
         if account is None:
             return
         if settlement.reservation in account.reserved_by_id:
@@ -92,13 +110,13 @@
         """Return all that is unspent; nothing can be reserved afterwards."""
         self._closed = True
         await self.stop()
-        if not self.accounts_by_workspace:
+        if not self._accounts_by_workspace:
             return
         for _ in range(RETURN_TRIES):
             try:
                 await self._read()
                 for workspace, budget in self._record.budgets_by_workspace.items():
-                    account = self.accounts_by_workspace.get(workspace)
+                    account = self._accounts_by_workspace.get(workspace)
                     if account is not None:
                         return_allotment(budget, self._own, account)
                 await self._write()
@@ -124,7 +142,7 @@
         return known.prepaid_tokens - (budget.spent if budget else 0)
 
     async def _draw_forever(self) -> None:
-        """Keep the allotments filled."""
+        """Keep the allotments near their targets."""
         while True:
             if self._due():
                 await self._draw()
@@ -133,18 +151,24 @@
 
     def _due(self) -> bool:
         """Tell whether to write the record now."""
-        if self._blackboard.configuration is None or not self._blackboard.store_reachable:
+        board = self._blackboard
+        if board.configuration is None or not board.store_reachable or not self._settled():
+            return False
+        now = self._clock.monotonic()
+        if now - self._written_at < WRITE_SECONDS:
             return False
-        if not self.holding:
+        return not self._known or any(self._off_target(name) for name in self._prepaid())
+
+    def _settled(self) -> bool:
+        """Tell whether the member list is good enough to draw by."""
+        now = self._clock.monotonic()
+        changed_at = self._blackboard.members_changed_at
+        if changed_at is None:
             return False
-        if not self._known:
-            return True
-        if any(self._wants_refill(name) for name in self._counted_workspaces()):
-            return True
-        unreported = any(self._unreported(name) for name in self.accounts_by_workspace)
-        return unreported and self._clock.monotonic() - self._reported_at > REPORT_SECONDS
-
-    def _counted_workspaces(self) -> dict[str, int]:
+        waited = now - self._began_at > PATIENCE_SECONDS
+        return bool(self._accounts_by_workspace) or waited or now - changed_at > SETTLED_SECONDS
+
+    def _prepaid(self) -> dict[str, int]:
         """Return the prepaid tokens of each workspace that has a budget."""
         configuration = self._blackboard.configuration
         if configuration is None:
@@ -155,24 +179,25 @@
             if workspace.prepaid_tokens is not None
         }
 
-    def _wants_refill(self, workspace: str) -> bool:
-        """Tell whether a workspace's allotment should grow."""
-        account = self.accounts_by_workspace.get(workspace)
-        if account is None:
-            return True
-        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
-        undrawn = budget.undrawn(self._counted_workspaces()[workspace])
-        return self._policy.wants_refill(account, undrawn)
+    def _target(self, budget: WorkspaceBudget, prepaid: int) -> int:
+        """Return the tokens that this gateway should have available in a workspace."""
+        holders = holders_of(self._blackboard, self._max_holders)
+        if self._own not in holders:
+            return 0
+        left = left_tokens(budget, prepaid, self._blackboard.members_by_incarnation)
+        return self._policy.target(left, len(holders))
 
-    def _unreported(self, workspace: str) -> bool:
-        """Tell whether a workspace's spending is ahead of the record."""
-        account = self.accounts_by_workspace[workspace]
-        budget = self._record.budgets_by_workspace.get(workspace)
-        entry = budget.allotments_by_holder.get(self._own) if budget else None
-        return account.spent > (entry.reported if entry else 0)
+    def _off_target(self, workspace: str) -> bool:
+        """Tell whether a workspace's allotment should change."""
+        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
+        prepaid = self._prepaid()[workspace]
+        account = self._accounts_by_workspace.get(workspace, Account())
+        target = self._target(budget, prepaid)
+        return self._policy.due(account.available, target, budget.undrawn(prepaid))
 
     async def _draw(self) -> None:
         """Report spending and draw, by compare-and-swap."""
+        self._written_at = self._clock.monotonic()
         for _ in range(TRIES):
             try:
                 if not self._known:
@@ -187,19 +212,19 @@
                 log.failure("allotments.not_drawn", error=str(error))
                 return
             for workspace, drawn in drawn_by_workspace.items():
-                self.accounts_by_workspace[workspace].drawn = drawn
-            self._reported_at = self._clock.monotonic()
+                self._accounts_by_workspace[workspace].drawn = drawn
             log.success("allotments.drawn", version=self._entry.version if self._entry else 0)
             return
 
     def _update_all(self) -> dict[str, int]:
         """Change the record in memory for all workspaces; return what will be drawn by then."""
         drawn_by_workspace: dict[str, int] = {}
-        for name, prepaid in self._counted_workspaces().items():
+        for name, prepaid in self._prepaid().items():
             budget = self._record.budgets_by_workspace.setdefault(name, WorkspaceBudget())
-            account = self.accounts_by_workspace.setdefault(name, Account())
+            account = self._accounts_by_workspace.setdefault(name, Account())
+            target = self._target(budget, prepaid)
             drawn_by_workspace[name] = update_allotment(
-                budget, self._own, account, prepaid, self._policy
+                budget, self._own, account, budget.undrawn(prepaid), target
             )
         return drawn_by_workspace
 
@@ -226,6 +251,6 @@
 
     def _forget_ended(self) -> None:
         """Forget settlements that came before their reservation, once none can arrive any more."""
-        limit = self._clock.monotonic() - 60.0
+        limit = self._clock.monotonic() - ENDED_KEPT_SECONDS
         for key in [key for key, at in self._ended_early.items() if at < limit]:
             del self._ended_early[key]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -105,6 +105,8 @@
         """Replace the list of members."""
         board = self._blackboard
         by_incarnation = {member.incarnation: member for member in members}
+        if by_incarnation.keys() != board.members_by_incarnation.keys():
+            board.members_changed_at = self._clock.monotonic()
         for key in by_incarnation.keys() - board.members_by_incarnation.keys():
             log.change("member.added", member=key, addr=by_incarnation[key].peer_address)
         for key in board.members_by_incarnation.keys() - by_incarnation.keys():
@@ -112,6 +114,8 @@
         board.members_by_incarnation = by_incarnation
         board.unreachable &= by_incarnation.keys()
         board.leaving &= by_incarnation.keys()
+        for key in board.available_by_incarnation.keys() - by_incarnation.keys():
+            del board.available_by_incarnation[key]
 
     async def _read_forever(self) -> None:
         """Read the list again and again; in an outage keep the last one."""
@@ -145,6 +149,7 @@
             self._failed(peer, "another incarnation")
             return
         self._failures_by_incarnation.pop(peer.incarnation, None)
+        board.available_by_incarnation[peer.incarnation] = status.available_by_workspace
         if peer.incarnation in board.unreachable:
             board.unreachable.discard(peer.incarnation)
             log.change("member.answers", member=peer.incarnation)
@@ -157,6 +162,7 @@
         key = peer.incarnation
         count = self._failures_by_incarnation.get(key, 0) + 1
         self._failures_by_incarnation[key] = count
+        self._blackboard.available_by_incarnation.pop(key, None)
         if count >= FAILED_PROBES and key not in self._blackboard.unreachable:
             self._blackboard.unreachable.add(key)
             log.change("member.unreachable", member=key, error=error, probes=count)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -24,14 +24,15 @@
 
 
 class Status(msgspec.Struct, frozen=True):
-    """How a gateway is."""
+    """How a gateway is, and which tokens it could reserve for others."""
 
     incarnation: str
     draining: bool
+    available_by_workspace: dict[str, int]
 
 
 class ReserveRequest(msgspec.Struct, frozen=True):
-    """Asks a holder to set tokens of a workspace aside; idempotent by ``reservation``."""
+    """Asks a holder to set up to so many tokens aside; idempotent by ``reservation``."""
 
     reservation: str
     workspace: str
@@ -39,9 +40,9 @@
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
-    """Whether the tokens are set aside, and how many the workspace has left at most."""
+    """How many tokens are set aside, and how many the workspace has left at most."""
 
-    reserved: bool
+    reserved: int
     left_at_most: int
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -7,11 +7,12 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.controllers import Controller
-from quinceferry_gateway.holder import TokenHolder, holders_of
+from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.peers import (
     PeerClient,
     PeerError,
+    ReserveReply,
     ReserveRequest,
     Settlement,
     SettleRequest,
@@ -19,24 +20,33 @@
 
 RESERVE_TIMEOUT_SECONDS = 0.35
 """Longest wait for one holder: a lost packet takes 200 ms, and another holder may have tokens."""
+MAX_ASKED = 6
+"""Most holders asked for one request; each costs a round trip of some milliseconds."""
 SETTLE_SECONDS = 0.25
 """How long settlements are collected before they are sent."""
 SETTLE_TIMEOUT_SECONDS = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class Part:
+    """Tokens that one holder has set aside."""
+
+    holder: str
+    tokens: int
+
+
 @dataclass(slots=True, frozen=True)
 class Reservation:
-    """Tokens that a holder has set aside."""
+    """Tokens set aside for a request, by one holder or several."""
 
     id: str
     workspace: str
-    tokens: int
-    holder: str
+    parts: tuple[Part, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class Shortage:
-    """No holder set the tokens aside.
+    """The holders together did not set enough tokens aside.
 
     ``exhausted`` tells that the workspace as a whole has too few left; ``asked`` lists the holders
     with what came of each, for the log.
@@ -67,12 +77,14 @@
         self.spawn(self._send_forever(), "settlements")
 
     async def reserve(self, request_id: str, workspace: str, tokens: int) -> Reservation | Shortage:
-        """Set tokens aside at the first holder that has them."""
+        """Set tokens aside, here if possible, otherwise at as few others as possible."""
+        reservation_id = f"{self._blackboard.own.incarnation}/{request_id}"
+        parts: list[Part] = []
         asked: list[str] = []
         least_left: int | None = None
-        reservation_id = f"{self._blackboard.own.incarnation}/{request_id}"
-        for incarnation in self._holders():
-            request = ReserveRequest(reservation_id, workspace, tokens)
+        missing = tokens
+        for incarnation in self._holders(workspace):
+            request = ReserveRequest(reservation_id, workspace, missing)
             try:
                 reply = await self._ask(incarnation, request)
             except PeerError as error:
@@ -80,46 +92,61 @@
                 if error.sent:
                     self._later(incarnation, Settlement(reservation_id, workspace, 0))
                 continue
-            if reply.reserved:
-                return Reservation(reservation_id, workspace, tokens, incarnation)
-            asked.append(f"{incarnation}: left at most {reply.left_at_most}")
+            asked.append(f"{incarnation}: {reply.reserved} of {missing}")
             left = reply.left_at_most
             least_left = left if least_left is None else min(least_left, left)
+            if reply.reserved:
+                parts.append(Part(incarnation, reply.reserved))
+                missing -= reply.reserved
+            if not missing:
+                return Reservation(reservation_id, workspace, tuple(parts))
+        self.settle(Reservation(reservation_id, workspace, tuple(parts)), 0)
         exhausted = least_left is not None and least_left < tokens
         return Shortage(exhausted, tuple(asked))
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
-        """Tell the holder what a request really used."""
-        settlement = Settlement(reservation.id, reservation.workspace, tokens)
-        if reservation.holder == self._blackboard.own.incarnation:
-            self._holder.settle(settlement)
-        else:
-            self._later(reservation.holder, settlement)
+        """Tell the holders what a request really used."""
+        for part in reservation.parts:
+            used = min(tokens, part.tokens)
+            tokens -= used
+            settlement = Settlement(reservation.id, reservation.workspace, used)
+            if part.holder == self._blackboard.own.incarnation:
+                self._holder.settle(settlement)
+            else:
+                self._later(part.holder, settlement)
 
     async def flush(self) -> None:
         """Send all settlements that wait."""
         await asyncio.gather(*(self._send(holder) for holder in list(self._unsent_by_holder)))
 
-    def _holders(self) -> list[str]:
-        """Return the holders to ask: this gateway, then those of its zone, then the others."""
+    def _holders(self, workspace: str) -> list[str]:
+        """Return the holders to ask: this gateway, then those that have most."""
         board = self._blackboard
-        members = board.members_by_incarnation
-        own = board.own
-
-        def distance(incarnation: str) -> int:
-            if incarnation == own.incarnation:
-                return 0
-            member = members.get(incarnation)
-            return 1 if member is not None and member.zone == own.zone else 2
-
-        return sorted(holders_of(board), key=distance)
-
-    async def _ask(self, incarnation: str, request: ReserveRequest):
+        available_by_holder = {
+            incarnation: available.get(workspace, 0)
+            for incarnation, available in board.available_by_incarnation.items()
+            if incarnation not in board.unreachable
+        }
+        others = sorted(
+            (key for key, available in available_by_holder.items() if available > 0),
+            key=lambda key: available_by_holder[key],
+            reverse=True,
+        )
+        return [board.own.incarnation, *others[: MAX_ASKED - 1]]
+
+    async def _ask(self, incarnation: str, request: ReserveRequest) -> ReserveReply:
         """Ask one holder."""
-        if incarnation == self._blackboard.own.incarnation:
+        board = self._blackboard
+        if incarnation == board.own.incarnation:
             return self._holder.reserve(request.reservation, request.workspace, request.tokens)
-        peer = self._blackboard.members_by_incarnation[incarnation]
-        return await self._peers.reserve(peer, request, RESERVE_TIMEOUT_SECONDS)
+        peer = board.members_by_incarnation.get(incarnation)
+        if peer is None:
+            raise PeerError("no longer a member", step="reserve", peer=incarnation, sent=False)
+        reply = await self._peers.reserve(peer, request, RESERVE_TIMEOUT_SECONDS)
+        available = board.available_by_incarnation.get(incarnation)
+        if available is not None:
+            available[request.workspace] = available.get(request.workspace, 0) - reply.reserved
+        return reply
 
     def _later(self, holder: str, settlement: Settlement) -> None:
         """Send a settlement with the next batch."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -60,10 +60,10 @@
 
 
 class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How many tokens a holder keeps at hand, as shares of what a workspace has left."""
+    """Who keeps tokens at hand, and how much of what a workspace has left."""
 
-    target_share: float = 0.2
-    refill_share: float = 0.6
+    held_share: float = 0.5
+    max_holders: int = 12
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -112,11 +112,11 @@
             "stop.grace_seconds": self.stop.grace_seconds,
             "directory.answer_seconds": self.directory.answer_seconds,
             "directory.max_addresses": self.directory.max_addresses,
+            "budgets.max_holders": self.budgets.max_holders,
         }
         faults += [f"{name} must be above zero" for name, value in positive.items() if value <= 0]
         shares = {
-            "budgets.target_share": self.budgets.target_share,
-            "budgets.refill_share": self.budgets.refill_share,
+            "budgets.held_share": self.budgets.held_share,
         }
         faults += [
             f"{name} must be in 0 to 1" for name, value in shares.items() if not 0 < value < 1
