Test the gateway on stand-ins of the users' platform

Cause: the gateway had no tests of its own. Change: stand-ins of the store and of an upstream that speak the platform's form over sockets, with scripted faults; 45 scenarios of a real gateway on them. Two scenarios failed now and then before, and were traced to the tests: a reset discards events that the gateway has not read (the stand-in now waits 0.4 s), and a gateway counted as ready before its first draw was confirmed.

--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,234 @@
+Feature: A gateway on the users' platform
+  Requests of callers reach upstreams, and answers reach callers, through what the platform speaks.
+
+  Scenario: A request arrives unchanged, without its key
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When 1 request after another is posted to /post/a?b=c
+    Then the caller gets the answer of upstream app-1 unchanged
+    And the upstream sees the request without its key, and for choir
+
+  Scenario Outline: Callers do not choose what only the gateway may set
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When a request carries header <name> "7"
+    Then the upstream never sees header <name>
+
+    Examples:
+      | name                    |
+      | x-quinceferry-kv-hold   |
+      | x-quinceferry-pin-ms    |
+      | x-quinceferry-kv-backup |
+      | kv-from                 |
+      | kv-fetch                |
+
+  Scenario Outline: Requests that can't be served are refused with the reason
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When a request carries header <name> "<value>"
+    Then the gateway answers <status>
+    And 0 requests reached an upstream
+
+    Examples:
+      | name                       | value       | status |
+      | x-quinceferry-credential   | unknown     | 401    |
+      | host                       | other       | 404    |
+      | x-quinceferry-deadline-ms  | soon        | 400    |
+      | x-quinceferry-deadline-ms  | -5          | 400    |
+      | x-quinceferry-token-count  | 12          | 400    |
+      | x-quinceferry-token-count  | a,b         | 400    |
+      | x-quinceferry-prompt-prefix| abc         | 400    |
+
+  Scenario: A request without an identifier is refused
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When a request lacks header x-quinceferry-request-id
+    Then the gateway answers 400
+
+  Scenario: A body over the limit is refused
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When a request has a body of 5001 bytes
+    Then the gateway answers 413
+    And 0 requests reached an upstream
+
+  Scenario: Without a configuration nothing is denied for good
+    Given a gateway without a configuration
+    When 1 request after another reads /get/a
+    Then the gateway answers 503
+    And is told when to come back
+
+  Scenario: A request that may not run twice does not, when its connection breaks
+    Given a gateway before the services
+    And upstream app-1 of service app that "breaks the connection"
+    And upstream app-2 of service app that "breaks the connection"
+    When 1 request after another is posted to /post/a
+    Then the gateway answers 502
+    And 1 request reached an upstream
+
+  Scenario: A request that may not run twice goes on after an upstream declined it
+    Given a gateway before the services
+    And upstream app-1 of service app that "declines, then answers"
+    And upstream app-2 of service app that "declines, then answers"
+    When 2 requests after another are posted to /post/a
+    Then the gateway answers in turn 503, 200
+    And 3 requests reached an upstream
+
+  Scenario: A declined request is told when to come back
+    Given a gateway before the services
+    And upstream app-1 of service app that "declines"
+    When 1 request after another is posted to /post/a
+    Then the gateway answers 503
+    And is told when to come back
+
+  Scenario Outline: An idempotent request is tried elsewhere
+    Given a gateway before the services
+    And upstream app-1 of service app that "<fault>, then answers"
+    And upstream app-2 of service app that "<fault>, then answers"
+    When 2 requests after another read /get/a
+    Then the gateway answers in turn <statuses>
+
+    Examples:
+      | fault                       | statuses |
+      | breaks the connection       | 502, 200 |
+      | breaks its body off         | 502, 200 |
+      | answers for another request | 502, 200 |
+      | answers without its mark    | 502, 200 |
+      | fails                       | 500, 200 |
+
+  Scenario: An upstream whose address nobody serves is passed over
+    Given a gateway before the services
+    And upstream app-1 of service app that is gone without a word
+    And upstream app-2 of service app that "answers"
+    When 3 requests after another are posted to /post/a
+    Then the gateway answers in turn 200, 200, 200
+    And 3 requests reached an upstream
+
+  Scenario: An answer without a length is whole when its connection ends in order
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers without a length"
+    When 1 request after another is posted to /post/a
+    Then the caller gets the answer of upstream app-1 unchanged
+
+  Scenario: At the time limit of the route the caller gets its answer
+    Given a gateway before the services
+    And upstream app-1 of service app that "never answers"
+    When 1 request after another reads /get/short/a
+    Then the gateway answers 504
+
+  Scenario: A leaving upstream gets no work
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When upstream app-1 begins to leave
+    And 1 request after another is posted to /post/a
+    Then the gateway answers 503
+    And 0 requests reached an upstream
+
+  Scenario Outline: A resumable stream goes on at another upstream
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "<fault>, then streams 5 events"
+    And upstream llm-2 of service llm that "streams 5 events"
+    When a stream of /draft/a is asked for
+    And a stream of /draft/a is asked for
+    Then the caller gets events 1 to 5, each once, from its first upstream
+
+    Examples:
+      | fault                       |
+      | breaks after 2 events       |
+      | breaks within event 3       |
+      | falls silent after 2 events |
+
+  Scenario: A stream that may not be resumed breaks, and does not look complete
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "breaks within event 3"
+    And upstream llm-2 of service llm that "breaks within event 3"
+    When a stream of /ask/a is asked for
+    Then the caller sees events 1 to 2 and then a broken connection
+    And 1 request reached an upstream
+
+  Scenario: A caller that leaves takes its run along
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "streams slowly"
+    When a caller leaves during a stream
+    Then the upstream's connection is closed soon
+
+  Scenario: A stream is charged for its prompt and the events that were passed on
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "streams 5 events"
+    When a stream of /draft/a is asked for
+    Then the workspace is charged 120 tokens
+
+  Scenario: A broken stream is charged for what was passed on
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "breaks within event 3"
+    When a stream of /ask/a is asked for
+    Then the workspace is charged 108 tokens
+
+  Scenario: A declined stream is charged nothing
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "declines"
+    When a stream of /ask/a is asked for
+    Then the workspace is charged 0 tokens
+
+  Scenario: A request that the budget does not cover is refused before it runs
+    Given 1 gateway before the services with 120 prepaid tokens
+    And upstream llm-1 of service llm that "streams 5 events"
+    When a stream of /draft/a is asked for
+    Then the gateway answers 402
+    And 0 requests reached an upstream
+
+  Scenario: A large request takes its tokens from several gateways
+    Given 3 gateways before the services with 1200 prepaid tokens
+    And upstream llm-1 of service llm that "streams 5 events"
+    When gateway 1 knows what the others hold
+    And gateway 1 is asked to stream /draft/a for at most 500 tokens
+    Then the gateway answers 200
+
+  Scenario: While the store is away, what is held is spent and no more
+    Given 1 gateway before the services with 1000 prepaid tokens
+    And upstream llm-1 of service llm that "streams 5 events"
+    When the store goes silent
+    And gateway 1 is asked to stream /draft/a for at most 400 tokens
+    And gateway 1 is asked to stream /draft/a for at most 400 tokens
+    Then the gateway answers in turn 200, 429
+    And is told when to come back
+
+  Scenario: An older version of the configuration changes nothing
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators publish version 0 without routes
+    And 1 request after another is posted to /post/a
+    Then the gateway answers 200
+
+  Scenario: A newer version of the configuration is in force
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators publish version 2 without routes
+    And 1 request after another is posted to /post/a
+    Then the gateway answers 404
+
+  Scenario: A configuration that can't be read leaves the last good one in force
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators' document becomes "not json"
+    And 1 request after another is posted to /post/a
+    Then the gateway answers 200
+
+  Scenario: A planned stop cuts nothing and returns the tokens
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    And upstream llm-1 of service llm that "streams 5 events"
+    When the gateway is told to stop during a stream
+    Then it is no longer ready nor named, serves on, and ends the stream whole
+    And after the stop the record holds 120 spent tokens and no allotment
+
+  Scenario: Each gateway is registered under a lease
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    Then the store holds a registration with a lease
+
+  Scenario: Outcomes are counted on the metrics address
+    Given a gateway before the services
+    And upstream app-1 of service app that "declines"
+    When 1 request after another is posted to /post/a
+    Then the metrics count 1 request with outcome upstreams_refused
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -88,6 +88,10 @@
             return {}
         return {name: account.available for name, account in self._accounts_by_workspace.items()}
 
+    def spent_by_workspace(self) -> dict[str, int]:
+        """Return the tokens that were spent here, without those of running requests."""
+        return {name: account.spent for name, account in self._accounts_by_workspace.items()}
+
     def reserve(self, reservation: str, workspace: str, tokens: int) -> ReserveReply:
         """Set tokens aside, or as many as the allotment has."""
         account = self._accounts_by_workspace.get(workspace)
--- /dev/null
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -0,0 +1,260 @@
+"""Stand-in for an upstream of the users' platform, over raw connections, with scripted answers."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import deque
+from dataclasses import dataclass, field
+
+import h11
+
+SEAL = b"x-quinceferry-server-seal"
+REQUEST_ID = b"x-quinceferry-request-id"
+_READ_BYTES = 65_536
+READ_SECONDS = 0.4
+"""Time left to the reader before a reset, which discards what has not been read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """Answers with a status and a whole body; ``foreign`` names another request's identifier."""
+
+    status: int = 200
+    body: bytes = b"done"
+    foreign: str = ""
+    sealed: bool = True
+    framed: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Declined:
+    """Says that it did not run the request."""
+
+    status: int = 503
+
+
+@dataclass(slots=True, frozen=True)
+class Streaming:
+    """Sends events; ``last`` is the number after which it goes on as ``then`` says.
+
+    ``then`` is ``end``, ``reset``, ``silent`` or ``partial`` (half an event, then a reset).
+    """
+
+    events: int = 3
+    last: int | None = None
+    then: str = "end"
+    pause_seconds: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """Runs the request and resets the connection; ``body`` is sent before, without its end."""
+
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Hanging:
+    """Runs the request and never answers."""
+
+
+Behaviour = Answered | Declined | Streaming | Broken | Hanging
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """A request as it arrived."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(slots=True)
+class ManagedUpstream:
+    """One upstream; it plays its script, then answers with the last entry again and again."""
+
+    id: str
+    script: deque[Behaviour] = field(default_factory=lambda: deque([Answered()]))
+    seen: list[Seen] = field(default_factory=list)
+    closed_by_peer: int = 0
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Stop listening and end what runs."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one request on a connection."""
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read a request and play the next behaviour."""
+        connection = h11.Connection(h11.SERVER)
+        seen = await _read_request(connection, reader)
+        if seen is None:
+            writer.close()
+            return
+        self.seen.append(seen)
+        behaviour = self.script.popleft() if len(self.script) > 1 else self.script[0]
+        if seen.headers.get(b"x-quinceferry-expect-instance", b"").decode() != self.id:
+            behaviour = Declined(421)
+        play = asyncio.create_task(self._play(behaviour, seen, connection, writer))
+        gone = asyncio.create_task(reader.read())
+        await asyncio.wait((play, gone), return_when=asyncio.FIRST_COMPLETED)
+        if not play.done():
+            self.closed_by_peer += 1
+        for task in (play, gone):
+            task.cancel()
+        await asyncio.gather(play, gone, return_exceptions=True)
+        writer.close()
+
+    async def _play(
+        self,
+        behaviour: Behaviour,
+        seen: Seen,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer a request as scripted."""
+        match behaviour:
+            case Answered():
+                await _answer(behaviour, seen, connection, writer)
+            case Declined(status):
+                headers = [(b"x-quinceferry-not-run", b"1"), (b"content-length", b"0")]
+                await _send(
+                    connection,
+                    writer,
+                    h11.Response(status_code=status, headers=headers),
+                    h11.EndOfMessage(),
+                )
+            case Streaming():
+                await _stream(behaviour, seen, connection, writer)
+            case Broken(body):
+                if body:
+                    headers = [*_own_headers(seen), (b"content-length", b"1000")]
+                    await _send(
+                        connection,
+                        writer,
+                        h11.Response(status_code=200, headers=headers),
+                        h11.Data(data=body),
+                    )
+                _reset(writer)
+            case Hanging():
+                await asyncio.sleep(3600)
+
+
+async def _read_request(connection: h11.Connection, reader: asyncio.StreamReader) -> Seen | None:
+    """Return a whole request, or None when the connection ended first."""
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        match event:
+            case h11.NEED_DATA:
+                connection.receive_data(await reader.read(_READ_BYTES))
+            case h11.Request():
+                head = event
+            case h11.Data():
+                body += bytes(event.data)
+            case h11.EndOfMessage():
+                return Seen(head.method, head.target, dict(head.headers), body)
+            case _:
+                return None
+
+
+def _own_headers(seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
+    """Return the headers that an upstream adds to its answers."""
+    named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
+    return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named)]
+
+
+async def _answer(
+    behaviour: Answered, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
+) -> None:
+    """Send a whole answer."""
+    headers = _own_headers(seen, behaviour.foreign)
+    if not behaviour.sealed:
+        headers = headers[:1]
+    if behaviour.framed:
+        headers.append((b"content-length", str(len(behaviour.body)).encode()))
+    else:
+        headers.append((b"connection", b"close"))
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        writer.write(b"".join(name + b": " + value + b"\r\n" for name, value in headers))
+        writer.write(b"\r\n" + behaviour.body)
+        await writer.drain()
+        return
+    head = h11.Response(status_code=behaviour.status, headers=headers)
+    await _send(connection, writer, head, h11.Data(data=behaviour.body), h11.EndOfMessage())
+
+
+async def _stream(
+    behaviour: Streaming, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
+) -> None:
+    """Send the events that the request does not have yet."""
+    headers = [*_own_headers(seen), (b"content-type", b"text/event-stream")]
+    headers.append((b"transfer-encoding", b"chunked"))
+    await _send(connection, writer, h11.Response(status_code=200, headers=headers))
+    first = int(seen.headers.get(b"last-event-id", b"0")) + 1
+    last = behaviour.events if behaviour.last is None else behaviour.last
+    for number in range(first, last + 1):
+        await _send(connection, writer, h11.Data(data=event_bytes(number)))
+        await asyncio.sleep(behaviour.pause_seconds)
+    match behaviour.then:
+        case "end":
+            await _send(connection, writer, h11.EndOfMessage())
+        case "silent":
+            await asyncio.sleep(3600)
+        case "partial":
+            await _send(connection, writer, h11.Data(data=event_bytes(last + 1)[:7]))
+            await asyncio.sleep(READ_SECONDS)
+            _reset(writer)
+        case _:
+            await asyncio.sleep(READ_SECONDS)
+            _reset(writer)
+
+
+def event_bytes(number: int) -> bytes:
+    """Return one event as an upstream writes it."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+async def _send(
+    connection: h11.Connection, writer: asyncio.StreamWriter, *events: h11.Event
+) -> None:
+    """Write HTTP events."""
+    for event in events:
+        writer.write(connection.send(event) or b"")
+    with contextlib.suppress(ConnectionError):
+        await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
