Take an upstream that was listed since the store's return as gone when it goes

Cause: after an outage of the store, upstreams that are missing were kept for 2.5 s, also those that had been listed since and left then. The first reading after an outage was applied before its return was noted, so that the grace missed just that reading. Change: only upstreams not listed since the return are kept; the return is noted first.

--- /dev/null
+++ b/features/gateway_catalog.feature
@@ -0,0 +1,32 @@
+Feature: Upstreams that a gateway may use
+  The list of upstreams is read again and again; after an outage of the store entries come back late.
+
+  Background:
+    Given a gateway that lists upstreams a and b
+
+  Scenario: An upstream that leaves the list is gone
+    When the list holds a only
+    Then the gateway may use a only
+
+  Scenario: An upstream that is missing right after an outage may still be used
+    When the store is lost and regained
+    And the list holds a only
+    Then the gateway may use a and b
+
+  Scenario: An upstream that is missing for long after an outage is gone
+    When the store is lost and regained
+    And the list holds a only
+    And 3 seconds pass
+    And the list holds a only
+    Then the gateway may use a only
+
+  Scenario: An upstream that was back after an outage and goes then is gone at once
+    When the store is lost and regained
+    And the list holds a and b
+    And 0.5 seconds pass
+    And the list holds a only
+    Then the gateway may use a only
+
+  Scenario: An older list changes nothing
+    When a list from before holds a only
+    Then the gateway may use a and b
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -110,7 +110,7 @@
         self._source = source
         self._clock = clock
         self._back_at = clock.monotonic()
-        self._missing_since_by_id: dict[str, float] = {}
+        self._listed_since_return: set[str] = set()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -120,8 +120,9 @@
         """Read the list again and again."""
         while True:
             try:
-                self.offer(await self._source.upstreams())
+                listed = await self._source.upstreams()
                 self._set_reachable(True)
+                self.offer(listed)
                 await self._clock.sleep(UPSTREAM_POLL_SECONDS)
             except KvError as error:
                 self._set_reachable(False, str(error))
@@ -134,15 +135,21 @@
             return
         board.upstreams_revision = listed.revision
         by_id = {**listed.by_id, **self._still_usable(listed)}
+        self._listed_since_return |= listed.by_id.keys()
         self._log_changes(board.upstreams_by_id, by_id)
         board.upstreams_by_id = by_id
 
     def _still_usable(self, listed: UpstreamList) -> dict[str, Upstream]:
-        """Return upstreams that are missing only because the store has just come back."""
+        """Return upstreams that are missing only because the store has just come back.
+
+        One that was listed since then and is missing now has left; keeping it would send it work
+        for longer than the two seconds that a leaving upstream allows.
+        """
         if self._clock.monotonic() - self._back_at > LAPSE_GRACE_SECONDS:
             return {}
+        returned = listed.by_id.keys() | self._listed_since_return
         known = self._blackboard.upstreams_by_id
-        return {key: item for key, item in known.items() if key not in listed.by_id}
+        return {key: item for key, item in known.items() if key not in returned}
 
     def _set_reachable(self, reachable: bool, error: str = "") -> None:
         """Note whether the store answers, and log a change."""
@@ -152,6 +159,7 @@
         board.store_reachable = reachable
         if reachable:
             self._back_at = self._clock.monotonic()
+            self._listed_since_return.clear()
             log.change("store.regained")
         else:
             log.change("store.lost", error=error)
