Hold 0.35 of what is left, and charge no prompt of a run that never began

Change: a request that was ended from here before its first event costs nothing, one whose connection broke costs its prompt; 1 in 100 of each budget is kept as margin for what is in doubt; holders keep 0.35 instead of 0.5 of what is left; in an outage of the store a refusal names 2 s.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -16,6 +16,7 @@
     UNKNOWN_KEY = "unknown_key"
     BUDGET_EXHAUSTED = "budget_exhausted"
     BUDGET_OUT_OF_REACH = "budget_out_of_reach"
+    BUDGET_UNTIL_STORE = "budget_until_store"
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -32,6 +33,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.BUDGET_EXHAUSTED: 402,
     Reason.BUDGET_OUT_OF_REACH: 429,
+    Reason.BUDGET_UNTIL_STORE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
@@ -44,11 +46,13 @@
 RETRY_SECONDS_BY_REASON = {
     Reason.STARTING: 0.5,
     Reason.BUDGET_OUT_OF_REACH: 0.7,
+    Reason.BUDGET_UNTIL_STORE: 2.0,
     Reason.NO_UPSTREAM: 0.4,
     Reason.UPSTREAMS_REFUSED: 0.3,
     Reason.TIMED_OUT_UNSENT: 0.3,
 }
-"""When it is worth asking again: a store reading, a draw, or a few upstream answers later."""
+"""When it is worth asking again: a store reading, a draw, or a few upstream answers later. Outages
+of the store last for seconds, and nothing can be drawn meanwhile."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -9,7 +9,6 @@
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
-from quinceferry_gateway.budgets import DrawPolicy
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
 from quinceferry_gateway.fleet_api import PeerApi
@@ -62,8 +61,7 @@
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         peers = PeerClient(http)
-        policy = DrawPolicy(settings.budgets.held_share)
-        self.holder = TokenHolder(board, store, clock, policy, settings.budgets.max_holders)
+        self.holder = TokenHolder(board, store, clock, settings.budgets)
         self.reservations = Reservations(board, self.holder, peers, clock)
         self._registration = Registration(board, store, clock)
         self._router = Router(settings.gateway.zone, clock, random.Random())
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -34,9 +34,9 @@
         """Return all tokens that holders have drawn and not reported."""
         return sum(item.outstanding for item in self.allotments_by_holder.values())
 
-    def undrawn(self, prepaid: int) -> int:
-        """Return the tokens that nobody holds."""
-        return prepaid - self.spent - self.outstanding
+    def undrawn(self, drawable: int) -> int:
+        """Return the tokens that nobody holds, of those that may be drawn."""
+        return drawable - self.spent - self.outstanding
 
 
 class BudgetRecord(msgspec.Struct, omit_defaults=True):
@@ -125,14 +125,14 @@
         return undrawn > 0 and available < self.refill_share * target
 
 
-def left_tokens(budget: WorkspaceBudget, prepaid: int, live_holders: Collection[str]) -> int:
+def left_tokens(budget: WorkspaceBudget, drawable: int, live_holders: Collection[str]) -> int:
     """Return the tokens that nobody holds or that live holders hold."""
     held = sum(
         entry.outstanding
         for holder, entry in budget.allotments_by_holder.items()
         if holder in live_holders
     )
-    return max(0, budget.undrawn(prepaid)) + held
+    return max(0, budget.undrawn(drawable)) + held
 
 
 def update_allotment(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -228,10 +228,6 @@
             return
         try:
             outcome = await self._relay.run(progress)
-        except BaseException:
-            # Cancelled or failed on the way: an upstream may have begun.
-            progress.may_have_run = True
-            raise
         finally:
             if reservation is not None:
                 self._reservations.settle(reservation, self._used(progress))
@@ -245,12 +241,23 @@
         found = await self._reservations.reserve(call.request_id, workspace.name, call.max_tokens)
         if isinstance(found, Shortage):
             detail = f"{call.max_tokens} tokens of {workspace.name}; {'; '.join(found.asked)}"
-            reason = Reason.BUDGET_EXHAUSTED if found.exhausted else Reason.BUDGET_OUT_OF_REACH
-            return Refusal(reason, detail)
+            return Refusal(self._shortage_reason(found), detail)
         return found
 
+    def _shortage_reason(self, shortage: Shortage) -> Reason:
+        """Return why tokens could not be set aside."""
+        if shortage.exhausted:
+            return Reason.BUDGET_EXHAUSTED
+        if not self._blackboard.store_reachable:
+            return Reason.BUDGET_UNTIL_STORE
+        return Reason.BUDGET_OUT_OF_REACH
+
     def _used(self, progress: Progress) -> int:
-        """Return the tokens that a request has used at most."""
+        """Return the tokens that a request has used at most.
+
+        A run begins with its first event. One that was ended from here before has used nothing; if
+        its first event was on the way just then, the margin of the budget covers its prompt.
+        """
         call = progress.call
         events = progress.stream.buffer.count
         if not progress.may_have_run and not events:
@@ -284,7 +291,15 @@
             await exchange.answer(outcome.head.status, outcome.head.headers, outcome.body)
         seconds = self._clock.monotonic() - started_at
         self._metrics.answered(_workspace(progress), progress.route.name, seconds)
-        log.success("request.answered", request=request_id, seconds=round(seconds, 4))
+        log.success(
+            "request.answered",
+            request=request_id,
+            workspace=_workspace(progress),
+            route=progress.route.name,
+            tokens=self._used(progress),
+            attempts=len(progress.tried),
+            seconds=round(seconds, 4),
+        )
 
     async def _refuse(
         self,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -19,6 +19,7 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.peers import ReserveReply, Settlement
 from quinceferry_gateway.rendezvous import ranked
+from quinceferry_gateway.settings import BudgetSettings
 
 BUDGET_KEY = "quinceferry/budgets/0"
 """All workspaces of a small fleet share one record, so that one write renews all allotments."""
@@ -50,24 +51,18 @@
 class TokenHolder(Controller):
     """Holds allotments of workspaces and sets tokens aside for requests of all gateways.
 
-    :param policy: how much to keep at hand.
-    :param max_holders: most gateways that hold tokens.
+    :param settings: who holds how much.
     """
 
     def __init__(
-        self,
-        blackboard: Blackboard,
-        store: KvStore,
-        clock: Clock,
-        policy: DrawPolicy,
-        max_holders: int,
+        self, blackboard: Blackboard, store: KvStore, clock: Clock, settings: BudgetSettings
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._store = store
         self._clock = clock
-        self._policy = policy
-        self._max_holders = max_holders
+        self._settings = settings
+        self._policy = DrawPolicy(settings.held_share)
         self._entry: KvEntry | None = None
         self._record = BudgetRecord()
         self._known = False
@@ -138,12 +133,8 @@
 
     def _left_at_most(self, workspace: str) -> int:
         """Return an upper bound of what the workspace has left, as of the last reading."""
-        configuration = self._blackboard.configuration
-        known = configuration.workspaces_by_name.get(workspace) if configuration else None
-        if known is None or known.prepaid_tokens is None:
-            return 0
-        budget = self._record.budgets_by_workspace.get(workspace)
-        return known.prepaid_tokens - (budget.spent if budget else 0)
+        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
+        return self._drawable().get(workspace, 0) - budget.spent
 
     async def _draw_forever(self) -> None:
         """Keep the allotments near their targets."""
@@ -161,7 +152,7 @@
         now = self._clock.monotonic()
         if now - self._written_at < WRITE_SECONDS:
             return False
-        return not self._known or any(self._off_target(name) for name in self._prepaid())
+        return not self._known or any(self._off_target(name) for name in self._drawable())
 
     def _settled(self) -> bool:
         """Tell whether the member list is good enough to draw by."""
@@ -172,32 +163,32 @@
         waited = now - self._began_at > PATIENCE_SECONDS
         return bool(self._accounts_by_workspace) or waited or now - changed_at > SETTLED_SECONDS
 
-    def _prepaid(self) -> dict[str, int]:
-        """Return the prepaid tokens of each workspace that has a budget."""
+    def _drawable(self) -> dict[str, int]:
+        """Return the tokens of each workspace that may be drawn, which leaves out the margin."""
         configuration = self._blackboard.configuration
         if configuration is None:
             return {}
         return {
-            name: workspace.prepaid_tokens
+            name: int((1 - self._settings.margin_share) * workspace.prepaid_tokens)
             for name, workspace in configuration.workspaces_by_name.items()
             if workspace.prepaid_tokens is not None
         }
 
-    def _target(self, budget: WorkspaceBudget, prepaid: int) -> int:
+    def _target(self, budget: WorkspaceBudget, drawable: int) -> int:
         """Return the tokens that this gateway should have available in a workspace."""
-        holders = holders_of(self._blackboard, self._max_holders)
+        holders = holders_of(self._blackboard, self._settings.max_holders)
         if self._own not in holders:
             return 0
-        left = left_tokens(budget, prepaid, self._blackboard.members_by_incarnation)
+        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
         return self._policy.target(left, len(holders))
 
     def _off_target(self, workspace: str) -> bool:
         """Tell whether a workspace's allotment should change."""
         budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
-        prepaid = self._prepaid()[workspace]
+        drawable = self._drawable()[workspace]
         account = self._accounts_by_workspace.get(workspace, Account())
-        target = self._target(budget, prepaid)
-        return self._policy.due(account.available, target, budget.undrawn(prepaid))
+        target = self._target(budget, drawable)
+        return self._policy.due(account.available, target, budget.undrawn(drawable))
 
     async def _draw(self) -> None:
         """Report spending and draw, by compare-and-swap."""
@@ -217,18 +208,23 @@
                 return
             for workspace, drawn in drawn_by_workspace.items():
                 self._accounts_by_workspace[workspace].drawn = drawn
-            log.success("allotments.drawn", version=self._entry.version if self._entry else 0)
+            log.success(
+                "allotments.drawn",
+                version=self._entry.version if self._entry else 0,
+                left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
+                available_by_workspace=self.available_by_workspace(),
+            )
             return
 
     def _update_all(self) -> dict[str, int]:
         """Change the record in memory for all workspaces; return what will be drawn by then."""
         drawn_by_workspace: dict[str, int] = {}
-        for name, prepaid in self._prepaid().items():
+        for name, drawable in self._drawable().items():
             budget = self._record.budgets_by_workspace.setdefault(name, WorkspaceBudget())
             account = self._accounts_by_workspace.setdefault(name, Account())
-            target = self._target(budget, prepaid)
+            target = self._target(budget, drawable)
             drawn_by_workspace[name] = update_allotment(
-                budget, self._own, account, budget.undrawn(prepaid), target
+                budget, self._own, account, budget.undrawn(drawable), target
             )
         return drawn_by_workspace
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -107,9 +107,9 @@
                 case Streamed():
                     return outcome
                 case Whole(head, _):
+                    progress.may_have_run = True
                     if not self._worth_another(progress, head):
                         return outcome
-                    progress.may_have_run = True
                     progress.last_failure = outcome
                 case NotRun(detail, sent):
                     progress.arrivals += sent
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -92,7 +92,9 @@
                 if error.sent:
                     self._later(incarnation, Settlement(reservation_id, workspace, 0))
                 continue
-            asked.append(f"{incarnation}: {reply.reserved} of {missing}")
+            asked.append(
+                f"{incarnation}: {reply.reserved} of {missing}, left at most {reply.left_at_most}"
+            )
             left = reply.left_at_most
             least_left = left if least_left is None else min(least_left, left)
             if reply.reserved:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -60,10 +60,15 @@
 
 
 class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Who keeps tokens at hand, and how much of what a workspace has left."""
+    """Who keeps tokens at hand, and how much of what a workspace has left.
 
-    held_share: float = 0.5
+    ``margin_share`` of the prepaid tokens is never drawn: it covers what is in doubt, such as the
+    prompt of a run whose first event was lost on the way.
+    """
+
+    held_share: float = 0.35
     max_holders: int = 12
+    margin_share: float = 0.01
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -117,6 +122,7 @@
         faults += [f"{name} must be above zero" for name, value in positive.items() if value <= 0]
         shares = {
             "budgets.held_share": self.budgets.held_share,
+            "budgets.margin_share": self.budgets.margin_share,
         }
         faults += [
             f"{name} must be in 0 to 1" for name, value in shares.items() if not 0 < value < 1
