Pass tokens on at a planned stop while the store is away

Cause: a gateway that stopped during an outage of the store could not return its allotment, and one in nine parts of what is held was stranded with each. Change: the allotment is returned as soon as no new requests come, while streams still run; where the store took nothing, the tokens go to one peer, which enters them in the record with its next draw. Settled streams of the last seconds are no longer cut by the return at the end of the stop. Test: gateway_budgets.feature; taking a guard out (confirmed draws, repeated inheritance, tokens that leave before a write or a return) makes a scenario fail.

--- /dev/null
+++ b/features/gateway_budgets.feature
@@ -0,0 +1,51 @@
+Feature: Prepaid tokens at the gateways
+  Each gateway draws an allotment from the budget record and spends no more than that.
+
+  Scenario: Gateways that start together hold their share and no more
+    Given 9 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    Then the holders have about 3118 tokens available together
+
+  Scenario Outline: However holders fail, the budget is not overspent
+    Given 5 token holders and a budget of 100000 tokens
+    When they serve requests for 60 seconds under <faults>, seed <seed>
+    Then no more than 100000 tokens were used
+    And the record counts at least what was used
+
+    Examples:
+      | faults                          | seed |
+      | no faults                       | 1    |
+      | lost answers                    | 2    |
+      | lost answers                    | 3    |
+      | outages                         | 4    |
+      | outages and kills               | 5    |
+      | lost answers, outages and kills | 6    |
+      | lost answers, outages and kills | 7    |
+      | lost answers, outages and stops | 8    |
+      | lost answers, outages and stops | 9    |
+      | lost answers, outages and stops | 10   |
+
+  Scenario: A holder that stops while the store is away strands nothing
+    Given 3 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And the store is away and holder 1 stops
+    And the store is back for 5 seconds
+    Then the record holds 0 spent tokens and 2 allotments
+
+  Scenario: Tokens that were passed on twice count once
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And the store is away and holder 1 stops, its message arriving twice
+    And the store is back for 5 seconds
+    Then the record holds 0 spent tokens and 1 allotments
+
+  Scenario: A holder whose return may have arrived passes nothing on
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 stops, and the store takes its return but goes away before it answers
+    Then holder 2 has about 1559 tokens available
+
+  Scenario: Tokens that are given back can't be spent while the write is under way
+    Given an account with 900 drawn tokens
+    When the record is updated towards a target of 100 tokens
+    Then the account has 100 tokens available
--- /dev/null
+++ b/features/steps/gateway_budgets.py
@@ -0,0 +1,277 @@
+"""Steps for prepaid tokens at the gateways."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.budgets import (
+    Account,
+    BudgetRecord,
+    HolderAllotment,
+    WorkspaceBudget,
+    update_allotment,
+)
+from quinceferry_gateway.catalog import Configuration, Workspace
+from quinceferry_gateway.holder import BUDGET_KEY, TokenHolder
+from quinceferry_gateway.peers import Settlement
+from quinceferry_gateway.settings import BudgetSettings
+from quinceferry_lab.virtual_time import VirtualClock, run_virtual
+from quinceferry_standins.kv import FakeKv
+
+WORKSPACE = "choir"
+MAX_TOKENS = 900
+
+
+class Bench:
+    """Token holders on one store, in virtual time."""
+
+    def __init__(self, count, prepaid, seed=0):
+        self.clock = VirtualClock()
+        self.random = random.Random(seed)
+        self.kv = FakeKv(self.clock, random.Random(seed))
+        workspace = Workspace(WORKSPACE, prepaid)
+        self.configuration = Configuration(1, {}, {}, {WORKSPACE: workspace})
+        self.holders_by_name = {}
+        self.boards_by_name = {}
+        self.open_by_name = {}
+        self.used = 0
+        self.next_name = 0
+        self.count = count
+
+    async def fill(self):
+        """Start holders until there are as many as there should be."""
+        while len(self.holders_by_name) < self.count:
+            self.next_name += 1
+            name = f"g{self.next_name}"
+            board = Blackboard(Member(name, name, "z", "", ""))
+            board.configuration = self.configuration
+            store = self.kv.connect(name, 0.8)
+            holder = TokenHolder(board, store, self.clock, BudgetSettings())
+            self.boards_by_name[name] = board
+            self.holders_by_name[name] = holder
+            self.open_by_name[name] = {}
+            await holder.start()
+        self.refresh()
+
+    def refresh(self):
+        """Tell all holders who lives and whether the store does."""
+        members = {name: board.own for name, board in self.boards_by_name.items()}
+        for board in self.boards_by_name.values():
+            if board.members_by_incarnation.keys() != members.keys():
+                board.members_changed_at = self.clock.monotonic()
+            board.members_by_incarnation = members
+            board.store_reachable = not self.kv.faults.outage
+
+    def request(self, number):
+        """Reserve at some holder, and settle some earlier request."""
+        name = self.random.choice(list(self.holders_by_name))
+        holder, opened = self.holders_by_name[name], self.open_by_name[name]
+        tokens = self.random.randint(1, MAX_TOKENS)
+        reply = holder.reserve(f"r{number}", WORKSPACE, tokens)
+        if reply.reserved:
+            opened[f"r{number}"] = reply.reserved
+        if opened and self.random.random() < 0.8:
+            key = self.random.choice(list(opened))
+            used = self.random.randint(0, opened.pop(key))
+            self.used += used
+            holder.settle(Settlement(key, WORKSPACE, used))
+
+    async def kill(self, name):
+        """End a holder at once; what it had reserved was used."""
+        await self.holders_by_name[name].stop()
+        self.remove(name)
+
+    async def end(self, name, times=1):
+        """Stop a holder in order; its tokens go to the store or to another holder."""
+        holder = self.holders_by_name[name]
+        returned = await holder.give_back()
+        self.remove(name)
+        if returned or not self.holders_by_name:
+            return
+        heir = self.holders_by_name[self.random.choice(list(self.holders_by_name))]
+        for _ in range(times):
+            heir.inherit(holder.estate())
+
+    def remove(self, name):
+        """Forget a holder; what it had reserved was used."""
+        self.used += sum(self.open_by_name.pop(name).values())
+        del self.holders_by_name[name]
+        del self.boards_by_name[name]
+        self.refresh()
+
+    async def record(self):
+        """Return the budget in the record."""
+        self.kv.faults.clear()
+        entry = await self.kv.connect("test").get(BUDGET_KEY)
+        return BudgetRecord.decode(entry.value).budgets_by_workspace[WORKSPACE]
+
+    async def close(self):
+        """End all holders."""
+        for holder in self.holders_by_name.values():
+            await holder.stop()
+
+
+@given("{count:d} token holders and a budget of {prepaid:d} tokens")
+def given_holders(context, count, prepaid):
+    context.size = (count, prepaid)
+    context.acts = []
+
+
+@when("{seconds:d} seconds pass for the holders")
+def when_seconds(context, seconds):
+    context.acts.append(lambda bench: bench.clock.sleep(seconds))
+
+
+@when("they serve requests for {seconds:d} seconds under {faults}, seed {seed:d}")
+def when_serve(context, seconds, faults, seed):
+    context.seed = seed
+
+    async def serve(bench):
+        for number in range(seconds * 10):
+            disturb(bench, faults)
+            if "kills" in faults and bench.random.random() < 0.01:
+                await bench.kill(bench.random.choice(list(bench.holders_by_name)))
+            if "stops" in faults and bench.random.random() < 0.02:
+                await bench.end(bench.random.choice(list(bench.holders_by_name)))
+            await bench.fill()
+            bench.request(number)
+            await bench.clock.sleep(0.1)
+
+    context.acts.append(serve)
+
+
+def disturb(bench, faults):
+    """Draw what the store does for the next moment."""
+    if "lost" in faults:
+        bench.kv.faults.lose_probability = 0.3
+    if "outages" in faults and bench.random.random() < 0.03:
+        bench.kv.faults.outage = not bench.kv.faults.outage
+        bench.refresh()
+
+
+@when("the store is away and holder {number:d} stops")
+def when_stops(context, number):
+    stop_away(context, number, 1)
+
+
+@when("the store is away and holder {number:d} stops, its message arriving twice")
+def when_stops_twice(context, number):
+    stop_away(context, number, 2)
+
+
+def stop_away(context, number, times):
+    """Stop a holder during an outage."""
+
+    async def stop(bench):
+        bench.kv.faults.outage = True
+        bench.refresh()
+        await bench.end(f"g{number}", times)
+        await bench.clock.sleep(2.0)
+
+    context.acts.append(stop)
+
+
+@when("the store is back for {seconds:d} seconds")
+def when_back(context, seconds):
+    async def back(bench):
+        bench.kv.faults.outage = False
+        bench.refresh()
+        await bench.clock.sleep(seconds)
+
+    context.acts.append(back)
+
+
+def play(context, check):
+    """Run the acts and a check, which may be a coroutine function."""
+
+    async def scene():
+        bench = Bench(*context.size, seed=getattr(context, "seed", 0))
+        await bench.fill()
+        for act in context.acts:
+            await act(bench)
+        await check(bench)
+        await bench.close()
+
+    run_virtual(scene())
+
+
+@then("the holders have about {tokens:d} tokens available together")
+def then_available(context, tokens):
+    async def check(bench):
+        held = [
+            holder.available_by_workspace().get(WORKSPACE, 0)
+            for holder in bench.holders_by_name.values()
+        ]
+        assert abs(sum(held) - tokens) < 0.02 * tokens, held
+
+    play(context, check)
+
+
+@then("no more than {tokens:d} tokens were used")
+def then_used(context, tokens):
+    async def check(bench):
+        used = bench.used + sum(sum(opened.values()) for opened in bench.open_by_name.values())
+        assert used <= tokens, used
+        assert used > 0.1 * tokens, used
+
+    play(context, check)
+
+
+@then("the record counts at least what was used")
+def then_counts(context):
+    async def check(bench):
+        used = bench.used + sum(sum(opened.values()) for opened in bench.open_by_name.values())
+        budget = await bench.record()
+        assert budget.spent + budget.outstanding >= used, (budget, used)
+
+    play(context, check)
+
+
+@then("the record holds {spent:d} spent tokens and {allotments:d} allotments")
+def then_record(context, spent, allotments):
+    async def check(bench):
+        budget = await bench.record()
+        assert budget.spent == spent, budget
+        assert len(budget.allotments_by_holder) == allotments, budget
+
+    play(context, check)
+
+
+@when("holder {number:d} stops, and the store takes its return but goes away before it answers")
+def when_return_lost(context, number):
+    async def stop(bench):
+        bench.kv.faults.lose_probability = 1.0
+        ending = asyncio.create_task(bench.end(f"g{number}"))
+        await bench.clock.sleep(0.4)
+        bench.kv.faults.outage = True
+        bench.refresh()
+        await ending
+
+    context.acts.append(stop)
+
+
+@then("holder {number:d} has about {tokens:d} tokens available")
+def then_holder_available(context, number, tokens):
+    async def check(bench):
+        held = bench.holders_by_name[f"g{number}"].available_by_workspace()[WORKSPACE]
+        assert abs(held - tokens) < 0.02 * tokens, held
+
+    play(context, check)
+
+
+@given("an account with {tokens:d} drawn tokens")
+def given_account(context, tokens):
+    context.account = Account(drawn=tokens)
+    context.budget = WorkspaceBudget(0, {"me": HolderAllotment(drawn=tokens)})
+
+
+@when("the record is updated towards a target of {target:d} tokens")
+def when_updated(context, target):
+    update_allotment(context.budget, "me", context.account, 0, target)
+
+
+@then("the account has {tokens:d} tokens available")
+def then_account(context, tokens):
+    assert context.account.available == tokens, context.account
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -17,7 +17,7 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.membership import MemberReader, Registration
 from quinceferry_gateway.metrics import Metrics
-from quinceferry_gateway.peers import PeerClient
+from quinceferry_gateway.peers import PeerClient, PeerError
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservations
 from quinceferry_gateway.retries import RetryBudget
@@ -28,8 +28,10 @@
 
 PEER_IDLE_SECONDS = 5.0
 HOUSEKEEPING_SECONDS = 0.2
+INHERIT_TIMEOUT_SECONDS = 0.5
+"""Longest wait for a peer that takes over tokens; several may be tried within a planned stop."""
 CLOSE_MARGIN_SECONDS = 0.8
-"""Time kept at the end of a planned stop for returning tokens and closing."""
+"""Time kept at the end of a planned stop for the last settlements and for closing."""
 
 Listeners = Callable[["Application"], list[HttpListener]]
 
@@ -60,7 +62,7 @@
         self._clock = clock
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
-        peers = PeerClient(http)
+        self._peers = peers = PeerClient(http)
         self.holder = TokenHolder(board, store, clock, settings.budgets)
         self.reservations = Reservations(board, self.holder, peers, clock)
         self._registration = Registration(board, store, clock)
@@ -114,13 +116,14 @@
         await self._registration.withdraw()
         await self._clock.sleep(self.settings.stop.leave_seconds)
         self.caller_api.close_connections()
+        returning = asyncio.create_task(self._return_tokens())
         while self.caller_api.in_progress:
             if self._clock.monotonic() > ends_at - CLOSE_MARGIN_SECONDS:
                 break
             await self._clock.sleep(HOUSEKEEPING_SECONDS / 4)
         await self._callers.stop()
         await self.reservations.flush()
-        await self.holder.give_back()
+        await returning
         for controller in self._controllers:
             await controller.stop()
         for listener in self._others:
@@ -128,6 +131,26 @@
         log.change("gateway.stopped", in_progress=self.caller_api.in_progress)
         log.flush()
 
+    async def _return_tokens(self) -> None:
+        """Return the tokens to the store, or else pass them on to one peer.
+
+        Another peer is tried only when the one before surely got nothing: tokens that two hold
+        would be spent twice.
+        """
+        if await self.holder.give_back():
+            return
+        estate = self.holder.estate()
+        for peer in self.blackboard.usable_members():
+            try:
+                await self._peers.inherit(peer, estate, INHERIT_TIMEOUT_SECONDS)
+            except PeerError as error:
+                log.failure("allotments.not_passed_on", member=peer.incarnation, error=str(error))
+                if error.sent:
+                    return
+            else:
+                log.change("allotments.passed_on", member=peer.incarnation)
+                return
+
     async def _keep_house(self) -> None:
         """Follow what the configuration says of connections, and forget upstreams that are gone."""
         while True:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -57,16 +57,26 @@
         return msgspec.json.encode(self)
 
 
+@dataclass(slots=True, frozen=True)
+class Inherited:
+    """What a stopping holder passed on: tokens it had left, and all that it ever spent."""
+
+    unspent: int
+    spent: int
+
+
 @dataclass(slots=True)
 class Account:
     """What one holder knows of its own allotment in one workspace.
 
-    ``drawn`` counts only draws that the store has confirmed.
+    ``drawn`` counts only draws that the store has confirmed. ``inherited_by_holder`` holds tokens
+    that stopping holders passed on and that the record still shows as theirs.
     """
 
     drawn: int = 0
     spent: int = 0
     reserved_by_id: dict[str, int] = field(default_factory=dict)
+    inherited_by_holder: dict[str, Inherited] = field(default_factory=dict)
 
     @property
     def reserved(self) -> int:
@@ -76,7 +86,12 @@
     @property
     def available(self) -> int:
         """Return the tokens that a new request may reserve."""
-        return self.drawn - self.spent - self.reserved
+        return self.drawn + self.inherited - self.spent - self.reserved
+
+    @property
+    def inherited(self) -> int:
+        """Return the tokens that were passed on and are not yet drawn in the record."""
+        return sum(item.unspent for item in self.inherited_by_holder.values())
 
     def reserve(self, reservation: str, tokens: int) -> int:
         """Set tokens aside, or as many as there are; a repeated call changes nothing.
@@ -146,22 +161,38 @@
     :return: the holder's drawn tokens once the record is written.
     """
     entry = budget.allotments_by_holder.setdefault(holder, HolderAllotment())
-    account.drawn = min(account.drawn, entry.drawn)
+    _enter_inherited(budget, entry, account)
+    account.drawn = min(account.drawn, entry.drawn - account.inherited)
     budget.spent += account.spent - entry.reported
     entry.reported = account.spent
     available = entry.drawn - account.spent - account.reserved
     entry.drawn += min(max(0, undrawn), target - available)
-    account.drawn = min(account.drawn, entry.drawn)
+    account.drawn = min(account.drawn, entry.drawn - account.inherited)
     return entry.drawn
 
 
+def _enter_inherited(budget: WorkspaceBudget, entry: HolderAllotment, account: Account) -> None:
+    """Move what other holders passed on to this holder's entry in the record.
+
+    A predecessor that the record no longer shows was moved by an earlier write whose answer was
+    lost, and this holder's entry has its tokens already.
+    """
+    for predecessor, inherited in account.inherited_by_holder.items():
+        left = budget.allotments_by_holder.pop(predecessor, None)
+        if left is not None:
+            budget.spent += inherited.spent - left.reported
+            entry.drawn += inherited.unspent
+
+
 def return_allotment(budget: WorkspaceBudget, holder: str, account: Account) -> None:
     """Take a holder out of the record; what is still reserved counts as spent.
 
     The holder must spend nothing any more before the record is written.
     """
-    entry = budget.allotments_by_holder.pop(holder, None)
-    if entry is None:
+    if holder not in budget.allotments_by_holder and not account.inherited_by_holder:
         return
+    entry = budget.allotments_by_holder.pop(holder, HolderAllotment())
+    _enter_inherited(budget, entry, account)
+    account.inherited_by_holder.clear()
     account.drawn = min(account.drawn, account.spent + account.reserved)
     budget.spent += account.spent + account.reserved - entry.reported
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -224,7 +224,9 @@
         """Reserve, run, answer and settle."""
         reservation = await self._reserve(progress)
         if isinstance(reservation, Refusal):
-            await self._refuse(exchange, progress.call.request_id, reservation, started_at)
+            await self._refuse(
+                exchange, progress.call.request_id, reservation, started_at, progress
+            )
             return
         try:
             outcome = await self._relay.run(progress)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -84,6 +84,7 @@
                 known = False
                 log.change("configuration.watch_lost", error=str(error))
             except KvError:
+                # The reader of upstreams logs each loss and return of the store.
                 known = False
                 await self._clock.sleep(RETRY_SECONDS)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -9,7 +9,13 @@
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
-from quinceferry_gateway.peers import Acknowledged, ReserveRequest, SettleRequest, Status
+from quinceferry_gateway.peers import (
+    Acknowledged,
+    InheritRequest,
+    ReserveRequest,
+    SettleRequest,
+    Status,
+)
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -50,6 +56,10 @@
                 for settlement in ended.settlements:
                     self._holder.settle(settlement)
                 return _json(Acknowledged())
+            case "/inherit":
+                passed_on = msgspec.json.decode(await _read(receive), type=InheritRequest)
+                self._holder.inherit(passed_on)
+                return _json(Acknowledged())
             case "/metrics":
                 return 200, CONTENT_TYPE_LATEST.encode(), self._metrics.exposition()
             case _:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -10,6 +10,7 @@
     Account,
     BudgetRecord,
     DrawPolicy,
+    Inherited,
     WorkspaceBudget,
     left_tokens,
     return_allotment,
@@ -17,7 +18,12 @@
 )
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.logs import log
-from quinceferry_gateway.peers import ReserveReply, Settlement
+from quinceferry_gateway.peers import (
+    Inheritance,
+    InheritRequest,
+    ReserveReply,
+    Settlement,
+)
 from quinceferry_gateway.rendezvous import ranked
 from quinceferry_gateway.settings import BudgetSettings
 
@@ -71,6 +77,7 @@
         self._written_at = float("-inf")
         self._ended_early: dict[str, float] = {}
         self._accounts_by_workspace: dict[str, Account] = {}
+        self._predecessors: set[str] = set()
 
     async def start(self) -> None:
         """Begin to draw."""
@@ -105,26 +112,55 @@
         else:
             self._ended_early[settlement.reservation] = self._clock.monotonic()
 
-    async def give_back(self) -> None:
-        """Return all that is unspent; nothing can be reserved afterwards."""
+    async def give_back(self) -> bool:
+        """Return all that is unspent; nothing can be reserved afterwards.
+
+        :return: False when the store took nothing; what :meth:`estate` then names may be passed on.
+        """
         self._closed = True
         await self.stop()
-        if not self._accounts_by_workspace:
-            return
         for _ in range(RETURN_TRIES):
             try:
                 await self._read()
-                for workspace, budget in self._record.budgets_by_workspace.items():
-                    account = self._accounts_by_workspace.get(workspace)
-                    if account is not None:
-                        return_allotment(budget, self._own, account)
+                self._return_all()
                 await self._write()
-                log.change("allotments.returned")
-                return
+                log.change("allotments.returned", version=self._entry.version)
+                return True
             except KvConflictError:
                 continue
             except KvError as error:
                 log.failure("allotments.not_returned", error=str(error))
+                if not self._blackboard.store_reachable:
+                    break
+        return False
+
+    def estate(self) -> InheritRequest:
+        """Return all that this holder has, to be passed on once it is closed.
+
+        Tokens of running requests count as spent. Tokens whose return was tried are not named: the
+        write may have arrived.
+        """
+        inheritances = [
+            Inheritance(name, account.available, account.spent + account.reserved)
+            for name, account in self._accounts_by_workspace.items()
+        ]
+        return InheritRequest(self._own, inheritances)
+
+    def inherit(self, passed_on: InheritRequest) -> None:
+        """Take over what a stopping holder has; a repeated call changes nothing."""
+        if self._closed or passed_on.holder in self._predecessors:
+            return
+        self._predecessors.add(passed_on.holder)
+        for item in passed_on.inheritances:
+            account = self._accounts_by_workspace.setdefault(item.workspace, Account())
+            account.inherited_by_holder[passed_on.holder] = Inherited(item.unspent, item.spent)
+        log.change("allotments.inherited", holder=passed_on.holder)
+
+    def _return_all(self) -> None:
+        """Change the record in memory so that this holder has nothing any more."""
+        for workspace, account in self._accounts_by_workspace.items():
+            budget = self._record.budgets_by_workspace.setdefault(workspace, WorkspaceBudget())
+            return_allotment(budget, self._own, account)
 
     @property
     def _own(self) -> str:
@@ -187,6 +223,8 @@
         budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
         drawable = self._drawable()[workspace]
         account = self._accounts_by_workspace.get(workspace, Account())
+        if account.inherited_by_holder:
+            return True
         target = self._target(budget, drawable)
         return self._policy.due(account.available, target, budget.undrawn(drawable))
 
@@ -198,6 +236,7 @@
                 if not self._known:
                     await self._read()
                 drawn_by_workspace = self._update_all()
+                predecessors = set(self._predecessors)
                 await self._write()
             except KvConflictError:
                 self._known = False
@@ -207,7 +246,10 @@
                 log.failure("allotments.not_drawn", error=str(error))
                 return
             for workspace, drawn in drawn_by_workspace.items():
-                self._accounts_by_workspace[workspace].drawn = drawn
+                account = self._accounts_by_workspace[workspace]
+                account.drawn = drawn
+                for holder in predecessors & account.inherited_by_holder.keys():
+                    del account.inherited_by_holder[holder]
             log.success(
                 "allotments.drawn",
                 version=self._entry.version if self._entry else 0,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -60,17 +60,23 @@
     settlements: list[Settlement]
 
 
-class Acknowledged(msgspec.Struct, frozen=True):
-    """The call was carried out."""
+class Inheritance(msgspec.Struct, frozen=True):
+    """Tokens of a workspace that a stopping holder passes on: those unspent, and all it spent."""
 
+    workspace: str
+    unspent: int
+    spent: int
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """What a gateway knows, for one that starts while the store is away."""
 
-    document: bytes
-    revision: int
-    upstreams: list[dict[str, object]]
-    members: list[Member]
+class InheritRequest(msgspec.Struct, frozen=True):
+    """Passes on all that a stopping holder has; idempotent by ``holder``."""
+
+    holder: str
+    inheritances: list[Inheritance]
+
+
+class Acknowledged(msgspec.Struct, frozen=True):
+    """The call was carried out."""
 
 
 class PeerClient:
@@ -96,6 +102,10 @@
         """Tell a holder what requests really used."""
         await self._call(peer, b"POST", b"/settle", request, Acknowledged, timeout_seconds)
 
+    async def inherit(self, peer: Member, request: InheritRequest, timeout_seconds: float) -> None:
+        """Pass tokens on to a peer."""
+        await self._call(peer, b"POST", b"/inherit", request, Acknowledged, timeout_seconds)
+
     async def _call(
         self,
         peer: Member,
