Keep members whose registration lapsed while they answer probes

Cause: when the store turned some gateways away, or all lost it, their leases ended; the others then named them to no caller and could not reach the tokens they held, though they served on. Change: a member that is no longer registered stays as long as it answered within 1.5 s and is not stopping.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/logs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/logs.py
@@ -106,7 +106,7 @@
                 structlog.processors.JSONRenderer(),
             ],
             logger_factory=lambda *_: _BufferLogger(self._buffer),
-            cache_logger_on_first_use=True,
+            cache_logger_on_first_use=False,
         )
         self._writer = structlog.get_logger().bind(**identity)
 
@@ -135,9 +135,13 @@
                 self._report_dropped()
             self.flush()
 
+    def take_dropped(self) -> int:
+        """Begin another second and return the number of lines dropped in the last."""
+        return self._buffer.refill() if self._buffer is not None else 0
+
     def _report_dropped(self) -> None:
         """Say how many lines the last second lost."""
-        dropped = self._buffer.refill() if self._buffer is not None else 0
+        dropped = self.take_dropped()
         if dropped:
             self.failure("log.dropped", lines=dropped)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 
 import msgspec
 
@@ -24,6 +25,8 @@
 PROBE_TIMEOUT_SECONDS = 0.6
 PROBE_FANOUT = 16
 """Peers probed in one round, so that a large fleet's probes stay linear in its size."""
+ANSWER_VALID_SECONDS = 1.5
+"""How long an answer shows that a peer lives: two probes and the time for a third."""
 FAILED_PROBES = 2
 """Failures in a row after which a peer counts as unreachable; one may be a lost packet."""
 
@@ -94,6 +97,7 @@
         self._peers = peers
         self._clock = clock
         self._failures_by_incarnation: dict[str, int] = {}
+        self._answered_at_by_incarnation: dict[str, float] = {}
         self._random = random.Random()
 
     async def start(self) -> None:
@@ -102,9 +106,15 @@
         self.spawn(self._probe_forever(), "probes")
 
     def offer(self, members: list[Member]) -> None:
-        """Replace the list of members."""
+        """Replace the list of members.
+
+        A member that is no longer registered but answers stays: it has lost the store, and still
+        serves callers and holds tokens.
+        """
         board = self._blackboard
         by_incarnation = {member.incarnation: member for member in members}
+        by_incarnation[board.own.incarnation] = board.own
+        by_incarnation |= self._answering(by_incarnation)
         if by_incarnation.keys() != board.members_by_incarnation.keys():
             board.members_changed_at = self._clock.monotonic()
         for key in by_incarnation.keys() - board.members_by_incarnation.keys():
@@ -114,8 +124,21 @@
         board.members_by_incarnation = by_incarnation
         board.unreachable &= by_incarnation.keys()
         board.leaving &= by_incarnation.keys()
-        for key in board.available_by_incarnation.keys() - by_incarnation.keys():
-            del board.available_by_incarnation[key]
+        for known in (board.available_by_incarnation, self._answered_at_by_incarnation):
+            for key in known.keys() - by_incarnation.keys():
+                del known[key]
+
+    def _answering(self, registered: Collection[str]) -> dict[str, Member]:
+        """Return the members that are not registered any more, answer, and mean to stay."""
+        board = self._blackboard
+        since = self._clock.monotonic() - ANSWER_VALID_SECONDS
+        return {
+            key: member
+            for key, member in board.members_by_incarnation.items()
+            if key not in registered
+            and key not in board.leaving
+            and self._answered_at_by_incarnation.get(key, float("-inf")) > since
+        }
 
     async def _read_forever(self) -> None:
         """Read the list again and again; in an outage keep the last one."""
@@ -149,6 +172,7 @@
             self._failed(peer, "another incarnation")
             return
         self._failures_by_incarnation.pop(peer.incarnation, None)
+        self._answered_at_by_incarnation[peer.incarnation] = self._clock.monotonic()
         board.available_by_incarnation[peer.incarnation] = status.available_by_workspace
         if peer.incarnation in board.unreachable:
             board.unreachable.discard(peer.incarnation)
