--- a/features/docs.feature
+++ b/features/docs.feature
@@ -18,6 +18,13 @@
   Scenario: Every log line, setting and module that a page names exists
     Then no page names a log line, setting or module that the code lacks
 
+  Scenario: Every log line and metric of a gateway is explained
+    Then all that a gateway logs and counts is on "docs/logs.md"
+
+  Scenario: A log line that no page explains is found
+    When "docs/logs.md" loses its line on "store.lost"
+    Then the check of log lines finds "store.lost is not explained"
+
   Scenario Outline: The check of pages finds <fault>
     When a page says "<text>"
     Then the check of pages finds "<found>"
--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -14,6 +14,7 @@
 from quinceferry_core.kv_calls import call_kind
 from quinceferry_core.models import Priority, Usage
 from quinceferry_core.outcomes import RefusalReason
+from quinceferry_gateway import Metrics
 from quinceferryd.application import Application, Dependencies
 from quinceferryd.blackboard import RouterState
 from quinceferryd.exports import export_state
@@ -35,6 +36,7 @@
 _REASON_ROW = re.compile(r"^\| `(\w+)` \| (\d+) \|(.*)\|$", re.MULTILINE)
 _EVENT = re.compile(r"event=([a-z_. ]+)")
 _MODULE = re.compile(r"quinceferry(?:d|_core|_lab|_standins)?\.[a-z_]+")
+_LOG_CALLS = ("log.success", "log.failure", "log.change", "self.failure")
 _CHANGES = (".added", ".removed")
 _VALUES_BY_LABEL = {
     "state": {state.value for state in RouterState},
@@ -97,7 +99,7 @@
     for series, label, value in _SERIES.findall(" ".join(_SPAN.findall(_FENCE.sub("", text)))):
         if series in _packages():
             continue
-        if series not in exported_series():
+        if series not in exported_series() | gateway_series():
             faults.append(f"{name}: no metric {series}")
         elif label and value not in _label_values(series, label):
             faults.append(f"{name}: {series} has no {label} {value}")
@@ -142,6 +144,37 @@
     return {words[2] for words in types}
 
 
+@cache
+def gateway_series():
+    """Return the names of all series of a gateway that has recorded each of them once."""
+    metrics = Metrics()
+    metrics.answered("w", "r", 0.1)
+    metrics.store_called("get", "200")
+    types = [line.split() for line in metrics.exposition().decode().splitlines()]
+    return {words[2] for words in types if words[:2] == ["#", "TYPE"]}
+
+
+def gateway_page_faults(text):
+    """Return the log lines and metrics of a gateway that a page does not name, or names wrongly."""
+    named = set(re.findall(r"`([a-z_]+\.[a-z_]+)`", text))
+    written = _gateway_events()
+    faults = [f"{event} is not explained" for event in sorted(written - named)]
+    faults += [f"no log line {event}" for event in sorted(named - written)]
+    ours = {name for name in gateway_series() if name.startswith("quinceferry_")}
+    return faults + [f"{name} is not explained" for name in sorted(ours) if name not in text]
+
+
+def _gateway_events():
+    """Return every log line that the gateway or its adapter writes."""
+    found = set()
+    folders = (ROOT / "packages/quinceferry-gateway/src", ROOT / "platform")
+    for path in (path for folder in folders for path in folder.glob("quinceferry_*/*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and ast.unparse(node.func) in _LOG_CALLS:
+                found.add(node.args[0].value)
+    return found
+
+
 def _label_values(series, label):
     """Return the values that a label of a series may have."""
     shown = {
@@ -178,7 +211,8 @@
 
 @cache
 def _packages():
-    return {path.name for path in ROOT.glob("packages/*/src/quinceferry*")}
+    packages = {path.name for path in ROOT.glob("packages/*/src/quinceferry*")}
+    return packages | {path.name for path in ROOT.glob("platform/quinceferry*")}
 
 
 @cache
--- a/features/steps/docs.py
+++ b/features/steps/docs.py
@@ -7,6 +7,7 @@
     ROOT,
     event_faults,
     exported_series,
+    gateway_page_faults,
     link_faults,
     make_faults,
     module_faults,
@@ -90,3 +91,14 @@
 @then('the check of {subject} finds "{found}"')
 def check_found(context, subject, found):
     assert found in context.faults, context.faults
+
+
+@then('all that a gateway logs and counts is on "{page}"')
+def check_gateway_page(context, page):
+    expect_none(gateway_page_faults(read(page)))
+
+
+@when('"{page}" loses its line on "{event}"')
+def lose_line(context, page, event):
+    kept = [line for line in read(page).splitlines() if f"`{event}`" not in line]
+    context.faults = gateway_page_faults("\n".join(kept))
