Leave the log library's settings as they were after the scenario on log bounds

Cause: the gateway's log configures structlog for its process; the scenario that bounds it left that in force, and twelve scenarios of the daemon that ran later in the same process failed. Change: the scenario restores the settings.

--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+import structlog
 from behave import given, then, when
 from click.testing import CliRunner
 
@@ -151,6 +152,10 @@
 @given("a log whose reader does not read")
 def given_log(context):
     context.pipe = os.pipe()
+    # Other features log with the library's settings as they were.
+    context.add_cleanup(structlog.configure, **structlog.get_config())
+    for descriptor in context.pipe:
+        context.add_cleanup(os.close, descriptor)
     context.log = EventLog()
     context.log.configure(context.pipe[1], vm="test")
 
