--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages platform features
 SEEDS ?= 20
 
-.PHONY: install test format schema demo history model measure capacity throughput
+.PHONY: install test format schema demo demo-platform history model measure capacity throughput
 
 install: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 demo: install
 	$(BIN)/python -m quinceferry_lab.demo
 
+demo-platform: install
+	$(BIN)/python -m quinceferry_lab.platform_demo
+
 history: install
 	$(BIN)/python -m quinceferry_lab.history --seeds $(SEEDS)
 
