Take the demo's header names from the stand-in

Cause: the demo spelled two of the platform's names that the stand-in of the upstream already defines. Change: it uses those. Behaviour as before.

--- a/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
@@ -14,7 +14,14 @@
 from quinceferry_gateway import HttpClient, HttpListener
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
 from quinceferry_standins.managed_store import ManagedStore
-from quinceferry_standins.managed_upstream import Answered, Broken, ManagedUpstream, Streaming
+from quinceferry_standins.managed_upstream import (
+    REQUEST_ID,
+    SEAL,
+    Answered,
+    Broken,
+    ManagedUpstream,
+    Streaming,
+)
 
 GATEWAYS = 3
 REQUESTS = 240
@@ -101,7 +108,7 @@
         headers = [
             (b"host", HOST.encode()),
             (b"content-length", b"2"),
-            (b"x-quinceferry-request-id", request_id.encode()),
+            (REQUEST_ID, request_id.encode()),
             (b"x-quinceferry-credential", KEY.encode()),
             (b"x-quinceferry-deadline-ms", b"8000"),
         ]
@@ -130,7 +137,7 @@
     def _check(self, number: int, kind: str, headers: dict[bytes, bytes], body: bytes) -> None:
         """Note an answer that is not the caller's own or not whole."""
         request_id = f"{kind}-{number}"
-        if headers.get(b"x-quinceferry-server-seal") != f"seal-of-{request_id}".encode():
+        if headers.get(SEAL) != f"seal-of-{request_id}".encode():
             self.faults.append(f"{request_id}: answer of another request")
         self.whole_streams += kind == "draft"
         whole = body.count(b"\n\n") == EVENTS if kind == "draft" else body == b"done"
@@ -140,7 +147,7 @@
     def audit(self) -> dict[str, object]:
         """Compare what callers saw with what the upstreams ran and the record counts."""
         runs = Counter(
-            seen.headers[b"x-quinceferry-request-id"].decode()
+            seen.headers[REQUEST_ID].decode()
             for upstream in self.upstreams
             for seen in upstream.seen
         )
