Draw tokens at once after a start, and for a request that lacks them

Cause: a gateway waited for an unchanged member list, up to 3 s, before its first draw. A holder whose last reading showed nothing undrawn never read again. Change: before the member list is settled a holder takes a part counted for max_holders; a request that finds too few tokens has them drawn while it waits, 0.25 s at most and only while the store answers fast; a holder without tokens reads the record every 2 s. Requests' parts have identifiers of their own. Tests: four scenarios and six seeds, all but the seeds without faults failed first.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -6,6 +6,32 @@
     When 4 seconds pass for the holders
     Then the holders have about 3118 tokens available together
 
+  Scenario: A holder that has just started has tokens before it knows the others
+    Given 9 token holders and a budget of 9000 tokens
+    When 0.5 seconds pass for the holders
+    Then each holder has tokens, and all of them no more than 3118
+
+  Scenario: A request that is short of tokens gets them drawn while it waits
+    Given 1 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 is asked for 5000 tokens, drawing what is missing
+    Then all 5000 tokens are reserved
+
+  Scenario: In an outage of the store a request does not wait for tokens
+    Given 1 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And the store goes away
+    And holder 1 is asked for 5000 tokens, drawing what is missing
+    Then 3118 tokens are reserved, without waiting
+
+  Scenario: A holder without tokens notices what others have given back
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 draws all that nobody holds
+    And holder 2 spends 1559 tokens
+    And 6 seconds pass for the holders
+    Then holder 2 has tokens again
+
   Scenario Outline: However holders fail, the budget is not overspent
     Given 5 token holders and a budget of 100000 tokens
     When they serve requests for 60 seconds under <faults>, seed <seed>
@@ -25,6 +51,21 @@
       | lost answers, outages and stops | 9    |
       | lost answers, outages and stops | 10   |
 
+  Scenario Outline: However holders fail, draws for single requests overspend nothing
+    Given 5 token holders and a budget of 100000 tokens
+    When they serve requests, drawing on demand, for 60 seconds under <faults>, seed <seed>
+    Then no more than 100000 tokens were used
+    And the record counts at least what was used
+
+    Examples:
+      | faults                          | seed |
+      | no faults                       | 11   |
+      | lost answers                    | 12   |
+      | lost answers, outages and kills | 13   |
+      | lost answers, outages and kills | 14   |
+      | lost answers, outages and stops | 15   |
+      | lost answers, outages and stops | 16   |
+
   Scenario: A holder that stops while the store is away strands nothing
     Given 3 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -64,7 +64,20 @@
             board.members_by_incarnation = members
             board.store_reachable = not self.kv.faults.outage
 
-    def request(self, number):
+    async def request_drawing(self, number):
+        """Reserve, with tokens drawn for the request where some are missing; settle as well."""
+        name = self.random.choice(list(self.holders_by_name))
+        holder = self.holders_by_name[name]
+        tokens = self.random.randint(1, 5 * MAX_TOKENS)
+        missing = tokens - holder.reserve(f"d{number}", WORKSPACE, tokens).reserved
+        if missing and await holder.draw_for(WORKSPACE, missing):
+            assert holder.reserve(f"d{number}/drawn", WORKSPACE, missing).reserved == missing
+            self.used += missing
+            holder.settle(Settlement(f"d{number}/drawn", WORKSPACE, missing))
+        holder.settle(Settlement(f"d{number}", WORKSPACE, 0))
+        await self.request(number)
+
+    async def request(self, number):
         """Reserve at some holder, and settle some earlier request."""
         name = self.random.choice(list(self.holders_by_name))
         holder, opened = self.holders_by_name[name], self.open_by_name[name]
@@ -119,13 +132,25 @@
     context.acts = []
 
 
-@when("{seconds:d} seconds pass for the holders")
+@when("{seconds:g} seconds pass for the holders")
 def when_seconds(context, seconds):
     context.acts.append(lambda bench: bench.clock.sleep(seconds))
 
 
 @when("they serve requests for {seconds:d} seconds under {faults}, seed {seed:d}")
 def when_serve(context, seconds, faults, seed):
+    serve_under(context, seconds, faults, seed, Bench.request)
+
+
+@when(
+    "they serve requests, drawing on demand, for {seconds:d} seconds under {faults}, seed {seed:d}"
+)
+def when_serve_drawing(context, seconds, faults, seed):
+    serve_under(context, seconds, faults, seed, Bench.request_drawing)
+
+
+def serve_under(context, seconds, faults, seed, request):
+    """Let holders serve requests under faults."""
     context.seed = seed
 
     async def serve(bench):
@@ -136,7 +161,7 @@
             if "stops" in faults and bench.random.random() < 0.02:
                 await bench.end(bench.random.choice(list(bench.holders_by_name)))
             await bench.fill()
-            bench.request(number)
+            await request(bench, number)
             await bench.clock.sleep(0.1)
 
     context.acts.append(serve)
@@ -275,3 +300,85 @@
 @then("the account has {tokens:d} tokens available")
 def then_account(context, tokens):
     assert context.account.available == tokens, context.account
+
+
+@when("holder {number:d} is asked for {tokens:d} tokens, drawing what is missing")
+def when_asked(context, number, tokens):
+    async def ask(bench):
+        holder = bench.holders_by_name[f"g{number}"]
+        began_at = bench.clock.monotonic()
+        first = holder.reserve("asked", WORKSPACE, tokens).reserved
+        missing = tokens - first
+        if missing and await holder.draw_for(WORKSPACE, missing):
+            first += holder.reserve("asked/drawn", WORKSPACE, missing).reserved
+        context.reserved = first
+        context.waited = bench.clock.monotonic() - began_at
+
+    context.acts.append(ask)
+
+
+@when("the store goes away")
+def when_away(context):
+    def leave(bench):
+        bench.kv.faults.outage = True
+        bench.refresh()
+        return bench.clock.sleep(0)
+
+    context.acts.append(leave)
+
+
+@when("holder {number:d} draws all that nobody holds")
+def when_draws_all(context, number):
+    context.acts.append(
+        lambda bench: bench.holders_by_name[f"g{number}"].draw_for(WORKSPACE, 7_351)
+    )
+
+
+@when("holder {number:d} spends {tokens:d} tokens")
+def when_spends(context, number, tokens):
+    async def spend(bench):
+        holder = bench.holders_by_name[f"g{number}"]
+        reserved = holder.reserve("spent", WORKSPACE, tokens).reserved
+        assert abs(reserved - tokens) < 0.02 * tokens, reserved
+        holder.settle(Settlement("spent", WORKSPACE, reserved))
+
+    context.acts.append(spend)
+
+
+@then("each holder has tokens, and all of them no more than {tokens:d}")
+def then_each_has(context, tokens):
+    async def check(bench):
+        held = [
+            holder.available_by_workspace().get(WORKSPACE, 0)
+            for holder in bench.holders_by_name.values()
+        ]
+        assert all(held), held
+        assert sum(held) <= tokens, held
+
+    play(context, check)
+
+
+@then("all {tokens:d} tokens are reserved")
+def then_all_reserved(context, tokens):
+    async def check(_bench):
+        assert context.reserved == tokens, context.reserved
+
+    play(context, check)
+
+
+@then("{tokens:d} tokens are reserved, without waiting")
+def then_reserved_at_once(context, tokens):
+    async def check(_bench):
+        assert context.reserved == tokens, context.reserved
+        assert context.waited < 0.01, context.waited
+
+    play(context, check)
+
+
+@then("holder {number:d} has tokens again")
+def then_has_again(context, number):
+    async def check(bench):
+        held = bench.holders_by_name[f"g{number}"].available_by_workspace()[WORKSPACE]
+        assert held > 0, held
+
+    play(context, check)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -1,5 +1,8 @@
 """The tokens that this gateway holds for the fleet: drawn, reserved, settled and returned."""
 
+import asyncio
+import random
+
 import msgspec
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
@@ -33,13 +36,25 @@
 """How often a holder looks whether to draw more."""
 WRITE_SECONDS = 0.75
 """Shortest time between two draws, so that nine holders stay near ten writes a second."""
+DRAW_WAIT_SECONDS = 0.25
+"""Longest wait of a request for tokens that are being drawn. The store answers in milliseconds; a
+refusal after a third of the shortest answer time that callers expect comes late."""
+DRAW_PAUSE_SECONDS = 0.1
+"""Shortest time from one draw to the next that a request asks for, so that many short requests
+share a write."""
+REREAD_SECONDS = 2.0
+"""How often a holder without tokens looks whether others have given some back."""
 SETTLED_SECONDS = 1.0
-"""How long the member list must stay unchanged before a first draw: a gateway that does not know
-the others yet would draw their parts too."""
+"""How long the member list must stay unchanged before a holder takes its part of the known ones.
+Until then it counts as many as there may be, so that those that start together draw no more than
+the held share."""
 PATIENCE_SECONDS = 3.0
 """Longest wait for an unchanged member list."""
-TRIES = 5
-"""Conflicts in a row after which a write waits for the next check."""
+TRIES = 10
+"""Conflicts in a row after which a write waits for the next check; all holders draw at once when
+they start together, and one of them succeeds in each round."""
+CONFLICT_SPREAD_SECONDS = 0.01
+"""Holders that conflicted write again after a random time up to this, a few round trips."""
 RETURN_TRIES = 3
 ENDED_KEPT_SECONDS = 60.0
 """How long a settlement that came before its reservation is remembered; no call lasts longer."""
@@ -74,7 +89,13 @@
         self._known = False
         self._closed = False
         self._began_at = clock.monotonic()
+        self._members_settled = False
+        self._drawing = asyncio.Lock()
+        self._wanted_by_workspace: dict[str, int] = {}
         self._written_at = float("-inf")
+        self._read_at = float("-inf")
+        self._draw_seconds = 0.0
+        self._random = random.Random()
         self._ended_early: dict[str, float] = {}
         self._accounts_by_workspace: dict[str, Account] = {}
         self._predecessors: set[str] = set()
@@ -102,6 +123,43 @@
         reserved = account.reserve(reservation, tokens)
         return ReserveReply(reserved, self._left_at_most(workspace))
 
+    async def draw_for(self, workspace: str, tokens: int) -> bool:
+        """Draw tokens that a request lacks, if nobody holds them and the store answers soon.
+
+        :return: whether they are available now.
+        """
+        try:
+            async with asyncio.timeout(DRAW_WAIT_SECONDS), self._drawing:
+                if self._lacks(workspace, tokens) and self._may_draw(workspace):
+                    await self._draw_wanted(workspace, tokens)
+        except TimeoutError:
+            log.failure("allotments.not_in_time", workspace=workspace, tokens=tokens)
+        return not self._lacks(workspace, tokens)
+
+    async def _draw_wanted(self, workspace: str, tokens: int) -> None:
+        """Draw so that a number of tokens is available, whatever this holder's part is."""
+        pause = self._written_at + DRAW_PAUSE_SECONDS - self._clock.monotonic()
+        await self._clock.sleep(max(0.0, pause))
+        self._wanted_by_workspace[workspace] = tokens
+        try:
+            await self._draw()
+        finally:
+            del self._wanted_by_workspace[workspace]
+
+    def _lacks(self, workspace: str, tokens: int) -> bool:
+        """Tell whether fewer tokens are available here."""
+        return self._accounts_by_workspace.get(workspace, Account()).available < tokens
+
+    def _may_draw(self, workspace: str) -> bool:
+        """Tell whether a draw may bring tokens in time, as far as is known."""
+        if self._closed or not self._blackboard.store_reachable:
+            return False
+        if self._draw_seconds > DRAW_WAIT_SECONDS:
+            return False
+        drawable = self._drawable().get(workspace, 0)
+        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
+        return not self._known or budget.undrawn(drawable) > 0
+
     def settle(self, settlement: Settlement) -> None:
         """End a reservation; one that has not arrived yet is refused when it does."""
         account = self._accounts_by_workspace.get(settlement.workspace)
@@ -176,14 +234,36 @@
         """Keep the allotments near their targets."""
         while True:
             if self._due():
-                await self._draw()
+                async with self._drawing:
+                    await self._draw()
+            elif self._should_reread():
+                await self._reread()
             self._forget_ended()
             await self._clock.sleep(CHECK_SECONDS)
 
+    def _should_reread(self) -> bool:
+        """Tell whether others may have given tokens back that this holder lacks."""
+        read_lately = self._clock.monotonic() - self._read_at < REREAD_SECONDS
+        if read_lately or not self._blackboard.store_reachable:
+            return False
+        return any(
+            self._record.budgets_by_workspace.get(name, WorkspaceBudget()).undrawn(drawable) <= 0
+            for name, drawable in self._drawable().items()
+        )
+
+    async def _reread(self) -> None:
+        """Read the record outside of a draw."""
+        async with self._drawing:
+            try:
+                await self._read()
+            except KvError as error:
+                self._known = False
+                log.failure("allotments.not_read", error=str(error))
+
     def _due(self) -> bool:
         """Tell whether to write the record now."""
         board = self._blackboard
-        if board.configuration is None or not board.store_reachable or not self._settled():
+        if board.configuration is None or not board.store_reachable:
             return False
         now = self._clock.monotonic()
         if now - self._written_at < WRITE_SECONDS:
@@ -191,13 +271,13 @@
         return not self._known or any(self._off_target(name) for name in self._drawable())
 
     def _settled(self) -> bool:
-        """Tell whether the member list is good enough to draw by."""
-        now = self._clock.monotonic()
+        """Tell whether the member list has become good enough to draw by."""
         changed_at = self._blackboard.members_changed_at
-        if changed_at is None:
-            return False
-        waited = now - self._began_at > PATIENCE_SECONDS
-        return bool(self._accounts_by_workspace) or waited or now - changed_at > SETTLED_SECONDS
+        if not self._members_settled and changed_at is not None:
+            now = self._clock.monotonic()
+            waited = now - self._began_at > PATIENCE_SECONDS
+            self._members_settled = waited or now - changed_at > SETTLED_SECONDS
+        return self._members_settled
 
     def _drawable(self) -> dict[str, int]:
         """Return the tokens of each workspace that may be drawn, which leaves out the margin."""
@@ -212,10 +292,12 @@
 
     def _target(self, budget: WorkspaceBudget, drawable: int) -> int:
         """Return the tokens that this gateway should have available in a workspace."""
+        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
+        if not self._settled():
+            return self._policy.target(left, self._settings.max_holders)
         holders = holders_of(self._blackboard, self._settings.max_holders)
         if self._own not in holders:
             return 0
-        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
         return self._policy.target(left, len(holders))
 
     def _off_target(self, workspace: str) -> bool:
@@ -231,6 +313,16 @@
     async def _draw(self) -> None:
         """Report spending and draw, by compare-and-swap."""
         self._written_at = self._clock.monotonic()
+        try:
+            await self._try_to_draw()
+        except KvError as error:
+            self._known = False
+            log.failure("allotments.not_drawn", error=str(error))
+        finally:
+            self._draw_seconds = self._clock.monotonic() - self._written_at
+
+    async def _try_to_draw(self) -> None:
+        """Write the record anew after each conflict; give up after some of them."""
         for _ in range(TRIES):
             try:
                 if not self._known:
@@ -240,23 +332,25 @@
                 await self._write()
             except KvConflictError:
                 self._known = False
-                continue
-            except KvError as error:
-                self._known = False
-                log.failure("allotments.not_drawn", error=str(error))
+                await self._clock.sleep(self._random.random() * CONFLICT_SPREAD_SECONDS)
+            else:
+                self._enter_drawn(drawn_by_workspace, predecessors)
                 return
-            for workspace, drawn in drawn_by_workspace.items():
-                account = self._accounts_by_workspace[workspace]
-                account.drawn = drawn
-                for holder in predecessors & account.inherited_by_holder.keys():
-                    del account.inherited_by_holder[holder]
-            log.success(
-                "allotments.drawn",
-                version=self._entry.version if self._entry else 0,
-                left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
-                available_by_workspace=self.available_by_workspace(),
-            )
-            return
+        log.failure("allotments.not_drawn", error=f"{TRIES} conflicts")
+
+    def _enter_drawn(self, drawn_by_workspace: dict[str, int], predecessors: set[str]) -> None:
+        """Enter in the accounts what a write of the record has confirmed."""
+        for workspace, drawn in drawn_by_workspace.items():
+            account = self._accounts_by_workspace[workspace]
+            account.drawn = drawn
+            for holder in predecessors & account.inherited_by_holder.keys():
+                del account.inherited_by_holder[holder]
+        log.success(
+            "allotments.drawn",
+            version=self._entry.version if self._entry else 0,
+            left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
+            available_by_workspace=self.available_by_workspace(),
+        )
 
     def _update_all(self) -> dict[str, int]:
         """Change the record in memory for all workspaces; return what will be drawn by then."""
@@ -264,7 +358,7 @@
         for name, drawable in self._drawable().items():
             budget = self._record.budgets_by_workspace.setdefault(name, WorkspaceBudget())
             account = self._accounts_by_workspace.setdefault(name, Account())
-            target = self._target(budget, drawable)
+            target = max(self._target(budget, drawable), self._wanted_by_workspace.get(name, 0))
             drawn_by_workspace[name] = update_allotment(
                 budget, self._own, account, budget.undrawn(drawable), target
             )
@@ -273,6 +367,7 @@
     async def _read(self) -> None:
         """Read the record."""
         self._entry = await self._store.get(BUDGET_KEY)
+        self._read_at = self._clock.monotonic()
         value = self._entry.value if self._entry else None
         try:
             self._record = BudgetRecord.decode(value)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -29,9 +29,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Part:
-    """Tokens that one holder has set aside."""
+    """Tokens that one holder has set aside, under an identifier of their own."""
 
     holder: str
+    reservation: str
     tokens: int
 
 
@@ -39,7 +40,6 @@
 class Reservation:
     """Tokens set aside for a request, by one holder or several."""
 
-    id: str
     workspace: str
     parts: tuple[Part, ...]
 
@@ -56,6 +56,44 @@
     asked: tuple[str, ...]
 
 
+class _Search:
+    """A reservation in the making.
+
+    :param id: identifier of its parts.
+    """
+
+    __slots__ = ("_least_left", "_parts", "asked", "id", "missing", "tokens", "workspace")
+
+    def __init__(self, id: str, workspace: str, tokens: int) -> None:
+        self.id = id
+        self.workspace = workspace
+        self.tokens = tokens
+        self.missing = tokens
+        self.asked: list[str] = []
+        self._parts: list[Part] = []
+        self._least_left: int | None = None
+
+    @property
+    def exhausted(self) -> bool:
+        """Tell whether some holder knows that the workspace has fewer tokens left."""
+        return self._least_left is not None and self._least_left < self.tokens
+
+    def take(self, holder: str, reservation_id: str, reply: ReserveReply) -> None:
+        """Note what a holder answered."""
+        left = reply.left_at_most
+        self.asked.append(
+            f"{holder}: {reply.reserved} of {self.missing}, left at most {reply.left_at_most}"
+        )
+        self._least_left = left if self._least_left is None else min(self._least_left, left)
+        if reply.reserved:
+            self._parts.append(Part(holder, reservation_id, reply.reserved))
+            self.missing -= reply.reserved
+
+    def found(self) -> Reservation:
+        """Return what was set aside so far."""
+        return Reservation(self.workspace, tuple(self._parts))
+
+
 class Reservations(Controller):
     """Reserves at the holders and settles afterwards.
 
@@ -77,41 +115,38 @@
         self.spawn(self._send_forever(), "settlements")
 
     async def reserve(self, request_id: str, workspace: str, tokens: int) -> Reservation | Shortage:
-        """Set tokens aside, here if possible, otherwise at as few others as possible."""
-        reservation_id = f"{self._blackboard.own.incarnation}/{request_id}"
-        parts: list[Part] = []
-        asked: list[str] = []
-        least_left: int | None = None
-        missing = tokens
+        """Set tokens aside: here if possible, else also at others, else newly drawn ones."""
+        search = _Search(f"{self._blackboard.own.incarnation}/{request_id}", workspace, tokens)
         for incarnation in self._holders(workspace):
-            request = ReserveRequest(reservation_id, workspace, missing)
-            try:
-                reply = await self._ask(incarnation, request)
-            except PeerError as error:
-                asked.append(f"{incarnation}: {error}")
-                if error.sent:
-                    self._later(incarnation, Settlement(reservation_id, workspace, 0))
-                continue
-            asked.append(
-                f"{incarnation}: {reply.reserved} of {missing}, left at most {reply.left_at_most}"
-            )
-            left = reply.left_at_most
-            least_left = left if least_left is None else min(least_left, left)
-            if reply.reserved:
-                parts.append(Part(incarnation, reply.reserved))
-                missing -= reply.reserved
-            if not missing:
-                return Reservation(reservation_id, workspace, tuple(parts))
-        self.settle(Reservation(reservation_id, workspace, tuple(parts)), 0)
-        exhausted = least_left is not None and least_left < tokens
-        return Shortage(exhausted, tuple(asked))
+            await self._try(search, incarnation, search.id)
+            if not search.missing:
+                return search.found()
+        if not search.exhausted and await self._holder.draw_for(workspace, search.missing):
+            own = self._blackboard.own.incarnation
+            await self._try(search, own, f"{search.id}/drawn")
+            if not search.missing:
+                return search.found()
+        self.settle(search.found(), 0)
+        return Shortage(search.exhausted, tuple(search.asked))
+
+    async def _try(self, search: "_Search", incarnation: str, reservation_id: str) -> None:
+        """Ask one holder for what is missing, and note what came of it."""
+        request = ReserveRequest(reservation_id, search.workspace, search.missing)
+        try:
+            reply = await self._ask(incarnation, request)
+        except PeerError as error:
+            search.asked.append(f"{incarnation}: {error}")
+            if error.sent:
+                self._later(incarnation, Settlement(reservation_id, search.workspace, 0))
+            return
+        search.take(incarnation, reservation_id, reply)
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """Tell the holders what a request really used."""
         for part in reservation.parts:
             used = min(tokens, part.tokens)
             tokens -= used
-            settlement = Settlement(reservation.id, reservation.workspace, used)
+            settlement = Settlement(part.reservation, reservation.workspace, used)
             if part.holder == self._blackboard.own.incarnation:
                 self._holder.settle(settlement)
             else:
