Log the tokens that each ended request used; let scenarios wait for settled holders

Cause: the log told the tokens of answered requests only, so that a budget that ran out could not be added up. Change: caller.left, stream.broken and request.refused carry tokens and workspace. The two scenarios name the tokens that all hold before they begin, and the large request is made while the store is silent, so that nothing can be drawn for it.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -180,14 +180,16 @@
   Scenario: A large request takes its tokens from several gateways
     Given 3 gateways before the services with 1200 prepaid tokens
     And upstream llm-1 of service llm that "streams 5 events"
-    When gateway 1 knows what the others hold
+    When gateway 1 knows that all hold 198 tokens
+    And the store goes silent
     And gateway 1 is asked to stream /draft/a for at most 500 tokens
     Then the gateway answers 200
 
   Scenario: While the store is away, what is held is spent and no more
     Given 1 gateway before the services with 1000 prepaid tokens
     And upstream llm-1 of service llm that "streams 5 events"
-    When the store goes silent
+    When gateway 1 knows that all hold 495 tokens
+    And the store goes silent
     And gateway 1 is asked to stream /draft/a for at most 400 tokens
     And gateway 1 is asked to stream /draft/a for at most 400 tokens
     Then the gateway answers in turn 200, 429
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -184,15 +184,17 @@
     context.gateway.acts.append(stop)
 
 
-@when("gateway {number:d} knows what the others hold")
-def when_knows(context, number):
+@when("gateway {number:d} knows that all hold {tokens:d} tokens")
+def when_knows(context, number, tokens):
     async def wait(scene):
         board = scene.applications[number - 1].blackboard
         others = len(scene.applications) - 1
+        own = scene.applications[number - 1].holder
+        await until(lambda: own.available_by_workspace()[WORKSPACE] == tokens)
         await until(lambda: len(board.available_by_incarnation) == others)
         await until(
             lambda: all(
-                held.get(WORKSPACE, 0) > 0 for held in board.available_by_incarnation.values()
+                held.get(WORKSPACE, 0) == tokens for held in board.available_by_incarnation.values()
             )
         )
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -163,7 +163,13 @@
         try:
             await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
-                log.failure("caller.left", request=request_id, route=admitted.route.name)
+                log.failure(
+                    "caller.left",
+                    request=request_id,
+                    workspace=_workspace(admitted),
+                    route=admitted.route.name,
+                    tokens=self._used(admitted),
+                )
                 self._metrics.finished(_workspace(admitted), admitted.route.name, "caller_left")
         finally:
             gone.cancel()
@@ -282,7 +288,13 @@
         if isinstance(outcome, Refusal):
             if exchange.begun:
                 # Returning with the body unfinished closes the connection; the caller sees a break.
-                log.failure("stream.broken", request=request_id, detail=outcome.detail)
+                log.failure(
+                    "stream.broken",
+                    request=request_id,
+                    workspace=_workspace(progress),
+                    tokens=self._used(progress),
+                    detail=outcome.detail,
+                )
                 self._metrics.finished(_workspace(progress), progress.route.name, "broken")
                 return
             await self._refuse(exchange, request_id, outcome, started_at, progress)
@@ -324,6 +336,7 @@
             workspace=workspace,
             route=route,
             may_have_run=bool(progress and progress.may_have_run),
+            tokens=self._used(progress) if progress else 0,
             seconds=round(seconds, 4),
         )
         retry_after = RETRY_SECONDS_BY_REASON.get(refusal.reason)
