Count the tokens of ended holders as spent when a caller asks for them

Change: what is left at most leaves out holders that are no longer members, once the record is current, the member list is settled and the store answers. Such a request gets the final 402.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -32,6 +32,32 @@
     And 6 seconds pass for the holders
     Then holder 2 has tokens again
 
+  Scenario: Tokens that a living holder has are not called used up
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 draws all that nobody holds
+    And holder 2 spends 1559 tokens
+    And 0.5 seconds pass for the holders
+    Then holder 2 knows of more than 7000 tokens left
+
+  Scenario: Tokens that an ended holder took with it are called used up
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 draws all that nobody holds
+    And holder 1 is killed
+    And 3 seconds pass for the holders
+    Then holder 2 knows of less than 1600 tokens left
+
+  Scenario: While the store is away, nothing is called used up for an ended holder
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 draws all that nobody holds
+    And 0.5 seconds pass for the holders
+    And the store goes away
+    And holder 1 is killed
+    And 6 seconds pass for the holders
+    Then holder 2 knows of more than 7000 tokens left
+
   Scenario Outline: However holders fail, the budget is not overspent
     Given 5 token holders and a budget of 100000 tokens
     When they serve requests for 60 seconds under <faults>, seed <seed>
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -382,3 +382,29 @@
         assert held > 0, held
 
     play(context, check)
+
+
+@when("holder {number:d} is killed")
+def when_killed(context, number):
+    context.acts.append(lambda bench: bench.kill(f"g{number}"))
+
+
+def left_at(bench, number):
+    """Return what a holder says is left at most."""
+    return bench.holders_by_name[f"g{number}"].reserve("left", WORKSPACE, 0).left_at_most
+
+
+@then("holder {number:d} knows of more than {tokens:d} tokens left")
+def then_more_left(context, number, tokens):
+    async def check(bench):
+        assert left_at(bench, number) > tokens, left_at(bench, number)
+
+    play(context, check)
+
+
+@then("holder {number:d} knows of less than {tokens:d} tokens left")
+def then_less_left(context, number, tokens):
+    async def check(bench):
+        assert 0 < left_at(bench, number) < tokens, left_at(bench, number)
+
+    play(context, check)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -44,6 +44,9 @@
 share a write."""
 REREAD_SECONDS = 2.0
 """How often a holder without tokens looks whether others have given some back."""
+CURRENT_SECONDS = 3.0
+"""How long a reading of the record shows what others hold: a reading each two seconds, and the time
+for one that fails."""
 SETTLED_SECONDS = 1.0
 """How long the member list must stay unchanged before a holder takes its part of the known ones.
 Until then it counts as many as there may be, so that those that start together draw no more than
@@ -93,7 +96,7 @@
         self._drawing = asyncio.Lock()
         self._wanted_by_workspace: dict[str, int] = {}
         self._written_at = float("-inf")
-        self._read_at = float("-inf")
+        self._current_at = float("-inf")
         self._draw_seconds = 0.0
         self._random = random.Random()
         self._ended_early: dict[str, float] = {}
@@ -226,9 +229,18 @@
         return self._blackboard.own.incarnation
 
     def _left_at_most(self, workspace: str) -> int:
-        """Return an upper bound of what the workspace has left, as of the last reading."""
+        """Return an upper bound of what the workspace has left.
+
+        Tokens of an ended holder count as spent, which only a current record and a settled list of
+        members can show. Otherwise a caller would be asked again and again to come back for tokens
+        that nobody can give.
+        """
         budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
-        return self._drawable().get(workspace, 0) - budget.spent
+        drawable = self._drawable().get(workspace, 0)
+        current = self._clock.monotonic() - self._current_at < CURRENT_SECONDS
+        if current and self._settled() and self._blackboard.store_reachable:
+            return left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
+        return drawable - budget.spent
 
     async def _draw_forever(self) -> None:
         """Keep the allotments near their targets."""
@@ -243,8 +255,8 @@
 
     def _should_reread(self) -> bool:
         """Tell whether others may have given tokens back that this holder lacks."""
-        read_lately = self._clock.monotonic() - self._read_at < REREAD_SECONDS
-        if read_lately or not self._blackboard.store_reachable:
+        current = self._clock.monotonic() - self._current_at < REREAD_SECONDS
+        if current or not self._blackboard.store_reachable:
             return False
         return any(
             self._record.budgets_by_workspace.get(name, WorkspaceBudget()).undrawn(drawable) <= 0
@@ -367,7 +379,7 @@
     async def _read(self) -> None:
         """Read the record."""
         self._entry = await self._store.get(BUDGET_KEY)
-        self._read_at = self._clock.monotonic()
+        self._current_at = self._clock.monotonic()
         value = self._entry.value if self._entry else None
         try:
             self._record = BudgetRecord.decode(value)
@@ -384,6 +396,7 @@
         expected = self._entry.version if self._entry else ABSENT_VERSION
         self._known = False
         self._entry = await self._store.put_if(BUDGET_KEY, self._record.encode(), expected)
+        self._current_at = self._clock.monotonic()
         self._known = True
 
     def _forget_ended(self) -> None:
