Leave an upstream that sends nothing while another may serve the request

Change: after 2.5 times the objective, at most half of the time left, such a request goes on elsewhere if an attempt, another upstream and the retry budget allow it; a stream that is resumed elsewhere is watched for the same pause as before. Requests that may not run twice wait as before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -96,6 +96,39 @@
       | answers without its mark    | 502, 200 |
       | fails                       | 500, 200 |
 
+  Scenario: An idempotent request goes on elsewhere when its upstream never answers
+    Given a gateway before the services
+    And upstream app-1 of service app that "never answers"
+    And upstream app-2 of service app that "answers"
+    When upstream app-2 is in another availability zone
+    And 1 request after another reads /get/a
+    Then the gateway answers 200
+    And 2 requests reached an upstream
+
+  Scenario: A resumable stream goes on elsewhere when its first event does not come
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "streams 5 events"
+    And upstream llm-2 of service llm that "never answers"
+    When a stream of /draft/a is asked for
+    Then the caller gets events 1 to 5, each once, from its first upstream
+    And 2 requests reached an upstream
+
+  Scenario: A request that may not run twice waits for its upstream
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers late"
+    And upstream app-2 of service app that "answers"
+    When upstream app-2 is in another availability zone
+    And 1 request after another is posted to /post/a
+    Then the caller gets the answer of upstream app-1 unchanged
+    And 1 request reached an upstream
+
+  Scenario: An idempotent request waits for the only upstream
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers late"
+    When 1 request after another reads /get/a
+    Then the caller gets the answer of upstream app-1 unchanged
+    And 1 request reached an upstream
+
   Scenario: An upstream whose address nobody serves is passed over
     Given a gateway before the services
     And upstream app-1 of service app that is gone without a word
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -27,6 +27,7 @@
     "breaks the connection": Broken(),
     "breaks its body off": Broken(b"half"),
     "never answers": Hanging(),
+    "answers late": Answered(delay_seconds=1.8),
     "streams 5 events": Streaming(5),
     "breaks after 2 events": Streaming(5, 2, "reset"),
     "breaks within event 3": Streaming(5, 2, "partial"),
@@ -67,6 +68,16 @@
     context.gateway.acts.append(kill)
 
 
+@when("upstream {name} is in another availability zone")
+def when_elsewhere(context, name):
+    async def move(scene):
+        await scene.register(**{name: {"zone": "zone-b"}})
+        board = scene.applications[0].blackboard
+        await until(lambda: board.upstreams_by_id[name].zone == "zone-b")
+
+    context.gateway.acts.append(move)
+
+
 @when("{count:d} request after another is posted to {target}")
 @when("{count:d} requests after another are posted to {target}")
 def when_posted(context, count, target):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -31,6 +31,12 @@
 EVENT_SILENCE_SECONDS = 2.0
 """How long a resumable stream may pause before it is taken up elsewhere; callers give up after two
 seconds at the earliest, and preempted streams pause for some hundred milliseconds."""
+PATIENCE_OBJECTIVES = 2.5
+"""How many times the objective an upstream may take until its first byte, before a request that may
+run again goes on elsewhere. Loaded upstreams answer within twice the objective; callers leave a
+stream after four times."""
+PATIENCE_SHARE = 0.5
+"""Most of the remaining time that is spent so, which leaves as much to the next attempt."""
 FIRST_ERROR = 300
 SERVER_ERROR = 500
 OK = 200
@@ -55,7 +61,8 @@
 class Progress:
     """How far a request has come.
 
-    ``may_have_run`` tells that some attempt reached an upstream that did not say it refused.
+    ``may_have_run`` tells that some attempt reached an upstream that did not say it refused;
+    ``repeat_granted`` that the retry budget has already granted the next one.
     """
 
     call: Call
@@ -66,6 +73,7 @@
     stream: CallerStream
     tried: list[str] = field(default_factory=list)
     arrivals: int = 0
+    repeat_granted: bool = False
     may_have_run: bool = False
     last_failure: Whole | None = None
     last_detail: str = ""
@@ -133,21 +141,31 @@
             return self._timed_out(progress)
         if progress.arrivals >= progress.route.attempts:
             return self._given_up(progress)
-        candidates = [
-            item
-            for item in self._blackboard.upstreams_by_id.values()
-            if item.service == progress.service
-        ]
-        upstream = self._router.choose(progress.call, candidates, progress.tried)
+        upstream = self._router.choose(progress.call, self._candidates(progress), progress.tried)
         if upstream is None:
             return self._given_up(progress)
-        if progress.arrivals and not self._retry_budget(progress.service).take(
-            len(self._blackboard.usable_members())
-        ):
-            log.failure("retry.budget_spent", request=progress.call.request_id)
+        if progress.arrivals and not self._may_repeat(progress):
             return self._given_up(progress)
+        progress.repeat_granted = False
         return upstream
 
+    def _candidates(self, progress: Progress) -> list[Upstream]:
+        """Return the upstreams of the request's service."""
+        return [
+            item
+            for item in self._blackboard.upstreams_by_id.values()
+            if item.service == progress.service
+        ]
+
+    def _may_repeat(self, progress: Progress) -> bool:
+        """Tell whether the retry budget grants one more send, and take it."""
+        if not progress.repeat_granted:
+            members = len(self._blackboard.usable_members())
+            progress.repeat_granted = self._retry_budget(progress.service).take(members)
+            if not progress.repeat_granted:
+                log.failure("retry.budget_spent", request=progress.call.request_id)
+        return progress.repeat_granted
+
     def _given_up(self, progress: Progress) -> Refusal | Whole:
         """Return the answer to a request for which no attempt is left."""
         if progress.last_failure is not None:
@@ -184,7 +202,7 @@
         self._router.sent(upstream.id, progress.call.prompt_tokens)
         try:
             async with asyncio.timeout(remaining):
-                return await self._exchange(progress, upstream, headers)
+                return await self._with_patience(progress, upstream, headers)
         except NotSentError as error:
             self._router.failed(upstream.id)
             return NotRun(str(error), sent=False)
@@ -198,6 +216,41 @@
         finally:
             self._router.ended(upstream.id)
 
+    async def _with_patience(
+        self, progress: Progress, upstream: Upstream, headers: list[tuple[bytes, bytes]]
+    ) -> AttemptOutcome:
+        """Send the request; leave an upstream that sends nothing while another may serve it.
+
+        :raises ConnectionBrokenError: the upstream was left.
+        """
+        events_before = progress.stream.buffer.count
+        exchange = asyncio.create_task(self._exchange(progress, upstream, headers))
+        try:
+            await asyncio.wait((exchange,), timeout=self._patience_seconds(progress))
+            silent = not exchange.done() and progress.stream.buffer.count == events_before
+            if silent and self._can_go_on(progress) and self._may_repeat(progress):
+                raise ConnectionBrokenError("no answer yet", step="wait", peer=upstream.address)
+            return await exchange
+        finally:
+            exchange.cancel()
+            await asyncio.gather(exchange, return_exceptions=True)
+
+    def _patience_seconds(self, progress: Progress) -> float:
+        """Return how long an upstream may take until its first byte."""
+        if progress.stream.begun:
+            return EVENT_SILENCE_SECONDS
+        remaining = progress.ends_at - self._clock.monotonic()
+        patience = PATIENCE_OBJECTIVES * progress.route.objective_seconds
+        return min(patience, PATIENCE_SHARE * remaining)
+
+    def _can_go_on(self, progress: Progress) -> bool:
+        """Tell whether the attempt under way may be followed by another one elsewhere."""
+        route = progress.route
+        if not route.repeatable or progress.arrivals + 1 >= route.attempts:
+            return False
+        candidates = self._candidates(progress)
+        return self._router.choose(progress.call, candidates, progress.tried) is not None
+
     async def _exchange(
         self, progress: Progress, upstream: Upstream, headers: list[tuple[bytes, bytes]]
     ) -> AttemptOutcome:
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -25,6 +25,7 @@
     foreign: str = ""
     sealed: bool = True
     framed: bool = True
+    delay_seconds: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -195,7 +196,8 @@
 async def _answer(
     behaviour: Answered, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
 ) -> None:
-    """Send a whole answer."""
+    """Send a whole answer, after its delay."""
+    await asyncio.sleep(behaviour.delay_seconds)
     headers = _own_headers(seen, behaviour.foreign)
     if not behaviour.sealed:
         headers = headers[:1]
