--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -20,8 +20,9 @@
 
 RESERVE_TIMEOUT_SECONDS = 0.35
 """Longest wait for one holder: a lost packet takes 200 ms, and another holder may have tokens."""
-MAX_ASKED = 6
-"""Most holders asked for one request; each costs a round trip of some milliseconds."""
+MAX_ASKED = 12
+"""Most holders asked for one request, as many as hold tokens; each costs a round trip of about a
+millisecond, and the largest requests need the tokens of all when few are left."""
 SETTLE_SECONDS = 0.25
 """How long settlements are collected before they are sent."""
 SETTLE_TIMEOUT_SECONDS = 1.0
