Register, and name addresses, only once the configuration and upstreams are known; clean up

Cause: a gateway that had just started was named to callers and refused them as starting. Change: registration and address answers wait until the configuration and the upstream list were read. UpstreamState.failures, Service.max_connections and Exchange.begun are gone; the ASGI types stand in asgi.py, Headers in interfaces.py only. The bench of the membership scenarios sets both, as its gateway names addresses. A new scenario failed first.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -262,6 +262,11 @@
     And upstream app-1 of service app that "answers"
     Then the store holds a registration with a lease
 
+  Scenario: A gateway without a configuration is named to no caller
+    Given a gateway without a configuration
+    When 1.5 seconds pass at the gateway
+    Then the store holds no registration, and callers are told no address
+
   Scenario: Outcomes are counted on the metrics address
     Given a gateway before the services
     And upstream app-1 of service app that "declines"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -318,6 +318,23 @@
     assert budget == {"spent": tokens}, budget
 
 
+@when("{seconds:g} seconds pass at the gateway")
+def when_pass(context, seconds):
+    context.gateway.acts.append(lambda _scene: asyncio.sleep(seconds))
+
+
+@then("the store holds no registration, and callers are told no address")
+def then_not_registered(context):
+    async def absent(scene):
+        items = scene.store.content.items_by_key
+        assert not [key for key in items if key.startswith("quinceferry/members/")], items
+        directory = scene.applications[0].settings.listen.directory
+        resolution = await scene.fetch(directory, "/v1/resolve?name=a&region=b&zone=c")
+        assert resolution.status == 503, resolution
+
+    check(context, absent)
+
+
 @then("the store holds a registration with a lease")
 def then_registered(context):
     def registered(scene):
--- a/features/steps/gateway_membership.py
+++ b/features/steps/gateway_membership.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.catalog import Configuration
 from quinceferry_gateway.fleet_api import addresses
 from quinceferry_gateway.membership import MEMBER_PREFIX, MemberReader
 from quinceferry_gateway.peers import PeerError, Status
@@ -83,6 +84,8 @@
         for name in "abc":
             await kv.put_if(MEMBER_PREFIX + name, msgspec.json.encode(member(name)), 0)
         board = Blackboard(member("a"))
+        board.configuration = Configuration(1, {}, {})
+        board.upstreams_revision = 1
         reader = MemberReader(board, kv.connect("a", 0.8), context.peers, clock)
         await reader.start()
         await clock.sleep(3.0)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -54,14 +54,15 @@
     leaving: set[str] = field(default_factory=set)
     store_reachable: bool = False
 
+    @property
+    def informed(self) -> bool:
+        """Tell whether the configuration and the list of upstreams were read."""
+        return self.configuration is not None and self.upstreams_revision > 0
+
     @property
     def ready(self) -> bool:
         """Tell whether new callers may be sent here."""
-        return (
-            self.phase is Phase.SERVING
-            and self.configuration is not None
-            and bool(self.upstreams_by_id)
-        )
+        return self.phase is Phase.SERVING and self.informed and bool(self.upstreams_by_id)
 
     def peers(self) -> list[Member]:
         """Return all other members."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Callable
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
@@ -13,6 +12,7 @@
     Streamed,
     Whole,
 )
+from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import (
     AnswerHead,
@@ -29,10 +29,6 @@
 from quinceferry_gateway.relay import CallerStream, Progress, Relay
 from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 _OVERSIZED_BODY = 413
 _OVERSIZED_HEADERS = 431
 _SPREAD = 0.5
@@ -52,7 +48,6 @@
         self._receive = receive
         self._send = send
         self._closing = closing
-        self.begun = False
 
     async def read_body(self, limits: CallerLimits) -> bytes:
         """Return the whole body.
@@ -99,7 +94,6 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         """Send a status line and headers."""
-        self.begun = True
         ending = [(b"connection", b"close")] if self._closing() else []
         await self._send(
             {"type": "http.response.start", "status": status, "headers": [*headers, *ending]}
@@ -286,7 +280,7 @@
         """Send what a request came to."""
         request_id = progress.call.request_id
         if isinstance(outcome, Refusal):
-            if exchange.begun:
+            if progress.stream.begun:
                 # Returning with the body unfinished closes the connection; the caller sees a break.
                 log.failure(
                     "stream.broken",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -53,7 +53,6 @@
     """
 
     name: str
-    max_connections: int
     tokens_per_event: int = 0
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -1,11 +1,9 @@
 """The fleet's side: address answers, readiness, calls of peers, metrics."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any
-
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST
 
+from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
@@ -17,10 +15,6 @@
     Status,
 )
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 MAX_PEER_BODY_BYTES = 1_048_576
 _JSON = b"application/json"
 
@@ -67,7 +61,9 @@
 
 
 def addresses(board: Blackboard, max_addresses: int) -> list[str]:
-    """Return the addresses that callers may use now."""
+    """Return the addresses that callers may use now; none before this gateway knows enough."""
+    if not board.informed:
+        return []
     members: list[Member] = board.usable_members()
     return [member.caller_address for member in members][:max_addresses]
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -18,6 +18,8 @@
 LEASE_SECONDS = 5.0
 """Time to live of a registration: several renewals, and longer than a brief loss of the store."""
 RENEW_SECONDS = 1.5
+INFORMED_CHECK_SECONDS = 0.05
+"""How often a gateway that has just started looks whether it knows enough to serve."""
 LIST_SECONDS = 1.0
 """Interval of readings of the member list; probes find a dead member sooner."""
 PROBE_SECONDS = 0.5
@@ -32,7 +34,7 @@
 
 
 class Registration(Controller):
-    """Keeps this incarnation registered under a lease until the gateway begins to stop."""
+    """Keeps this incarnation registered under a lease, from when it can serve until it stops."""
 
     def __init__(self, blackboard: Blackboard, store: KvStore, clock: Clock) -> None:
         super().__init__()
@@ -57,6 +59,8 @@
 
     async def _keep(self) -> None:
         """Register, renew, and register again after a loss."""
+        while not self._blackboard.informed:
+            await self._clock.sleep(INFORMED_CHECK_SECONDS)
         while self._blackboard.phase is not Phase.DRAINING:
             try:
                 if not self._lease:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/routing.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/routing.py
@@ -33,7 +33,6 @@
     load_at: float = 0.0
     sent_since_load: int = 0
     suspect_until: float = 0.0
-    failures: float = 0.0
     prefill_until: float = 0.0
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -14,6 +14,7 @@
 
 from quinceferry_core.exceptions import QuinceferryError
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_gateway.interfaces import Headers
 
 CONNECT_SECONDS = 0.7
 """Longest wait for a connection; links of one region answer in a few milliseconds, a lost packet
@@ -33,8 +34,6 @@
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.UnsupportedProtocol)
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
-Headers = Sequence[tuple[bytes, bytes]]
-
 
 @dataclass(slots=True, frozen=True)
 class Reply:
