Split the shared budget record from the holder; a stop waits for a draw under way

On the way seen: a draw for a request could change the record in memory while a stopping holder returned its tokens, and draw again after the return, which stranded tokens. Change: shared_budgets.py reads and writes the record; giving back takes the same lock as draws, and a closed holder draws no more.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -99,6 +99,13 @@
     And the store is back for 5 seconds
     Then the record holds 0 spent tokens and 2 allotments
 
+  Scenario: A holder that stops while it draws for a request strands nothing
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 stops while it draws 5000 tokens for a request
+    And 1 seconds pass for the holders
+    Then the record holds 0 spent tokens and 1 allotments
+
   Scenario: Tokens that were passed on twice count once
     Given 2 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -14,9 +14,10 @@
     update_allotment,
 )
 from quinceferry_gateway.catalog import Configuration, Workspace
-from quinceferry_gateway.holder import BUDGET_KEY, TokenHolder
+from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.peers import Settlement
 from quinceferry_gateway.settings import BudgetSettings
+from quinceferry_gateway.shared_budgets import BUDGET_KEY
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
 
@@ -408,3 +409,16 @@
         assert 0 < left_at(bench, number) < tokens, left_at(bench, number)
 
     play(context, check)
+
+
+@when("holder {number:d} stops while it draws {tokens:d} tokens for a request")
+def when_stops_drawing(context, number, tokens):
+    async def stop(bench):
+        drawing = asyncio.create_task(
+            bench.holders_by_name[f"g{number}"].draw_for(WORKSPACE, tokens)
+        )
+        await bench.clock.sleep(0)
+        await bench.end(f"g{number}")
+        assert not await drawing
+
+    context.acts.append(stop)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -3,15 +3,12 @@
 import asyncio
 import random
 
-import msgspec
-
-from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvConflictError, KvError
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.budgets import (
     Account,
-    BudgetRecord,
     DrawPolicy,
     Inherited,
     WorkspaceBudget,
@@ -29,9 +26,8 @@
 )
 from quinceferry_gateway.rendezvous import ranked
 from quinceferry_gateway.settings import BudgetSettings
+from quinceferry_gateway.shared_budgets import BUDGET_KEY, SharedBudgets
 
-BUDGET_KEY = "quinceferry/budgets/0"
-"""All workspaces of a small fleet share one record, so that one write renews all allotments."""
 CHECK_SECONDS = 0.25
 """How often a holder looks whether to draw more."""
 WRITE_SECONDS = 0.75
@@ -83,20 +79,16 @@
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
-        self._store = store
         self._clock = clock
         self._settings = settings
         self._policy = DrawPolicy(settings.held_share)
-        self._entry: KvEntry | None = None
-        self._record = BudgetRecord()
-        self._known = False
+        self._shared = SharedBudgets(store, clock)
         self._closed = False
         self._began_at = clock.monotonic()
         self._members_settled = False
         self._drawing = asyncio.Lock()
         self._wanted_by_workspace: dict[str, int] = {}
         self._written_at = float("-inf")
-        self._current_at = float("-inf")
         self._draw_seconds = 0.0
         self._random = random.Random()
         self._ended_early: dict[str, float] = {}
@@ -143,6 +135,8 @@
         """Draw so that a number of tokens is available, whatever this holder's part is."""
         pause = self._written_at + DRAW_PAUSE_SECONDS - self._clock.monotonic()
         await self._clock.sleep(max(0.0, pause))
+        if self._closed:
+            return
         self._wanted_by_workspace[workspace] = tokens
         try:
             await self._draw()
@@ -160,8 +154,8 @@
         if self._draw_seconds > DRAW_WAIT_SECONDS:
             return False
         drawable = self._drawable().get(workspace, 0)
-        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
-        return not self._known or budget.undrawn(drawable) > 0
+        budget = self._shared.of(workspace)
+        return not self._shared.known or budget.undrawn(drawable) > 0
 
     def settle(self, settlement: Settlement) -> None:
         """End a reservation; one that has not arrived yet is refused when it does."""
@@ -180,19 +174,21 @@
         """
         self._closed = True
         await self.stop()
-        for _ in range(RETURN_TRIES):
-            try:
-                await self._read()
-                self._return_all()
-                await self._write()
-                log.change("allotments.returned", version=self._entry.version)
-                return True
-            except KvConflictError:
-                continue
-            except KvError as error:
-                log.failure("allotments.not_returned", error=str(error))
-                if not self._blackboard.store_reachable:
-                    break
+        # A draw for a request that has just begun ends first: it would change the record meanwhile.
+        async with self._drawing:
+            for _ in range(RETURN_TRIES):
+                try:
+                    await self._shared.read()
+                    self._return_all()
+                    await self._shared.write()
+                    log.change("allotments.returned", version=self._shared.version)
+                    return True
+                except KvConflictError:
+                    continue
+                except KvError as error:
+                    log.failure("allotments.not_returned", error=str(error))
+                    if not self._blackboard.store_reachable:
+                        break
         return False
 
     def estate(self) -> InheritRequest:
@@ -220,7 +216,7 @@
     def _return_all(self) -> None:
         """Change the record in memory so that this holder has nothing any more."""
         for workspace, account in self._accounts_by_workspace.items():
-            budget = self._record.budgets_by_workspace.setdefault(workspace, WorkspaceBudget())
+            budget = self._shared.of(workspace)
             return_allotment(budget, self._own, account)
 
     @property
@@ -235,9 +231,9 @@
         members can show. Otherwise a caller would be asked again and again to come back for tokens
         that nobody can give.
         """
-        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
+        budget = self._shared.of(workspace)
         drawable = self._drawable().get(workspace, 0)
-        current = self._clock.monotonic() - self._current_at < CURRENT_SECONDS
+        current = self._shared.age_seconds < CURRENT_SECONDS
         if current and self._settled() and self._blackboard.store_reachable:
             return left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
         return drawable - budget.spent
@@ -255,11 +251,10 @@
 
     def _should_reread(self) -> bool:
         """Tell whether others may have given tokens back that this holder lacks."""
-        current = self._clock.monotonic() - self._current_at < REREAD_SECONDS
-        if current or not self._blackboard.store_reachable:
+        if self._shared.age_seconds < REREAD_SECONDS or not self._blackboard.store_reachable:
             return False
         return any(
-            self._record.budgets_by_workspace.get(name, WorkspaceBudget()).undrawn(drawable) <= 0
+            self._shared.of(name).undrawn(drawable) <= 0
             for name, drawable in self._drawable().items()
         )
 
@@ -267,9 +262,8 @@
         """Read the record outside of a draw."""
         async with self._drawing:
             try:
-                await self._read()
+                await self._shared.read()
             except KvError as error:
-                self._known = False
                 log.failure("allotments.not_read", error=str(error))
 
     def _due(self) -> bool:
@@ -280,7 +274,7 @@
         now = self._clock.monotonic()
         if now - self._written_at < WRITE_SECONDS:
             return False
-        return not self._known or any(self._off_target(name) for name in self._drawable())
+        return not self._shared.known or any(self._off_target(name) for name in self._drawable())
 
     def _settled(self) -> bool:
         """Tell whether the member list has become good enough to draw by."""
@@ -314,7 +308,7 @@
 
     def _off_target(self, workspace: str) -> bool:
         """Tell whether a workspace's allotment should change."""
-        budget = self._record.budgets_by_workspace.get(workspace, WorkspaceBudget())
+        budget = self._shared.of(workspace)
         drawable = self._drawable()[workspace]
         account = self._accounts_by_workspace.get(workspace, Account())
         if account.inherited_by_holder:
@@ -328,7 +322,6 @@
         try:
             await self._try_to_draw()
         except KvError as error:
-            self._known = False
             log.failure("allotments.not_drawn", error=str(error))
         finally:
             self._draw_seconds = self._clock.monotonic() - self._written_at
@@ -337,13 +330,12 @@
         """Write the record anew after each conflict; give up after some of them."""
         for _ in range(TRIES):
             try:
-                if not self._known:
-                    await self._read()
+                if not self._shared.known:
+                    await self._shared.read()
                 drawn_by_workspace = self._update_all()
                 predecessors = set(self._predecessors)
-                await self._write()
+                await self._shared.write()
             except KvConflictError:
-                self._known = False
                 await self._clock.sleep(self._random.random() * CONFLICT_SPREAD_SECONDS)
             else:
                 self._enter_drawn(drawn_by_workspace, predecessors)
@@ -359,7 +351,7 @@
                 del account.inherited_by_holder[holder]
         log.success(
             "allotments.drawn",
-            version=self._entry.version if self._entry else 0,
+            version=self._shared.version,
             left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
             available_by_workspace=self.available_by_workspace(),
         )
@@ -368,7 +360,7 @@
         """Change the record in memory for all workspaces; return what will be drawn by then."""
         drawn_by_workspace: dict[str, int] = {}
         for name, drawable in self._drawable().items():
-            budget = self._record.budgets_by_workspace.setdefault(name, WorkspaceBudget())
+            budget = self._shared.of(name)
             account = self._accounts_by_workspace.setdefault(name, Account())
             target = max(self._target(budget, drawable), self._wanted_by_workspace.get(name, 0))
             drawn_by_workspace[name] = update_allotment(
@@ -376,29 +368,6 @@
             )
         return drawn_by_workspace
 
-    async def _read(self) -> None:
-        """Read the record."""
-        self._entry = await self._store.get(BUDGET_KEY)
-        self._current_at = self._clock.monotonic()
-        value = self._entry.value if self._entry else None
-        try:
-            self._record = BudgetRecord.decode(value)
-        except msgspec.DecodeError as error:
-            raise KvError(str(error), step="budgets.decode", peer=BUDGET_KEY) from error
-        self._known = True
-
-    async def _write(self) -> None:
-        """Write the record if nobody else has since it was read.
-
-        The record in memory is unknown from the call until its answer: a lost answer leaves open
-        whether the write took effect.
-        """
-        expected = self._entry.version if self._entry else ABSENT_VERSION
-        self._known = False
-        self._entry = await self._store.put_if(BUDGET_KEY, self._record.encode(), expected)
-        self._current_at = self._clock.monotonic()
-        self._known = True
-
     def _forget_ended(self) -> None:
         """Forget settlements that came before their reservation, once none can arrive any more."""
         limit = self._clock.monotonic() - ENDED_KEPT_SECONDS
