Call a holder ended only when another incarnation answers on its vm; quinceferry explain

Change: a holder counts as ended when a later incarnation answers on the same vm, where only one can run. A request that found too little drawn asks its own holder once more, so that a used-up workspace is told at once. quinceferry explain REQUEST-ID FILES prints a request's lines in order, what its gateway believed with its age, other failures at its upstream, and the cause.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -45,9 +45,20 @@
     When 4 seconds pass for the holders
     And holder 1 draws all that nobody holds
     And holder 1 is killed
+    And another starts on its vm
     And 3 seconds pass for the holders
+    And holder 2 is asked for 5000 tokens, drawing what is missing
     Then holder 2 knows of less than 1600 tokens left
 
+  Scenario: Tokens of a holder that may only be cut off are not called used up
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 1 draws all that nobody holds
+    And holder 1 is killed
+    And 3 seconds pass for the holders
+    And holder 2 is asked for 5000 tokens, drawing what is missing
+    Then holder 2 knows of more than 7000 tokens left
+
   Scenario: While the store is away, nothing is called used up for an ended holder
     Given 2 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
@@ -55,6 +66,7 @@
     And 0.5 seconds pass for the holders
     And the store goes away
     And holder 1 is killed
+    And another starts on its vm
     And 6 seconds pass for the holders
     Then holder 2 knows of more than 7000 tokens left
 
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -45,17 +45,19 @@
         """Start holders until there are as many as there should be."""
         while len(self.holders_by_name) < self.count:
             self.next_name += 1
-            name = f"g{self.next_name}"
-            board = Blackboard(Member(name, name, "z", "", ""))
-            board.configuration = self.configuration
-            store = self.kv.connect(name, 0.8)
-            holder = TokenHolder(board, store, self.clock, BudgetSettings())
-            self.boards_by_name[name] = board
-            self.holders_by_name[name] = holder
-            self.open_by_name[name] = {}
-            await holder.start()
+            await self.add(f"g{self.next_name}", f"g{self.next_name}")
         self.refresh()
 
+    async def add(self, name, vm):
+        """Start a holder on a vm."""
+        board = Blackboard(Member(name, vm, "z", "", ""))
+        board.configuration = self.configuration
+        holder = TokenHolder(board, self.kv.connect(name, 0.8), self.clock, BudgetSettings())
+        self.boards_by_name[name] = board
+        self.holders_by_name[name] = holder
+        self.open_by_name[name] = {}
+        await holder.start()
+
     def refresh(self):
         """Tell all holders who lives and whether the store does."""
         members = {name: board.own for name, board in self.boards_by_name.items()}
@@ -63,6 +65,7 @@
             if board.members_by_incarnation.keys() != members.keys():
                 board.members_changed_at = self.clock.monotonic()
             board.members_by_incarnation = members
+            board.available_by_incarnation = {name: {} for name in members}
             board.store_reachable = not self.kv.faults.outage
 
     async def request_drawing(self, number):
@@ -390,6 +393,15 @@
     context.acts.append(lambda bench: bench.kill(f"g{number}"))
 
 
+@when("another starts on its vm")
+def when_another_starts(context):
+    async def start(bench):
+        await bench.add("g1-2", "g1")
+        bench.refresh()
+
+    context.acts.append(start)
+
+
 def left_at(bench, number):
     """Return what a holder says is left at most."""
     return bench.holders_by_name[f"g{number}"].reserve("left", WORKSPACE, 0).left_at_most
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -0,0 +1,183 @@
+"""The story of one request, told from the log lines of several gateways."""
+
+import json
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Any
+
+_ABOUT_GATEWAYS = ("store.", "configuration.applied", "gateway.", "log.dropped")
+_ABOUT_UPSTREAMS = ("upstream.", "attempt.unknown", "attempt.not_run")
+NEAR_SECONDS = 2.0
+"""How far from an attempt other failures at its upstream are counted."""
+_RESERVED = re.compile(r": (\d+) of \d+")
+_HIDDEN = frozenset({"vm", "event", "timestamp", "request"})
+
+CAUSES = {
+    "starting": "The gateway had just started and knew no configuration. It did not run.",
+    "malformed": "The request could not be read. It did not run.",
+    "oversized": "The request exceeds the limits of the configuration. It did not run.",
+    "no_route": "The configuration has no route for its host and path. It did not run.",
+    "unknown_key": "The configuration has no such workspace key. It did not run.",
+    "no_upstream": "No upstream of its service was registered and usable. It did not run.",
+    "upstreams_refused": "Every upstream that was tried declined it. It did not run.",
+    "outcome_unknown": "It was sent, the answer was lost, and it may not be sent again. It may have"
+    " run: ask the owners of the upstream.",
+    "timed_out": "Its time was up after it had been sent. It may have run.",
+    "timed_out_unsent": "Its time was up before any upstream had it. It did not run.",
+    "internal": "The gateway itself failed; the line request.bug beside it has the error.",
+    "budget_exhausted": "Its workspace has fewer tokens left than it needs at most; tokens of"
+    " gateways that were killed count as spent. It did not run.",
+    "budget_out_of_reach": "The gateways that hold tokens of its workspace had too few to give, and"
+    " nothing could be drawn in time. It did not run.",
+    "budget_until_store": "The gateways held too few tokens of its workspace, and nothing can be"
+    " drawn while the store is away. It did not run.",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class LogRecord:
+    """One log line."""
+
+    at: datetime
+    vm: str
+    event: str
+    fields: dict[str, Any]
+
+    def is_about(self, request_id: str) -> bool:
+        """Tell whether the line belongs to a request."""
+        return self.fields.get("request") == request_id
+
+
+@dataclass(slots=True, frozen=True)
+class Explanation:
+    """A request's lines in order, with what its gateway believed, and the cause of its end."""
+
+    story: list[str]
+    cause: str
+
+
+def read_records(lines: Iterable[str], request_id: str) -> list[LogRecord]:
+    """Return the lines that matter for a request, in order of time.
+
+    Text before the JSON object, such as the name of a vm, is passed over, and so are other lines.
+    """
+    wanted = _ABOUT_GATEWAYS + _ABOUT_UPSTREAMS
+    records = [
+        record
+        for record in map(_parse, lines)
+        if record and (record.is_about(request_id) or record.event.startswith(wanted))
+    ]
+    return sorted(records, key=lambda record: record.at)
+
+
+def explain(records: list[LogRecord], request_id: str) -> Explanation:
+    """Tell a request's story.
+
+    :param records: what :func:`read_records` returned.
+    """
+    own = [record for record in records if record.is_about(request_id)]
+    if not own:
+        return Explanation(_dropped(records), "No line is about this request.")
+    first, last = own[0], own[-1]
+    story = [*_beliefs(records, first)]
+    for record in own:
+        story.append(_line(record))
+        story.extend(_upstream_notes(records, record))
+    return Explanation(story, _cause(own, last))
+
+
+def _parse(line: str) -> LogRecord | None:
+    """Return a log line, or None for a line of another kind."""
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(line[start:])
+        at = datetime.fromisoformat(fields["timestamp"])
+        return LogRecord(at.astimezone(UTC), fields.get("vm", "?"), fields["event"], fields)
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _line(record: LogRecord) -> str:
+    """Return a line of the story."""
+    fields = ", ".join(
+        f"{key}={value}" for key, value in record.fields.items() if key not in _HIDDEN
+    )
+    return f"{record.at:%H:%M:%S.%f} {record.vm} {record.event}: {fields}"
+
+
+def _beliefs(records: list[LogRecord], first: LogRecord) -> list[str]:
+    """Return what the request's gateway believed when its first line was written, with its age."""
+    latest_by_topic: dict[str, LogRecord] = {}
+    for record in records:
+        if record.vm == first.vm and record.at <= first.at:
+            topic = record.event.split(".")[0]
+            if record.event.startswith(("store.", "configuration.applied", "gateway.")):
+                latest_by_topic[topic] = record
+    return [
+        f"{_line(record)} ({(first.at - record.at).total_seconds():.1f} s before)"
+        for record in sorted(latest_by_topic.values(), key=lambda record: record.at)
+    ]
+
+
+def _upstream_notes(records: list[LogRecord], attempt: LogRecord) -> list[str]:
+    """Return what else is known of the upstream of a failed attempt."""
+    upstream = attempt.fields.get("upstream")
+    if not attempt.event.startswith(("attempt.unknown", "attempt.not_run")):
+        return []
+    others = [
+        record
+        for record in records
+        if record.fields.get("upstream") == upstream and record is not attempt
+    ]
+    failures = [
+        record
+        for record in others
+        if record.event.startswith("attempt.")
+        and abs((record.at - attempt.at).total_seconds()) <= NEAR_SECONDS
+    ]
+    notes = [f"  {len(failures)} other failures at {upstream} within {NEAR_SECONDS:.0f} s"]
+    changes = [record for record in others if record.event.startswith("upstream.")]
+    return notes + [f"  {_line(record)}" for record in changes if record.vm == attempt.vm]
+
+
+def _cause(own: list[LogRecord], last: LogRecord) -> str:
+    """Return why a request ended as it did."""
+    match last.event:
+        case "request.answered":
+            return f"It was answered, and {last.fields.get('tokens', 0)} tokens were charged."
+        case "request.refused":
+            return _refusal_cause(last)
+        case "stream.broken":
+            return (
+                "The stream was cut, because it could not go on elsewhere:"
+                f" {last.fields.get('detail', '')}. The caller keeps the events that it has."
+            )
+        case "caller.left":
+            attempts = [record for record in own if record.event.startswith("attempt.")]
+            waited = "after failed attempts" if attempts else "while its upstream sent nothing more"
+            return f"The caller closed its connection {waited}; the run was ended."
+        case "request.bug":
+            return CAUSES["internal"]
+        case _:
+            return "Its last line was left out, or it is still running."
+
+
+def _refusal_cause(last: LogRecord) -> str:
+    """Return why the gateway answered by itself."""
+    reason = str(last.fields.get("reason"))
+    cause = CAUSES.get(reason, f"The gateway refused it: {reason}.")
+    if not reason.startswith("budget_"):
+        return cause
+    detail = str(last.fields.get("detail", ""))
+    offered = sum(int(tokens) for tokens in _RESERVED.findall(detail))
+    needed = detail.split(" ", 1)[0]
+    return f"{cause} It needed {needed} tokens; {offered} were offered."
+
+
+def _dropped(records: list[LogRecord]) -> list[str]:
+    """Return the lines that tell of lines left out."""
+    return [_line(record) for record in records if record.event == "log.dropped"]
--- /dev/null
+++ b/packages/quinceferry-cli/src/quinceferry/log_commands.py
@@ -0,0 +1,37 @@
+"""Commands that read logs; they call no router."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+
+from quinceferry.explanations import explain, read_records
+
+EXIT_NOT_FOUND = 1
+
+
+@click.command("explain")
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def explain_request(request_id: str, files: tuple[Path, ...]) -> None:
+    """Print the story of a request from the log lines of gateways, and its cause.
+
+    Without FILES the lines are read from standard input. Exits with 1 when no line is about it.
+    """
+    records = read_records(_lines(files), request_id)
+    explanation = explain(records, request_id)
+    for line in explanation.story:
+        click.echo(line)
+    click.echo(f"cause: {explanation.cause}")
+    if not any(record.is_about(request_id) for record in records):
+        sys.exit(EXIT_NOT_FOUND)
+
+
+def _lines(files: tuple[Path, ...]) -> Iterator[str]:
+    """Return the lines of all files, or of standard input."""
+    if not files:
+        yield from click.get_text_stream("stdin")
+    for file in files:
+        with file.open(encoding="utf-8", errors="replace") as opened:
+            yield from opened
--- a/packages/quinceferry-cli/src/quinceferry/main.py
+++ b/packages/quinceferry-cli/src/quinceferry/main.py
@@ -5,7 +5,7 @@
 
 import click
 
-from quinceferry import caller_commands, operator_commands
+from quinceferry import caller_commands, log_commands, operator_commands
 from quinceferry.configuration import ClientConfiguration, read_file
 from quinceferry.exceptions import ChangePendingError, OutcomeUnknownError, RequestError
 
@@ -57,6 +57,7 @@
 quinceferry.add_command(operator_commands.operator)
 quinceferry.add_command(operator_commands.status)
 quinceferry.add_command(operator_commands.drain)
+quinceferry.add_command(log_commands.explain_request)
 quinceferry.add_command(caller_commands.address)
 quinceferry.add_command(caller_commands.ask)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -19,7 +19,8 @@
 class Member(msgspec.Struct, frozen=True):
     """One incarnation of a gateway, as registered in the store.
 
-    Addresses have the form ``host:port``.
+    The name of an incarnation is that of its vm, a hyphen, and a part of its own. Addresses have
+    the form ``host:port``.
     """
 
     incarnation: str
@@ -64,6 +65,19 @@
         """Tell whether new callers may be sent here."""
         return self.phase is Phase.SERVING and self.informed and bool(self.upstreams_by_id)
 
+    def ended(self, incarnation: str) -> bool:
+        """Tell whether an incarnation has surely ended: another one answers on its vm.
+
+        One that is only missing may be cut off and still serve with what it holds.
+        """
+        vm = incarnation.rpartition("-")[0] or incarnation
+        if vm == self.own.vm:
+            return incarnation != self.own.incarnation
+        answering = self.members_by_incarnation.keys() & self.available_by_incarnation.keys()
+        return incarnation not in answering and any(
+            self.members_by_incarnation[key].vm == vm for key in answering
+        )
+
     def peers(self) -> list[Member]:
         """Return all other members."""
         return [
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -140,12 +140,12 @@
         return undrawn > 0 and available < self.refill_share * target
 
 
-def left_tokens(budget: WorkspaceBudget, drawable: int, live_holders: Collection[str]) -> int:
-    """Return the tokens that nobody holds or that live holders hold."""
+def left_tokens(budget: WorkspaceBudget, drawable: int, holders: Collection[str]) -> int:
+    """Return the tokens that nobody holds or that some holders hold."""
     held = sum(
         entry.outstanding
         for holder, entry in budget.allotments_by_holder.items()
-        if holder in live_holders
+        if holder in holders
     )
     return max(0, budget.undrawn(drawable)) + held
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -119,9 +119,9 @@
         return ReserveReply(reserved, self._left_at_most(workspace))
 
     async def draw_for(self, workspace: str, tokens: int) -> bool:
-        """Draw tokens that a request lacks, if nobody holds them and the store answers soon.
+        """Draw tokens that a request lacks, as far as nobody holds them and the store answers soon.
 
-        :return: whether they are available now.
+        :return: whether all of them are available now.
         """
         try:
             async with asyncio.timeout(DRAW_WAIT_SECONDS), self._drawing:
@@ -227,16 +227,15 @@
     def _left_at_most(self, workspace: str) -> int:
         """Return an upper bound of what the workspace has left.
 
-        Tokens of an ended holder count as spent, which only a current record and a settled list of
-        members can show. Otherwise a caller would be asked again and again to come back for tokens
-        that nobody can give.
+        Tokens of an ended holder count as spent, once the record is current: otherwise a caller
+        would be asked again and again to come back for tokens that nobody can give.
         """
         budget = self._shared.of(workspace)
         drawable = self._drawable().get(workspace, 0)
-        current = self._shared.age_seconds < CURRENT_SECONDS
-        if current and self._settled() and self._blackboard.store_reachable:
-            return left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
-        return drawable - budget.spent
+        if self._shared.age_seconds > CURRENT_SECONDS or not self._blackboard.store_reachable:
+            return drawable - budget.spent
+        holders = [key for key in budget.allotments_by_holder if not self._blackboard.ended(key)]
+        return left_tokens(budget, drawable, holders)
 
     async def _draw_forever(self) -> None:
         """Keep the allotments near their targets."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -122,9 +122,10 @@
             await self._try(search, incarnation, search.id)
             if not search.missing:
                 return search.found()
-        if not search.exhausted and await self._holder.draw_for(workspace, search.missing):
-            own = self._blackboard.own.incarnation
-            await self._try(search, own, f"{search.id}/drawn")
+        if not search.exhausted:
+            # Also a draw that brought too little may show that the workspace is used up.
+            await self._holder.draw_for(workspace, search.missing)
+            await self._try(search, self._blackboard.own.incarnation, f"{search.id}/drawn")
             if not search.missing:
                 return search.found()
         self.settle(search.found(), 0)
