--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -1,133 +1,18 @@
 """Steps for prepaid tokens at the gateways."""
 
 import asyncio
-import random
 
 from behave import given, then, when
 
-from quinceferry_gateway.blackboard import Blackboard, Member
+from features.fixtures_gateway_budgets import WORKSPACE, Bench
 from quinceferry_gateway.budgets import (
     Account,
-    BudgetRecord,
     HolderAllotment,
     WorkspaceBudget,
     update_allotment,
 )
-from quinceferry_gateway.catalog import Configuration, Workspace
-from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.peers import Settlement
-from quinceferry_gateway.settings import BudgetSettings
-from quinceferry_gateway.shared_budgets import BUDGET_KEY
-from quinceferry_lab.virtual_time import VirtualClock, run_virtual
-from quinceferry_standins.kv import FakeKv
-
-WORKSPACE = "choir"
-MAX_TOKENS = 900
-
-
-class Bench:
-    """Token holders on one store, in virtual time."""
-
-    def __init__(self, count, prepaid, seed=0):
-        self.clock = VirtualClock()
-        self.random = random.Random(seed)
-        self.kv = FakeKv(self.clock, random.Random(seed))
-        workspace = Workspace(WORKSPACE, prepaid)
-        self.configuration = Configuration(1, {}, {}, {WORKSPACE: workspace})
-        self.holders_by_name = {}
-        self.boards_by_name = {}
-        self.open_by_name = {}
-        self.used = 0
-        self.next_name = 0
-        self.count = count
-
-    async def fill(self):
-        """Start holders until there are as many as there should be."""
-        while len(self.holders_by_name) < self.count:
-            self.next_name += 1
-            await self.add(f"g{self.next_name}", f"g{self.next_name}")
-        self.refresh()
-
-    async def add(self, name, vm):
-        """Start a holder on a vm."""
-        board = Blackboard(Member(name, vm, "z", "", ""))
-        board.configuration = self.configuration
-        holder = TokenHolder(board, self.kv.connect(name, 0.8), self.clock, BudgetSettings())
-        self.boards_by_name[name] = board
-        self.holders_by_name[name] = holder
-        self.open_by_name[name] = {}
-        await holder.start()
-
-    def refresh(self):
-        """Tell all holders who lives and whether the store does."""
-        members = {name: board.own for name, board in self.boards_by_name.items()}
-        for board in self.boards_by_name.values():
-            if board.members_by_incarnation.keys() != members.keys():
-                board.members_changed_at = self.clock.monotonic()
-            board.members_by_incarnation = members
-            board.available_by_incarnation = {name: {} for name in members}
-            board.store_reachable = not self.kv.faults.outage
-
-    async def request_drawing(self, number):
-        """Reserve, with tokens drawn for the request where some are missing; settle as well."""
-        name = self.random.choice(list(self.holders_by_name))
-        holder = self.holders_by_name[name]
-        tokens = self.random.randint(1, 5 * MAX_TOKENS)
-        missing = tokens - holder.reserve(f"d{number}", WORKSPACE, tokens).reserved
-        if missing and await holder.draw_for(WORKSPACE, missing):
-            assert holder.reserve(f"d{number}/drawn", WORKSPACE, missing).reserved == missing
-            self.used += missing
-            holder.settle(Settlement(f"d{number}/drawn", WORKSPACE, missing))
-        holder.settle(Settlement(f"d{number}", WORKSPACE, 0))
-        await self.request(number)
-
-    async def request(self, number):
-        """Reserve at some holder, and settle some earlier request."""
-        name = self.random.choice(list(self.holders_by_name))
-        holder, opened = self.holders_by_name[name], self.open_by_name[name]
-        tokens = self.random.randint(1, MAX_TOKENS)
-        reply = holder.reserve(f"r{number}", WORKSPACE, tokens)
-        if reply.reserved:
-            opened[f"r{number}"] = reply.reserved
-        if opened and self.random.random() < 0.8:
-            key = self.random.choice(list(opened))
-            used = self.random.randint(0, opened.pop(key))
-            self.used += used
-            holder.settle(Settlement(key, WORKSPACE, used))
-
-    async def kill(self, name):
-        """End a holder at once; what it had reserved was used."""
-        await self.holders_by_name[name].stop()
-        self.remove(name)
-
-    async def end(self, name, times=1):
-        """Stop a holder in order; its tokens go to the store or to another holder."""
-        holder = self.holders_by_name[name]
-        returned = await holder.give_back()
-        self.remove(name)
-        if returned or not self.holders_by_name:
-            return
-        heir = self.holders_by_name[self.random.choice(list(self.holders_by_name))]
-        for _ in range(times):
-            heir.inherit(holder.estate())
-
-    def remove(self, name):
-        """Forget a holder; what it had reserved was used."""
-        self.used += sum(self.open_by_name.pop(name).values())
-        del self.holders_by_name[name]
-        del self.boards_by_name[name]
-        self.refresh()
-
-    async def record(self):
-        """Return the budget in the record."""
-        self.kv.faults.clear()
-        entry = await self.kv.connect("test").get(BUDGET_KEY)
-        return BudgetRecord.decode(entry.value).budgets_by_workspace[WORKSPACE]
-
-    async def close(self):
-        """End all holders."""
-        for holder in self.holders_by_name.values():
-            await holder.stop()
+from quinceferry_lab.virtual_time import run_virtual
 
 
 @given("{count:d} token holders and a budget of {prepaid:d} tokens")
