--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -11,6 +11,15 @@
     When 0.5 seconds pass for the holders
     Then each holder has tokens, and all of them no more than 3118
 
+  Scenario: After all holders were killed, those that start have tokens at once
+    Given 9 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And all holders are killed and others start on their vms
+    And 0.5 seconds pass for the holders
+    Then each holder has tokens, and all of them no more than 2028
+    When they serve requests, drawing on demand, for 20 seconds under no faults, seed 17
+    Then the killed and the living used no more than 9000 tokens, and more than 5500
+
   Scenario: A request that is short of tokens gets them drawn while it waits
     Given 1 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -278,6 +278,35 @@
     context.acts.append(lambda bench: bench.kill(f"g{number}"))
 
 
+@when("all holders are killed and others start on their vms")
+def when_all_killed(context):
+    async def kill_all(bench):
+        names = list(bench.holders_by_name)
+        for name in names:
+            await bench.kill(name)
+        for name in names:
+            await bench.add(f"{name}-2", name)
+        bench.refresh()
+
+    context.acts.append(kill_all)
+
+
+@then("the killed and the living used no more than {most:d} tokens, and more than {least:d}")
+def then_used_together(context, most, least):
+    async def check(bench):
+        used = bench.used + sum(sum(opened.values()) for opened in bench.open_by_name.values())
+        budget = await bench.record()
+        stranded = sum(
+            entry.outstanding
+            for name, entry in budget.allotments_by_holder.items()
+            if name not in bench.holders_by_name
+        )
+        assert used + stranded <= most, (used, stranded)
+        assert used > least, (used, stranded)
+
+    play(context, check)
+
+
 @when("another starts on its vm")
 def when_another_starts(context):
     async def start(bench):
