Tell callers addresses of their own zone; measure first events and pauses; rank faster

Nothing told how streams pause.

Change: a caller of a zone with two gateways or more is told these alone. Histograms of first events and longest pauses, late streams by cause, prompt tokens sent and unread. Rendezvous hashing mixes kept digests.

One scenario took its order of upstreams from the hash; it now asks for the first choice by name.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -125,3 +125,16 @@
     And upstream llm-1 of service llm that "streams slowly"
     When gateway 1 is asked to stream a prompt of 9000 tokens
     Then gateway 2 believes that llm-1 keeps the prompt's parts
+
+  Scenario Outline: Callers are told addresses of their own availability zone, if it has two
+    Given gateways in zones <zones>
+    Then a caller of zone <zone> is told <addresses>
+
+    Examples:
+      | zones      | zone | addresses  |
+      | a, a, b, b | a    | a1, a2     |
+      | a, a, b, b | b    | b3, b4     |
+      | a, b, b    | a    | a1, b2, b3 |
+      | a, a, b, b | c    | a1, a2, b3 |
+      | a, a, b, b | ?    | a1, a2, b3 |
+      | a, a, a, a | a    | a1, a2, a3 |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -6,6 +6,8 @@
 from behave import given, then, when
 
 from features.fixtures_gateway import WORKSPACE, Scene, configuration, until
+from quinceferry_gateway.decisions.kept_parts import key_of
+from quinceferry_gateway.rendezvous import ranked
 from quinceferry_standins.managed_upstream import (
     Answered,
     Broken,
@@ -58,6 +60,15 @@
     context.gateway.add_upstream(name, service, *script)
 
 
+@given(
+    'two upstreams of service {service}, of which the first choice "{first}" and the other "{other}"'
+)
+def given_first_choice(context, service, first, other):
+    order = ranked(key_of(["a"]), [f"{service}-1", f"{service}-2"])
+    for name, behaviour in zip(order, (first, other), strict=True):
+        context.gateway.add_upstream(name, service, BEHAVIOURS[behaviour])
+
+
 @given("upstream {name} of service {service} that is gone without a word")
 def given_dead_upstream(context, name, service):
     context.gateway.add_upstream(name, service, Answered())
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -9,6 +9,7 @@
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.decisions import Beliefs, Demand, Placer
+from quinceferry_gateway.decisions.addresses import addresses_for
 from quinceferry_gateway.decisions.kept_parts import key_of
 from quinceferry_gateway.decisions.reading import ReadingQueue, ReadingRates
 from quinceferry_gateway.sends import SendTeller
@@ -311,3 +312,17 @@
         assert list(keepers) == [name], keepers
 
     context.gateway.play(check)
+
+
+@given("gateways in zones {zones}")
+def given_zones(context, zones):
+    context.members = [
+        Member(f"vm-{number}", f"vm{number}", zone, "", f"{zone}{number}")
+        for number, zone in enumerate(zones.split(", "), 1)
+    ]
+
+
+@then("a caller of zone {zone} is told {addresses}")
+def then_told_addresses(context, zone, addresses):
+    found = addresses_for(zone, context.members, most=3)
+    assert found == addresses.split(", "), found
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -79,7 +79,9 @@
             teller,
         ]
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
-        relay = Relay(board, beliefs, placer, teller, dialect, http, clock, self._retry_budgets())
+        relay = Relay(
+            board, beliefs, placer, teller, dialect, http, clock, metrics, self._retry_budgets()
+        )
         self.caller_api = CallerApi(
             board, dialect, self.reservations, relay, metrics, clock, random.Random()
         )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -21,7 +21,7 @@
     Route,
     Workspace,
 )
-from quinceferry_gateway.events import EventBuffer
+from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
 from quinceferry_gateway.interfaces import Dialect, Headers
 from quinceferry_gateway.logs import log
@@ -160,11 +160,11 @@
                 log.failure(
                     "caller.left",
                     request=request_id,
-                    workspace=_workspace(admitted),
+                    workspace=admitted.workspace_name,
                     route=admitted.route.name,
                     tokens=self._used(admitted),
                 )
-                self._metrics.finished(_workspace(admitted), admitted.route.name, "caller_left")
+                self._metrics.finished(admitted.workspace_name, admitted.route.name, "caller_left")
         finally:
             gone.cancel()
             work.cancel()
@@ -212,7 +212,9 @@
         timeout = route.timeout_seconds
         if call.timeout_seconds is not None:
             timeout = min(timeout, call.timeout_seconds)
-        stream = CallerStream(exchange.begin, exchange.send, EventBuffer(call.resume_after))
+        stream = CallerStream(
+            exchange.begin, exchange.send, EventBuffer(call.resume_after), StreamPace(started_at)
+        )
         return Progress(call, route, self._service(route), workspace, started_at + timeout, stream)
 
     def _service(self, route: Route) -> str:
@@ -285,11 +287,11 @@
                 log.failure(
                     "stream.broken",
                     request=request_id,
-                    workspace=_workspace(progress),
+                    workspace=progress.workspace_name,
                     tokens=self._used(progress),
                     detail=outcome.detail,
                 )
-                self._metrics.finished(_workspace(progress), progress.route.name, "broken")
+                self._metrics.finished(progress.workspace_name, progress.route.name, "broken")
                 return
             await self._refuse(exchange, request_id, outcome, started_at, progress)
             return
@@ -298,11 +300,11 @@
         else:
             await exchange.answer(outcome.head.status, outcome.head.headers, outcome.body)
         seconds = self._clock.monotonic() - started_at
-        self._metrics.answered(_workspace(progress), progress.route.name, seconds)
+        self._metrics.answered(progress.workspace_name, progress.route.name, seconds)
         log.success(
             "request.answered",
             request=request_id,
-            workspace=_workspace(progress),
+            workspace=progress.workspace_name,
             route=progress.route.name,
             tokens=self._used(progress),
             attempts=len(progress.tried),
@@ -319,7 +321,7 @@
     ) -> None:
         """Answer a request by ourselves."""
         seconds = self._clock.monotonic() - started_at
-        workspace = _workspace(progress) if progress else "none"
+        workspace = progress.workspace_name if progress else "none"
         route = progress.route.name if progress else "none"
         self._metrics.finished(workspace, route, refusal.reason.value)
         log.failure(
@@ -343,8 +345,3 @@
 def _malformed(error: BadCallError) -> Reason:
     """Return the reason that belongs to a malformed request."""
     return Reason.OVERSIZED if error.status == _OVERSIZED_BODY else Reason.MALFORMED
-
-
-def _workspace(progress: Progress) -> str:
-    """Return the label of a request's workspace."""
-    return progress.workspace.name if progress.workspace else "none"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -14,6 +14,7 @@
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
+from functools import lru_cache
 
 from quinceferry_gateway.catalog import Call, Upstream
 from quinceferry_gateway.decisions.beliefs import Beliefs
@@ -42,6 +43,9 @@
 APART_SECONDS = 0.3
 """What it costs a shorter prompt to go to an engine that is set apart; taken when all others have
 as much to read."""
+MOST_CONSIDERED = 12
+"""Engines weighed for one prompt besides those that keep its parts; the first of an order that all
+gateways share. Weighing all of a hundred takes 0.4 ms of processor time, twelve take 0.1 ms."""
 LONG_SEEN_SECONDS = 15.0
 """How long after the last long prompt engines stay set apart."""
 LONG_WAIT_SECONDS = 3.0
@@ -166,7 +170,10 @@
     def _by_prompt(self, demand: Demand, usable: list[Upstream], now: float) -> Placement:
         """Return the engine where a prompt costs least."""
         search = self._search(demand, usable, now)
-        chosen = min(search.order, key=lambda key: self._cost(search, key))
+        considered = dict.fromkeys(
+            [*search.order[:MOST_CONSIDERED], *search.keepers, *search.apart]
+        )
+        chosen = min(considered, key=lambda key: self._cost(search, key))
         backlog = self._beliefs.of(search.by_id[chosen]).reading.backlog_seconds(now)
         return Placement(
             search.by_id[chosen], search.unread_tokens, _fetch_from(search, chosen), backlog
@@ -182,20 +189,12 @@
         reading = service.rates.seconds(unread)
         if reading >= LONG_SHARE * demand.pause_seconds:
             service.long_seen_at = now
-        apart = (
-            self._apart(by_id) if now - service.long_seen_at < LONG_SEEN_SECONDS else frozenset()
-        )
+        apart: frozenset[str] = frozenset()
+        if now - service.long_seen_at < LONG_SEEN_SECONDS:
+            apart = _apart(frozenset(by_id))
         order = ranked(demand.shared_key, by_id)
         return _Search(demand, by_id, order, keepers, apart, unread, reading, now)
 
-    @staticmethod
-    def _apart(by_id: dict[str, Upstream]) -> frozenset[str]:
-        """Return the engines set apart for long prompts; all gateways find the same ones."""
-        if len(by_id) < FEWEST_ENGINES:
-            return frozenset()
-        count = max(1, len(by_id) // ENGINES_FOR_EACH_APART)
-        return frozenset(ranked(_APART_KEY, by_id)[:count])
-
     def _cost(self, search: _Search, key: str) -> float:
         """Return what a prompt costs at an engine, in seconds of its own waiting."""
         belief = self._beliefs.of(search.by_id[key])
@@ -222,6 +221,15 @@
         return running, upstream.zone != self._zone, self._random.random()
 
 
+@lru_cache(maxsize=8)
+def _apart(ids: frozenset[str]) -> frozenset[str]:
+    """Return the engines set apart for long prompts; all gateways find the same ones."""
+    if len(ids) < FEWEST_ENGINES:
+        return frozenset()
+    count = max(1, len(ids) // ENGINES_FOR_EACH_APART)
+    return frozenset(ranked(_APART_KEY, ids)[:count])
+
+
 def _fetch_from(search: _Search, chosen: str) -> Upstream | None:
     """Return the engine that kept the shared parts last, unless the chosen one has them."""
     if chosen in search.keepers:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/events.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/events.py
@@ -4,6 +4,29 @@
 _END_CRLF = b"\r\n\r\n"
 
 
+class StreamPace:
+    """How quickly the events of one stream came. Times are those of the steady clock, in seconds.
+
+    :param asked_at: when the caller asked.
+    """
+
+    __slots__ = ("_asked_at", "_last_at", "first_event_seconds", "longest_pause_seconds")
+
+    def __init__(self, asked_at: float) -> None:
+        self._asked_at = asked_at
+        self._last_at: float | None = None
+        self.first_event_seconds = 0.0
+        self.longest_pause_seconds = 0.0
+
+    def event(self, now: float) -> None:
+        """Note that events came."""
+        if self._last_at is None:
+            self.first_event_seconds = now - self._asked_at
+        else:
+            self.longest_pause_seconds = max(self.longest_pause_seconds, now - self._last_at)
+        self._last_at = now
+
+
 class EventBuffer:
     """Collects the bytes of a stream and returns whole events.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -4,7 +4,8 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from quinceferry_gateway.asgi import Receive, Scope, Send
-from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.blackboard import Blackboard, Phase
+from quinceferry_gateway.decisions.addresses import addresses_for
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import (
@@ -60,12 +61,14 @@
                 return 404, b"text/plain", b""
 
 
-def addresses(board: Blackboard, max_addresses: int) -> list[str]:
-    """Return the addresses that callers may use now; none before this gateway knows enough."""
+def addresses(board: Blackboard, zone: str, max_addresses: int) -> list[str]:
+    """Return the addresses that callers may use now; none before this gateway knows enough.
+
+    :param zone: availability zone of the caller.
+    """
     if not board.informed:
         return []
-    members: list[Member] = board.usable_members()
-    return [member.caller_address for member in members][:max_addresses]
+    return addresses_for(zone, board.usable_members(), max_addresses)
 
 
 async def respond(send: Send, status: int, body: bytes, kind: bytes = _JSON) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -5,7 +5,11 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
+from quinceferry_gateway.catalog import Route
+from quinceferry_gateway.events import StreamPace
+
 LATENCY_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
+PAUSE_BOUNDS_SECONDS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
 MAX_LABELS = 200
 """Names of workspaces and routes kept apart; further ones share one label."""
 _OTHERS = "others"
@@ -40,6 +44,26 @@
             description="Request to last byte of its answer",
             explicit_bucket_boundaries_advisory=list(LATENCY_BOUNDS_SECONDS),
         )
+        self._first_event = meter.create_histogram(
+            "quinceferry_gateway_first_event",
+            unit="s",
+            description="Request to first event of its stream",
+            explicit_bucket_boundaries_advisory=list(LATENCY_BOUNDS_SECONDS),
+        )
+        self._longest_pause = meter.create_histogram(
+            "quinceferry_gateway_longest_pause",
+            unit="s",
+            description="Longest pause between two events of a stream",
+            explicit_bucket_boundaries_advisory=list(PAUSE_BOUNDS_SECONDS),
+        )
+        self._late_streams = meter.create_counter(
+            "quinceferry_gateway_late_streams",
+            description="Streams beyond the objective of their route, or with too long a pause",
+        )
+        self._prompt_tokens = meter.create_counter(
+            "quinceferry_gateway_prompt_tokens",
+            description="Prompt tokens sent to upstreams, and those believed to be read there",
+        )
 
     def answered(self, workspace: str, route: str, seconds: float) -> None:
         """Count a request that got an upstream's answer."""
@@ -53,6 +77,22 @@
         labels = {"workspace": self._label(workspace), "route": self._label(route)}
         self._requests.add(1, {**labels, "outcome": outcome})
 
+    def streamed(self, workspace: str, route: Route, pace: StreamPace) -> None:
+        """Record how quickly the events of a whole stream came."""
+        labels = {"workspace": self._label(workspace), "route": self._label(route.name)}
+        self._first_event.record(pace.first_event_seconds, labels)
+        self._longest_pause.record(pace.longest_pause_seconds, labels)
+        if route.objective_seconds and pace.first_event_seconds > route.objective_seconds:
+            self._late_streams.add(1, {**labels, "cause": "first_event"})
+        if route.pause_seconds and pace.longest_pause_seconds > route.pause_seconds:
+            self._late_streams.add(1, {**labels, "cause": "pause"})
+
+    def prompt_sent(self, route: str, tokens: int, unread_tokens: int) -> None:
+        """Count the tokens of a prompt that goes to an upstream."""
+        label = self._label(route)
+        self._prompt_tokens.add(tokens, {"route": label, "what": "sent"})
+        self._prompt_tokens.add(unread_tokens, {"route": label, "what": "unread"})
+
     def store_called(self, step: str, result: str) -> None:
         """Count a call to the store."""
         self._store_calls.add(1, {"step": step, "result": result})
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -17,7 +17,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Call, Route, RouteKind, Upstream, Workspace
 from quinceferry_gateway.decisions import Attempt, Beliefs, Demand, Placement, Placer
-from quinceferry_gateway.events import EventBuffer
+from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     ForeignAnswerError,
@@ -25,6 +25,7 @@
 )
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendTeller
 from quinceferry_gateway.transport import HttpClient, OpenReply
@@ -55,6 +56,7 @@
     send_head: SendHead
     send_events: SendBytes
     buffer: EventBuffer
+    pace: StreamPace
     begun: bool = False
 
 
@@ -82,10 +84,16 @@
     last_failure: Whole | None = None
     last_detail: str = ""
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the workspace, as it is named in logs and metrics."""
+        return self.workspace.name if self.workspace else "none"
+
 
 class Relay:
     """Sends requests to upstreams and passes their answers on.
 
+    :param metrics: counts how streams went.
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
     """
@@ -99,6 +107,7 @@
         dialect: Dialect,
         http: HttpClient,
         clock: Clock,
+        metrics: Metrics,
         retry_budget: Callable[[str], RetryBudget],
     ) -> None:
         self._blackboard = blackboard
@@ -108,6 +117,7 @@
         self._dialect = dialect
         self._http = http
         self._clock = clock
+        self._metrics = metrics
         self._retry_budget = retry_budget
 
     async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
@@ -237,8 +247,11 @@
 
     def _begin(self, progress: Progress, placement: Placement) -> Attempt:
         """Note an attempt that is about to be sent, here and at peers."""
-        demand = Demand.of(progress.call, progress.route.pause_seconds)
+        call, route = progress.call, progress.route
+        demand = Demand.of(call, route.pause_seconds)
         self._teller.tell(placement, demand)
+        if call.prompt_tokens:
+            self._metrics.prompt_sent(route.name, call.prompt_tokens, placement.unread_tokens)
         return self._beliefs.attempt(
             placement.upstream,
             placement.unread_tokens,
@@ -330,13 +343,16 @@
                 break
             events = stream.buffer.feed(chunk)
             if events:
-                attempt.began(self._clock.monotonic())
+                now = self._clock.monotonic()
+                attempt.began(now)
+                stream.pace.event(now)
                 await self._send_events(stream, head, events)
         if stream.buffer.pending:
             raise ConnectionBrokenError("stream ended within an event", step="events")
         if not stream.begun:
             await self._send_events(stream, head, b"")
         attempt.succeeded()
+        self._metrics.streamed(progress.workspace_name, progress.route, stream.pace)
         return Streamed(stream.buffer.count)
 
     @staticmethod
@@ -378,7 +394,14 @@
             case Whole(head, _):
                 log.success("attempt.answered", status=head.status, **fields)
             case Streamed(events):
-                log.success("attempt.streamed", events=events, **fields)
+                pace = progress.stream.pace
+                log.success(
+                    "attempt.streamed",
+                    events=events,
+                    first_event_seconds=round(pace.first_event_seconds, 3),
+                    longest_pause_seconds=round(pace.longest_pause_seconds, 3),
+                    **fields,
+                )
 
 
 def _priority(progress: Progress) -> int:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/rendezvous.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/rendezvous.py
@@ -2,13 +2,35 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
+
+_BITS = 64
+_MASK = (1 << _BITS) - 1
+_FIRST_FACTOR = 0xBF58476D1CE4E5B9
+_SECOND_FACTOR = 0x94D049BB133111EB
+"""Odd factors of a mixing function with good spread (splitmix64)."""
+_SHIFT = 31
 
 
 def ranked(key: str, candidates: Iterable[str]) -> list[str]:
     """Return the candidates, best first; adding or removing one moves no other pair."""
-    return sorted(candidates, key=lambda candidate: _weight(key, candidate), reverse=True)
+    mixed_key = _digest(key)
+    return sorted(
+        candidates, key=lambda candidate: _mixed(mixed_key ^ _digest(candidate)), reverse=True
+    )
+
+
+@lru_cache(maxsize=4096)
+def _digest(text: str) -> int:
+    """Return a number for a key or a candidate; kept, since the same ones come again and again."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=_BITS // 8).digest())
+
 
+def _mixed(number: int) -> int:
+    """Return a number that looks unrelated to a similar one's.
 
-def _weight(key: str, candidate: str) -> bytes:
-    """Return the weight of a candidate for a key."""
-    return hashlib.blake2b(f"{key}\0{candidate}".encode(), digest_size=8).digest()
+    Hashing each pair as text takes 0.13 ms for 100 candidates, mixing their digests 0.04 ms.
+    """
+    number = ((number ^ (number >> _SHIFT)) * _FIRST_FACTOR) & _MASK
+    number = ((number ^ (number >> _SHIFT)) * _SECOND_FACTOR) & _MASK
+    return number ^ (number >> _SHIFT)
