Keep tokens for more urgent requests; tell callers all addresses again

Change: a request leaves as many tokens to more urgent ones of its workspace as these will likely ask for in five seconds for each rank between them; otherwise 429 with the time to come back.

Reverted: addresses of the caller's own zone.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -107,7 +107,7 @@
 
   Scenario: A resumable stream goes on elsewhere when its first event does not come
     Given a gateway before the services
-    And two upstreams of service llm, of which the first choice "never answers" and the other "streams 5 events"
+    And two upstreams of service llm: the first choice "never answers", the other "streams 5 events"
     When a stream of /draft/a is asked for
     Then the caller gets events 1 to 5, each once, from its first upstream
     And 2 requests reached an upstream
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -126,15 +126,18 @@
     When gateway 1 is asked to stream a prompt of 9000 tokens
     Then gateway 2 believes that llm-1 keeps the prompt's parts
 
-  Scenario Outline: Callers are told addresses of their own availability zone, if it has two
-    Given gateways in zones <zones>
-    Then a caller of zone <zone> is told <addresses>
+  Scenario Outline: Tokens are kept for more urgent requests, for five seconds and each rank
+    Given callers who ask 8 gateways for 1000 tokens a second of rank 0, 500 of rank 1 and 500 of rank 2
+    Then a request of rank <rank> must leave <tokens> tokens, within a tenth
 
     Examples:
-      | zones      | zone | addresses  |
-      | a, a, b, b | a    | a1, a2     |
-      | a, a, b, b | b    | b3, b4     |
-      | a, b, b    | a    | a1, b2, b3 |
-      | a, a, b, b | c    | a1, a2, b3 |
-      | a, a, b, b | ?    | a1, a2, b3 |
-      | a, a, a, a | a    | a1, a2, a3 |
+      | rank | tokens |
+      | 0    | 0      |
+      | 1    | 40000  |
+      | 2    | 100000 |
+
+  Scenario: In a shortage the urgent requests are served for longer
+    Given callers who ask 1 gateways for 1000 tokens a second of rank 0, 500 of rank 1 and 500 of rank 2
+    When they share 20000 tokens for 20 seconds, served as they come, or with tokens kept
+    Then as they come, rank 0 is served for about 10 seconds
+    And with tokens kept, rank 0 is served for at least 13 seconds
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -60,9 +60,7 @@
     context.gateway.add_upstream(name, service, *script)
 
 
-@given(
-    'two upstreams of service {service}, of which the first choice "{first}" and the other "{other}"'
-)
+@given('two upstreams of service {service}: the first choice "{first}", the other "{other}"')
 def given_first_choice(context, service, first, other):
     order = ranked(key_of(["a"]), [f"{service}-1", f"{service}-2"])
     for name, behaviour in zip(order, (first, other), strict=True):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -5,7 +5,6 @@
 
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard, Phase
-from quinceferry_gateway.decisions.addresses import addresses_for
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import (
@@ -61,14 +60,11 @@
                 return 404, b"text/plain", b""
 
 
-def addresses(board: Blackboard, zone: str, max_addresses: int) -> list[str]:
-    """Return the addresses that callers may use now; none before this gateway knows enough.
-
-    :param zone: availability zone of the caller.
-    """
+def addresses(board: Blackboard, max_addresses: int) -> list[str]:
+    """Return the addresses that callers may use now; none before this gateway knows enough."""
     if not board.informed:
         return []
-    return addresses_for(zone, board.usable_members(), max_addresses)
+    return [member.caller_address for member in board.usable_members()][:max_addresses]
 
 
 async def respond(send: Send, status: int, body: bytes, kind: bytes = _JSON) -> None:
