--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -122,6 +122,36 @@
     )
 
 
+@when("gateway {number:d} begins to stream {target} for at most {tokens:d} tokens")
+def when_begins(context, target, tokens, number):
+    counts = {"x_quinceferry_token_count": f"{tokens},0"}
+
+    async def begin(scene):
+        context.running = asyncio.create_task(
+            scene.ask("POST", target, b"{}", gateway=number - 1, **counts)
+        )
+        context.add_cleanup(context.running.cancel)
+        await until(lambda: scene.runs == 1)
+
+    context.gateway.acts.append(begin)
+
+
+@when("gateway {number:d} is asked meanwhile to stream {target} for at most {tokens:d} tokens")
+def when_asked_meanwhile(context, target, tokens, number):
+    counts = {"x_quinceferry_token_count": f"{tokens},0"}
+
+    async def ask(scene):
+        context.meanwhile = await scene.ask("POST", target, b"{}", gateway=number - 1, **counts)
+
+    context.gateway.acts.append(ask)
+
+
+@then("the second caller is answered {status:d}")
+def then_second_answered(context, status):
+    check(context)
+    assert context.meanwhile.status == status, context.meanwhile.status
+
+
 @when('a request carries header {name} "{value}"')
 def when_sends_header(context, name, value):
     changes = {name.replace("-", "_"): value}
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -10,7 +10,7 @@
 from quinceferry_core.clocks import SystemClock
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
-from quinceferry_gateway.decisions import Beliefs, Demand, Placer, placement
+from quinceferry_gateway.decisions import Beliefs, Demand, Placer
 from quinceferry_gateway.decisions.kept_parts import key_of
 from quinceferry_gateway.decisions.reading import ReadingQueue, ReadingRates
 from quinceferry_gateway.sends import SendTeller
@@ -189,7 +189,7 @@
 
 @when("it is placed with peers told, and without")
 def when_placed_told(context):
-    context.credit_by_variant = {name: credit(context, name) for name in ("alone", "ours")}
+    context.credit_by_variant = {name: credit(context, name) for name in ("untold", "ours")}
 
 
 @then("placed by shared parts alone {most:g} or less of the worth is earned")
@@ -205,7 +205,7 @@
 @then("telling peers earns {least:g} or more of the worth")
 def then_told(context, least):
     found = context.credit_by_variant
-    assert found["ours"] - found["alone"] >= least, found
+    assert found["ours"] - found["untold"] >= least, found
 
 
 @given("beliefs of {count:d} engines that read {rate:d} tokens a second")
@@ -318,12 +318,7 @@
 @when("one engine works five times as long for 7 of 24 seconds, believed slow or not")
 def when_slow_engine(context):
     believed = play(context.customer, "ours", context.seeds, 1.0, slow=SLOW_SPELL).credit()
-    original = placement.SLOW_SECONDS
-    placement.SLOW_SECONDS = 0.0
-    try:
-        unbelieved = play(context.customer, "ours", context.seeds, 1.0, slow=SLOW_SPELL).credit()
-    finally:
-        placement.SLOW_SECONDS = original
+    unbelieved = play(context.customer, "unslowed", context.seeds, 1.0, slow=SLOW_SPELL).credit()
     context.credits = (believed, unbelieved)
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/__init__.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/__init__.py
@@ -5,6 +5,6 @@
 """
 
 from quinceferry_gateway.decisions.beliefs import Attempt, Beliefs
-from quinceferry_gateway.decisions.placement import Demand, Placement, Placer
+from quinceferry_gateway.decisions.placement import Demand, Placement, PlacementPolicy, Placer
 
-__all__ = ["Attempt", "Beliefs", "Demand", "Placement", "Placer"]
+__all__ = ["Attempt", "Beliefs", "Demand", "Placement", "PlacementPolicy", "Placer"]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -17,55 +17,67 @@
 from functools import lru_cache
 
 from quinceferry_gateway.catalog import Call, Upstream
-from quinceferry_gateway.decisions.beliefs import Beliefs
+from quinceferry_gateway.decisions.beliefs import Belief, Beliefs
 from quinceferry_gateway.decisions.kept_parts import key_of
 from quinceferry_gateway.rendezvous import ranked
 
-HARMLESS_SHARE = 0.5
-"""Share of the longest accepted pause up to which reading in a row harms no stream: the tokens of
-one event take the rest."""
-HARMFUL_SHARE = 1.0
-"""Share of the longest accepted pause from which on reading in a row makes every stream late."""
-LONG_SHARE = 1.0
-"""Share of that pause from which on a prompt alone counts as long."""
-HARM_SECONDS = 0.1
-"""What one stream held up too long weighs, as waiting time of the request that is placed."""
-AWAY_SECONDS = 0.05
-"""What it costs to leave the engines that keep the shared parts: a fetch over the engines' links,
-or reading some thousand tokens again where it fails."""
-FAR_SECONDS = 0.01
-"""What an engine of another zone costs, a tie-breaker: in a model of six engines in four zones,
-half as many requests cross zones as without it, and as many are answered in time."""
-SLOW_SECONDS = 0.07
-"""What an engine costs whose first events take twice as long as expected, and as much more for each
-further time: its streams pause longer, and what waits behind them does too. With one engine of five
-slow for 7 of 24 s, 0.91 of the worth is earned in a model, 0.89 without."""
-NEW_PARTS_SECONDS = 0.005
-"""What it costs to read new parts elsewhere than where other gateways look for them first."""
-FEWEST_ENGINES = 4
-"""Engines of a service from which on some are set apart for long prompts."""
-ENGINES_FOR_EACH_APART = 6
-"""One engine in so many is set apart. Long prompts, one in twenty, kept such an engine busy for 0.4
-of the time in a model of six."""
-APART_SECONDS = 0.3
-"""What it costs a shorter prompt to go to an engine that is set apart; taken when all others have
-as much to read."""
-MOST_CONSIDERED = 12
-"""Engines weighed for one prompt besides those that keep its parts; the first of an order that all
-gateways share. Weighing all of a hundred takes 0.4 ms of processor time, twelve take 0.1 ms."""
-LONG_SEEN_SECONDS = 15.0
-"""How long after the last long prompt engines stay set apart."""
-LONG_WAIT_SECONDS = 3.0
-"""How much longer a long prompt waits for an engine set apart than for any other."""
-CROWDED_SHARE = 0.85
-"""Share of slots in use beyond which an upstream counts as crowded."""
-CROWDED_SECONDS = 1.0
-"""What a crowded upstream costs; preempted streams pause for some hundred milliseconds."""
 UNBOUNDED_PAUSE_SECONDS = 0.5
 """Accepted pause where the configuration names none."""
 _APART_KEY = "long prompts"
 
 
+@dataclass(slots=True, frozen=True)
+class PlacementPolicy:
+    """What is weighed, and how much. Costs are in seconds of waiting of the request that is placed.
+
+    The shares of pauses refer to the longest pause that callers accept.
+    """
+
+    harmless_share: float = 0.5
+    """Reading in a row up to this share harms no stream: the tokens of one event take the rest."""
+    harmful_share: float = 1.0
+    """Reading in a row from this share on makes every stream of the engine late."""
+    long_share: float = 1.0
+    """A prompt that alone takes this share counts as long."""
+    harm_seconds: float = 0.1
+    """One stream that is held up too long. Values from 0.05 to 0.4 earn the same in the model."""
+    away_seconds: float = 0.05
+    """Leaving the engines that keep the shared parts: a fetch over the engines' links, or reading
+    some thousand tokens again where it fails."""
+    fetches: bool = True
+    """Whether shared parts are fetched from an engine that keeps them."""
+    far_seconds: float = 0.01
+    """An engine of another zone, a tie-breaker: in a model of six engines in four zones, half as
+    many requests cross zones as without it, and as many are answered in time."""
+    slow_seconds: float = 0.07
+    """An engine whose first events take twice as long as expected, and as much more for each
+    further time. With one engine of five slow for 7 of 24 s, a model earns 0.91 of the worth, 0.89
+    without."""
+    new_parts_seconds: float = 0.005
+    """Reading new parts elsewhere than where other gateways look for them first."""
+    fewest_engines: int = 4
+    """Engines of a service from which on some are set apart for long prompts."""
+    engines_for_each_apart: int = 6
+    """One engine in so many is set apart. Long prompts, one in twenty, keep such an engine busy for
+    0.4 of the time in a model of six."""
+    apart_seconds: float = 0.3
+    """A shorter prompt at an engine that is set apart; taken when all others read for as long."""
+    long_wait_seconds: float = 3.0
+    """How much longer a long prompt waits for an engine set apart than for any other."""
+    long_seen_seconds: float = 15.0
+    """How long after the last long prompt engines stay set apart."""
+    most_considered: int = 12
+    """Engines weighed for one prompt besides those that keep its parts; the first of an order that
+    all gateways share. Weighing all of a hundred takes 0.4 ms of processor time, twelve 0.2 ms."""
+    crowded_share: float = 0.85
+    """Share of slots in use beyond which an upstream counts as crowded."""
+    crowded_seconds: float = 1.0
+    """A crowded upstream; preempted streams pause for some hundred milliseconds."""
+
+
+DEFAULT_POLICY = PlacementPolicy()
+
+
 @dataclass(slots=True, frozen=True)
 class Demand:
     """What a request asks of an engine.
@@ -112,7 +124,11 @@
 
 @dataclass(slots=True)
 class _Search:
-    """What the choice for one prompt depends on; ``order`` ranks upstreams by the shared parts."""
+    """What the choice for one prompt depends on.
+
+    ``order`` ranks upstreams by the shared parts; ``long`` tells that reading the prompt alone
+    makes other streams pause too long.
+    """
 
     demand: Demand
     by_id: dict[str, Upstream]
@@ -121,22 +137,25 @@
     apart: frozenset[str]
     unread_tokens: int
     reading_seconds: float
+    long: bool
     now: float
 
-    @property
-    def long(self) -> bool:
-        """Tell whether reading the prompt alone makes other streams pause too long."""
-        return self.reading_seconds >= LONG_SHARE * self.demand.pause_seconds
-
 
 class Placer:
     """Chooses upstreams by what is believed of them.
 
-    :param zone: availability zone of this gateway; breaks ties.
-    :param source: breaks the ties that are left.
+    :param zone: availability zone of this gateway.
+    :param source: breaks the ties that are left among upstreams without prompts.
     """
 
-    def __init__(self, zone: str, beliefs: Beliefs, source: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        beliefs: Beliefs,
+        source: random.Random,
+        policy: PlacementPolicy = DEFAULT_POLICY,
+    ) -> None:
+        self._policy = policy
         self._zone = zone
         self._beliefs = beliefs
         self._random = source
@@ -178,13 +197,12 @@
         """Return the engine where a prompt costs least."""
         search = self._search(demand, usable, now)
         considered = dict.fromkeys(
-            [*search.order[:MOST_CONSIDERED], *search.keepers, *search.apart]
+            [*search.order[: self._policy.most_considered], *search.keepers, *search.apart]
         )
         chosen = min(considered, key=lambda key: self._cost(search, key))
         backlog = self._beliefs.of(search.by_id[chosen]).reading.backlog_seconds(now)
-        return Placement(
-            search.by_id[chosen], search.unread_tokens, _fetch_from(search, chosen), backlog
-        )
+        source = _fetch_from(search, chosen) if self._policy.fetches else None
+        return Placement(search.by_id[chosen], search.unread_tokens, source, backlog)
 
     def _search(self, demand: Demand, usable: list[Upstream], now: float) -> _Search:
         """Collect what the choice depends on."""
@@ -194,37 +212,51 @@
         unread = demand.own_tokens if keepers else demand.own_tokens + demand.shared_tokens
         service = self._beliefs.service(usable[0].service)
         reading = service.rates.seconds(unread)
-        if reading >= LONG_SHARE * demand.pause_seconds:
+        long = reading >= self._policy.long_share * demand.pause_seconds
+        if long:
             service.long_seen_at = now
         apart: frozenset[str] = frozenset()
-        if now - service.long_seen_at < LONG_SEEN_SECONDS:
-            apart = _apart(frozenset(by_id))
+        if now - service.long_seen_at < self._policy.long_seen_seconds:
+            apart = _apart(frozenset(by_id), self._policy)
         order = ranked(demand.shared_key, by_id)
-        return _Search(demand, by_id, order, keepers, apart, unread, reading, now)
+        return _Search(demand, by_id, order, keepers, apart, unread, reading, long, now)
 
     def _cost(self, search: _Search, key: str) -> float:
         """Return what a prompt costs at an engine, in seconds of its own waiting."""
+        policy = self._policy
         belief = self._beliefs.of(search.by_id[key])
         wait = belief.reading.backlog_seconds(search.now)
         if search.apart and search.long:
-            return wait if key in search.apart else wait + LONG_WAIT_SECONDS
+            return wait if key in search.apart else wait + policy.long_wait_seconds
         after = wait + search.reading_seconds
-        more_harm = _harm(after, search.demand) - _harm(wait, search.demand)
-        cost = wait + HARM_SECONDS * more_harm * belief.running(search.now)
+        more_harm = self._harm(after, search.demand) - self._harm(wait, search.demand)
+        cost = wait + policy.harm_seconds * more_harm * belief.running(search.now)
+        cost += policy.slow_seconds * (belief.slowness(search.now) - 1.0)
         if key in search.apart:
-            cost += APART_SECONDS
-        cost += SLOW_SECONDS * (belief.slowness(search.now) - 1.0)
+            cost += policy.apart_seconds
         if search.by_id[key].zone != self._zone:
-            cost += FAR_SECONDS
+            cost += policy.far_seconds
         if search.keepers:
-            cost += AWAY_SECONDS * (key not in search.keepers)
+            cost += policy.away_seconds * (key not in search.keepers)
         else:
-            cost += NEW_PARTS_SECONDS * (key != search.order[0])
-        load = belief.current_load(search.now)
-        if load is not None and load.running + belief.sent_since_load > CROWDED_SHARE * load.slots:
-            cost += CROWDED_SECONDS
+            cost += policy.new_parts_seconds * (key != search.order[0])
+        if self._crowded(belief, search.now):
+            cost += policy.crowded_seconds
         return cost
 
+    def _crowded(self, belief: Belief, now: float) -> bool:
+        """Tell whether an upstream has few slots left."""
+        load = belief.current_load(now)
+        if load is None:
+            return False
+        return load.running + belief.sent_since_load > self._policy.crowded_share * load.slots
+
+    def _harm(self, backlog_seconds: float, demand: Demand) -> float:
+        """Return how likely a stream pauses too long at an engine that reads for so long."""
+        harmless = self._policy.harmless_share * demand.pause_seconds
+        harmful = self._policy.harmful_share * demand.pause_seconds
+        return min(1.0, max(0.0, (backlog_seconds - harmless) / (harmful - harmless)))
+
     def _busyness(self, upstream: Upstream, now: float) -> tuple[int, bool, float]:
         """Return a key that orders upstreams of a plain service, least busy first."""
         running = self._beliefs.of(upstream).running(now)
@@ -232,11 +264,11 @@
 
 
 @lru_cache(maxsize=8)
-def _apart(ids: frozenset[str]) -> frozenset[str]:
+def _apart(ids: frozenset[str], policy: PlacementPolicy) -> frozenset[str]:
     """Return the engines set apart for long prompts; all gateways find the same ones."""
-    if len(ids) < FEWEST_ENGINES:
+    if len(ids) < policy.fewest_engines:
         return frozenset()
-    count = max(1, len(ids) // ENGINES_FOR_EACH_APART)
+    count = max(1, len(ids) // policy.engines_for_each_apart)
     return frozenset(ranked(_APART_KEY, ids)[:count])
 
 
@@ -248,10 +280,3 @@
         return search.by_id[max(search.keepers, key=lambda key: search.keepers[key])]
     # Short prompts are not told to peers; what others sent lies where the order begins.
     return search.by_id[search.order[0]] if chosen != search.order[0] else None
-
-
-def _harm(backlog_seconds: float, demand: Demand) -> float:
-    """Return how likely a stream pauses too long at an engine that reads for so long."""
-    harmless = HARMLESS_SHARE * demand.pause_seconds
-    harmful = HARMFUL_SHARE * demand.pause_seconds
-    return min(1.0, max(0.0, (backlog_seconds - harmless) / (harmful - harmless)))
--- a/packages/quinceferry-lab/src/quinceferry_lab/placement_experiment.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/placement_experiment.py
@@ -7,15 +7,24 @@
 """
 
 import random
+import sys
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from statistics import mean
 
 import click
 
 from quinceferry_gateway.catalog import Load, Upstream
-from quinceferry_gateway.decisions import Attempt, Beliefs, Demand, Placement, Placer
+from quinceferry_gateway.decisions import (
+    Attempt,
+    Beliefs,
+    Demand,
+    Placement,
+    PlacementPolicy,
+    Placer,
+)
 from quinceferry_gateway.decisions.kept_parts import key_of
+from quinceferry_gateway.decisions.placement import DEFAULT_POLICY
 from quinceferry_gateway.rendezvous import ranked
 from quinceferry_lab.engine_model import Clockwork, ModelEngine, ModelStream
 from quinceferry_lab.placement_load import CUSTOMERS, Arrival, Customer, arrivals
@@ -124,17 +133,25 @@
 class Variant:
     """A way to place requests; ``told_tokens`` are the fewest of which peers are told."""
 
-    choose: Policy
-    told_tokens: int | None = None
+    choose: Policy = choose_ours
+    told_tokens: int | None = 2000
+    policy: PlacementPolicy = DEFAULT_POLICY
 
 
 VARIANTS = {
-    "random": Variant(choose_random),
-    "least": Variant(choose_least),
-    "home": Variant(choose_home),
-    "alone": Variant(choose_ours),
-    "ours": Variant(choose_ours, 2000),
+    "random": Variant(choose_random, None),
+    "least": Variant(choose_least, None),
+    "home": Variant(choose_home, None),
+    "ours": Variant(),
+    "untold": Variant(told_tokens=None),
+    "unfetched": Variant(policy=replace(DEFAULT_POLICY, fetches=False)),
+    "harmless": Variant(policy=replace(DEFAULT_POLICY, harm_seconds=0.0)),
+    "mixed": Variant(policy=replace(DEFAULT_POLICY, fewest_engines=sys.maxsize)),
+    "unslowed": Variant(policy=replace(DEFAULT_POLICY, slow_seconds=0.0)),
+    "zoneless": Variant(policy=replace(DEFAULT_POLICY, far_seconds=0.0)),
 }
+"""Simple ways, ours, and ours without one of its parts each: telling peers, fetching shared parts,
+weighing the harm to others, engines set apart, the belief that an engine is slow, the zone."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -180,7 +197,7 @@
         for number in range(gateways):
             beliefs = Beliefs()
             zone = f"zone{number % customer.zones}"
-            placer = Placer(zone, beliefs, random.Random(f"{seed} {number}"))
+            placer = Placer(zone, beliefs, random.Random(f"{seed} {number}"), variant.policy)
             self.gateways.append(Gateway(zone, beliefs, placer))
         self.far = 0
         self.placed = 0
