--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 SOURCES := packages platform features
 SEEDS ?= 20
 
-.PHONY: install test format schema demo demo-platform history model measure capacity throughput
+.PHONY: install test format schema demo demo-platform history model measure capacity throughput \
+	experiment
 
 install: $(VENV)/.installed
 
@@ -46,5 +47,9 @@
 capacity: install
 	$(BIN)/python -m quinceferry_lab.capacity
 
+experiment: install
+	$(BIN)/python -m quinceferry_lab.placement_experiment --customer tank
+	$(BIN)/python -m quinceferry_lab.placement_experiment --customer fleet
+
 throughput: install
 	$(BIN)/python -m quinceferry_lab.throughput
--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -15,6 +15,8 @@
 from quinceferry_core.models import Priority, Usage
 from quinceferry_core.outcomes import RefusalReason
 from quinceferry_gateway import Metrics
+from quinceferry_gateway.catalog import Route, RouteKind
+from quinceferry_gateway.events import StreamPace
 from quinceferryd.application import Application, Dependencies
 from quinceferryd.blackboard import RouterState
 from quinceferryd.exports import export_state
@@ -150,6 +152,12 @@
     metrics = Metrics()
     metrics.answered("w", "r", 0.1)
     metrics.store_called("get", "200")
+    metrics.prompt_sent("r", 2, 1)
+    route = Route("r", "h", "/", RouteKind.STREAM, (), 1.0, 0.1, 0, 1, pause_seconds=0.1)
+    pace = StreamPace(0.0)
+    for time in (1.0, 2.0):
+        pace.event(time)
+    metrics.streamed("w", route, pace)
     types = [line.split() for line in metrics.exposition().decode().splitlines()]
     return {words[2] for words in types if words[:2] == ["#", "TYPE"]}
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -12,6 +12,7 @@
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
 from quinceferry_gateway.decisions import Beliefs, Placer
+from quinceferry_gateway.exchanges import Exchanges
 from quinceferry_gateway.fleet_api import PeerApi
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.interfaces import CatalogSource, Dialect
@@ -79,8 +80,9 @@
             teller,
         ]
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
+        exchanges = Exchanges(dialect, http, clock, metrics)
         relay = Relay(
-            board, beliefs, placer, teller, dialect, http, clock, metrics, self._retry_budgets()
+            board, beliefs, placer, teller, dialect, exchanges, clock, self._retry_budgets()
         )
         self.caller_api = CallerApi(
             board, dialect, self.reservations, relay, metrics, clock, random.Random()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -26,7 +26,8 @@
 from quinceferry_gateway.interfaces import Dialect, Headers
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
-from quinceferry_gateway.relay import CallerStream, Progress, Relay
+from quinceferry_gateway.progress import CallerStream, Progress
+from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
 
 _OVERSIZED_BODY = 413
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -90,14 +90,17 @@
 
 
 class Attempt:
-    """One request at an upstream, from its sending to its end."""
+    """One request at an upstream, from its sending to its end.
 
-    __slots__ = ("_alone", "_belief", "_expected", "_number", "_rates", "_sent_at", "_tokens")
+    ``unread_tokens`` are the prompt tokens that the upstream has to read, as far as known.
+    """
+
+    __slots__ = ("_alone", "_belief", "_expected", "_number", "_rates", "_sent_at", "unread_tokens")
 
     def __init__(self, belief: Belief, rates: ReadingRates, tokens: int, now: float) -> None:
         self._belief = belief
         self._rates = rates
-        self._tokens = tokens
+        self.unread_tokens = tokens
         self._sent_at = now
         backlog, reading = belief.reading.backlog_seconds(now), rates.seconds(tokens)
         self._alone = backlog < ALONE_SECONDS
@@ -114,7 +117,7 @@
         if self._rates.base_seconds:
             self._belief.took(seconds, self._expected, now)
         if self._alone:
-            self._rates.observed(self._tokens, seconds)
+            self._rates.observed(self.unread_tokens, seconds)
         self._belief.reading.finished(self._number, now)
         self._number = 0
 
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -0,0 +1,127 @@
+"""One exchange with an upstream: the request is sent, the answer taken and passed on."""
+
+import asyncio
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.answers import AttemptOutcome, NotRun, Streamed, Whole
+from quinceferry_gateway.catalog import AnswerHead, RouteKind, Upstream
+from quinceferry_gateway.decisions import Attempt
+from quinceferry_gateway.exceptions import ConnectionBrokenError, ForeignAnswerError
+from quinceferry_gateway.interfaces import Dialect
+from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.progress import CallerStream, Progress
+from quinceferry_gateway.transport import HttpClient, OpenReply
+
+EVENT_SILENCE_SECONDS = 2.0
+"""How long a resumable stream may pause before it is taken up elsewhere; callers give up after two
+seconds at the earliest, and preempted streams pause for some hundred milliseconds."""
+FIRST_ERROR = 300
+OK = 200
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest plain answer that is kept in memory."""
+
+
+class Exchanges:
+    """Sends requests to upstreams and passes their answers on.
+
+    :param metrics: counts how streams went.
+    """
+
+    def __init__(self, dialect: Dialect, http: HttpClient, clock: Clock, metrics: Metrics) -> None:
+        self._dialect = dialect
+        self._http = http
+        self._clock = clock
+        self._metrics = metrics
+
+    async def exchange(
+        self,
+        progress: Progress,
+        upstream: Upstream,
+        headers: list[tuple[bytes, bytes]],
+        attempt: Attempt,
+    ) -> AttemptOutcome:
+        """Send the request and take the answer."""
+        call = progress.call
+        if call.prompt_tokens:
+            self._metrics.prompt_sent(
+                progress.route.name, call.prompt_tokens, attempt.unread_tokens
+            )
+        async with self._http.open(
+            upstream.address, call.method, call.target, headers, call.body
+        ) as reply:
+            head = self._dialect.decode_answer(reply.status, reply.headers)
+            if head.misdirected:
+                attempt.misdirected(self._clock.monotonic())
+            elif head.load is not None:
+                attempt.reported(head.load, self._clock.monotonic())
+            if head.not_run:
+                return NotRun(f"status {head.status}", True, head.misdirected)
+            if head.request_id and head.request_id != call.request_id:
+                raise ForeignAnswerError("answer to another request", peer=upstream.address)
+            if head.status < FIRST_ERROR and not head.genuine:
+                raise ConnectionBrokenError("answer without its mark", peer=upstream.address)
+            if progress.route.kind is RouteKind.STREAM and head.status == OK:
+                return await self._pass_events(progress, head, reply, attempt)
+            body = await _whole_body(reply, upstream.address)
+            attempt.succeeded()
+            return Whole(head, body)
+
+    async def _pass_events(
+        self, progress: Progress, head: AnswerHead, reply: OpenReply, attempt: Attempt
+    ) -> Streamed:
+        """Pass a stream on, event by event."""
+        stream = progress.stream
+        stream.buffer.restart()
+        chunks = reply.chunks()
+        while True:
+            try:
+                async with asyncio.timeout(self._silence(progress)):
+                    chunk = await anext(chunks, None)
+            except TimeoutError as error:
+                raise ConnectionBrokenError("stream fell silent", step="events") from error
+            if chunk is None:
+                break
+            events = stream.buffer.feed(chunk)
+            if events:
+                now = self._clock.monotonic()
+                attempt.began(now)
+                stream.pace.event(now)
+                await self._send_events(stream, head, events)
+        if stream.buffer.pending:
+            raise ConnectionBrokenError("stream ended within an event", step="events")
+        if not stream.begun:
+            await self._send_events(stream, head, b"")
+        attempt.succeeded()
+        self._metrics.streamed(progress.workspace_name, progress.route, stream.pace)
+        return Streamed(stream.buffer.count)
+
+    @staticmethod
+    async def _send_events(stream: CallerStream, head: AnswerHead, events: bytes) -> None:
+        """Send events to the caller, after the head of the first upstream."""
+        if not stream.begun:
+            stream.begun = True
+            await stream.send_head(head)
+        if events:
+            await stream.send_events(events)
+
+    @staticmethod
+    def _silence(progress: Progress) -> float | None:
+        """Return how long the stream may pause; without limit where it can't be resumed."""
+        if progress.stream.begun and progress.route.resumable:
+            return EVENT_SILENCE_SECONDS
+        return None
+
+
+async def _whole_body(reply: OpenReply, address: str) -> bytes:
+    """Return the whole body of an answer.
+
+    :raises ConnectionBrokenError: it ended early or is too large.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in reply.chunks():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise ConnectionBrokenError("answer too large", step="body", peer=address)
+        parts.append(chunk)
+    return b"".join(parts)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -0,0 +1,52 @@
+"""How far a request and the answer to its caller have come."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from quinceferry_gateway.answers import Whole
+from quinceferry_gateway.catalog import AnswerHead, Call, Route, Workspace
+from quinceferry_gateway.events import EventBuffer, StreamPace
+
+SendHead = Callable[[AnswerHead], Awaitable[None]]
+SendBytes = Callable[[bytes], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class CallerStream:
+    """The answer to the caller, as far as it has gone."""
+
+    send_head: SendHead
+    send_events: SendBytes
+    buffer: EventBuffer
+    pace: StreamPace
+    begun: bool = False
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a request has come.
+
+    ``arrivals`` counts the sends that reached some upstream, ``misdirected`` those of them that
+    reached another one than the chosen. ``may_have_run`` tells that some attempt reached an
+    upstream that did not say it refused; ``repeat_granted`` that the retry budget has already
+    granted the next one.
+    """
+
+    call: Call
+    route: Route
+    service: str
+    workspace: Workspace | None
+    ends_at: float
+    stream: CallerStream
+    tried: list[str] = field(default_factory=list)
+    arrivals: int = 0
+    misdirected: int = 0
+    repeat_granted: bool = False
+    may_have_run: bool = False
+    last_failure: Whole | None = None
+    last_detail: str = ""
+
+    @property
+    def workspace_name(self) -> str:
+        """Return the workspace, as it is named in logs and metrics."""
+        return self.workspace.name if self.workspace else "none"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -1,8 +1,7 @@
 """Attempts of one request at upstreams, until one answers or no further attempt is allowed."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
@@ -15,85 +14,32 @@
     Whole,
 )
 from quinceferry_gateway.blackboard import Blackboard
-from quinceferry_gateway.catalog import AnswerHead, Call, Route, RouteKind, Upstream, Workspace
+from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.decisions import Attempt, Beliefs, Demand, Placement, Placer
-from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     ForeignAnswerError,
     NotSentError,
 )
+from quinceferry_gateway.exchanges import EVENT_SILENCE_SECONDS, Exchanges
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
-from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.progress import Progress
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendTeller
-from quinceferry_gateway.transport import HttpClient, OpenReply
 
-EVENT_SILENCE_SECONDS = 2.0
-"""How long a resumable stream may pause before it is taken up elsewhere; callers give up after two
-seconds at the earliest, and preempted streams pause for some hundred milliseconds."""
 PATIENCE_OBJECTIVES = 2.5
 """How many times the objective an upstream may take until its first byte, before a request that may
 run again goes on elsewhere. Loaded upstreams answer within twice the objective; callers leave a
 stream after four times."""
 PATIENCE_SHARE = 0.5
 """Most of the remaining time that is spent so, which leaves as much to the next attempt."""
-FIRST_ERROR = 300
 SERVER_ERROR = 500
-OK = 200
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Largest plain answer that is kept in memory."""
-
-SendHead = Callable[[AnswerHead], Awaitable[None]]
-SendBytes = Callable[[bytes], Awaitable[None]]
-
-
-@dataclass(slots=True)
-class CallerStream:
-    """The answer to the caller, as far as it has gone."""
-
-    send_head: SendHead
-    send_events: SendBytes
-    buffer: EventBuffer
-    pace: StreamPace
-    begun: bool = False
-
-
-@dataclass(slots=True)
-class Progress:
-    """How far a request has come.
-
-    ``arrivals`` counts the sends that reached some upstream, ``misdirected`` those of them that
-    reached another one than the chosen. ``may_have_run`` tells that some attempt reached an
-    upstream that did not say it refused; ``repeat_granted`` that the retry budget has already
-    granted the next one.
-    """
-
-    call: Call
-    route: Route
-    service: str
-    workspace: Workspace | None
-    ends_at: float
-    stream: CallerStream
-    tried: list[str] = field(default_factory=list)
-    arrivals: int = 0
-    misdirected: int = 0
-    repeat_granted: bool = False
-    may_have_run: bool = False
-    last_failure: Whole | None = None
-    last_detail: str = ""
-
-    @property
-    def workspace_name(self) -> str:
-        """Return the workspace, as it is named in logs and metrics."""
-        return self.workspace.name if self.workspace else "none"
 
 
 class Relay:
-    """Sends requests to upstreams and passes their answers on.
+    """Attempts requests at upstreams.
 
-    :param metrics: counts how streams went.
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
     """
@@ -105,9 +51,8 @@
         placer: Placer,
         teller: SendTeller,
         dialect: Dialect,
-        http: HttpClient,
+        exchanges: Exchanges,
         clock: Clock,
-        metrics: Metrics,
         retry_budget: Callable[[str], RetryBudget],
     ) -> None:
         self._blackboard = blackboard
@@ -115,9 +60,8 @@
         self._placer = placer
         self._teller = teller
         self._dialect = dialect
-        self._http = http
+        self._exchanges = exchanges
         self._clock = clock
-        self._metrics = metrics
         self._retry_budget = retry_budget
 
     async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
@@ -250,8 +194,6 @@
         call, route = progress.call, progress.route
         demand = Demand.of(call, route.pause_seconds)
         self._teller.tell(placement, demand)
-        if call.prompt_tokens:
-            self._metrics.prompt_sent(route.name, call.prompt_tokens, placement.unread_tokens)
         return self._beliefs.attempt(
             placement.upstream,
             placement.unread_tokens,
@@ -271,7 +213,9 @@
         :raises ConnectionBrokenError: the upstream was left.
         """
         events_before = progress.stream.buffer.count
-        exchange = asyncio.create_task(self._exchange(progress, upstream, headers, attempt))
+        exchange = asyncio.create_task(
+            self._exchanges.exchange(progress, upstream, headers, attempt)
+        )
         try:
             await asyncio.wait((exchange,), timeout=self._patience_seconds(progress))
             silent = not exchange.done() and progress.stream.buffer.count == events_before
@@ -293,84 +237,10 @@
     def _can_go_on(self, progress: Progress) -> bool:
         """Tell whether the attempt under way may be followed by another one elsewhere."""
         route = progress.route
-        if not route.repeatable or progress.arrivals + 1 >= route.attempts:
+        if not route.repeatable or progress.arrivals - progress.misdirected + 1 >= route.attempts:
             return False
         return self._place(progress) is not None
 
-    async def _exchange(
-        self,
-        progress: Progress,
-        upstream: Upstream,
-        headers: list[tuple[bytes, bytes]],
-        attempt: Attempt,
-    ) -> AttemptOutcome:
-        """Send the request and take the answer."""
-        call = progress.call
-        async with self._http.open(
-            upstream.address, call.method, call.target, headers, call.body
-        ) as reply:
-            head = self._dialect.decode_answer(reply.status, reply.headers)
-            if head.misdirected:
-                attempt.misdirected(self._clock.monotonic())
-            elif head.load is not None:
-                attempt.reported(head.load, self._clock.monotonic())
-            if head.not_run:
-                return NotRun(f"status {head.status}", True, head.misdirected)
-            if head.request_id and head.request_id != call.request_id:
-                raise ForeignAnswerError("answer to another request", peer=upstream.address)
-            if head.status < FIRST_ERROR and not head.genuine:
-                raise ConnectionBrokenError("answer without its mark", peer=upstream.address)
-            if progress.route.kind is RouteKind.STREAM and head.status == OK:
-                return await self._pass_events(progress, head, reply, attempt)
-            body = await _whole_body(reply, upstream.address)
-            attempt.succeeded()
-            return Whole(head, body)
-
-    async def _pass_events(
-        self, progress: Progress, head: AnswerHead, reply: OpenReply, attempt: Attempt
-    ) -> Streamed:
-        """Pass a stream on, event by event."""
-        stream = progress.stream
-        stream.buffer.restart()
-        chunks = reply.chunks()
-        while True:
-            try:
-                async with asyncio.timeout(self._silence(progress)):
-                    chunk = await anext(chunks, None)
-            except TimeoutError as error:
-                raise ConnectionBrokenError("stream fell silent", step="events") from error
-            if chunk is None:
-                break
-            events = stream.buffer.feed(chunk)
-            if events:
-                now = self._clock.monotonic()
-                attempt.began(now)
-                stream.pace.event(now)
-                await self._send_events(stream, head, events)
-        if stream.buffer.pending:
-            raise ConnectionBrokenError("stream ended within an event", step="events")
-        if not stream.begun:
-            await self._send_events(stream, head, b"")
-        attempt.succeeded()
-        self._metrics.streamed(progress.workspace_name, progress.route, stream.pace)
-        return Streamed(stream.buffer.count)
-
-    @staticmethod
-    async def _send_events(stream: CallerStream, head: AnswerHead, events: bytes) -> None:
-        """Send events to the caller, after the head of the first upstream."""
-        if not stream.begun:
-            stream.begun = True
-            await stream.send_head(head)
-        if events:
-            await stream.send_events(events)
-
-    @staticmethod
-    def _silence(progress: Progress) -> float | None:
-        """Return how long the stream may pause; without limit where it can't be resumed."""
-        if progress.stream.begun and progress.route.resumable:
-            return EVENT_SILENCE_SECONDS
-        return None
-
     @staticmethod
     def _log_attempt(progress: Progress, placement: Placement, outcome: AttemptOutcome) -> None:
         """Log what an attempt came to, and what placed it."""
@@ -410,18 +280,3 @@
     if workspace is not None and workspace.priority is not None:
         return workspace.priority
     return progress.route.priority
-
-
-async def _whole_body(reply: OpenReply, address: str) -> bytes:
-    """Return the whole body of an answer.
-
-    :raises ConnectionBrokenError: it ended early or is too large.
-    """
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in reply.chunks():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise ConnectionBrokenError("answer too large", step="body", peer=address)
-        parts.append(chunk)
-    return b"".join(parts)
