--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -44,8 +44,8 @@
     fetches: bool = True
     """Whether shared parts are fetched from an engine that keeps them."""
     far_seconds: float = 0.01
-    """An engine of another zone, a tie-breaker: in a model of six engines in four zones, 0.47 of the
-    requests cross zones instead of 0.74, and 0.01 less of the worth is earned."""
+    """An engine of another zone, a tie-breaker: in a model of six engines in four zones, 0.47 of
+    the requests cross zones instead of 0.74, and 0.01 less of the worth is earned."""
     sound_slowness: float = 1.5
     """How many times as long as expected first events may take at a sound engine; that much comes
     from prompts of which no gateway was told, and would outweigh the zone."""
