Tell callers to come back while tokens are set aside, as before

Cause: found on the last reading: of two large requests that each set a part of a workspace's rest aside at the same moment, both would be told 402, that it is used up, though either fitted. A refusal must be true.

Change: 429 with a time to come back again; 402 only when the record shows too few tokens left. The scenario of the change before asks for 429 now.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -217,13 +217,13 @@
     And gateway 1 is asked to stream /draft/a for at most 500 tokens
     Then the gateway answers 200
 
-  Scenario: A caller is told at once when all tokens are set aside for running requests
+  Scenario: A caller is told to come back while tokens are set aside for running requests
     Given 2 gateways before the services with 3000 prepaid tokens
     And upstream llm-1 of service llm that "streams slowly"
     When gateway 1 begins to stream /draft/a for at most 2000 tokens
     And 2 seconds pass at the gateway
     And gateway 2 is asked meanwhile to stream /draft/a for at most 1500 tokens
-    Then the second caller is answered 402
+    Then the second caller is answered 429
 
   Scenario: While the store is away, a caller is told to come back for tokens
     Given 2 gateways before the services with 3000 prepaid tokens
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -143,13 +143,6 @@
         finally:
             del self._wanted_by_workspace[workspace]
 
-    def undrawn(self, workspace: str) -> int | None:
-        """Return the tokens that nobody holds, or None when that is not known now."""
-        current = self._shared.known and self._shared.age_seconds <= CURRENT_SECONDS
-        if not current or not self._settled() or not self._blackboard.store_reachable:
-            return None
-        return max(0, self._shared.of(workspace).undrawn(self._drawable().get(workspace, 0)))
-
     def _lacks(self, workspace: str, tokens: int) -> bool:
         """Tell whether fewer tokens are available here."""
         return self._accounts_by_workspace.get(workspace, Account()).available < tokens
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -49,8 +49,8 @@
 class Shortage:
     """The holders together did not set enough tokens aside.
 
-    ``exhausted`` tells that the workspace as a whole has too few left, or that all that is left is
-    set aside for running requests; ``asked`` lists the holders with what came of each, for the log.
+    ``exhausted`` tells that the workspace as a whole has too few left; ``asked`` lists the holders
+    with what came of each, for the log.
     """
 
     exhausted: bool
@@ -63,16 +63,7 @@
     :param id: identifier of its parts.
     """
 
-    __slots__ = (
-        "_least_left",
-        "_parts",
-        "answered",
-        "asked",
-        "id",
-        "missing",
-        "tokens",
-        "workspace",
-    )
+    __slots__ = ("_least_left", "_parts", "asked", "id", "missing", "tokens", "workspace")
 
     def __init__(self, id: str, workspace: str, tokens: int) -> None:
         self.id = id
@@ -80,7 +71,6 @@
         self.tokens = tokens
         self.missing = tokens
         self.asked: list[str] = []
-        self.answered: set[str] = set()
         self._parts: list[Part] = []
         self._least_left: int | None = None
 
@@ -92,7 +82,6 @@
     def take(self, holder: str, reservation_id: str, reply: ReserveReply) -> None:
         """Note what a holder answered."""
         left = reply.left_at_most
-        self.answered.add(holder)
         self.asked.append(
             f"{holder}: {reply.reserved} of {self.missing}, left at most {reply.left_at_most}"
         )
@@ -139,25 +128,8 @@
             await self._try(search, self._blackboard.own.incarnation, f"{search.id}/drawn")
             if not search.missing:
                 return search.found()
-        exhausted = search.exhausted or self._all_set_aside(search)
         self.settle(search.found(), 0)
-        return Shortage(exhausted, tuple(search.asked))
-
-    def _all_set_aside(self, search: "_Search") -> bool:
-        """Tell whether nobody has what is missing: neither the store nor any holder.
-
-        What running requests give back goes to the many that come anew; a caller that is asked to
-        come back would most likely be refused again.
-        """
-        board = self._blackboard
-        undrawn = self._holder.undrawn(search.workspace)
-        if undrawn is None or undrawn >= search.missing:
-            return False
-        return all(
-            member.incarnation in search.answered
-            or board.available_by_incarnation.get(member.incarnation, {}).get(search.workspace) == 0
-            for member in board.peers()
-        )
+        return Shortage(search.exhausted, tuple(search.asked))
 
     async def _try(self, search: "_Search", incarnation: str, reservation_id: str) -> None:
         """Ask one holder for what is missing, and note what came of it."""
