Work out a request's demand and reading time once, take addresses apart in one place

Found on reading the change once more. What a request asks of an engine was worked out, with its digest, for each attempt twice and again while its upstream was silent; it is part of its progress now. The time to read a prompt was looked up again before peers were told; the placement carries it. Host and port were taken apart in three places. A prompt that an engine no longer has to read is known by the first number that is left, without a search. Two counts of the model of engines were read by nobody.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -21,6 +21,7 @@
     Route,
     Workspace,
 )
+from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
 from quinceferry_gateway.interfaces import Dialect, Headers
@@ -216,7 +217,9 @@
         stream = CallerStream(
             exchange.begin, exchange.send, EventBuffer(call.resume_after), StreamPace(started_at)
         )
-        return Progress(call, route, self._service(route), workspace, started_at + timeout, stream)
+        demand = Demand.of(call, route.pause_seconds)
+        service = self._service(route)
+        return Progress(call, route, service, workspace, started_at + timeout, stream, demand)
 
     def _service(self, route: Route) -> str:
         """Draw the service of a request by the weights of its route."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -135,11 +135,12 @@
     def failed(self, now: float) -> None:
         """Note that the connection failed, and avoid the upstream for a while."""
         belief = self._belief
-        seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2**belief.failures)
-        if now >= belief.suspect_until:
+        if now < belief.suspect_until:
             # Requests under way together fail together; only the first of them counts.
-            belief.failures += 1
-            belief.suspect_until = now + seconds
+            return
+        seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2**belief.failures)
+        belief.failures += 1
+        belief.suspect_until = now + seconds
 
     def misdirected(self, now: float) -> None:
         """Note that another upstream answered at the address."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -101,13 +101,14 @@
 
     ``unread_tokens`` are those that the upstream has to read; ``fetch_from`` is an engine that
     likely keeps the shared parts, when the chosen one does not; ``backlog_seconds`` is how long the
-    chosen one is believed to read before.
+    chosen one is believed to read before, ``reading_seconds`` how long it reads this prompt.
     """
 
     upstream: Upstream
     unread_tokens: int = 0
     fetch_from: Upstream | None = None
     backlog_seconds: float = 0.0
+    reading_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -180,9 +181,14 @@
         search = self._search(demand, usable, now)
         considered = dict.fromkeys([*search.order[: self._policy.most_considered], *search.keepers])
         chosen = min(considered, key=lambda key: self._cost(search, key))
-        backlog = self._beliefs.of(search.by_id[chosen]).reading.backlog_seconds(now)
-        source = _fetch_from(search, chosen) if self._policy.fetches else None
-        return Placement(search.by_id[chosen], search.unread_tokens, source, backlog)
+        upstream = search.by_id[chosen]
+        return Placement(
+            upstream,
+            search.unread_tokens,
+            fetch_from=_fetch_from(search, chosen) if self._policy.fetches else None,
+            backlog_seconds=self._beliefs.of(upstream).reading.backlog_seconds(now),
+            reading_seconds=search.reading_seconds,
+        )
 
     def _search(self, demand: Demand, usable: list[Upstream], now: float) -> _Search:
         """Collect what the choice depends on."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/reading.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/reading.py
@@ -50,11 +50,10 @@
 
     def finished(self, number: int, now: float) -> None:
         """Note that a prompt was read, and with it all before; the rest begins now."""
-        if not any(reading.number == number for reading in self._readings):
+        if not self._readings or number < self._readings[0].number:
             return
-        while self._readings[0].number != number:
+        while self._readings and self._readings[0].number <= number:
             self._readings.popleft()
-        self._readings.popleft()
         begins_at = now
         for reading in self._readings:
             reading.ends_at = begins_at + reading.seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -5,6 +5,7 @@
 
 from quinceferry_gateway.answers import Whole
 from quinceferry_gateway.catalog import AnswerHead, Call, Route, Workspace
+from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 
 SendHead = Callable[[AnswerHead], Awaitable[None]]
@@ -38,6 +39,7 @@
     workspace: Workspace | None
     ends_at: float
     stream: CallerStream
+    demand: Demand
     tried: list[str] = field(default_factory=list)
     arrivals: int = 0
     misdirected: int = 0
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -15,7 +15,7 @@
 )
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
-from quinceferry_gateway.decisions import Attempt, Beliefs, Demand, Placement, Placer
+from quinceferry_gateway.decisions import Attempt, Beliefs, Placement, Placer
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     ForeignAnswerError,
@@ -116,9 +116,8 @@
 
     def _place(self, progress: Progress) -> Placement | None:
         """Return where the next attempt may go."""
-        demand = Demand.of(progress.call, progress.route.pause_seconds)
-        candidates = self._candidates(progress)
-        return self._placer.place(demand, candidates, progress.tried, self._clock.monotonic())
+        now = self._clock.monotonic()
+        return self._placer.place(progress.demand, self._candidates(progress), progress.tried, now)
 
     def _candidates(self, progress: Progress) -> list[Upstream]:
         """Return the upstreams of the request's service."""
@@ -191,13 +190,11 @@
 
     def _begin(self, progress: Progress, placement: Placement) -> Attempt:
         """Note an attempt that is about to be sent, here and at peers."""
-        call, route = progress.call, progress.route
-        demand = Demand.of(call, route.pause_seconds)
-        self._teller.tell(placement, demand)
+        self._teller.tell(placement, progress.demand)
         return self._beliefs.attempt(
             placement.upstream,
             placement.unread_tokens,
-            demand.shared_key,
+            progress.demand.shared_key,
             self._clock.monotonic(),
         )
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/sends.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/sends.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_gateway.addresses import host_and_port
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.decisions import Beliefs, Demand, Placement
@@ -57,7 +58,7 @@
         """
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(self), local_addr=_endpoint(self._address)
+            lambda: _Receiver(self), local_addr=host_and_port(self._address)
         )
 
     async def stop(self) -> None:
@@ -68,11 +69,10 @@
 
     def tell(self, placement: Placement, demand: Demand) -> None:
         """Tell peers where a prompt goes, if an engine reads it for long enough to matter."""
-        upstream = placement.upstream
-        rates = self._beliefs.rates(upstream.service)
-        seconds = rates.seconds(placement.unread_tokens) if placement.unread_tokens else 0.0
-        if self._transport is None or seconds < TOLD_SHARE * demand.pause_seconds:
+        too_short = placement.reading_seconds < TOLD_SHARE * demand.pause_seconds
+        if self._transport is None or too_short:
             return
+        upstream = placement.upstream
         told = SentPrompt(
             upstream.id, upstream.started_at, demand.shared_key, placement.unread_tokens
         )
@@ -81,7 +81,7 @@
         if len(peers) > MAX_TOLD:
             peers = self._random.sample(peers, MAX_TOLD)
         for peer in peers:
-            self._transport.sendto(datagram, _endpoint(peer.peer_address))
+            self._transport.sendto(datagram, host_and_port(peer.peer_address))
 
     def take(self, datagram: bytes, sender: object) -> None:
         """Take what a peer tells; what can't be read or names no known upstream changes nothing."""
@@ -113,9 +113,3 @@
     def error_received(self, exc: OSError) -> None:
         """Note that some datagram was not delivered; probes find out who is gone."""
         log.success("sends.undelivered", error=str(exc))
-
-
-def _endpoint(address: str) -> tuple[str, int]:
-    """Return host and port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
@@ -8,6 +8,8 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from quinceferry_gateway.addresses import host_and_port
+
 BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -70,10 +72,9 @@
     The protocol is named, since the event loop sends small writes at once only on sockets that name
     it.
     """
-    host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, int(port)))
+    listener.bind(host_and_port(address))
     listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from quinceferry_core.exceptions import QuinceferryError
+from quinceferry_gateway.addresses import host_and_port
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
 from quinceferry_gateway.interfaces import Headers
 
@@ -90,16 +91,16 @@
         :raises NotSentError: no connection came about.
         :raises ConnectionBrokenError: the connection failed after bytes may have left.
         """
-        host, _, port = address.rpartition(":")
+        host, port = host_and_port(address)
         request = httpcore.Request(
             method,
-            httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=target),
+            httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=target),
             headers=list(headers),
             content=body,
             extensions={"timeout": {"connect": connect_seconds}},
         )
         connection = httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), int(port)), socket_options=_SOCKET_OPTIONS
+            httpcore.Origin(b"http", host.encode(), port), socket_options=_SOCKET_OPTIONS
         )
         try:
             try:
--- a/packages/quinceferry-lab/src/quinceferry_lab/engine_model.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/engine_model.py
@@ -101,7 +101,6 @@
 class EngineCounts:
     """What an engine has done, in tokens."""
 
-    read: int = 0
     read_again: int = 0
     fetched: int = 0
 
@@ -195,7 +194,6 @@
                 left -= read
                 stream.unread -= read
                 stream.context += read
-                self.counts.read += read
         ends_at = self.clockwork.now + seconds * self.speed
         self.clockwork.at(ends_at, lambda: self._end_step(generating))
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/placement_experiment.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/placement_experiment.py
@@ -68,7 +68,6 @@
 class Figures:
     """What a run came to."""
 
-    policy: str
     seen: list[Seen] = field(default_factory=list)
     read_again: int = 0
     fetched: int = 0
@@ -280,7 +279,7 @@
     slow: SlowSpell | None = None,
 ) -> Figures:
     """Play a variant over several seeds."""
-    figures = Figures(name)
+    figures = Figures()
     for seed in range(seeds):
         run = Run(customer, VARIANTS[name], gateways, seed, slow)
         load_source = random.Random(f"{seed} load")
