Tell from logs and metrics when a missing upstream is used, and how old the list is

Cause: lines and counters could not tell an entry that is kept although it is missing from a list that is old: no line told of keeping, and one counter serves the readings of two lists. Change: upstream.kept, missing_seconds on the lines of attempts, a gauge of the age of the list. Nothing is decided otherwise. Measured: gateway_catalog and docs features pass; the check of the pages knows the new gauge.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -152,6 +152,7 @@
     metrics = Metrics()
     metrics.answered("w", "r", 0.1)
     metrics.store_called("get", "200")
+    metrics.observe_list_age(lambda: 0.1)
     metrics.prompt_sent("r", 2, 1)
     route = Route("r", "h", "/", RouteKind.STREAM, (), 1.0, 0.1, 0, 1, pause_seconds=0.1)
     pace = StreamPace(0.0)
--- a/features/gateway_catalog.feature
+++ b/features/gateway_catalog.feature
@@ -13,6 +13,16 @@
     And the list holds a only
     Then the gateway may use a and b
 
+  Scenario: An upstream that is used though the list lacks it is noted with the time
+    When the store is lost and regained
+    And the list holds a only
+    And 0.5 seconds pass
+    Then the gateway notes b as missing for 0.7 to 1.3 seconds
+
+  Scenario: The metrics tell how old the list is
+    When the store is lost for 3 seconds
+    Then the metrics give an age of the list of 3 to 4 seconds
+
   Scenario: An upstream that is missing for long after an outage is gone
     When the store is lost and regained
     And the list holds a only
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -64,6 +64,7 @@
         self._clock = clock
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
+        metrics.observe_list_age(self._list_age_seconds)
         self._peers = peers = PeerClient(http)
         self.holder = TokenHolder(board, store, clock, settings.budgets)
         self.reservations = Reservations(board, self.holder, peers, clock)
@@ -168,6 +169,11 @@
             self.beliefs.forget(self.blackboard.upstreams_by_id)
             await self._clock.sleep(HOUSEKEEPING_SECONDS)
 
+    def _list_age_seconds(self) -> float | None:
+        """Return how long ago the list of upstreams was read, None before the first reading."""
+        read_at = self.blackboard.upstreams_read_at
+        return None if read_at is None else self._clock.monotonic() - read_at
+
     def _retry_budgets(self) -> Callable[[str], RetryBudget]:
         """Return a function that gives each service its retry budget."""
         retries, clock = self.settings.retries, self._clock
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -38,7 +38,9 @@
     says whether the last call to the store was answered. ``members_changed_at`` is None until the
     members were read once. ``unreachable`` holds the incarnations that do not answer, ``leaving``
     those that said they are about to stop. ``available_by_incarnation`` holds the tokens that peers
-    could reserve, by workspace, as of the last probe.
+    could reserve, by workspace, as of the last probe. ``missing_since_by_upstream`` holds upstreams
+    that are still used though the list lacks them; ``upstreams_read_at`` is when the list was last
+    read, None before. Times are those of the steady clock.
     """
 
     own: Member
@@ -48,6 +50,8 @@
     revision: int = 0
     upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
     upstreams_revision: int = 0
+    upstreams_read_at: float | None = None
+    missing_since_by_upstream: dict[str, float] = field(default_factory=dict)
     members_by_incarnation: dict[str, Member] = field(default_factory=dict)
     members_changed_at: float | None = None
     available_by_incarnation: dict[str, dict[str, int]] = field(default_factory=dict)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -135,7 +135,10 @@
         if listed.revision < board.upstreams_revision:
             return
         board.upstreams_revision = listed.revision
-        by_id = {**listed.by_id, **self._still_usable(listed)}
+        board.upstreams_read_at = self._clock.monotonic()
+        kept = self._still_usable(listed)
+        self._note_kept(kept)
+        by_id = {**listed.by_id, **kept}
         self._listed_since_return |= listed.by_id.keys()
         self._log_changes(board.upstreams_by_id, by_id)
         board.upstreams_by_id = by_id
@@ -152,6 +155,16 @@
         known = self._blackboard.upstreams_by_id
         return {key: item for key, item in known.items() if key not in returned}
 
+    def _note_kept(self, kept: dict[str, Upstream]) -> None:
+        """Note since when upstreams are used though the list lacks them, and log new ones."""
+        now = self._clock.monotonic()
+        since = self._blackboard.missing_since_by_upstream
+        for key in kept.keys() - since.keys():
+            log.change(
+                "upstream.kept", upstream=key, store_back_seconds=round(now - self._back_at, 3)
+            )
+        self._blackboard.missing_since_by_upstream = {key: since.get(key, now) for key in kept}
+
     def _set_reachable(self, reachable: bool, error: str = "") -> None:
         """Note whether the store answers, and log a change."""
         board = self._blackboard
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -1,6 +1,9 @@
 """Counters and latency histograms, served as text on the metrics address."""
 
+from collections.abc import Callable, Iterable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
@@ -30,7 +33,7 @@
             exemplar_filter=AlwaysOffExemplarFilter(),
             shutdown_on_exit=False,
         )
-        meter = self._provider.get_meter("quinceferry_gateway")
+        self._meter = meter = self._provider.get_meter("quinceferry_gateway")
         self._labels: set[str] = set()
         self._requests = meter.create_counter(
             "quinceferry_gateway_requests", description="Requests by what became of them"
@@ -97,6 +100,20 @@
         """Count a call to the store."""
         self._store_calls.add(1, {"step": step, "result": result})
 
+    def observe_list_age(self, age_seconds: Callable[[], float | None]) -> None:
+        """Serve the age of the list of upstreams from now on; no series while it is None."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            age = age_seconds()
+            return [] if age is None else [Observation(age)]
+
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_upstream_list_age",
+            callbacks=[observe],
+            unit="s",
+            description="Time since the list of upstreams was last read",
+        )
+
     def exposition(self) -> bytes:
         """Return all series in the text format that scrapers read."""
         return generate_latest(self._registry)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -238,8 +238,9 @@
             return False
         return self._place(progress) is not None
 
-    @staticmethod
-    def _log_attempt(progress: Progress, placement: Placement, outcome: AttemptOutcome) -> None:
+    def _log_attempt(
+        self, progress: Progress, placement: Placement, outcome: AttemptOutcome
+    ) -> None:
         """Log what an attempt came to, and what placed it."""
         fields: dict[str, object] = {
             "request": progress.call.request_id,
@@ -252,6 +253,9 @@
             fields["backlog_seconds"] = round(placement.backlog_seconds, 3)
         if placement.fetch_from is not None:
             fields["fetched_from"] = placement.fetch_from.id
+        missing_since = self._blackboard.missing_since_by_upstream.get(placement.upstream.id)
+        if missing_since is not None:
+            fields["missing_seconds"] = round(self._clock.monotonic() - missing_since, 3)
         match outcome:
             case NotRun(detail, sent):
                 log.failure("attempt.not_run", sent=sent, detail=detail, **fields)
