Bring about requests to an upstream that left while the gateway could not reach the store

Cause: an own loss of contact counts as an outage of the store; the grace for ended leases begins when the return is noticed, is looked at only with each reading, and begins anew with each failure. The revision at which an entry was created is decoded; nothing reads it yet.

--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -18,13 +18,30 @@
     def __init__(self):
         self.revision = 10
         self.names = ["a", "b"]
+        self.registrations_by_name = {"a": 1, "b": 2}
         self.lost = False
+        self.failing_seconds = 0.0
+        self.clock = None
 
     async def upstreams(self):
         if self.lost:
+            await self.clock.sleep(self.failing_seconds)
             raise KvUnavailableError("lost", step="test")
-        by_id = {name: Upstream(name, "app", "127.0.0.1:1", "z", 1, False) for name in self.names}
-        return UpstreamList(self.revision, by_id)
+        return UpstreamList(self.revision, {name: self.upstream(name) for name in self.names})
+
+    def upstream(self, name):
+        registration = self.registrations_by_name[name]
+        return Upstream(name, "app", "127.0.0.1:1", "z", 1, False, registration=registration)
+
+    def hold(self, names):
+        """Let the next readings return some upstreams."""
+        self.names = names
+        self.revision += 1
+
+    def end_leases(self):
+        """Let all upstreams register anew, each when it is listed next."""
+        self.revision += 1
+        self.registrations_by_name = dict.fromkeys(self.registrations_by_name, self.revision)
 
 
 @given("a gateway that lists upstreams a and b")
@@ -57,13 +74,59 @@
     """Let the next readings return some upstreams."""
 
     async def change(clock):
-        context.source.names = names
-        context.source.revision += 1
+        context.source.hold(names)
         await clock.sleep(0.8)
 
     context.acts.append(change)
 
 
+@given("calls to the store that fail take {seconds:g} seconds")
+def given_slow_failures(context, seconds):
+    context.source.failing_seconds = seconds
+
+
+@when("this gateway alone is cut off for {seconds:g} seconds, and b leaves meanwhile")
+@when("b leaves as calls to the store fail for {seconds:g} seconds")
+def when_cut_off(context, seconds):
+    async def cut_off(clock):
+        context.source.lost = True
+        context.source.hold(["a"])
+        await clock.sleep(seconds)
+        context.source.lost = False
+
+    context.acts.append(cut_off)
+
+
+@when("b leaves, and calls fail for {lost:g} seconds in each of {times:d} times {period:g} seconds")
+def when_flaky(context, lost, times, period):
+    async def flake(clock):
+        context.source.hold(["a"])
+        for _ in range(times):
+            context.source.lost = True
+            await clock.sleep(lost)
+            context.source.lost = False
+            await clock.sleep(period - lost)
+
+    context.acts.append(flake)
+
+
+@when("the store is away for {seconds:g} seconds, leases end, and {who} back")
+def when_away(context, seconds, who):
+    async def be_away(clock):
+        context.source.lost = True
+        await clock.sleep(seconds)
+        context.source.end_leases()
+        context.source.hold({"only a is": ["a"], "none is": []}[who])
+        context.source.lost = False
+
+    context.acts.append(be_away)
+
+
+@when("b registers again")
+def when_registers(context):
+    hold(context, ["a", "b"])
+
+
 @when("a list from before holds a only")
 def when_older(context):
     async def hold(clock):
@@ -92,7 +155,7 @@
     """Run the scenario; return the gateway's beliefs, the time at its end, and the metrics."""
 
     async def scene():
-        clock = VirtualClock()
+        context.source.clock = clock = VirtualClock()
         board = Blackboard(Member("me", "vm", "z", "", ""))
         metrics = Metrics()
         metrics.observe_list_age(lambda: clock.monotonic() - board.upstreams_read_at)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -102,7 +102,8 @@
 
     A restart gives it another identifier, or the same one with a later ``started_at``: its Unix
     time in seconds, by its own clock, zero when it does not say. What was known of one lifetime
-    does not hold for the next.
+    does not hold for the next. ``registration`` is the revision of the store at which its entry was
+    created: it changes when the entry's lease ended and it registered again.
     """
 
     id: str
@@ -112,6 +113,7 @@
     slots: int
     draining: bool
     started_at: float = 0.0
+    registration: int = 0
 
 
 @dataclass(slots=True, frozen=True)
