Keep a missing upstream only where the store ended leases, each for a time of its own

Cause: the decision stood on the wrong evidence. A failed call of the gateway's own counted as an outage of the store, after which leases may have ended; each such failure began the grace for all missing upstreams anew, from when the return was noticed, and only a reading ended it. A missing upstream is kept only when no reading succeeded for as long as a lease needs to end, and no entry outlived that time; one that did shows that no lease ended. The grace begins with the last call that failed, is one for each upstream, stands still while the store is away, and is read at its end. The interval of heartbeats comes from the settings. Scenarios of gateway_catalog spoke of a store lost for two seconds, in which no lease ends, and of an entry that outlived it; they now say that leases ended, and expect what they expected.

--- a/features/gateway_leaving.feature
+++ b/features/gateway_leaving.feature
@@ -15,6 +15,11 @@
     And 1.5 seconds pass
     Then the gateway may use a only
 
+  Scenario: An upstream leaves, and a single call to the store fails
+    When b leaves as calls to the store fail for 0.9 seconds
+    And 1.5 seconds pass
+    Then the gateway may use a only
+
   Scenario: An upstream leaves while calls to the store fail now and then
     When b leaves, and calls fail for 0.9 seconds in each of 6 times 2.5 seconds
     Then the gateway may use a only
@@ -41,6 +46,13 @@
     And 3 seconds pass
     Then the gateway may use a and b
 
+  Scenario: An upstream is not back in the times that the store answers between outages
+    When the store is away for 6 seconds, leases end, and only a is back
+    And 1.5 seconds pass
+    And the store is away for 6 seconds, leases end, and only a is back
+    And 1.9 seconds pass
+    Then the gateway may use a only
+
   Scenario: Upstreams are used on through a second outage that follows at once
     When the store is away for 6 seconds, leases end, and none is back
     And 1 seconds pass
--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -9,6 +9,7 @@
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
+HEARTBEAT_SECONDS = 1.2
 LIST_AGE = "quinceferry_gateway_upstream_list_age_seconds"
 
 
@@ -50,16 +51,6 @@
     context.acts = []
 
 
-@when("the store is lost and regained")
-def when_lost(context):
-    async def lose(clock):
-        context.source.lost = True
-        await clock.sleep(2.0)
-        context.source.lost = False
-
-    context.acts.append(lose)
-
-
 @when("the list holds a only")
 def when_holds_one(context):
     hold(context, ["a"])
@@ -159,7 +150,7 @@
         board = Blackboard(Member("me", "vm", "z", "", ""))
         metrics = Metrics()
         metrics.observe_list_age(lambda: clock.monotonic() - board.upstreams_read_at)
-        reader = UpstreamReader(board, context.source, clock)
+        reader = UpstreamReader(board, context.source, clock, HEARTBEAT_SECONDS)
         await reader.start()
         await clock.sleep(10.0)
         for act in context.acts:
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -45,6 +45,7 @@
     "ip": "10.1.0.40",
     "port_range.0": "7340",
     "platform.addr": "10.200.1.7:8223",
+    "heartbeat_ms": "1200",
     "bounds.retry_ratio": "0.2",
     "bounds.retry_slack": "54",
     "bounds.budget_window_s": "10",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -73,7 +73,7 @@
         teller = SendTeller(board, beliefs, clock, settings.listen.peers)
         self._controllers = [
             ConfigurationReader(board, source, clock),
-            UpstreamReader(board, source, clock),
+            UpstreamReader(board, source, clock, settings.store.heartbeat_milliseconds / 1000),
             MemberReader(board, store, peers, clock),
             self._registration,
             self.holder,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -5,6 +5,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream, UpstreamList
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decisions import Absences
 from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
 from quinceferry_gateway.interfaces import CatalogSource
 from quinceferry_gateway.logs import log
@@ -16,9 +17,8 @@
 """Interval of readings of the upstreams; one that leaves may get no work after two seconds."""
 RETRY_SECONDS = 0.25
 """Pause after a call to the store that failed."""
-LAPSE_GRACE_SECONDS = 2.5
-"""How long an upstream that is missing after an outage of the store may still be used. Live ones
-are back within two seconds of the store's return."""
+SOONEST_READ_SECONDS = 0.05
+"""Shortest pause between readings, when a missing upstream may soon no longer be used."""
 
 
 class ConfigurationReader(Controller):
@@ -103,15 +103,21 @@
     """Follows the list of upstreams.
 
     :param blackboard: receives the upstreams.
+    :param heartbeat_seconds: interval at which upstreams renew their leases.
     """
 
-    def __init__(self, blackboard: Blackboard, source: CatalogSource, clock: Clock) -> None:
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        source: CatalogSource,
+        clock: Clock,
+        heartbeat_seconds: float,
+    ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._source = source
         self._clock = clock
-        self._back_at = clock.monotonic()
-        self._listed_since_return: set[str] = set()
+        self._absences = Absences(heartbeat_seconds)
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -120,49 +126,46 @@
     async def _poll(self) -> None:
         """Read the list again and again."""
         while True:
+            asked_at = self._clock.monotonic()
             try:
                 listed = await self._source.upstreams()
-                self._set_reachable(True)
-                self.offer(listed)
-                await self._clock.sleep(UPSTREAM_POLL_SECONDS)
             except KvError as error:
+                self._absences.failed(asked_at)
                 self._set_reachable(False, str(error))
                 await self._clock.sleep(RETRY_SECONDS)
+            else:
+                self._set_reachable(True)
+                self._take(listed, asked_at)
+                await self._clock.sleep(self._pause_seconds())
 
-    def offer(self, listed: UpstreamList) -> None:
+    def _take(self, listed: UpstreamList, asked_at: float) -> None:
         """Take a list that is not older than the one known."""
         board = self._blackboard
         if listed.revision < board.upstreams_revision:
             return
+        now = self._clock.monotonic()
         board.upstreams_revision = listed.revision
-        board.upstreams_read_at = self._clock.monotonic()
-        kept = self._still_usable(listed)
-        self._note_kept(kept)
+        board.upstreams_read_at = now
+        kept = self._absences.read(listed.by_id, asked_at, now)
+        self._note_kept(kept, now)
         by_id = {**listed.by_id, **kept}
-        self._listed_since_return |= listed.by_id.keys()
         self._log_changes(board.upstreams_by_id, by_id)
         board.upstreams_by_id = by_id
 
-    def _still_usable(self, listed: UpstreamList) -> dict[str, Upstream]:
-        """Return upstreams that are missing only because the store has just come back.
+    def _pause_seconds(self) -> float:
+        """Return how long to wait before the next reading."""
+        next_end = self._absences.next_end
+        if next_end is None:
+            return UPSTREAM_POLL_SECONDS
+        # Left to the next reading, an upstream that has left was used for up to 0.7 s longer.
+        left = max(SOONEST_READ_SECONDS, next_end - self._clock.monotonic())
+        return min(UPSTREAM_POLL_SECONDS, left)
 
-        One that was listed since then and is missing now has left; keeping it would send it work
-        for longer than the two seconds that a leaving upstream allows.
-        """
-        if self._clock.monotonic() - self._back_at > LAPSE_GRACE_SECONDS:
-            return {}
-        returned = listed.by_id.keys() | self._listed_since_return
-        known = self._blackboard.upstreams_by_id
-        return {key: item for key, item in known.items() if key not in returned}
-
-    def _note_kept(self, kept: dict[str, Upstream]) -> None:
+    def _note_kept(self, kept: dict[str, Upstream], now: float) -> None:
         """Note since when upstreams are used though the list lacks them, and log new ones."""
-        now = self._clock.monotonic()
         since = self._blackboard.missing_since_by_upstream
         for key in kept.keys() - since.keys():
-            log.change(
-                "upstream.kept", upstream=key, store_back_seconds=round(now - self._back_at, 3)
-            )
+            log.change("upstream.kept", upstream=key)
         self._blackboard.missing_since_by_upstream = {key: since.get(key, now) for key in kept}
 
     def _set_reachable(self, reachable: bool, error: str = "") -> None:
@@ -172,8 +175,6 @@
             return
         board.store_reachable = reachable
         if reachable:
-            self._back_at = self._clock.monotonic()
-            self._listed_since_return.clear()
             log.change("store.regained")
         else:
             log.change("store.lost", error=error)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -27,10 +27,14 @@
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The platform's store."""
+    """The platform's store.
+
+    ``heartbeat_milliseconds`` is the interval at which upstreams renew their entries.
+    """
 
     address: str
     timeout_seconds: float = 0.8
+    heartbeat_milliseconds: int = 1_200
 
 
 class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -113,6 +117,7 @@
         faults = [f"{name} is not host:port" for name, value in named.items() if _bad(value)]
         positive = {
             "store.timeout_seconds": self.store.timeout_seconds,
+            "store.heartbeat_milliseconds": self.store.heartbeat_milliseconds,
             "retries.window_seconds": self.retries.window_seconds,
             "stop.grace_seconds": self.stop.grace_seconds,
             "directory.answer_seconds": self.directory.answer_seconds,
