Bring about the same fault in the daemon's view of its members

Cause: MemberView, too, takes a failed call of its own for an outage of the service, and keeps for one lease time what is missing then, anew after each such failure.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -78,6 +78,14 @@
     When the key-value service is out for 60 fleet seconds
     Then every router is serving and sees 3 members at each of 20 fleet seconds
 
+  Scenario: A router that ends while another one alone is cut off is gone when that one is back
+    Given a fleet of 3 member routers
+    And 5 fleet seconds pass
+    When router "vm-1" is cut off for 1 fleet seconds
+    And router "vm-3" is paused for 20 fleet seconds
+    And router "vm-1" is reconnected and 4 fleet seconds pass
+    Then router "vm-1" sees 2 members
+
   Scenario: A router that starts in an outage does not serve
     Given a fleet whose key-value service is out
     And 1 member router is added
