Decide once, for gateway and daemon, what to make of entries that are missing

Cause: the daemon's MemberView had the same fault as the list of upstreams, in code of its own. Change: Absences moves to quinceferry_core and serves both; MemberView keeps a member only where the service ended leases, and drops one at once whose removal it was told.

--- /dev/null
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -0,0 +1,137 @@
+"""Which entries of a list may still be relied on though the list lacks them.
+
+The load: the store goes away for some seconds and ends the leases of all entries. Its first lists
+after that hold few of them, though those that they stand for all live and register again within a
+lease time; without those that are missing, nearly every request of that time would be refused. A
+process that alone was cut off from the store sees a gap of the same length, and there what is
+missing has left.
+
+The list itself tells the two apart: when the store ends leases, it ends all, and whoever is back
+has registered anew. One entry that outlived the gap shows that no lease was ended, so that what is
+missing has left.
+"""
+
+from collections.abc import Callable, Mapping
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class _Absence(Generic[T]):
+    """An entry that is relied on though it is missing, until a time of the steady clock."""
+
+    item: T
+    ends_at: float
+
+
+class Absences(Generic[T]):
+    """Follows the readings of a list and tells which missing entries to keep.
+
+    All times are those of the steady clock, in seconds.
+
+    :param shortest_lapse_seconds: shortest outage in which a lease can end: its length less the
+        interval of renewals, since the last renewal may be that old when the outage begins.
+    :param grace_seconds: how long after the store's return a missing entry is kept.
+    :param registration: returns what changes when an entry is written anew after its lease ended;
+        zero when that is not known.
+    """
+
+    def __init__(
+        self,
+        shortest_lapse_seconds: float,
+        grace_seconds: float,
+        registration: Callable[[T], int],
+    ) -> None:
+        self._shortest_lapse_seconds = shortest_lapse_seconds
+        self._grace_seconds = grace_seconds
+        self._registration = registration
+        self._listed_by_id: dict[str, T] = {}
+        self._answered_at: float | None = None
+        self._failed_at: float | None = None
+        self._absent_by_id: dict[str, _Absence[T]] = {}
+
+    @property
+    def next_end(self) -> float | None:
+        """Return when the first missing entry may no longer be kept, None when none is."""
+        return min((absence.ends_at for absence in self._absent_by_id.values()), default=None)
+
+    @property
+    def listed_keys(self) -> AbstractSet[str]:
+        """Return the keys of the entries that the store named last."""
+        return self._listed_by_id.keys()
+
+    def failed(self, back_after: float) -> None:
+        """Note a call to the store that failed.
+
+        :param back_after: the store came back later than that: the begin of a short call, however
+            late its failure showed.
+        """
+        self._failed_at = back_after
+
+    def changed(self, key: str, item: T | None, now: float) -> None:
+        """Note a change of one entry that the store told; None when it was removed."""
+        self._answered_at = now
+        self._absent_by_id.pop(key, None)
+        if item is None:
+            self._listed_by_id.pop(key, None)
+        else:
+            self._listed_by_id[key] = item
+
+    def read(self, listed_by_id: Mapping[str, T], asked_at: float, now: float) -> dict[str, T]:
+        """Note a whole list and return the entries that it lacks and that may be kept.
+
+        :param asked_at: when its reading began.
+        """
+        if self._leases_may_have_ended(listed_by_id, now):
+            self._suspend()
+            self._begin()
+        self._failed_at = None
+        self._answered_at = asked_at
+        self._listed_by_id = dict(listed_by_id)
+        for key in listed_by_id:
+            self._absent_by_id.pop(key, None)
+        return self.kept(now)
+
+    def kept(self, now: float) -> dict[str, T]:
+        """Return the missing entries that may still be kept, and forget the others."""
+        self._absent_by_id = {
+            key: absence for key, absence in self._absent_by_id.items() if absence.ends_at > now
+        }
+        return {key: absence.item for key, absence in self._absent_by_id.items()}
+
+    def _leases_may_have_ended(self, listed_by_id: Mapping[str, T], now: float) -> bool:
+        """Tell whether the store may have ended leases since it last answered.
+
+        Failed calls of this process don't show it: its own path to the store may have failed.
+        """
+        if self._answered_at is None or self._failed_at is None:
+            return False
+        if now - self._answered_at < self._shortest_lapse_seconds:
+            return False
+        return not any(
+            self._outlived(item, listed_by_id[key])
+            for key, item in self._listed_by_id.items()
+            if key in listed_by_id
+        )
+
+    def _outlived(self, before: T, now: T) -> bool:
+        """Tell whether an entry surely kept its lease from one reading to the next."""
+        registration = self._registration(before)
+        return bool(registration) and registration == self._registration(now)
+
+    def _suspend(self) -> None:
+        """Leave out of each grace the time that the store was away: nobody could register then."""
+        for absence in self._absent_by_id.values():
+            absence.ends_at += self._failed_at - self._answered_at
+
+    def _begin(self) -> None:
+        """Begin the grace of the entries that the store named last.
+
+        Each has one of its own, so that a later failure begins none anew.
+        """
+        ends_at = self._failed_at + self._grace_seconds
+        for key, item in self._listed_by_id.items():
+            self._absent_by_id[key] = _Absence(item, ends_at)
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -1,7 +1,10 @@
 """View of the routers that hold a live lease."""
 
+from collections.abc import Set as AbstractSet
+
 import msgspec
 
+from quinceferry_core.absences import Absences
 from quinceferry_core.adapters import KvEntry, KvStore
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvError
@@ -23,27 +26,37 @@
 class MemberView:
     """Fills ``blackboard.members_by_incarnation`` from the heartbeat records.
 
-    After an outage of the key-value service every lease may have lapsed at once. Members that are
-    missing then stay in the view for one lease time, in which they can show themselves again.
+    An outage of the key-value service may end every lease at once. Members that are missing then
+    stay in the view for one lease time, in which they can show themselves again. One that is
+    missing because this router alone was cut off has left, and goes at once.
 
     :param blackboard: shared state.
     :param kv: the key-value service.
     :param clock: source of time.
-    :param grace_seconds: how long a member missing after an outage is kept.
+    :param ttl_seconds: lifetime of a lease without renewal.
+    :param heartbeat_seconds: interval of renewals.
     """
 
     def __init__(
-        self, blackboard: Blackboard, kv: KvStore, clock: Clock, grace_seconds: float
+        self,
+        blackboard: Blackboard,
+        kv: KvStore,
+        clock: Clock,
+        ttl_seconds: float,
+        heartbeat_seconds: float,
     ) -> None:
         self._blackboard = blackboard
         self._kv = kv
         self._clock = clock
-        self._grace_seconds = grace_seconds
+        self._absences: Absences[KvEntry] = Absences(
+            shortest_lapse_seconds=ttl_seconds - heartbeat_seconds,
+            grace_seconds=ttl_seconds,
+            registration=lambda entry: entry.version,
+        )
         self._own: Member | None = None
         self._cursor = -1
-        self._outage_ended_at = float("-inf")
         self._is_cut_off = False
-        self._missing: set[IncarnationId] = set()
+        self._kept: set[str] = set()
         self._batches = 0
         self.synced = False
         """Whether the records have been read at least once."""
@@ -66,6 +79,8 @@
             try:
                 await self._follow_once()
             except KvError:
+                # A watch may have waited for long before it failed; no earlier time is sure.
+                self._absences.failed(self._clock.monotonic())
                 self._is_cut_off = True
                 self._cursor = -1
                 await self._clock.sleep(RETRY_SECONDS)
@@ -83,70 +98,74 @@
     async def _poll_once(self) -> None:
         """Read all records, unless the watch brings changes meanwhile and so is not silent."""
         batches = self._batches
+        asked_at = self._clock.monotonic()
         entries = await self._kv.list(MEMBER_PREFIX)
         if batches == self._batches and not self._is_cut_off:
-            self._replace_all(entries)
+            self._replace_all(entries, asked_at)
 
     async def _follow_once(self) -> None:
         if self._cursor < 0:
             await self._read_all()
-        timeout = self._missing_timeout()
-        batch = await self._kv.watch(MEMBER_PREFIX, self._cursor, timeout)
+        batch = await self._kv.watch(MEMBER_PREFIX, self._cursor, self._watch_seconds())
         self._cursor = -1 if batch.reset else batch.cursor
         self._batches += 1
+        now = self._clock.monotonic()
         for event in batch.events:
+            self._absences.changed(event.key, event.entry, now)
             self._apply(event.key, event.entry)
-        self._drop_missing()
+        self._keep(self._absences.kept(now).keys())
         await self._clock.sleep(MIN_WATCH_INTERVAL_SECONDS)
 
     async def _read_all(self) -> None:
         start = await self._kv.watch(MEMBER_PREFIX, -1, 0.0)
+        asked_at = self._clock.monotonic()
         entries = await self._kv.list(MEMBER_PREFIX)
-        if self._is_cut_off:
-            self._is_cut_off = False
-            self._outage_ended_at = self._clock.monotonic()
+        self._is_cut_off = False
         self._batches += 1
-        self._replace_all(entries)
+        self._replace_all(entries, asked_at)
         self._cursor = start.cursor
         self.synced = True
 
-    def _replace_all(self, entries: list[KvEntry]) -> None:
-        listed = {entry.key for entry in entries}
+    def _replace_all(self, entries: list[KvEntry], asked_at: float) -> None:
+        """Show the members of a whole reading, and those that may only have lost their leases.
+
+        :param asked_at: when the reading began.
+        """
+        entries_by_key = {entry.key: entry for entry in entries}
+        kept = self._absences.read(entries_by_key, asked_at, self._clock.monotonic())
         for entry in entries:
             self._apply(entry.key, entry)
         for incarnation in list(self._blackboard.members_by_incarnation):
-            if f"{MEMBER_PREFIX}{incarnation}" not in listed:
-                self._remove(incarnation)
+            key = f"{MEMBER_PREFIX}{incarnation}"
+            if key not in entries_by_key and key not in kept:
+                self._remove(key)
+        self._kept = set(kept)
+
+    def _keep(self, keys: AbstractSet[str]) -> None:
+        """Remove the members that were kept although missing, and may not be any more."""
+        for key in self._kept - keys - self._absences.listed_keys:
+            self._remove(key)
+        self._kept = set(keys)
 
     def _apply(self, key: str, entry: KvEntry | None) -> None:
         if entry is None:
-            self._remove(IncarnationId(key.removeprefix(MEMBER_PREFIX)))
+            self._remove(key)
             return
         member = msgspec.json.decode(entry.value, type=Member)
-        self._missing.discard(member.incarnation)
         if self._own is not None and member.incarnation == self._own.incarnation:
             self._blackboard.limit_claims_read = member.limit_claims
             return
         self._blackboard.members_by_incarnation[member.incarnation] = member
 
-    def _remove(self, incarnation: IncarnationId) -> None:
-        if self._own is not None and incarnation == self._own.incarnation:
-            return
-        if self._in_grace():
-            self._missing.add(incarnation)
-            return
-        self._blackboard.members_by_incarnation.pop(incarnation, None)
-
-    def _in_grace(self) -> bool:
-        return self._clock.monotonic() < self._outage_ended_at + self._grace_seconds
-
-    def _drop_missing(self) -> None:
-        if self._in_grace():
-            return
-        for incarnation in self._missing:
+    def _remove(self, key: str) -> None:
+        incarnation = IncarnationId(key.removeprefix(MEMBER_PREFIX))
+        if self._own is None or incarnation != self._own.incarnation:
             self._blackboard.members_by_incarnation.pop(incarnation, None)
-        self._missing.clear()
 
-    def _missing_timeout(self) -> float:
-        """Return how long the next watch may wait; short while removals are pending."""
-        return self._grace_seconds if self._missing else WATCH_TIMEOUT_SECONDS
+    def _watch_seconds(self) -> float:
+        """Return how long the next watch may wait: not beyond the time of a missing member."""
+        next_end = self._absences.next_end
+        if next_end is None:
+            return WATCH_TIMEOUT_SECONDS
+        left = max(MIN_WATCH_INTERVAL_SECONDS, next_end - self._clock.monotonic())
+        return min(WATCH_TIMEOUT_SECONDS, left)
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -58,7 +58,13 @@
         self._clock = clock
         self._rng = rng
         self._settings = settings
-        self.view = MemberView(blackboard, kv, clock, settings.lease_ttl_seconds)
+        self.view = MemberView(
+            blackboard,
+            kv,
+            clock,
+            settings.lease_ttl_seconds,
+            settings.heartbeat_interval_seconds,
+        )
         self.fencing_counter = FencingCounter(kv, clock, rng)
         self._incarnation = OwnIncarnation(kv, self.fencing_counter)
         self._heartbeat = OwnHeartbeat(kv, clock, self.view, settings.lease_ttl_seconds)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -1,11 +1,11 @@
 """Controllers that keep the configuration and the list of upstreams current."""
 
+from quinceferry_core.absences import Absences
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvError
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream, UpstreamList
 from quinceferry_gateway.controllers import Controller
-from quinceferry_gateway.decisions import Absences
 from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
 from quinceferry_gateway.interfaces import CatalogSource
 from quinceferry_gateway.logs import log
@@ -17,6 +17,11 @@
 """Interval of readings of the upstreams; one that leaves may get no work after two seconds."""
 RETRY_SECONDS = 0.25
 """Pause after a call to the store that failed."""
+HEARTBEATS_OF_LEASE = 3
+"""Heartbeats without renewal after which the lease of an upstream ends."""
+LAPSE_GRACE_SECONDS = 2.5
+"""How long after the store's return a missing upstream may be used: live ones are back within about
+two seconds, and three seconds after it one that has left may get no more requests."""
 SOONEST_READ_SECONDS = 0.05
 """Shortest pause between readings, when a missing upstream may soon no longer be used."""
 
@@ -117,7 +122,11 @@
         self._blackboard = blackboard
         self._source = source
         self._clock = clock
-        self._absences = Absences(heartbeat_seconds)
+        self._absences: Absences[Upstream] = Absences(
+            shortest_lapse_seconds=(HEARTBEATS_OF_LEASE - 1) * heartbeat_seconds,
+            grace_seconds=LAPSE_GRACE_SECONDS,
+            registration=lambda upstream: upstream.registration,
+        )
 
     async def start(self) -> None:
         """Begin to follow."""
--- a/packages/quinceferry-lab/src/quinceferry_lab/capacity_messages.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/capacity_messages.py
@@ -190,7 +190,7 @@
 async def _heartbeat(kv: HttpKv) -> OwnHeartbeat:
     """Return a heartbeat that holds a lease."""
     clock = SystemClock()
-    view = MemberView(Blackboard(Identity("vm-9", "zone-a", "127.0.0.1:9")), kv, clock, 1.0)
+    view = MemberView(Blackboard(Identity("vm-9", "zone-a", "127.0.0.1:9")), kv, clock, 1.0, 0.3)
     heartbeat = OwnHeartbeat(kv, clock, view, LEASE_SECONDS)
     heartbeat.set(Member(IncarnationId("vm-9-1"), "vm-9", "zone-z", "127.0.0.1:9", 9))
     await heartbeat.bind()
