Let a surviving entry prove nothing about an outage shorter than a lease

Cause: in an outage of three seconds only the leases that were renewed early enough outlive it. Change: an entry that outlived the gap counts as proof only when calls failed for a whole lease. Test: an outage of three seconds in which one lease of two ends; it failed before.

--- a/features/gateway_leaving.feature
+++ b/features/gateway_leaving.feature
@@ -34,6 +34,16 @@
     And 1.5 seconds pass
     Then the gateway may use a and b
 
+  Scenario: Only some leases ended in a short outage of the store
+    When the store is away for 3 seconds, and of a and b only the lease of b ends
+    And 1.5 seconds pass
+    Then the gateway may use a and b
+
+  Scenario: An upstream is not back soon after a short outage of the store
+    When the store is away for 3 seconds, and of a and b only the lease of b ends
+    And 2.7 seconds pass
+    Then the gateway may use a only
+
   Scenario: An upstream is not back soon after an outage of the store
     When the store is away for 6 seconds, leases end, and only a is back
     And 2.7 seconds pass
--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -78,6 +78,7 @@
 
 @when("this gateway alone is cut off for {seconds:g} seconds, and b leaves meanwhile")
 @when("b leaves as calls to the store fail for {seconds:g} seconds")
+@when("the store is away for {seconds:g} seconds, and of a and b only the lease of b ends")
 def when_cut_off(context, seconds):
     async def cut_off(clock):
         context.source.lost = True
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -6,9 +6,9 @@
 process that alone was cut off from the store sees a gap of the same length, and there what is
 missing has left.
 
-The list itself tells the two apart: when the store ends leases, it ends all, and whoever is back
-has registered anew. One entry that outlived the gap shows that no lease was ended, so that what is
-missing has left.
+The list itself tells the two apart. An outage as long as a lease ends all of them, and whoever is
+back has registered anew; one entry that outlived it shows that the store was not away, so that what
+is missing has left. A shorter outage ends some leases and leaves others, and shows nothing.
 """
 
 from collections.abc import Callable, Mapping
@@ -32,8 +32,8 @@
 
     All times are those of the steady clock, in seconds.
 
-    :param shortest_lapse_seconds: shortest outage in which a lease can end: its length less the
-        interval of renewals, since the last renewal may be that old when the outage begins.
+    :param lease_seconds: lifetime of a lease without renewal.
+    :param renewal_seconds: interval of renewals.
     :param grace_seconds: how long after the store's return a missing entry is kept.
     :param registration: returns what changes when an entry is written anew after its lease ended;
         zero when that is not known.
@@ -41,15 +41,19 @@
 
     def __init__(
         self,
-        shortest_lapse_seconds: float,
+        lease_seconds: float,
+        renewal_seconds: float,
         grace_seconds: float,
         registration: Callable[[T], int],
     ) -> None:
-        self._shortest_lapse_seconds = shortest_lapse_seconds
+        self._lease_seconds = lease_seconds
+        # The last renewal may be that old when an outage begins.
+        self._shortest_lapse_seconds = lease_seconds - renewal_seconds
         self._grace_seconds = grace_seconds
         self._registration = registration
         self._listed_by_id: dict[str, T] = {}
         self._answered_at: float | None = None
+        self._first_failed_at: float | None = None
         self._failed_at: float | None = None
         self._absent_by_id: dict[str, _Absence[T]] = {}
 
@@ -69,6 +73,8 @@
         :param back_after: the store came back later than that: the begin of a short call, however
             late its failure showed.
         """
+        if self._first_failed_at is None:
+            self._first_failed_at = back_after
         self._failed_at = back_after
 
     def changed(self, key: str, item: T | None, now: float) -> None:
@@ -88,7 +94,7 @@
         if self._leases_may_have_ended(listed_by_id, now):
             self._suspend()
             self._begin()
-        self._failed_at = None
+        self._first_failed_at = self._failed_at = None
         self._answered_at = asked_at
         self._listed_by_id = dict(listed_by_id)
         for key in listed_by_id:
@@ -111,6 +117,8 @@
             return False
         if now - self._answered_at < self._shortest_lapse_seconds:
             return False
+        if self._failed_at - self._first_failed_at < self._lease_seconds:
+            return True
         return not any(
             self._outlived(item, listed_by_id[key])
             for key, item in self._listed_by_id.items()
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -49,7 +49,8 @@
         self._kv = kv
         self._clock = clock
         self._absences: Absences[KvEntry] = Absences(
-            shortest_lapse_seconds=ttl_seconds - heartbeat_seconds,
+            lease_seconds=ttl_seconds,
+            renewal_seconds=heartbeat_seconds,
             grace_seconds=ttl_seconds,
             registration=lambda entry: entry.version,
         )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog_reader.py
@@ -123,7 +123,8 @@
         self._source = source
         self._clock = clock
         self._absences: Absences[Upstream] = Absences(
-            shortest_lapse_seconds=(HEARTBEATS_OF_LEASE - 1) * heartbeat_seconds,
+            lease_seconds=HEARTBEATS_OF_LEASE * heartbeat_seconds,
+            renewal_seconds=heartbeat_seconds,
             grace_seconds=LAPSE_GRACE_SECONDS,
             registration=lambda upstream: upstream.registration,
         )
