Share connections and their closing between the two clients

Cause: Client and OperatorClient each had the same construction and context methods. Measured: client, operator_api, command_line, docs features: 70 scenarios, none failed. Conclusion: behaviour unchanged.

--- a/packages/quinceferry-cli/src/quinceferry/client.py
+++ b/packages/quinceferry-cli/src/quinceferry/client.py
@@ -2,8 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator, Sequence
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 import httpx
 import msgspec
@@ -14,7 +13,8 @@
 from quinceferry.exceptions import AnswerBrokenError, RequestError, RouterUnreachableError
 from quinceferry.refusals import is_refusal, read_refusal
 from quinceferry.retries import RetryPolicy
-from quinceferry_core.clocks import Clock, SystemClock
+from quinceferry.sessions import Session
+from quinceferry_core.clocks import Clock
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATH = "/v1/completions"
@@ -43,7 +43,7 @@
     body: bytes
 
 
-class Client:
+class Client(Session):
     """Sends the requests of one workspace.
 
     Failed attempts are repeated at another router under the same request id and ticket, so a
@@ -68,36 +68,17 @@
         generator: random.Random | None = None,
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
-        self._policy = policy or RetryPolicy()
-        self._clock = clock or SystemClock()
-        self._generator = generator or random.Random()
-        self._http = httpx.AsyncClient(
+        http = httpx.AsyncClient(
             headers={"Authorization": f"Bearer {key}"},
             timeout=httpx.Timeout(READ_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS),
             limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
             transport=transport,
             trust_env=False,
         )
+        super().__init__(http, policy=policy, clock=clock, generator=generator)
         self._on_failed_attempt = on_failed_attempt
         self._book = AddressBook(self._http, routers, self._clock, self._generator, zone)
 
-    async def __aenter__(self) -> Self:
-        """Return the client itself."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the connections."""
-        await self.close()
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._http.aclose()
-
     async def addresses(self) -> AddressAnswer:
         """Return which addresses to use; cached for as long as the answer holds."""
         return await self._book.read()
--- a/packages/quinceferry-cli/src/quinceferry/operators.py
+++ b/packages/quinceferry-cli/src/quinceferry/operators.py
@@ -4,8 +4,7 @@
 import secrets
 import time
 from collections.abc import Sequence
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 import httpx
 import msgspec
@@ -19,7 +18,8 @@
     RouterUnreachableError,
 )
 from quinceferry.retries import RetryPolicy
-from quinceferry_core.clocks import Clock, SystemClock
+from quinceferry.sessions import Session
+from quinceferry_core.clocks import Clock
 from quinceferry_core.operator_messages import (
     OPERATOR_PATH,
     REPLIES_BY_MESSAGE,
@@ -38,7 +38,7 @@
 """Code of a failure whose expected revision was not the current one."""
 
 
-class OperatorClient:
+class OperatorClient(Session):
     """Calls the operator API at any router that answers.
 
     Every attempt of a call carries the same message, thus the same operation id, so a change whose
@@ -59,32 +59,13 @@
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         self._routers = [base_url(router) for router in routers]
-        self._policy = policy or RetryPolicy()
-        self._clock = clock or SystemClock()
-        self._generator = generator or random.Random()
-        self._http = httpx.AsyncClient(
+        http = httpx.AsyncClient(
             headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
             timeout=OPERATOR_TIMEOUT_SECONDS,
             transport=transport,
             trust_env=False,
         )
-
-    async def __aenter__(self) -> Self:
-        """Return the client itself."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the connections."""
-        await self.close()
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._http.aclose()
+        super().__init__(http, policy=policy, clock=clock, generator=generator)
 
     async def call(
         self, message: Message, *, router: str = "", max_attempts: int | None = None
