Keep members in the daemon's view whose lease ends just after an outage

In an outage of six or seven seconds, shorter than a lease of nine, leases end soon after the service is back and before they are renewed; the watch then tells of removals, and live members left the view. Change: a member whose removal is told within one lease time of an outage stays until that time ends. One function decides what the view shows.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -78,6 +78,21 @@
     When the key-value service is out for 60 fleet seconds
     Then every router is serving and sees 3 members at each of 20 fleet seconds
 
+  Scenario Outline: An outage in which some leases end, or soon after it, leaves the members in view
+    Given a fleet of 3 member routers
+    And 5 fleet seconds pass
+    When the key-value service is out for <seconds> fleet seconds
+    Then every router is serving and sees 3 members at each of 20 fleet seconds
+
+    Examples:
+      | seconds |
+      | 5       |
+      | 6       |
+      | 7       |
+      | 8       |
+      | 9       |
+      | 10      |
+
   Scenario: A router that ends while another one alone is cut off is gone when that one is back
     Given a fleet of 3 member routers
     And 5 fleet seconds pass
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -77,14 +77,20 @@
             self._first_failed_at = back_after
         self._failed_at = back_after
 
-    def changed(self, key: str, item: T | None, now: float) -> None:
-        """Note a change of one entry that the store told; None when it was removed."""
+    def changed(self, key: str, item: T | None, now: float, kept_until: float) -> None:
+        """Note a change of one entry that the store told.
+
+        :param item: the entry as it was written; None when it was removed.
+        :param kept_until: until when a removed entry is kept, since its lease may have ended in an
+            outage that is just over; a time that is past when there was none.
+        """
         self._answered_at = now
-        self._absent_by_id.pop(key, None)
-        if item is None:
-            self._listed_by_id.pop(key, None)
-        else:
+        removed = self._listed_by_id.pop(key, None)
+        if item is not None:
+            self._absent_by_id.pop(key, None)
             self._listed_by_id[key] = item
+        elif removed is not None and kept_until > now:
+            self._absent_by_id[key] = _Absence(removed, kept_until)
 
     def read(self, listed_by_id: Mapping[str, T], asked_at: float, now: float) -> dict[str, T]:
         """Note a whole list and return the entries that it lacks and that may be kept.
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -1,7 +1,5 @@
 """View of the routers that hold a live lease."""
 
-from collections.abc import Set as AbstractSet
-
 import msgspec
 
 from quinceferry_core.absences import Absences
@@ -9,7 +7,6 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvError
 from quinceferry_core.membership import MEMBER_PREFIX, Member
-from quinceferry_core.models import IncarnationId
 from quinceferryd.blackboard import Blackboard
 
 WATCH_TIMEOUT_SECONDS = 60.0
@@ -57,7 +54,7 @@
         self._own: Member | None = None
         self._cursor = -1
         self._is_cut_off = False
-        self._kept: set[str] = set()
+        self._ttl_seconds = ttl_seconds
         self._batches = 0
         self.synced = False
         """Whether the records have been read at least once."""
@@ -112,9 +109,10 @@
         self._batches += 1
         now = self._clock.monotonic()
         for event in batch.events:
-            self._absences.changed(event.key, event.entry, now)
-            self._apply(event.key, event.entry)
-        self._keep(self._absences.kept(now).keys())
+            self._absences.changed(event.key, event.entry, now, self._kept_until(now))
+            if event.entry is not None:
+                self._show(event.entry)
+        self._drop_gone()
         await self._clock.sleep(MIN_WATCH_INTERVAL_SECONDS)
 
     async def _read_all(self) -> None:
@@ -133,36 +131,36 @@
         :param asked_at: when the reading began.
         """
         entries_by_key = {entry.key: entry for entry in entries}
-        kept = self._absences.read(entries_by_key, asked_at, self._clock.monotonic())
+        self._absences.read(entries_by_key, asked_at, self._clock.monotonic())
         for entry in entries:
-            self._apply(entry.key, entry)
+            self._show(entry)
+        self._drop_gone()
+
+    def _kept_until(self, now: float) -> float:
+        """Return until when a member is kept whose record goes now.
+
+        For one lease time after an outage it may have lost its lease, and be about to renew it.
+        """
+        health = self._blackboard.kv
+        return (health.changed_at if health.available else now) + self._ttl_seconds
+
+    def _drop_gone(self) -> None:
+        """Remove the members that are neither listed nor may be kept."""
+        kept = self._absences.kept(self._clock.monotonic())
         for incarnation in list(self._blackboard.members_by_incarnation):
             key = f"{MEMBER_PREFIX}{incarnation}"
-            if key not in entries_by_key and key not in kept:
-                self._remove(key)
-        self._kept = set(kept)
-
-    def _keep(self, keys: AbstractSet[str]) -> None:
-        """Remove the members that were kept although missing, and may not be any more."""
-        for key in self._kept - keys - self._absences.listed_keys:
-            self._remove(key)
-        self._kept = set(keys)
-
-    def _apply(self, key: str, entry: KvEntry | None) -> None:
-        if entry is None:
-            self._remove(key)
-            return
+            is_own = self._own is not None and incarnation == self._own.incarnation
+            if not is_own and key not in kept and key not in self._absences.listed_keys:
+                del self._blackboard.members_by_incarnation[incarnation]
+
+    def _show(self, entry: KvEntry) -> None:
+        """Take a member's record; of the own one only what the service made of it."""
         member = msgspec.json.decode(entry.value, type=Member)
         if self._own is not None and member.incarnation == self._own.incarnation:
             self._blackboard.limit_claims_read = member.limit_claims
             return
         self._blackboard.members_by_incarnation[member.incarnation] = member
 
-    def _remove(self, key: str) -> None:
-        incarnation = IncarnationId(key.removeprefix(MEMBER_PREFIX))
-        if self._own is None or incarnation != self._own.incarnation:
-            self._blackboard.members_by_incarnation.pop(incarnation, None)
-
     def _watch_seconds(self) -> float:
         """Return how long the next watch may wait: not beyond the time of a missing member."""
         next_end = self._absences.next_end
