--- a/packages/quinceferry-lab/src/quinceferry_lab/verdict.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/verdict.py
@@ -4,10 +4,11 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Mapping
 from pathlib import Path
 
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
-"""One line for each scenario that may fail: name, cause, issue."""
+"""One line for each known fault: the scenario or day that shows it, how to see it, cause, issue."""
 
 
 def main() -> int:
@@ -20,17 +21,31 @@
         command = [sys.executable, "-m", "behave", "--no-capture", "-f", "json", "-o", str(report)]
         finished = subprocess.run([*command, "-f", "progress", "features"], check=False)
         statuses_by_name = _statuses(report)
-    known = _known_red()
+    lines, failed = judge(statuses_by_name, _known_red(), finished.returncode)
+    print("\n".join(lines))
+    return 1 if failed else 0
+
+
+def judge(
+    statuses_by_name: Mapping[str, str], known_by_name: Mapping[str, str], exit_code: int
+) -> tuple[list[str], bool]:
+    """Return the lines to print, the verdict last, and whether the run has failed.
+
+    :param known_by_name: lines of the known list by their first field. Those that are no scenario
+        are faults that only a day of the users' bench shows; they are printed.
+    :param exit_code: what behave ended with.
+    """
     failed = sorted(name for name, status in statuses_by_name.items() if status != "passed")
-    unexpected = [name for name in failed if name not in known]
+    unexpected = [name for name in failed if name not in known_by_name]
     passed = len(statuses_by_name) - len(failed)
-    for name in failed:
-        print(f"{'known red' if name in known else 'failed'}: {name}")
-    crashed = finished.returncode != 0 and not failed
+    lines = [f"{'known red' if name in known_by_name else 'failed'}: {name}" for name in failed]
+    elsewhere = [line for name, line in known_by_name.items() if name not in statuses_by_name]
+    lines += [f"known red, not run here: {line}" for line in elsewhere]
+    crashed = exit_code != 0 and not failed
     if crashed:
-        print(f"behave itself exited with {finished.returncode}")
-    print(f"{passed} passed, {len(unexpected) + crashed} failed")
-    return 1 if unexpected or crashed or not passed else 0
+        lines.append(f"behave itself exited with {exit_code}")
+    lines.append(f"{passed} passed, {len(unexpected) + crashed} failed")
+    return lines, bool(unexpected or crashed or not passed)
 
 
 def _statuses(report: Path) -> dict[str, str]:
@@ -46,12 +61,12 @@
     }
 
 
-def _known_red() -> set[str]:
-    """Read the names of scenarios that are known to fail."""
+def _known_red() -> dict[str, str]:
+    """Read the known faults, by their first field."""
     if not KNOWN_RED_FILE.exists():
-        return set()
+        return {}
     lines = KNOWN_RED_FILE.read_text().splitlines()
-    return {line.split(",")[0].strip() for line in lines if line.strip()}
+    return {line.split(",")[0].strip(): line for line in lines if line.strip()}
 
 
 if __name__ == "__main__":
