--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -116,9 +116,9 @@
 
     def _leases_may_have_ended(self, listed_by_id: Mapping[str, T], now: float) -> bool:
         """Tell whether the store may have ended leases since it last answered."""
-        # Failed calls alone don't show it: the own path to the store may have failed. While they were
-        # taken for an outage, 177 requests went to upstreams that had left, and 161 of them failed,
-        # in six simulated days in which seven gateways were cut off for 4 to 7 s; none goes now.
+        # Failed calls alone don't show it: the own path to the store may have failed. While they
+        # were taken for an outage, 177 requests went to upstreams that had left, of which 161
+        # failed, in six simulated days with seven gateways cut off for 4 to 7 s; none goes now.
         if self._answered_at is None or self._failed_at is None:
             return False
         if now - self._answered_at < self._shortest_lapse_seconds:
