Reserve and settle tokens at holders by datagram instead of a connection each

Cause: each prompt made two HTTP exchanges with a holder, as many connections as callers and upstreams together. The reply tells whether the holder could draw now, so that the draw for a request goes to one that the store serves.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -13,10 +13,11 @@
 from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
 from quinceferry_gateway.decisions import Beliefs, Placer
 from quinceferry_gateway.exchanges import Exchanges
+from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fleet.gossip import Gossip
-from quinceferry_gateway.fleet_api import PeerApi
+from quinceferry_gateway.fleet_api import PeerApi, serve_tokens
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.interfaces import CatalogSource, Dialect, SnapshotSource
 from quinceferry_gateway.logs import log
@@ -32,6 +33,9 @@
 from quinceferry_gateway.transport import HttpClient
 
 PEER_IDLE_SECONDS = 5.0
+FIRST_NUMBER_BITS = 40
+"""Room in which calls to peers begin to count, so that two processes hardly use the same
+numbers."""
 HOUSEKEEPING_SECONDS = 1.0
 FINISH_CHECK_SECONDS = 0.05
 """How often a stopping gateway looks whether its last requests are answered."""
@@ -72,13 +76,14 @@
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         metrics.observe_list_age(self._list_age_seconds)
-        self._peers = peers = PeerClient(http, metrics)
+        draws = random.Random()
+        port = DatagramPort(settings.listen.peers, metrics)
+        calls = DatagramCalls(port, clock, draws.getrandbits(FIRST_NUMBER_BITS))
+        self._peers = peers = PeerClient(http, calls, metrics)
         self.holder = TokenHolder(board, store, clock, settings.budgets)
         self.reservations = Reservations(board, self.holder, peers, clock, settings.budgets)
         self._registration = Registration(board, store, clock)
         self.beliefs = beliefs = Beliefs()
-        draws = random.Random()
-        port = DatagramPort(settings.listen.peers, metrics)
         teller = SendTeller(board, beliefs, port, clock, draws)
         heartbeat_seconds = settings.store.heartbeat_milliseconds / 1000
         bounds = settings.freshness
@@ -93,8 +98,10 @@
         lists_by_kind = {"configuration": configuration, "upstreams": upstreams, "members": members}
         copies = Copies(lists_by_kind, peers, clock, self._gossip.renewed)
         self._gossip.use(copies)
+        serve_tokens(calls, self.holder)
         self._controllers = [
             port,
+            calls,
             configuration,
             upstreams,
             members,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -7,10 +7,13 @@
 
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import (
+    RESERVE,
+    SETTLE,
     Acknowledged,
     InheritRequest,
     ReserveRequest,
@@ -41,14 +44,6 @@
     async def _answer(self, path: str, receive: Receive) -> tuple[int, bytes, bytes]:
         """Return status, content type and body."""
         match path:
-            case "/reserve":
-                asked = msgspec.json.decode(await _read(receive), type=ReserveRequest)
-                return _json(await self._holder.serve(asked))
-            case "/settle":
-                ended = msgspec.json.decode(await _read(receive), type=SettleRequest)
-                for settlement in ended.settlements:
-                    self._holder.settle(settlement)
-                return _json(Acknowledged())
             case "/inherit":
                 passed_on = msgspec.json.decode(await _read(receive), type=InheritRequest)
                 self._holder.inherit(passed_on)
@@ -62,6 +57,22 @@
                 return 404, b"text/plain", b""
 
 
+def serve_tokens(calls: DatagramCalls, holder: TokenHolder) -> None:
+    """Let a holder serve the calls of its peers."""
+
+    async def reserve(body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=ReserveRequest)
+        return msgspec.msgpack.encode(await holder.serve(request))
+
+    async def settle(body: bytes) -> bytes:
+        for settlement in msgspec.msgpack.decode(body, type=SettleRequest).settlements:
+            holder.settle(settlement)
+        return msgspec.msgpack.encode(Acknowledged())
+
+    calls.serve(RESERVE, reserve)
+    calls.serve(SETTLE, settle)
+
+
 def addresses(board: Blackboard, max_addresses: int, zone: str, source: random.Random) -> list[str]:
     """Return the addresses that callers may use now; none before this gateway knows enough.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -105,9 +105,10 @@
         """Set tokens aside, or as many as the allotment has."""
         account = self._accounts_by_workspace.get(workspace)
         if account is None or self._closed or reservation in self._ended_early:
-            return ReserveReply(0, self._left_at_most(workspace))
+            return ReserveReply(0, self._left_at_most(workspace), 0, self._may_draw(workspace))
         reserved = account.reserve(reservation, tokens)
-        return ReserveReply(reserved, self._left_at_most(workspace), account.available)
+        left, available = self._left_at_most(workspace), account.available
+        return ReserveReply(reserved, left, available, self._may_draw(workspace))
 
     async def serve(self, asked: ReserveRequest) -> ReserveReply:
         """Set tokens aside for a request of any gateway, drawing what is missing if it says so."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -7,6 +7,7 @@
 from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_gateway.blackboard import Member
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.transport import HttpClient
 
@@ -16,6 +17,11 @@
 _JSON = ((b"content-type", b"application/json"),)
 
 
+RESERVE = "reserve"
+SETTLE = "settle"
+"""Kinds of calls by datagram."""
+
+
 class PeerError(PeerUnavailableError):
     """A peer did not answer as expected; ``sent`` tells whether the call may have arrived."""
 
@@ -24,7 +30,7 @@
         self.sent = sent
 
 
-class ReserveRequest(msgspec.Struct, frozen=True):
+class ReserveRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks a holder to set up to so many tokens aside; idempotent by ``reservation``.
 
     ``draws`` lets the holder draw what it lacks while the request waits.
@@ -36,18 +42,20 @@
     draws: bool = False
 
 
-class ReserveReply(msgspec.Struct, frozen=True):
+class ReserveReply(msgspec.Struct, frozen=True, array_like=True):
     """How many tokens are set aside, and how many the workspace has left at most.
 
-    ``available`` are those that the holder could set aside besides.
+    ``available`` are those that the holder could set aside besides; ``draws`` tells whether it
+    could draw some now.
     """
 
     reserved: int
     left_at_most: int
     available: int = 0
+    draws: bool = False
 
 
-class Settlement(msgspec.Struct, frozen=True):
+class Settlement(msgspec.Struct, frozen=True, array_like=True):
     """Ends a reservation with the tokens really used."""
 
     reservation: str
@@ -55,7 +63,7 @@
     tokens: int
 
 
-class SettleRequest(msgspec.Struct, frozen=True):
+class SettleRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ends several reservations."""
 
     settlements: list[Settlement]
@@ -76,19 +84,19 @@
     inheritances: list[Inheritance]
 
 
-class Acknowledged(msgspec.Struct, frozen=True):
+class Acknowledged(msgspec.Struct, frozen=True, array_like=True):
     """The call was carried out."""
 
 
 class PeerClient:
-    """Calls other gateways.
+    """Calls other gateways: small calls by datagram, copies and inheritances over HTTP.
 
-    :param http: client for the calls.
-    :param metrics: counts calls and bytes.
+    :param metrics: counts calls over HTTP and their bytes.
     """
 
-    def __init__(self, http: HttpClient, metrics: Metrics) -> None:
+    def __init__(self, http: HttpClient, calls: DatagramCalls, metrics: Metrics) -> None:
         self._http = http
+        self._calls = calls
         self._metrics = metrics
 
     async def copy(self, peer: Member, kind: str, timeout_seconds: float) -> bytes:
@@ -99,11 +107,26 @@
         self, peer: Member, request: ReserveRequest, timeout_seconds: float
     ) -> ReserveReply:
         """Ask a holder to set tokens aside."""
-        return await self._call(peer, b"POST", b"/reserve", request, ReserveReply, timeout_seconds)
+        body = await self._ask(peer, RESERVE, request, timeout_seconds)
+        return _decoded(body, ReserveReply, RESERVE, peer)
 
     async def settle(self, peer: Member, request: SettleRequest, timeout_seconds: float) -> None:
         """Tell a holder what requests really used."""
-        await self._call(peer, b"POST", b"/settle", request, Acknowledged, timeout_seconds)
+        body = await self._ask(peer, SETTLE, request, timeout_seconds)
+        _decoded(body, Acknowledged, SETTLE, peer)
+
+    async def _ask(
+        self, peer: Member, kind: str, request: msgspec.Struct, timeout_seconds: float
+    ) -> bytes:
+        """Make a call by datagram.
+
+        :raises PeerError: no answer came.
+        """
+        body = msgspec.msgpack.encode(request)
+        try:
+            return await self._calls.call(peer.peer_address, kind, body, timeout_seconds)
+        except CallTimeoutError as error:
+            raise PeerError(str(error), step=kind, peer=peer.incarnation, sent=True) from error
 
     async def inherit(self, peer: Member, request: InheritRequest, timeout_seconds: float) -> None:
         """Pass tokens on to a peer."""
@@ -164,3 +187,14 @@
             raise PeerError(detail, step=step, peer=peer.incarnation, sent=True)
         self._metrics.peer_messages(step, "received", 1, len(reply.body))
         return reply.body
+
+
+def _decoded(body: bytes, kind: type[T], step: str, peer: Member) -> T:
+    """Return the answer to a call by datagram.
+
+    :raises PeerError: it has not the expected form.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -34,6 +34,8 @@
 """How long a holder's answer tells what it has left; holders draw about once a second."""
 SETTLE_SECONDS = 0.25
 """How long settlements are collected before they are sent."""
+MAX_SETTLED = 16
+"""Settlements in one datagram, each of some 70 bytes."""
 SETTLE_TIMEOUT_SECONDS = 1.0
 
 
@@ -69,10 +71,21 @@
 class _Search:
     """A reservation in the making.
 
+    ``drawers`` are the holders asked that could draw now.
+
     :param id: identifier of its parts.
     """
 
-    __slots__ = ("_least_left", "_parts", "asked", "id", "missing", "tokens", "workspace")
+    __slots__ = (
+        "_least_left",
+        "_parts",
+        "asked",
+        "drawers",
+        "id",
+        "missing",
+        "tokens",
+        "workspace",
+    )
 
     def __init__(self, id: str, workspace: str, tokens: int) -> None:
         self.id = id
@@ -80,6 +93,7 @@
         self.tokens = tokens
         self.missing = tokens
         self.asked: list[str] = []
+        self.drawers: list[str] = []
         self._parts: list[Part] = []
         self._least_left: int | None = None
 
@@ -95,6 +109,8 @@
             f"{holder}: {reply.reserved} of {self.missing}, left at most {reply.left_at_most}"
         )
         self._least_left = left if self._least_left is None else min(self._least_left, left)
+        if reply.draws:
+            self.drawers.append(holder)
         if reply.reserved:
             self._parts.append(Part(holder, reservation_id, reply.reserved))
             self.missing -= reply.reserved
@@ -138,10 +154,10 @@
             await self._try(search, vm, ReserveRequest(search.id, workspace, search.missing))
             if not search.missing:
                 return search.found()
-        if not search.exhausted and holders:
+        if not search.exhausted and search.drawers:
             # Also a draw that brought too little may show that the workspace is used up.
             drawn = ReserveRequest(f"{search.id}/drawn", workspace, search.missing, draws=True)
-            await self._try(search, self._holders(workspace)[0], drawn)
+            await self._try(search, search.drawers[0], drawn)
             if not search.missing:
                 return search.found()
         self.settle(search.found(), 0)
@@ -175,7 +191,7 @@
 
     async def flush(self) -> None:
         """Send all settlements that wait."""
-        await asyncio.gather(*(self._send(holder) for holder in list(self._unsent_by_holder)))
+        await asyncio.gather(*(self._send_all(holder) for holder in list(self._unsent_by_holder)))
 
     def _holders(self, workspace: str) -> list[str]:
         """Return the vms to ask: this one if it holds, then those with most, failed ones last."""
@@ -220,18 +236,22 @@
         self._sending_soon = False
         await self.flush()
 
-    async def _send(self, holder: str) -> None:
-        """Send one holder's batch; keep it when the holder does not answer."""
-        batch = self._unsent_by_holder.pop(holder, [])
+    async def _send_all(self, holder: str) -> None:
+        """Send all that waits for one holder; keep what it does not answer to."""
         peer: Member | None = self._blackboard.members_by_vm.get(holder)
-        if not batch or peer is None:
-            if batch:
+        while batch := self._unsent_by_holder.pop(holder, []):
+            if peer is None:
                 # The holder is gone, and with it all that it held; nothing can be settled there.
                 log.change("settlements.dropped", holder=holder, count=len(batch))
-            return
-        try:
-            await self._peers.settle(peer, SettleRequest(batch), SETTLE_TIMEOUT_SECONDS)
-        except PeerError as error:
-            self._unsent_by_holder[holder] = batch + self._unsent_by_holder.get(holder, [])
-            log.failure("settlements.unsent", holder=holder, count=len(batch), error=str(error))
-            self._send_soon()
+                return
+            sent = batch[:MAX_SETTLED]
+            try:
+                await self._peers.settle(peer, SettleRequest(sent), SETTLE_TIMEOUT_SECONDS)
+            except PeerError as error:
+                self._unsent_by_holder[holder] = batch + self._unsent_by_holder.get(holder, [])
+                log.failure("settlements.unsent", holder=holder, count=len(batch), error=str(error))
+                self._send_soon()
+                return
+            if len(batch) > MAX_SETTLED:
+                later = batch[MAX_SETTLED:] + self._unsent_by_holder.get(holder, [])
+                self._unsent_by_holder[holder] = later
