--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -10,12 +10,13 @@
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.catalog import Configuration, Upstream, UpstreamList
-from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
+from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.interfaces import Snapshot
 from quinceferry_gateway.membership import MemberReader
 from quinceferry_gateway.peers import PeerError
+from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
 
 LATENCY_SECONDS = 0.002
--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -7,8 +7,8 @@
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream, UpstreamList
-from quinceferry_gateway.catalog_reader import UpstreamReader
 from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
 HEARTBEAT_SECONDS = 1.2
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -10,7 +10,7 @@
 from quinceferry_core.clocks import Clock, suspended_seconds
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
-from quinceferry_gateway.catalog_reader import ConfigurationReader, UpstreamReader
+from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.decisions import Beliefs, Placer
 from quinceferry_gateway.exchanges import Exchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
@@ -31,6 +31,7 @@
 from quinceferry_gateway.server import HttpListener
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.transport import HttpClient
+from quinceferry_gateway.upstream_reader import UpstreamReader
 
 PEER_IDLE_SECONDS = 5.0
 FIRST_NUMBER_BITS = 40
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -0,0 +1,178 @@
+"""Keeps the operators' configuration current.
+
+Designated readers watch it in the store; all others take their copies and read for themselves only
+when these grow old.
+"""
+
+import random
+import zlib
+
+import msgspec
+
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvError
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
+from quinceferry_gateway.fleet.digests import Summary, age_units
+from quinceferry_gateway.fleet.duties import (
+    INTERVAL_SHARE,
+    LIMIT_SHARE,
+    SOONEST_READ_SECONDS,
+    UNTRIED_SECONDS,
+    ReadSchedule,
+)
+from quinceferry_gateway.interfaces import CatalogSource
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.store_health import note_answer, note_failure
+
+MAX_WATCH_SECONDS = 1.0
+"""Longest wait of one watch, so that a connection that has fallen silent costs a second at most."""
+
+
+class ConfigurationCopy(msgspec.Struct, frozen=True):
+    """A configuration as one gateway hands it to another."""
+
+    revision: int
+    age_seconds: float
+    document: bytes
+
+
+class ConfigurationReader(Controller):
+    """Follows the operators' configuration; a version never goes back.
+
+    :param blackboard: receives the configuration.
+    :param bound_seconds: time until a new one must be in force.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        source: CatalogSource,
+        clock: Clock,
+        draws: random.Random,
+        bound_seconds: float,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._source = source
+        self._clock = clock
+        self._schedule = ReadSchedule(0.0, LIMIT_SHARE * bound_seconds, draws)
+        self._watch_seconds = min(MAX_WATCH_SECONDS, INTERVAL_SHARE * bound_seconds)
+        self._refused: bytes = b""
+        self._content = 0
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self.spawn(self._follow(), "configuration")
+
+    def offer(self, document: bytes, revision: int, origin: str) -> None:
+        """Apply a configuration if it is newer than the one in force.
+
+        :param revision: revision of the store up to which it is the newest.
+        :param origin: where it came from, for the log.
+        """
+        board = self._blackboard
+        board.revision = max(board.revision, revision)
+        if document in (board.document, self._refused):
+            return
+        try:
+            configuration = self._source.decode_configuration(document)
+        except ConfigurationError as error:
+            self._refused = document
+            log.failure("configuration.refused", error=str(error), revision=revision)
+            return
+        before = board.configuration.version if board.configuration else 0
+        if board.configuration is not None and configuration.version <= before:
+            return
+        board.configuration = configuration
+        board.document = document
+        self._content = zlib.crc32(document)
+        log.change(
+            "configuration.applied",
+            version=configuration.version,
+            before=before,
+            revision=revision,
+            origin=origin,
+        )
+
+    def summary(self, now: float) -> Summary | None:
+        """Return which copy this gateway has, None without one."""
+        board = self._blackboard
+        if board.configuration is None or board.configuration_read_at is None:
+            return None
+        age = age_units(now - board.configuration_read_at)
+        return Summary(max(1, board.revision), self._content, age)
+
+    def confirm(self, revision: int, asked_at: float) -> None:
+        """Note that the configuration in force was the newest at that time and revision."""
+        board = self._blackboard
+        board.revision = max(board.revision, revision)
+        board.configuration_read_at = max(asked_at, board.configuration_read_at or asked_at)
+
+    def encode(self, now: float) -> bytes | None:
+        """Return the configuration for a peer, None without one."""
+        board = self._blackboard
+        if board.configuration is None or board.configuration_read_at is None:
+            return None
+        age = now - board.configuration_read_at
+        return msgspec.json.encode(ConfigurationCopy(board.revision, age, board.document))
+
+    def adopt(self, body: bytes, origin: str, now: float) -> None:
+        """Take a peer's configuration.
+
+        :raises msgspec.DecodeError: it has not the expected form.
+        """
+        copy = msgspec.json.decode(body, type=ConfigurationCopy)
+        if copy.age_seconds < 0 or copy.revision < self._blackboard.revision:
+            return
+        self.offer(copy.document, copy.revision, origin)
+        self.confirm(copy.revision, now - copy.age_seconds)
+
+    async def _follow(self) -> None:
+        """Read once; then a designated reader waits for changes, and others for old copies."""
+        known = False
+        board = self._blackboard
+        while True:
+            asked_at = self._clock.monotonic()
+            if not board.reader or not known:
+                due_at = self._schedule.due_at(board.reader, board.configuration_read_at)
+                if asked_at < due_at:
+                    await self._clock.sleep(max(SOONEST_READ_SECONDS, due_at - asked_at))
+                    continue
+                if board.leaves_unread(board.configuration_read_at):
+                    await self._clock.sleep(UNTRIED_SECONDS)
+                    continue
+            try:
+                known = await (self._watch(asked_at) if known and board.reader else self._read())
+            except WatchLostError as error:
+                known = False
+                log.change("configuration.watch_lost", error=str(error))
+            except KvError as error:
+                known = False
+                note_failure(board, error)
+                self._schedule.failed(board.reader, self._clock.monotonic())
+
+    async def _watch(self, asked_at: float) -> bool:
+        """Wait for a change, and read it; tell whether there is a configuration."""
+        revision = self._blackboard.revision
+        document = await self._source.next_configuration(revision, self._watch_seconds)
+        if document is not None:
+            return await self._read()
+        # The answer tells that nothing had changed when the wait was over.
+        self.confirm(revision, asked_at + self._watch_seconds)
+        return True
+
+    async def _read(self) -> bool:
+        """Read the newest configuration; tell whether there is one."""
+        asked_at = self._clock.monotonic()
+        self._schedule.began(asked_at)
+        found = await self._source.configuration()
+        note_answer(self._blackboard)
+        if found is None:
+            self._schedule.failed(self._blackboard.reader, self._clock.monotonic())
+            return False
+        document, revision = found
+        self.offer(document, revision, "store")
+        self.confirm(revision, asked_at)
+        return True
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
@@ -18,6 +18,14 @@
 JITTER_SHARE = 0.15
 """Spread of the age at which a gateway that is no reader reads for itself, so that those whose
 copies are equally old don't all call at once: the first to read hands its copy on."""
+INTERVAL_SHARE = 0.35
+"""Part of its bound after which a designated reader reads a list again: three readers make one
+reading in an eighth of the bound."""
+LIMIT_SHARE = 0.6
+"""Part of the bound to which a copy may age before any gateway reads for itself: with the jitter no
+copy is older than 0.7 of the bound, and the rest is for a reading from a slow store."""
+SOONEST_READ_SECONDS = 0.05
+"""Shortest pause between two looks at the clock."""
 RETRY_SECONDS = 0.25
 """Pause of a designated reader after a call that failed; it finds the store's return."""
 LONE_RETRY_SECONDS = (2.0, 5.0)
