Notice a suspension also before a digest is sent or taken

Cause: a gateway that wakes up may send ages that leave the suspension out, until its period is over. gateway_fleet and gateway_membership: passed.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -98,6 +98,7 @@
 
     def take(self, digest: Digest, sender: object) -> None:
         """Take a peer's digest."""
+        self._notice_suspension()
         board = self._blackboard
         now = self._clock.monotonic()
         peer = digest.sender
@@ -116,6 +117,7 @@
 
     def refresh(self) -> None:
         """Work out who is unreachable, and which duties this gateway has."""
+        self._notice_suspension()
         board = self._blackboard
         now = self._clock.monotonic()
         keys_by_name = {name_of(peer.incarnation): peer.incarnation for peer in board.peers()}
@@ -140,7 +142,6 @@
     async def _send_forever(self) -> None:
         """Send a digest in each period."""
         while True:
-            self._notice_suspension()
             self.refresh()
             if self._clock.monotonic() >= self._next_at:
                 self._send(FANOUT)
@@ -149,6 +150,7 @@
 
     def _send(self, fanout: int) -> None:
         """Send a digest to some peers."""
+        self._notice_suspension()
         now = self._clock.monotonic()
         spread = 1 + PERIOD_SPREAD * (self._random.random() - 0.5)
         self._next_at = now + PERIOD_SECONDS * spread
