Summarise copies in one place

Three lists worked out the same summary. Behaviour unchanged: gateway_catalog, gateway_leaving, gateway_membership and docs passed (43 scenarios).

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -14,7 +14,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
-from quinceferry_gateway.fleet.digests import Summary, age_units
+from quinceferry_gateway.fleet.digests import Summary, summary_of
 from quinceferry_gateway.fleet.duties import (
     INTERVAL_SHARE,
     LIMIT_SHARE,
@@ -101,10 +101,8 @@
     def summary(self, now: float) -> Summary | None:
         """Return which copy this gateway has, None without one."""
         board = self._blackboard
-        if board.configuration is None or board.configuration_read_at is None:
-            return None
-        age = age_units(now - board.configuration_read_at)
-        return Summary(max(1, board.revision), self._content, age)
+        read_at = None if board.configuration is None else board.configuration_read_at
+        return summary_of(board.revision, self._content, read_at, now)
 
     def confirm(self, revision: int, asked_at: float) -> None:
         """Note that the configuration in force was the newest at that time and revision."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
@@ -64,3 +64,13 @@
 def age_seconds(units: int) -> float:
     """Return an age in seconds."""
     return units * AGE_UNIT_SECONDS
+
+
+def summary_of(revision: int, content: int, read_at: float | None, now: float) -> Summary | None:
+    """Return which copy of a list a gateway has, None without one.
+
+    :param read_at: when the reading of the copy was asked for.
+    """
+    if read_at is None:
+        return None
+    return Summary(max(1, revision), content, age_units(now - read_at))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -12,7 +12,7 @@
 from quinceferry_core.exceptions import KvConflictError, KvError, LeaseLostError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.controllers import Controller
-from quinceferry_gateway.fleet.digests import Summary, age_units
+from quinceferry_gateway.fleet.digests import Summary, summary_of
 from quinceferry_gateway.fleet.duties import UNTRIED_SECONDS, ReadSchedule
 from quinceferry_gateway.interfaces import SnapshotSource
 from quinceferry_gateway.logs import log
@@ -165,9 +165,7 @@
     def summary(self, now: float) -> Summary | None:
         """Return which copy this gateway has, None without one."""
         read_at = self._blackboard.members_read_at
-        if read_at is None:
-            return None
-        return Summary(max(1, self._revision), self._content, age_units(now - read_at))
+        return summary_of(self._revision, self._content, read_at, now)
 
     def confirm(self, revision: int, asked_at: float) -> None:
         """Note that the store held the same list at that time and revision."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -16,7 +16,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream, UpstreamList
 from quinceferry_gateway.controllers import Controller
-from quinceferry_gateway.fleet.digests import Summary, age_units
+from quinceferry_gateway.fleet.digests import Summary, summary_of
 from quinceferry_gateway.fleet.duties import (
     INTERVAL_SHARE,
     LIMIT_SHARE,
@@ -89,10 +89,7 @@
     def summary(self, now: float) -> Summary | None:
         """Return which copy this gateway has, None without one."""
         board = self._blackboard
-        if board.upstreams_read_at is None:
-            return None
-        age = age_units(now - board.upstreams_read_at)
-        return Summary(max(1, board.upstreams_revision), self._content, age)
+        return summary_of(board.upstreams_revision, self._content, board.upstreams_read_at, now)
 
     def confirm(self, revision: int, asked_at: float) -> None:
         """Note that the store held the same list at that time and revision."""
