--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
@@ -24,9 +24,9 @@
 INTERVAL_SHARE = 0.35
 """Part of its bound after which a designated reader reads a list again: three readers make one
 reading in an eighth of the bound."""
-LIMIT_SHARE = 0.5
+LIMIT_SHARE = 0.6
 """Part of the bound to which a copy may age before any gateway reads for itself: with the jitter no
-copy is older than 0.6 of the bound, and the rest is for a slow store and a gateway under load."""
+copy is older than 0.7 of the bound, and the rest is for a slow store and a gateway under load."""
 SOONEST_READ_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.6
 """Bounds of the pause between two looks at the clock; a gateway finds out that it has become a
