Work out once what a holder may draw, and say in one place when a failed reading is repeated

The pause after a failed reading was decided in three readers, now in ReadSchedule; whether a reading is due was worked out twice.

--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -12,7 +12,6 @@
 """
 
 from collections.abc import Callable, Mapping
-from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -67,11 +66,6 @@
         """Tell whether the last call to the store failed; no grace ends before it answers again."""
         return self._failed_at is not None
 
-    @property
-    def listed_keys(self) -> AbstractSet[str]:
-        """Return the keys of the entries that the store named last."""
-        return self._listed_by_id.keys()
-
     def failed(self, back_after: float) -> None:
         """Note a call to the store that failed.
 
@@ -124,9 +118,7 @@
         :param asked_at: when that process's reading began; calls of this one that failed before
             show nothing any more.
         """
-        if self._failed_at is not None and self._failed_at <= asked_at:
-            self._first_failed_at = self._failed_at = None
-        self._answered_at = asked_at
+        self._note_answer_elsewhere(asked_at)
         self._listed_by_id = dict(listed_by_id)
         self._absent_by_id = {
             key: _Absence(item, ends_at) for key, (item, ends_at) in absent_by_id.items()
@@ -136,6 +128,10 @@
         """Note that another process read the same list at that time."""
         if self._answered_at is None or asked_at <= self._answered_at:
             return
+        self._note_answer_elsewhere(asked_at)
+
+    def _note_answer_elsewhere(self, asked_at: float) -> None:
+        """Note that the store answered another process; own failures before show nothing more."""
         self._answered_at = asked_at
         if self._failed_at is not None and self._failed_at <= asked_at:
             self._first_failed_at = self._failed_at = None
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -150,7 +150,7 @@
         for incarnation in list(self._blackboard.members_by_incarnation):
             key = f"{MEMBER_PREFIX}{incarnation}"
             is_own = self._own is not None and incarnation == self._own.incarnation
-            if not is_own and key not in kept and key not in self._absences.listed_keys:
+            if not is_own and key not in kept and key not in self._absences.listed_by_id:
                 del self._blackboard.members_by_incarnation[incarnation]
 
     def _show(self, entry: KvEntry) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -61,8 +61,8 @@
     configuration_read_at: float | None = None
     members_read_at: float | None = None
     store_reachable: bool = False
-    _by_vm_of: dict[str, Member] = field(default_factory=dict)
-    _members_by_vm: dict[str, Member] = field(default_factory=dict)
+    _by_vm_of: dict[str, Member] = field(default_factory=dict, init=False, repr=False)
+    _members_by_vm: dict[str, Member] = field(default_factory=dict, init=False, repr=False)
 
     @property
     def informed(self) -> bool:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -150,16 +150,17 @@
             except KvError as error:
                 known = False
                 note_failure(board, error)
-                urgent = board.reader or board.configuration_read_at is None
-                self._schedule.failed(urgent, self._clock.monotonic())
+                read_at, now = board.configuration_read_at, self._clock.monotonic()
+                self._schedule.failed(board.reader, read_at, now)
 
     def _pause_seconds(self, now: float) -> float:
         """Return how long not to read; zero when a reading is due."""
         board = self._blackboard
         read_at = board.configuration_read_at
-        if now < self._schedule.due_at(board.reader, read_at):
-            return self._schedule.pause_seconds(board.reader, read_at, now)
-        return UNTRIED_SECONDS if board.leaves_unread(read_at) else 0.0
+        pause = self._schedule.pause_seconds(board.reader, read_at, now)
+        if not pause and board.leaves_unread(read_at):
+            return UNTRIED_SECONDS
+        return pause
 
     async def _watch(self, asked_at: float) -> bool:
         """Wait for a change, and read it; tell whether there is a configuration."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/datagrams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/datagrams.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import functools
+import operator
 from collections.abc import Callable
 from typing import Any
 
@@ -36,7 +38,7 @@
     def handle(self, kind: type[msgspec.Struct], handler: Handler) -> None:
         """Hand messages of a type to a handler from now on."""
         self._handlers_by_type[kind] = handler
-        union = _union(list(self._handlers_by_type))
+        union = functools.reduce(operator.or_, self._handlers_by_type)
         self._decoder = msgspec.msgpack.Decoder(union)
 
     async def start(self) -> None:
@@ -93,11 +95,3 @@
     def error_received(self, exc: OSError) -> None:
         """Note that some datagram was not delivered; silence shows who is gone."""
         log.success("datagram.undelivered", error=str(exc))
-
-
-def _union(kinds: list[type]) -> Any:
-    """Return the union of some types."""
-    union: Any = kinds[0]
-    for kind in kinds[1:]:
-        union = union | kind
-    return union
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/duties.py
@@ -20,7 +20,7 @@
 copies are equally old don't all call at once: the first to read hands its copy on."""
 FIRST_JITTER_SHARE = 1.0
 """The same after the first reading, when the gateways that started together don't yet hear of each
-other; none of them is in touch before its second reading."""
+other; the platform's bounds apply to none of them before its second reading."""
 INTERVAL_SHARE = 0.35
 """Part of its bound after which a designated reader reads a list again: three readers make one
 reading in an eighth of the bound."""
@@ -82,19 +82,20 @@
         self._began_at = now
         self._jitter_seconds = self._draw_jitter(share)
 
-    def failed(self, urgent: bool, now: float) -> None:
+    def failed(self, reader: bool, asked_at: float | None, now: float) -> None:
         """Note that a reading failed, and draw the pause.
 
-        :param urgent: whether this gateway is a designated reader, or has no copy at all: after all
-            gateways were ended together none served for four seconds when those without a copy
-            paused like the others.
+        Without a copy it is that of a designated reader: after all gateways were ended together,
+        none served for four seconds when it was that of the others.
         """
-        pause = RETRY_SECONDS if urgent else self._random.uniform(*LONE_RETRY_SECONDS)
-        self.wait(pause, now)
+        urgent = reader or asked_at is None
+        self.wait(RETRY_SECONDS if urgent else self._random.uniform(*LONE_RETRY_SECONDS), now)
 
     def pause_seconds(self, reader: bool, asked_at: float | None, now: float) -> float:
-        """Return how long to wait until it is worth looking again."""
+        """Return how long to wait until it is worth looking again; zero when a reading is due."""
         left = self.due_at(reader, asked_at) - now
+        if left <= 0:
+            return 0.0
         return min(LONGEST_PAUSE_SECONDS, max(SOONEST_READ_SECONDS, left))
 
     def wait(self, seconds: float, now: float) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections import defaultdict
 
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock
@@ -29,6 +28,7 @@
 )
 from quinceferry_gateway.settings import BudgetSettings
 from quinceferry_gateway.shared_budgets import SharedBudgets
+from quinceferry_gateway.shared_draws import SharedDraw
 from quinceferry_gateway.store_health import note_answer, note_failure
 
 CHECK_SECONDS = 0.25
@@ -88,8 +88,7 @@
         self._random = source
         self._role = HolderRole(blackboard, clock, settings, self._random)
         self._drawing = asyncio.Lock()
-        self._wanted_by_workspace: defaultdict[str, int] = defaultdict(int)
-        self._next_draw: asyncio.Task[None] | None = None
+        self._shared_draw = SharedDraw(lambda: self.spawn(self._draw_wanted(), "draw for requests"))
         self._written_at = float("-inf")
         self._draw_seconds = 0.0
         self._ended_early: dict[str, float] = {}
@@ -117,8 +116,10 @@
         if account is None or self._closed or reservation in self._ended_early:
             return ReserveReply(0, self._left_at_most(workspace), 0, self._may_draw(workspace))
         reserved = account.reserve(reservation, tokens)
-        left, available = self._left_at_most(workspace), account.available
-        return ReserveReply(reserved, left, available, self._may_draw(workspace))
+        # Whether it could draw matters only to a request that still lacks tokens; worked out for
+        # each, a reservation took 0.08 ms among 195 gateways and 40 workspaces instead of 0.003 ms.
+        draws = reserved < tokens and self._may_draw(workspace)
+        return ReserveReply(reserved, self._left_at_most(workspace), account.available, draws)
 
     async def serve(self, asked: ReserveRequest) -> ReserveReply:
         """Set tokens aside for a request of any gateway, drawing what is missing if it says so."""
@@ -134,25 +135,11 @@
         try:
             async with asyncio.timeout(DRAW_WAIT_SECONDS):
                 while self._lacks(workspace, tokens) and self._may_draw(workspace):
-                    await self._join_draw(workspace, tokens)
+                    await self._shared_draw.join(workspace, tokens)
         except TimeoutError:
             log.failure("allotments.not_in_time", workspace=workspace, tokens=tokens)
         return not self._lacks(workspace, tokens)
 
-    async def _join_draw(self, workspace: str, tokens: int) -> None:
-        """Take part in the next draw for requests.
-
-        One draw serves all that wait. With one for each, of five requests for 1,700 tokens that
-        came together at a workspace with 9,000 the last got 1,418 in time.
-        """
-        self._wanted_by_workspace[workspace] += tokens
-        try:
-            if self._next_draw is None or self._next_draw.done():
-                self._next_draw = self.spawn(self._draw_wanted(), "draw for requests")
-            await asyncio.wait((self._next_draw,))
-        finally:
-            self._wanted_by_workspace[workspace] -= tokens
-
     async def _draw_wanted(self) -> None:
         """Draw so that what requests wait for is available, whatever this holder's part is."""
         pause = self._written_at + DRAW_PAUSE_SECONDS - self._clock.monotonic()
@@ -171,7 +158,7 @@
             return False
         if self._draw_seconds > DRAW_WAIT_SECONDS:
             return False
-        drawable = self._drawable().get(workspace, 0)
+        drawable = self._drawable_in(workspace)
         budget = self._shared.of(workspace)
         return not self._shared.known or budget.undrawn(drawable) > 0
 
@@ -249,7 +236,7 @@
         would be asked again and again to come back for tokens that nobody can give.
         """
         budget = self._shared.of(workspace)
-        drawable = self._drawable().get(workspace, 0)
+        drawable = self._drawable_in(workspace)
         if self._shared.age_seconds > CURRENT_SECONDS or not self._blackboard.store_reachable:
             return drawable - budget.spent
         holders = [key for key in budget.allotments_by_holder if not self._blackboard.ended(key)]
@@ -310,19 +297,28 @@
             return False
         if parts and not self._shared.known:
             return True
-        return any(self._off_target(name, parts) for name in self._drawable())
+        drawables = self._drawable().items()
+        return any(self._off_target(name, drawable, parts) for name, drawable in drawables)
 
     def _drawable(self) -> dict[str, int]:
-        """Return the tokens of each workspace that may be drawn, which leaves out the margin."""
+        """Return the tokens of each workspace that may be drawn."""
         configuration = self._blackboard.configuration
         if configuration is None:
             return {}
         return {
-            name: int((1 - self._settings.margin_share) * workspace.prepaid_tokens)
+            name: self._drawable_in(name)
             for name, workspace in configuration.workspaces_by_name.items()
             if workspace.prepaid_tokens is not None
         }
 
+    def _drawable_in(self, workspace: str) -> int:
+        """Return the tokens of one workspace that may be drawn, which leaves out the margin."""
+        configuration = self._blackboard.configuration
+        found = configuration.workspaces_by_name.get(workspace) if configuration else None
+        if found is None or found.prepaid_tokens is None:
+            return 0
+        return int((1 - self._settings.margin_share) * found.prepaid_tokens)
+
     def _target(self, budget: WorkspaceBudget, drawable: int, parts: int) -> int:
         """Return the tokens that this gateway should have available in a workspace."""
         if not parts:
@@ -330,10 +326,9 @@
         left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
         return self._policy.target(left, parts)
 
-    def _off_target(self, workspace: str, parts: int) -> bool:
+    def _off_target(self, workspace: str, drawable: int, parts: int) -> bool:
         """Tell whether a workspace's allotment should change."""
         budget = self._shared.of(workspace)
-        drawable = self._drawable()[workspace]
         account = self._accounts_by_workspace.get(workspace, Account())
         if account.inherited_by_holder:
             return True
@@ -389,7 +384,7 @@
         for name, drawable in self._drawable().items():
             budget = self._shared.of(name)
             account = self._accounts_by_workspace.setdefault(name, Account())
-            target = max(self._target(budget, drawable, parts), self._wanted_by_workspace[name])
+            target = max(self._target(budget, drawable, parts), self._shared_draw.wanted(name))
             drawn_by_workspace[name] = update_allotment(
                 budget, self._own, account, budget.undrawn(drawable), target
             )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -232,9 +232,9 @@
         try:
             found = await self._source.snapshot(MEMBER_PREFIX)
         except KvError as error:
-            note_failure(self._blackboard, error)
-            urgent = self._blackboard.reader or self._blackboard.members_read_at is None
-            self._schedule.failed(urgent, self._clock.monotonic())
+            board, now = self._blackboard, self._clock.monotonic()
+            note_failure(board, error)
+            self._schedule.failed(board.reader, board.members_read_at, now)
             return
         note_answer(self._blackboard)
         if found.revision >= self._revision:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -107,50 +107,39 @@
         self, peer: Member, request: ReserveRequest, timeout_seconds: float
     ) -> ReserveReply:
         """Ask a holder to set tokens aside."""
-        body = await self._ask(peer, RESERVE, request, timeout_seconds)
-        return _decoded(body, ReserveReply, RESERVE, peer)
+        return await self._ask(peer, RESERVE, request, ReserveReply, timeout_seconds)
 
     async def settle(self, peer: Member, request: SettleRequest, timeout_seconds: float) -> None:
         """Tell a holder what requests really used."""
-        body = await self._ask(peer, SETTLE, request, timeout_seconds)
-        _decoded(body, Acknowledged, SETTLE, peer)
-
-    async def _ask(
-        self, peer: Member, kind: str, request: msgspec.Struct, timeout_seconds: float
-    ) -> bytes:
-        """Make a call by datagram.
-
-        :raises PeerError: no answer came.
-        """
-        body = msgspec.msgpack.encode(request)
-        try:
-            return await self._calls.call(peer.peer_address, kind, body, timeout_seconds)
-        except CallTimeoutError as error:
-            raise PeerError(str(error), step=kind, peer=peer.incarnation, sent=True) from error
+        await self._ask(peer, SETTLE, request, Acknowledged, timeout_seconds)
 
     async def inherit(self, peer: Member, request: InheritRequest, timeout_seconds: float) -> None:
         """Pass tokens on to a peer."""
-        await self._call(peer, b"POST", b"/inherit", request, Acknowledged, timeout_seconds)
+        step = "/inherit"
+        body = await self._fetch(peer, b"POST", step.encode(), request, timeout_seconds)
+        try:
+            msgspec.json.decode(body, type=Acknowledged)
+        except msgspec.DecodeError as error:
+            raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
 
-    async def _call(
+    async def _ask(
         self,
         peer: Member,
-        method: bytes,
-        target: bytes,
-        message: msgspec.Struct | None,
+        kind: str,
+        request: msgspec.Struct,
         reply_type: type[T],
         timeout_seconds: float,
     ) -> T:
-        """Exchange one message.
+        """Make a call by datagram.
 
         :raises PeerError: there was no answer, or not the expected one.
         """
-        body = await self._fetch(peer, method, target, message, timeout_seconds)
+        body = msgspec.msgpack.encode(request)
         try:
-            return msgspec.json.decode(body, type=reply_type)
-        except msgspec.DecodeError as error:
-            step = target.decode()
-            raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
+            reply = await self._calls.call(peer.peer_address, kind, body, timeout_seconds)
+            return msgspec.msgpack.decode(reply, type=reply_type)
+        except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise PeerError(str(error), step=kind, peer=peer.incarnation, sent=True) from error
 
     async def _fetch(
         self,
@@ -187,14 +176,3 @@
             raise PeerError(detail, step=step, peer=peer.incarnation, sent=True)
         self._metrics.peer_messages(step, "received", 1, len(reply.body))
         return reply.body
-
-
-def _decoded(body: bytes, kind: type[T], step: str, peer: Member) -> T:
-    """Return the answer to a call by datagram.
-
-    :raises PeerError: it has not the expected form.
-    """
-    try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -135,21 +135,16 @@
         board = self._blackboard
         while True:
             now = self._clock.monotonic()
-            if now >= self._due_at():
+            pause = self._schedule.pause_seconds(board.reader, board.upstreams_read_at, now)
+            if not pause:
                 await self._read(now)
                 continue
             next_end = None if self._absences.failing else self._absences.next_end
             if next_end is not None and next_end <= now:
                 self._publish(board.upstreams_revision, board.upstreams_read_at, now)
-            pause = self._schedule.pause_seconds(board.reader, board.upstreams_read_at, now)
             left = pause if next_end is None else max(SOONEST_READ_SECONDS, next_end - now)
             await self._clock.sleep(min(pause, left))
 
-    def _due_at(self) -> float:
-        """Return when to read next."""
-        board = self._blackboard
-        return self._schedule.due_at(board.reader, board.upstreams_read_at)
-
     async def _read(self, asked_at: float) -> None:
         """Read the list."""
         self._schedule.began(asked_at)
@@ -157,9 +152,9 @@
             listed = await self._source.upstreams()
         except KvError as error:
             self._absences.failed(asked_at)
-            note_failure(self._blackboard, error)
-            urgent = self._blackboard.reader or self._blackboard.upstreams_read_at is None
-            self._schedule.failed(urgent, self._clock.monotonic())
+            board, now = self._blackboard, self._clock.monotonic()
+            note_failure(board, error)
+            self._schedule.failed(board.reader, board.upstreams_read_at, now)
         else:
             note_answer(self._blackboard)
             self._take(listed, asked_at)
