Tell crashes of upstreams from broken connections, and name the content they had

Callers saw upstreams end one after the other, and the logs could not tell whether one request was behind it: a crash looked like any connection that broke, and the tries of one caller had nothing in common.

A gateway whose connection an upstream closes in the middle now looks whether anybody still listens there. If not, it logs upstream.crashed with the request, how far that had come, and a fingerprint of its content, which attempt.unknown bears as well; quinceferry_gateway_upstream_crashes_total counts such upstreams.

Two scenarios, of a connection that breaks alone and of one that a crash ends.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -11,6 +11,7 @@
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.configuration_reader import ConfigurationReader
+from quinceferry_gateway.crashes import CrashWatch
 from quinceferry_gateway.decisions import Beliefs, Placer
 from quinceferry_gateway.exchanges import Exchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
@@ -101,6 +102,7 @@
         copies = Copies(lists_by_kind, peers, clock, self._gossip.renewed)
         self._gossip.use(copies)
         serve_tokens(calls, self.holder)
+        crashes = CrashWatch(http, metrics)
         self._controllers = [
             port,
             calls,
@@ -112,11 +114,20 @@
             self._registration,
             self.holder,
             self.reservations,
+            crashes,
         ]
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
         exchanges = Exchanges(dialect, http, clock, metrics)
         relay = Relay(
-            board, beliefs, placer, teller, dialect, exchanges, clock, self._retry_budgets()
+            board,
+            beliefs,
+            placer,
+            teller,
+            dialect,
+            exchanges,
+            clock,
+            self._retry_budgets(),
+            crashes,
         )
         self.caller_api = CallerApi(
             board, dialect, self.reservations, relay, metrics, clock, random.Random()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -8,6 +8,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Collection
+from enum import IntEnum
 
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.kept_parts import KeptParts
@@ -89,18 +90,37 @@
         return max(self.in_flight, load.running + load.waiting + self.sent_since_load)
 
 
+class RunStage(IntEnum):
+    """How far a request is known to have come at an upstream."""
+
+    SENT = 0
+    BEGUN = 1
+    PRODUCING = 2
+
+
 class Attempt:
     """One request at an upstream, from its sending to its end.
 
-    ``unread_tokens`` are the prompt tokens that the upstream has to read, as far as known.
+    ``unread_tokens`` are the prompt tokens that the upstream has to read, as far as known;
+    ``stage`` is how far the request is known to have come there.
     """
 
-    __slots__ = ("_alone", "_belief", "_expected", "_number", "_rates", "_sent_at", "unread_tokens")
+    __slots__ = (
+        "_alone",
+        "_belief",
+        "_expected",
+        "_number",
+        "_rates",
+        "_sent_at",
+        "stage",
+        "unread_tokens",
+    )
 
     def __init__(self, belief: Belief, rates: ReadingRates, tokens: int, now: float) -> None:
         self._belief = belief
         self._rates = rates
         self.unread_tokens = tokens
+        self.stage = RunStage.SENT
         self._sent_at = now
         backlog, reading = belief.reading.backlog_seconds(now), rates.seconds(tokens)
         self._alone = backlog < ALONE_SECONDS
@@ -109,8 +129,13 @@
         belief.in_flight += 1
         belief.sent_since_load += 1
 
+    def accepted(self) -> None:
+        """Note that the upstream works on the request."""
+        self.stage = RunStage.BEGUN
+
     def began(self, now: float) -> None:
         """Note the first event: the prompt was read."""
+        self.stage = RunStage.PRODUCING
         if not self._number:
             return
         seconds = now - self._sent_at
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exceptions.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exceptions.py
@@ -34,5 +34,9 @@
     """The connection failed or fell silent after bytes may have left."""
 
 
+class PeerClosedError(ConnectionBrokenError):
+    """The other side closed or reset the connection in the middle of an exchange."""
+
+
 class ForeignAnswerError(ConnectionBrokenError):
     """The answer on the connection belongs to another request."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -60,6 +60,7 @@
                 raise ForeignAnswerError("answer to another request", peer=upstream.address)
             if head.status < FIRST_ERROR and not head.genuine:
                 raise ConnectionBrokenError("answer without its mark", peer=upstream.address)
+            attempt.accepted()
             if progress.route.kind is RouteKind.STREAM and head.status == OK:
                 return await self._pass_events(progress, head, reply, attempt)
             body = await _whole_body(reply, upstream.address)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -72,6 +72,10 @@
             "quinceferry_gateway_late_streams",
             description="Streams beyond the objective of their route, or with too long a pause",
         )
+        self._crashes = meter.create_counter(
+            "quinceferry_gateway_upstream_crashes",
+            description="Upstreams that ended while they worked on requests",
+        )
         self._prompt_tokens = meter.create_counter(
             "quinceferry_gateway_prompt_tokens",
             description="Prompt tokens sent to upstreams, and those believed to be read there",
@@ -99,6 +103,10 @@
         if route.pause_seconds and pace.longest_pause_seconds > route.pause_seconds:
             self._late_streams.add(1, {**labels, "cause": "pause"})
 
+    def upstream_crashed(self, service: str) -> None:
+        """Count an upstream that ended while it worked on requests of this gateway."""
+        self._crashes.add(1, {"service": self._label(service)})
+
     def prompt_sent(self, route: str, tokens: int, unread_tokens: int) -> None:
         """Count the tokens of a prompt that goes to an upstream."""
         label = self._label(route)
@@ -133,6 +141,14 @@
             description="Time since the list of upstreams was last read",
         )
 
+    def observe_quarantine(self, held: Callable[[], int]) -> None:
+        """Serve from now on how many contents are in quarantine."""
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_quarantined_contents",
+            callbacks=[lambda _: [Observation(held())]],
+            description="Contents of requests that are not run, since they crashed upstreams",
+        )
+
     def exposition(self) -> bytes:
         """Return all series in the text format that scrapers read."""
         return generate_latest(self._registry)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -7,6 +7,7 @@
 from quinceferry_gateway.catalog import AnswerHead, Call, Route, Workspace
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
+from quinceferry_gateway.fingerprints import fingerprint_of
 
 SendHead = Callable[[AnswerHead], Awaitable[None]]
 SendBytes = Callable[[bytes], Awaitable[None]]
@@ -47,6 +48,15 @@
     may_have_run: bool = False
     last_failure: Whole | None = None
     last_detail: str = ""
+    _fingerprint: str = field(default="", init=False, repr=False)
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what tells the request's content from others; worked out when first asked for."""
+        if not self._fingerprint:
+            workspace = self.workspace.name if self.workspace else ""
+            self._fingerprint = fingerprint_of(self.call, workspace)
+        return self._fingerprint
 
     @property
     def workspace_name(self) -> str:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -15,11 +15,13 @@
 )
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
+from quinceferry_gateway.crashes import CrashWatch
 from quinceferry_gateway.decisions import Attempt, Beliefs, Placement, Placer
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     ForeignAnswerError,
     NotSentError,
+    PeerClosedError,
 )
 from quinceferry_gateway.exchanges import EVENT_SILENCE_SECONDS, Exchanges
 from quinceferry_gateway.interfaces import Dialect
@@ -42,6 +44,7 @@
 
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
+    :param crashes: is told of connections that upstreams closed.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         exchanges: Exchanges,
         clock: Clock,
         retry_budget: Callable[[str], RetryBudget],
+        crashes: CrashWatch,
     ) -> None:
         self._blackboard = blackboard
         self._beliefs = beliefs
@@ -63,6 +67,7 @@
         self._exchanges = exchanges
         self._clock = clock
         self._retry_budget = retry_budget
+        self._crashes = crashes
 
     async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
         """Attempt a request until it is answered or must be given up."""
@@ -180,6 +185,10 @@
             return NotRun(str(error), sent=False)
         except ForeignAnswerError as error:
             return Unknown(str(error))
+        except PeerClosedError as error:
+            attempt.failed(self._clock.monotonic())
+            await self._crashes.closed(progress, upstream, attempt.stage)
+            return Unknown(str(error))
         except ConnectionBrokenError as error:
             attempt.failed(self._clock.monotonic())
             return Unknown(str(error))
@@ -261,7 +270,10 @@
                 log.failure("attempt.not_run", sent=sent, detail=detail, **fields)
             case Unknown(detail):
                 events = progress.stream.buffer.count
-                log.failure("attempt.unknown", detail=detail, events=events, **fields)
+                content = progress.fingerprint
+                log.failure(
+                    "attempt.unknown", detail=detail, events=events, content=content, **fields
+                )
             case Whole(head, _):
                 log.success("attempt.answered", status=head.status, **fields)
             case Streamed(events):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -14,7 +14,11 @@
 
 from quinceferry_core.exceptions import QuinceferryError
 from quinceferry_gateway.addresses import host_and_port
-from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_gateway.exceptions import (
+    ConnectionBrokenError,
+    NotSentError,
+    PeerClosedError,
+)
 from quinceferry_gateway.interfaces import Headers
 
 CONNECT_SECONDS = 0.7
@@ -113,6 +117,17 @@
         finally:
             await connection.aclose()
 
+    async def listens(self, address: str, timeout_seconds: float) -> bool:
+        """Tell whether anybody takes connections at an address; nothing is sent there."""
+        host, port = host_and_port(address)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                _, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def fetch(
         self,
         address: str,
@@ -139,4 +154,6 @@
 
 def _broken(error: Exception, step: str, peer: str) -> QuinceferryError:
     """Return the error of a connection that failed in use."""
-    return ConnectionBrokenError(repr(error), step=step, peer=peer)
+    if isinstance(error, httpcore.TimeoutException):
+        return ConnectionBrokenError(repr(error), step=step, peer=peer)
+    return PeerClosedError(repr(error), step=step, peer=peer)
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -75,12 +75,17 @@
 
 @dataclass(slots=True)
 class ManagedUpstream:
-    """One upstream; it plays its script, then answers with the last entry again and again."""
+    """One upstream; it plays its script, then answers with the last entry again and again.
+
+    It crashes when it begins a request with the fatal body: all its connections end, and it listens
+    no more.
+    """
 
     id: str
     script: deque[Behaviour] = field(default_factory=lambda: deque([Answered()]))
     seen: list[Seen] = field(default_factory=list)
     closed_by_peer: int = 0
+    fatal_body: bytes = b""
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -101,6 +106,17 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def crashed(self) -> bool:
+        """Tell whether it listens no more."""
+        return not self._server.is_serving()
+
+    def _crash(self) -> None:
+        """Stop listening and end all other connections."""
+        self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one request on a connection."""
         task = asyncio.current_task()
@@ -123,14 +139,22 @@
         behaviour = self.script.popleft() if len(self.script) > 1 else self.script[0]
         if seen.headers.get(b"x-quinceferry-expect-instance", b"").decode() != self.id:
             behaviour = Declined(421)
+        if self.fatal_body and seen.body == self.fatal_body and not isinstance(behaviour, Declined):
+            await _send(connection, writer, _stream_head(seen))
+            await asyncio.sleep(READ_SECONDS)
+            self._crash()
+            writer.transport.abort()
+            return
         play = asyncio.create_task(self._play(behaviour, seen, connection, writer))
         gone = asyncio.create_task(reader.read())
-        await asyncio.wait((play, gone), return_when=asyncio.FIRST_COMPLETED)
-        if not play.done():
-            self.closed_by_peer += 1
-        for task in (play, gone):
-            task.cancel()
-        await asyncio.gather(play, gone, return_exceptions=True)
+        try:
+            await asyncio.wait((play, gone), return_when=asyncio.FIRST_COMPLETED)
+            if not play.done():
+                self.closed_by_peer += 1
+        finally:
+            for task in (play, gone):
+                task.cancel()
+            await asyncio.gather(play, gone, return_exceptions=True)
         writer.close()
 
     async def _play(
@@ -218,9 +242,7 @@
     behaviour: Streaming, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
 ) -> None:
     """Send the events that the request does not have yet."""
-    headers = [*_own_headers(seen), (b"content-type", b"text/event-stream")]
-    headers.append((b"transfer-encoding", b"chunked"))
-    await _send(connection, writer, h11.Response(status_code=200, headers=headers))
+    await _send(connection, writer, _stream_head(seen))
     first = int(seen.headers.get(b"last-event-id", b"0")) + 1
     last = behaviour.events if behaviour.last is None else behaviour.last
     for number in range(first, last + 1):
@@ -240,6 +262,13 @@
             _reset(writer)
 
 
+def _stream_head(seen: Seen) -> h11.Response:
+    """Return the head of a stream of events."""
+    headers = [*_own_headers(seen), (b"content-type", b"text/event-stream")]
+    headers.append((b"transfer-encoding", b"chunked"))
+    return h11.Response(status_code=200, headers=headers)
+
+
 def event_bytes(number: int) -> bytes:
     """Return one event as an upstream writes it."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
