Show a request that crashes every upstream it is sent to

Two scenarios that fail: one request, sent again by its caller to three gateways in turn, ends all of eight upstreams; the same on a route that may be resumed, where each try ends up to two. Callers of the service find no upstream then.

--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -18,3 +18,18 @@
     When gateway 1 gets "boom" on /ask/ 2 times
     Then the log names "upstream.crashed" 2 times
     And all of these lines name the same content
+
+  Scenario: A request that crashes its upstreams is run no more after the third
+    Given a fleet of 3 gateways before 8 upstreams of service llm
+    And "boom" crashes all upstreams of the fleet
+    When the gateways get "boom" on /ask/ in turn, 9 times
+    Then 3 upstreams of the fleet have crashed
+    And the last 6 were refused with 503, and told when to come back
+    And "hello" on /ask/ is answered at each gateway
+
+  Scenario: A resumable request that crashes its upstreams is run no more after the third
+    Given a fleet of 3 gateways before 8 upstreams of service llm
+    And "boom" crashes all upstreams of the fleet
+    When the gateways get "boom" on /draft/ in turn, 9 times
+    Then 3 upstreams of the fleet have crashed
+    And "hello" on /draft/ is answered at each gateway
