Refuse content that has crashed three upstreams, at all gateways

Callers of a whole service found their answers broken off and then no upstream at all for some seconds, several times. One request crashed every upstream that began to run it, and its caller sent it again with a new identifier each time. Nothing outlived a request that would have told the next one of the same content from any other: what a broken connection taught was kept of the upstream, and each gateway saw only its own connections.

After three upstreams the content is refused everywhere with 503 and the time at which it may run again, ten minutes later; the conclusion travels with the digests and is recorded in the store under a lease, for the case that all gateways end at once. A request that breaks off is not sent to another upstream when one more crash would be conclusive.

Why it holds: each gateway has the evidence of all, whoever sent the request; whoever lacks some takes the conclusion from any other within a digest; who starts later reads the record.

In simulated fleets of up to 195 gateways that lose 5% of their messages, all refuse the content within the three to five seconds that are allowed, also those that start, were cut off, or all start together. One conclusion costs at most four writes.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -7,15 +7,19 @@
 import msgspec
 
 from quinceferry_core.adapters import KvEntry
-from quinceferry_core.exceptions import KvUnavailableError
+from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
+from quinceferry_core.quarantine import Quarantine
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.catalog import Configuration, Upstream, UpstreamList
 from quinceferry_gateway.configuration_reader import ConfigurationReader
+from quinceferry_gateway.crashes import CrashWatch
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.interfaces import Snapshot
 from quinceferry_gateway.membership import MemberReader
+from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import PeerError
+from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
 
@@ -144,11 +148,41 @@
         await self._call("list")
         return Snapshot(self._world.revision, list(self._world.registrations_by_key.values()))
 
+    async def list(self, prefix):
+        """Return the records of other parts."""
+        await self._call("list")
+        records = self._world.records_by_key
+        return [KvEntry(key, records[key], 1) for key in sorted(records) if key.startswith(prefix)]
+
+    async def grant_lease(self, seconds):
+        """Create a lease."""
+        await self._call("grant_lease")
+        return "lease"
+
+    async def revoke_lease(self, lease):
+        """End a lease that holds nothing."""
+        await self._call("revoke_lease")
+
+    async def put_if(self, key, value, expected_version, lease):
+        """Write a record that does not exist yet."""
+        await self._call("put_if")
+        if key in self._world.records_by_key:
+            raise KvConflictError("there", step="put_if")
+        self._world.records_by_key[key] = value
+
     def decode_configuration(self, document):
         """Return a configuration."""
         return Configuration(int(document), {}, {})
 
 
+class Deserted:
+    """Connections to addresses at which nobody listens."""
+
+    async def listens(self, address, timeout_seconds):
+        """Tell that nobody listens there."""
+        return False
+
+
 class Node:
     """What one gateway knows of the fleet."""
 
@@ -173,8 +207,12 @@
         lists_by_kind = {"configuration": configuration, "upstreams": upstreams, "members": members}
         peers = Peers(world.network, address)
         self.copies = Copies(lists_by_kind, peers, clock, self.gossip.renewed)
-        self.gossip.use(self.copies)
+        quarantine = Quarantine(crashes=3, hold_seconds=600.0)
+        self.crashes = CrashWatch(board, quarantine, Deserted(), self.port, clock, Metrics())
+        self.gossip.use(self.copies, self.crashes)
+        records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
+        self._controllers += [self.crashes, records]
         world.network.nodes_by_address[address] = self
 
     async def start(self):
@@ -211,6 +249,7 @@
         self.document = b"1"
         self.document_revision = 1
         self.registrations_by_key = {}
+        self.records_by_key = {}
         self.upstreams_by_id = {f"up-{n}": _upstream(f"up-{n}") for n in range(20)}
         self.nodes = [Node(self, number, "first") for number in range(count)]
 
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -1,7 +1,10 @@
 Feature: Requests that crash the upstreams that run them
-  One request ended every upstream that began to run it. Its caller sent it again and again, and the fleet
-  passed it on thirteen times in fourteen seconds, until no upstream was left and the requests of all
-  others were broken off or refused.
+  One request ended every upstream that began to run it. Its caller sent it again and again, each time with a
+  new identifier, and the fleet passed it on ten times after it had ended three: thirteen upstreams in fourteen
+  seconds, with up to 55 other requests on them, until all were away. What a broken connection taught was kept of
+  the upstream only, and each gateway saw only its own. Fourteen request.refused lines of six gateways settled it:
+  outcome_unknown, the same route and workspace, 1,028 tokens, at each of the thirteen; and one upstream ended 0.9 s
+  after its start with nothing but that request on it.
 
   Scenario: A connection that breaks alone is no crash
     Given a fleet of 1 gateway before 2 upstreams of service app
@@ -33,3 +36,53 @@
     When the gateways get "boom" on /draft/ in turn, 9 times
     Then 3 upstreams of the fleet have crashed
     And "hello" on /draft/ is answered at each gateway
+
+  Scenario Outline: All gateways know what three of them saw, before the request comes again
+    Given <count> gateways that know each other, losing <lost> of 100 digests, seed <seed>
+    When three gateways each see one crash under the same content
+    Then all gateways refuse it within <seconds> seconds
+
+    Examples:
+      | count | lost | seed | seconds |
+      | 3     | 5    | 101  | 3       |
+      | 9     | 5    | 102  | 3       |
+      | 9     | 30   | 103  | 3       |
+      | 83    | 5    | 104  | 4       |
+      | 195   | 5    | 105  | 5       |
+
+  Scenario: A gateway that starts learns what the others refuse
+    Given 9 gateways that know each other, losing 5 of 100 digests, seed 111
+    When three gateways each see one crash under the same content
+    And gateway 1 is killed and starts again
+    Then all gateways refuse it within 3 seconds
+
+  Scenario: Gateways that all start together know what was refused before
+    Given 9 gateways that know each other, losing 5 of 100 digests, seed 112
+    When three gateways each see one crash under the same content
+    And 1 second passes until all gateways are killed and start again
+    Then all gateways refuse it within 3 seconds
+
+  Scenario: What was concluded in an outage of the store is written when it is back
+    Given 9 gateways that know each other, losing 5 of 100 digests, seed 113
+    When the store is away for 4 seconds, and three gateways each see one crash meanwhile
+    And 1 second passes until all gateways are killed and start again
+    Then all gateways refuse it within 3 seconds
+
+  Scenario: Gateways that were cut off from the others learn what these refuse
+    Given 9 gateways that know each other, losing 5 of 100 digests, seed 114
+    When gateways 8 and 9 are cut off from the others
+    And three gateways each see one crash under the same content
+    And the cut is over
+    Then all gateways refuse it within 3 seconds
+
+  Scenario: An answer at one gateway clears the content at all
+    Given 9 gateways that know each other, losing 0 of 100 digests, seed 115
+    When two gateways each see one crash under the same content
+    And gateway 5 answers the same content
+    And two gateways each see one crash under the same content
+    Then no gateway refuses it after 2 seconds
+
+  Scenario: Few calls to the store are made for one conclusion
+    Given 195 gateways that know each other, losing 5 of 100 digests, seed 116
+    When three gateways each see one crash under the same content
+    Then the store holds one record of it after 2 seconds, written by at most 4 gateways
--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -1,14 +1,20 @@
 """Steps for requests that crash upstreams, on real gateways and stand-ins."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from features.fixtures_fleet import Node
 from features.fixtures_gateway import Scene, configuration, until
+from features.steps.gateway_fleet import cut_link, play
+from quinceferry_core.quarantine import RunStage
+from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.logs import log
 from quinceferry_standins.managed_upstream import Answered, Broken, Streaming
 
+TOLD_SECONDS = 2.0
+"""Time in which each gateway has told all others what it saw, and digests have gone around."""
 TOKENS = {"x_quinceferry_token_count": "100,40", "x_quinceferry_prompt_prefix": "a:60,b:40"}
-CONCLUDED_SECONDS = 3.0
-"""Time within which the platform wants a request that has crashed three upstreams to be known."""
 
 
 @given("a fleet of {count:d} gateway before {upstreams:d} upstreams of service {service}")
@@ -121,3 +127,130 @@
         assert found == [(status, True)] * count, found
     served = context.fleet.answers[-len(context.fleet.applications) :]
     assert all(item.status == 200 and item.whole for item in served), served
+
+
+class Coming:
+    """One request with the content that crashes upstreams, as far as a crash watch looks at it."""
+
+    fingerprint = "content-of-one-caller"
+    call = SimpleNamespace(request_id="r")
+
+
+def see_crash(context, world, node):
+    """Let a gateway see one more upstream crash under the content."""
+    context.seen = getattr(context, "seen", 0) + 1
+    upstream = Upstream(f"gone-{context.seen}", "llm", "10.0.1.9:80", "z", 4, False)
+    return node.crashes.closed(Coming, upstream, RunStage.BEGUN)
+
+
+async def see_crashes(context, world, count):
+    """Let some gateways see one crash each, a second apart."""
+    nodes = world.living[2:] if len(world.living) > 3 else world.living
+    for number, node in enumerate(nodes[:count]):
+        await world.clock.sleep(1.0 if number else 0.0)
+        await see_crash(context, world, node)
+
+
+@when("{count} gateways each see one crash under the same content")
+def when_see(context, count):
+    number = {"two": 2, "three": 3}[count]
+    context.acts.append(lambda world: see_crashes(context, world, number))
+
+
+@when("the store is away for {seconds:d} seconds, and three gateways each see one crash meanwhile")
+def when_see_in_outage(context, seconds):
+    async def see(world):
+        world.away = True
+        await see_crashes(context, world, 3)
+        await world.clock.sleep(seconds - 2)
+        world.away = False
+
+    context.acts.append(see)
+
+
+@when("gateway {number:d} is killed and starts again")
+def when_restarts(context, number):
+    async def restart(world):
+        await world.nodes[number - 1].stop()
+        world.nodes[number - 1] = node = Node(world, number - 1, "second")
+        await node.start()
+
+    context.acts.append(restart)
+
+
+@when("{seconds:d} second passes until all gateways are killed and start again")
+def when_all_restart(context, seconds):
+    async def restart(world):
+        await world.clock.sleep(seconds)
+        for node in world.nodes:
+            await node.stop()
+        world.nodes = [Node(world, number, "second") for number in range(len(world.nodes))]
+        await world.start()
+
+    context.acts.append(restart)
+
+
+@when("gateways {first:d} and {second:d} are cut off from the others")
+def when_cut(context, first, second):
+    async def cut(world):
+        for number in (first, second):
+            for other in world.nodes:
+                cut_link(world, world.nodes[number - 1], other)
+                cut_link(world, other, world.nodes[number - 1])
+
+    context.acts.append(cut)
+
+
+@when("the cut is over")
+def when_healed(context):
+    async def heal(world):
+        await world.clock.sleep(TOLD_SECONDS)
+        refusing = [node.vm for node in world.nodes if node.crashes.held_seconds(Coming)]
+        assert len(refusing) == len(world.nodes) - 2, refusing
+        world.network.cut.clear()
+
+    context.acts.append(heal)
+
+
+@when("gateway {number:d} answers the same content")
+def when_answers(context, number):
+    async def answer(world):
+        await world.clock.sleep(TOLD_SECONDS)
+        world.nodes[number - 1].crashes.completed(Coming)
+        await world.clock.sleep(TOLD_SECONDS)
+
+    context.acts.append(answer)
+
+
+@then("all gateways refuse it within {seconds:d} seconds")
+def then_all_refuse(context, seconds):
+    context.acts.append(
+        lambda world: world.seconds_until(lambda node: node.crashes.held_seconds(Coming), seconds)
+    )
+    play(context)
+
+
+@then("no gateway refuses it after {seconds:d} seconds")
+def then_none_refuses(context, seconds):
+    async def look(world):
+        await world.clock.sleep(seconds)
+        refusing = [node.vm for node in world.nodes if node.crashes.held_seconds(Coming)]
+        assert not refusing, refusing
+        assert all(node.crashes.may_repeat(Coming) is False for node in world.nodes)
+
+    context.acts.append(look)
+    play(context)
+
+
+@then(
+    "the store holds one record of it after {seconds:d} seconds, written by at most {most:d} "
+    "gateways"
+)
+def then_one_record(context, seconds, most):
+    async def look(world):
+        await world.clock.sleep(seconds)
+        assert list(world.records_by_key) == [f"quinceferry/quarantine/{Coming.fingerprint}"]
+        assert 1 <= world.calls["put_if"] <= most, world.calls
+
+    context.acts.append(look)
+    play(context)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -19,6 +19,7 @@
     BUDGET_UNTIL_STORE = "budget_until_store"
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
+    QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
     TIMED_OUT_UNSENT = "timed_out_unsent"
@@ -36,6 +37,7 @@
     Reason.BUDGET_UNTIL_STORE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
+    Reason.QUARANTINED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
     Reason.TIMED_OUT_UNSENT: 503,
@@ -57,11 +59,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Refusal:
-    """An answer that the gateway gives by itself."""
+    """An answer that the gateway gives by itself.
+
+    ``retry_seconds`` is when it is worth asking again, where that is known of the single request.
+    """
 
     reason: Reason
     detail: str = ""
     status: int = 0
+    retry_seconds: float | None = None
 
     @property
     def http_status(self) -> int:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -8,6 +8,7 @@
 
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock, suspended_seconds
+from quinceferry_core.quarantine import Quarantine
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.configuration_reader import ConfigurationReader
@@ -26,6 +27,7 @@
 from quinceferry_gateway.membership import MemberReader, Registration
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import PeerClient, PeerError
+from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservations
 from quinceferry_gateway.retries import RetryBudget
@@ -100,9 +102,10 @@
         self._gossip = Gossip(board, members, port, clock, draws, suspended_seconds)
         lists_by_kind = {"configuration": configuration, "upstreams": upstreams, "members": members}
         copies = Copies(lists_by_kind, peers, clock, self._gossip.renewed)
-        self._gossip.use(copies)
+        quarantine = Quarantine(settings.quarantine.crashes, settings.quarantine.hold_seconds)
+        crashes = CrashWatch(board, quarantine, http, port, clock, metrics)
+        self._gossip.use(copies, crashes)
         serve_tokens(calls, self.holder)
-        crashes = CrashWatch(http, metrics)
         self._controllers = [
             port,
             calls,
@@ -115,6 +118,7 @@
             self.holder,
             self.reservations,
             crashes,
+            QuarantineRecords(board, store, clock, crashes),
         ]
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
         exchanges = Exchanges(dialect, http, clock, metrics)
@@ -130,7 +134,7 @@
             crashes,
         )
         self.caller_api = CallerApi(
-            board, dialect, self.reservations, relay, metrics, clock, random.Random()
+            board, dialect, self.reservations, relay, metrics, clock, random.Random(), crashes
         )
         self._callers = HttpListener(
             self.caller_api, settings.listen.callers, PEER_IDLE_SECONDS * 3
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -21,6 +21,7 @@
     Route,
     Workspace,
 )
+from quinceferry_gateway.crashes import CrashWatch, quarantine_refusal
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
@@ -106,6 +107,7 @@
     """ASGI application that takes the requests of callers.
 
     :param source: draws the service of a split route and spreads times to come back.
+    :param crashes: knows which content must not run.
     """
 
     def __init__(
@@ -117,7 +119,9 @@
         metrics: Metrics,
         clock: Clock,
         source: random.Random,
+        crashes: CrashWatch,
     ) -> None:
+        self._crashes = crashes
         self._blackboard = blackboard
         self._dialect = dialect
         self._reservations = reservations
@@ -200,7 +204,9 @@
         workspace = configuration.workspaces_by_key.get(call.credential)
         if workspace is None and configuration.workspaces_by_key and not route.anonymous:
             return Refusal(Reason.UNKNOWN_KEY, f"version {configuration.version}")
-        return self._progress(exchange, call, route, workspace, started_at)
+        progress = self._progress(exchange, call, route, workspace, started_at)
+        held_seconds = self._crashes.held_seconds(progress)
+        return quarantine_refusal(progress, held_seconds) if held_seconds else progress
 
     def _progress(
         self,
@@ -339,7 +345,9 @@
             tokens=self._used(progress) if progress else 0,
             seconds=round(seconds, 4),
         )
-        retry_after = RETRY_SECONDS_BY_REASON.get(refusal.reason)
+        retry_after = refusal.retry_seconds
+        if retry_after is None:
+            retry_after = RETRY_SECONDS_BY_REASON.get(refusal.reason)
         if retry_after is not None:
             retry_after *= 1 + _SPREAD * self._random.random()
         headers = self._dialect.refusal_headers(request_id, retry_after)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -1,10 +1,22 @@
-"""Finds out which upstreams crashed, and which requests they had then."""
+"""Finds out which upstreams crashed under which requests, and keeps the fleet from crashing more.
+
+Each gateway sees the connections that break, and only its own. It tells all peers which requests an
+upstream had when it crashed, so that every gateway has the evidence of the whole fleet; what one of
+them concludes travels on with the digests.
+"""
 
 import asyncio
+from collections.abc import Callable
+
+import msgspec
 
+from quinceferry_core.clocks import Clock
+from quinceferry_core.quarantine import SETTLE_SECONDS, Quarantine, RunStage
+from quinceferry_gateway.answers import Reason, Refusal
+from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.controllers import Controller
-from quinceferry_gateway.decisions import RunStage
+from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
@@ -13,19 +25,97 @@
 LISTEN_CHECK_SECONDS = 0.3
 """Longest wait for a connection to an upstream that may have crashed: a refusal comes within a
 round trip, and one lost packet takes some 200 ms. The request's own next attempt waits for it."""
+MAX_NAME_CHARACTERS = 200
+"""Longest name of a content or lifetime that is believed."""
 MAX_ENDED = 256
 """Lifetimes of upstreams that are remembered as ended."""
 
+Concluded = Callable[[str, float, bool], None]
+"""Takes a content that this gateway put into quarantine, for how many seconds, and whether on
+evidence of its own."""
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
+    """An upstream crashed while it had a request; ``lifetime`` names one start of it."""
+
+    lifetime: str
+    content: str
+    stage: RunStage
+
+
+class CompletionReport(msgspec.Struct, frozen=True, array_like=True, tag="completed"):
+    """Content that was under suspicion has been answered."""
+
+    content: str
+
+
+def quarantine_refusal(progress: Progress, held_seconds: float) -> Refusal:
+    """Return the answer to a request whose content is in quarantine; it has not run.
+
+    The status promises just that, and says when the content may run again. One that blames the
+    caller's request for good would be wrong for a bystander, and once the upstreams are mended.
+    """
+    detail = f"content {progress.fingerprint} crashed upstreams"
+    return Refusal(Reason.QUARANTINED, detail, retry_seconds=held_seconds)
+
 
 class CrashWatch(Controller):
-    """Tells crashes of upstreams from connections that broke alone."""
+    """Collects evidence of crashes, shares it, and tells which content is in quarantine.
+
+    ``concluded`` is called when evidence puts content into quarantine, ``renewed`` when anything
+    does, word of a peer included.
+
+    :param quarantine: the decision; this controller feeds it.
+    """
 
-    def __init__(self, http: HttpClient, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        quarantine: Quarantine,
+        http: HttpClient,
+        port: DatagramPort,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
         super().__init__()
+        self._blackboard = blackboard
+        self._quarantine = quarantine
         self._http = http
+        self._port = port
+        self._clock = clock
         self._metrics = metrics
         self._checks_by_lifetime: dict[str, asyncio.Task[None]] = {}
         self._ended_lifetimes: dict[str, None] = {}
+        self._settling: set[str] = set()
+        self.concluded: Concluded = lambda content, seconds, by_own_evidence: None
+        self.renewed: Callable[[], None] = lambda: None
+        metrics.observe_quarantine(lambda: len(self.held()))
+        port.handle(CrashReport, self._take_report)
+        port.handle(CompletionReport, self._take_completion)
+
+    def held_seconds(self, progress: Progress) -> float:
+        """Return how long a request's content stays in quarantine, zero if it may run."""
+        if self._quarantine.empty:
+            return 0.0
+        return self._quarantine.held_seconds(progress.fingerprint, self._clock.monotonic())
+
+    def may_repeat(self, progress: Progress) -> bool:
+        """Tell whether a request may go to another upstream after one broke off.
+
+        Content that has crashed all but one of the upstreams that it takes to be sure does not: if
+        it is the cause, it costs all that run there, and if not, its caller can ask again.
+        """
+        now = self._clock.monotonic()
+        return self._quarantine.empty or not self._quarantine.next_concludes(
+            progress.fingerprint, now
+        )
+
+    def completed(self, progress: Progress) -> None:
+        """Note that a request was answered by an upstream that works on."""
+        if self._quarantine.empty or not self._quarantine.suspected(progress.fingerprint):
+            return
+        self._take_completion(CompletionReport(progress.fingerprint), "own")
+        self._tell(CompletionReport(progress.fingerprint))
 
     async def closed(self, progress: Progress, upstream: Upstream, stage: RunStage) -> None:
         """Take that an upstream closed the connection of a request in the middle.
@@ -36,11 +126,33 @@
         work = self.spawn(self._judge(progress, upstream, stage), "crash")
         await asyncio.shield(work)
 
+    def hold(self, seconds_by_content: dict[str, float], origin: str) -> None:
+        """Take from a peer or the store what is in quarantine."""
+        now = self._clock.monotonic()
+        news = [
+            content
+            for content, seconds in seconds_by_content.items()
+            if len(content) <= MAX_NAME_CHARACTERS and self._quarantine.hold(content, seconds, now)
+        ]
+        for content in news:
+            self._log_hold(content, origin)
+        if news:
+            self.renewed()
+
+    def held(self) -> dict[str, int]:
+        """Return what is in quarantine and for how many whole seconds, for a digest.
+
+        Rounded down, so that two gateways which hand it to each other come to its end.
+        """
+        seconds_by_content = self._quarantine.held(self._clock.monotonic())
+        return {content: int(left) for content, left in seconds_by_content.items() if left >= 1}
+
     async def _judge(self, progress: Progress, upstream: Upstream, stage: RunStage) -> None:
-        """Find out whether an upstream crashed, and log which request it had."""
+        """Find out whether an upstream crashed, and note and tell which request it had."""
         lifetime = f"{upstream.id}@{upstream.started_at}"
         if not await self._has_ended(lifetime, upstream):
             return
+        report = CrashReport(lifetime, progress.fingerprint, stage)
         log.change(
             "upstream.crashed",
             upstream=upstream.id,
@@ -48,6 +160,8 @@
             content=progress.fingerprint,
             stage=stage.name.lower(),
         )
+        self._tell(report)
+        self._take(report, "own", by_own_evidence=True)
 
     async def _has_ended(self, lifetime: str, upstream: Upstream) -> bool:
         """Tell whether nobody listens at an upstream's address any more.
@@ -73,3 +187,53 @@
         self._ended_lifetimes[lifetime] = None
         while len(self._ended_lifetimes) > MAX_ENDED:
             del self._ended_lifetimes[next(iter(self._ended_lifetimes))]
+
+    def _take_report(self, report: CrashReport, sender: object) -> None:
+        """Take a peer's evidence."""
+        if max(len(report.content), len(report.lifetime)) > MAX_NAME_CHARACTERS:
+            log.failure("crash.malformed", peer=str(sender))
+            return
+        self._take(report, str(sender))
+
+    def _take(self, report: CrashReport, origin: str, by_own_evidence: bool = False) -> None:
+        """Take evidence, and what follows from it."""
+        now = self._clock.monotonic()
+        if report.lifetime not in self._settling:
+            self._settling.add(report.lifetime)
+            self.spawn(self._settle(report.lifetime), "crash evidence")
+        if self._quarantine.crashed(report.lifetime, report.content, report.stage, now):
+            self._conclude(report.content, origin, by_own_evidence)
+
+    async def _settle(self, lifetime: str) -> None:
+        """Draw conclusions from a crash once all peers must have told of it."""
+        await self._clock.sleep(SETTLE_SECONDS)
+        self._settling.discard(lifetime)
+        for content in self._quarantine.settle(lifetime, self._clock.monotonic()):
+            self._conclude(content, "settled", by_own_evidence=False)
+
+    def _conclude(self, content: str, origin: str, by_own_evidence: bool) -> None:
+        """Let others know that content is in quarantine."""
+        self._log_hold(content, origin)
+        seconds = self._quarantine.held_seconds(content, self._clock.monotonic())
+        self.concluded(content, seconds, by_own_evidence)
+        self.renewed()
+
+    def _take_completion(self, report: CompletionReport, sender: object) -> None:
+        """Take that content was answered."""
+        for content in self._quarantine.completed(report.content, self._clock.monotonic()):
+            self._conclude(content, str(sender), by_own_evidence=False)
+
+    def _log_hold(self, content: str, origin: str) -> None:
+        """Log that content is in quarantine, and for which crashes as far as known here."""
+        now = self._clock.monotonic()
+        log.change(
+            "quarantine.began",
+            content=content,
+            origin=origin,
+            seconds=round(self._quarantine.held_seconds(content, now), 1),
+            crashed=self._quarantine.blamed(content, now),
+        )
+
+    def _tell(self, message: msgspec.Struct) -> None:
+        """Send a message to all peers, those that seem unreachable among them."""
+        self._port.send(message, [peer.peer_address for peer in self._blackboard.peers()])
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -8,8 +8,8 @@
 import math
 from collections import defaultdict
 from collections.abc import Collection
-from enum import IntEnum
 
+from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.kept_parts import KeptParts
 from quinceferry_gateway.decisions.reading import ReadingQueue, ReadingRates
@@ -90,14 +90,6 @@
         return max(self.in_flight, load.running + load.waiting + self.sent_since_load)
 
 
-class RunStage(IntEnum):
-    """How far a request is known to have come at an upstream."""
-
-    SENT = 0
-    BEGUN = 1
-    PRODUCING = 2
-
-
 class Attempt:
     """One request at an upstream, from its sending to its end.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
@@ -40,6 +40,7 @@
 
     ``ages_by_name`` tells how long ago each member was heard from, directly or through others;
     ``leaving`` names those about to stop. ``asks`` wants a digest in reply at once.
+    ``quarantined_seconds_by_content`` names contents that must not be run, and for how long.
     """
 
     format: int
@@ -48,6 +49,7 @@
     leaving: list[Name]
     summaries_by_kind: dict[str, Summary]
     asks: bool = False
+    quarantined_seconds_by_content: dict[str, Annotated[int, msgspec.Meta(gt=0)]] = {}
 
 
 @lru_cache(maxsize=4096)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -6,6 +6,7 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.crashes import CrashWatch
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fleet.digests import FORMAT, Digest, Name, name_of
@@ -33,6 +34,8 @@
 """Shortest time between two digests in reply to the same peer."""
 CONTENT_PAUSE_SECONDS = 0.05
 """Shortest time between two digests for new content; one that is put off goes with the period."""
+MAX_TOLD_CONTENTS = 16
+"""Contents in quarantine that one digest names, some 600 bytes."""
 SUSPENSION_SECONDS = 0.3
 """How long the process may have been suspended before nothing it has heard counts as recent."""
 
@@ -63,6 +66,7 @@
         self._suspended_before = 0.0
         self.liveness = Liveness()
         self._copies: Copies | None = None
+        self._crashes: CrashWatch | None = None
         self._order: list[str] = []
         self._suspects: set[str] = set()
         self._next_at = 0.0
@@ -71,9 +75,11 @@
         self._replied_at_by_vm: dict[str, float] = {}
         port.handle(Digest, self.take)
 
-    def use(self, copies: Copies) -> None:
-        """Hand on these copies with each digest."""
+    def use(self, copies: Copies, crashes: CrashWatch) -> None:
+        """Hand on these copies with each digest, and which content is in quarantine."""
         self._copies = copies
+        self._crashes = crashes
+        crashes.renewed = self._send_news
 
     async def start(self) -> None:
         """Begin to send."""
@@ -111,6 +117,8 @@
         self.liveness.heard(name_of(peer.incarnation), now)
         self.liveness.merge(digest.ages_by_name, now)
         self._note_leaving(digest.leaving)
+        if self._crashes and digest.quarantined_seconds_by_content:
+            self._crashes.hold(digest.quarantined_seconds_by_content, peer.vm)
         behind = self._copies and self._copies.compare(peer, digest.summaries_by_kind, now)
         if behind or digest.asks:
             self._reply(peer, now)
@@ -180,7 +188,19 @@
         if board.phase is Phase.DRAINING:
             leaving.append(name_of(board.own.incarnation))
         summaries = self._copies.summaries(now) if self._copies else {}
-        return Digest(FORMAT, board.own, self.liveness.ages(now), leaving, summaries, asks)
+        held = self._quarantined()
+        return Digest(FORMAT, board.own, self.liveness.ages(now), leaving, summaries, asks, held)
+
+    def _quarantined(self) -> dict[str, int]:
+        """Return contents in quarantine, some of them if there are many."""
+        held = self._crashes.held() if self._crashes else {}
+        if len(held) <= MAX_TOLD_CONTENTS:
+            return held
+        return dict(self._random.sample(sorted(held.items()), MAX_TOLD_CONTENTS))
+
+    def _send_news(self) -> None:
+        """Hand on at once what the fleet must know; each gateway does so when it is news to it."""
+        self._send(FANOUT)
 
     def _choose(self, fanout: int) -> list[Member]:
         """Return the next peers, in an order that names all before it names one again."""
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/quarantine_records.py
@@ -0,0 +1,106 @@
+"""What is in quarantine, in the store, so that it outlives the end of all gateways at once."""
+
+from datetime import UTC, datetime
+
+import msgspec
+
+from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
+from quinceferry_core.clocks import Clock
+from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.crashes import CrashWatch
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.store_health import note_answer, note_failure
+
+QUARANTINE_PREFIX = "quinceferry/quarantine/"
+MAX_LEASE_SECONDS = 600.0
+"""Longest lease that the store grants; with it a record goes by itself."""
+RETRY_SECONDS = 0.5
+"""Pause after a call to the store that failed."""
+
+
+class QuarantineRecord(msgspec.Struct, frozen=True):
+    """One content in quarantine, until a time by the wall clock."""
+
+    content: str
+    ends_at: datetime
+
+
+class QuarantineRecords(Controller):
+    """Reads the records once, at the start, and writes one for each conclusion.
+
+    Running gateways learn of each other's conclusions by digests. Those records are written by the
+    gateway whose evidence decided, and by the designated readers in case it ends just then.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, store: KvStore, clock: Clock, crashes: CrashWatch
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._store = store
+        self._clock = clock
+        self._crashes = crashes
+        crashes.concluded = self._concluded
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self.spawn(self._read(), "quarantine")
+
+    def _concluded(self, content: str, seconds: float, by_own_evidence: bool) -> None:
+        """Write a record of a conclusion, if that is up to this gateway."""
+        if by_own_evidence or self._blackboard.reader:
+            self.spawn(self._write(content, seconds), "quarantine record")
+
+    async def _read(self) -> None:
+        """Take all records, as soon as the store answers."""
+        while True:
+            try:
+                entries = await self._store.list(QUARANTINE_PREFIX)
+            except KvError as error:
+                note_failure(self._blackboard, error)
+                await self._clock.sleep(RETRY_SECONDS)
+                continue
+            note_answer(self._blackboard)
+            self._crashes.hold(self._seconds_by_content(entries), "store")
+            return
+
+    async def _write(self, content: str, seconds: float) -> None:
+        """Write a record unless there is one, for as long as it matters."""
+        record = QuarantineRecord(content, datetime.fromtimestamp(self._unix() + seconds, UTC))
+        ends_at = self._clock.monotonic() + seconds
+        while self._clock.monotonic() < ends_at:
+            try:
+                await self._put(record, seconds)
+            except KvError as error:
+                note_failure(self._blackboard, error)
+                await self._clock.sleep(RETRY_SECONDS)
+            else:
+                note_answer(self._blackboard)
+                return
+
+    async def _put(self, record: QuarantineRecord, seconds: float) -> None:
+        """Write a record under a lease of its own."""
+        lease = await self._store.grant_lease(min(seconds, MAX_LEASE_SECONDS))
+        key = QUARANTINE_PREFIX + record.content
+        try:
+            await self._store.put_if(key, msgspec.json.encode(record), ABSENT_VERSION, lease)
+        except KvConflictError:
+            await self._store.revoke_lease(lease)
+
+    def _seconds_by_content(self, entries: list[KvEntry]) -> dict[str, float]:
+        """Return how long contents are still in quarantine; what can't be read is logged."""
+        seconds_by_content = {}
+        for entry in entries:
+            try:
+                record = msgspec.json.decode(entry.value, type=QuarantineRecord)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                log.failure("quarantine.malformed", key=entry.key, error=str(error))
+                continue
+            seconds_by_content[record.content] = record.ends_at.timestamp() - self._unix()
+        return seconds_by_content
+
+    def _unix(self) -> float:
+        """Return the wall-clock time in seconds."""
+        return self._clock.now().timestamp()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -15,7 +15,7 @@
 )
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
-from quinceferry_gateway.crashes import CrashWatch
+from quinceferry_gateway.crashes import CrashWatch, quarantine_refusal
 from quinceferry_gateway.decisions import Attempt, Beliefs, Placement, Placer
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
@@ -44,7 +44,7 @@
 
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
-    :param crashes: is told of connections that upstreams closed.
+    :param crashes: is told of connections that upstreams closed, and knows what must not run.
     """
 
     def __init__(
@@ -81,9 +81,12 @@
             self._log_attempt(progress, placement, outcome)
             match outcome:
                 case Streamed():
+                    self._crashes.completed(progress)
                     return outcome
                 case Whole(head, _):
                     progress.may_have_run = True
+                    if head.status < SERVER_ERROR:
+                        self._crashes.completed(progress)
                     if not self._worth_another(progress, head):
                         return outcome
                     progress.last_failure = outcome
@@ -95,7 +98,7 @@
                     progress.arrivals += 1
                     progress.may_have_run = True
                     progress.last_detail = detail
-                    if not progress.route.repeatable:
+                    if not progress.route.repeatable or not self._crashes.may_repeat(progress):
                         return self._unrepeatable(progress)
 
     def _unrepeatable(self, progress: Progress) -> Refusal:
@@ -108,6 +111,10 @@
         """Return where to send the request next, or why it ends here."""
         if self._clock.monotonic() >= progress.ends_at:
             return self._timed_out(progress)
+        # Others may have found out what the request does while it waited for its turn.
+        held_seconds = self._crashes.held_seconds(progress)
+        if held_seconds:
+            return self._quarantined(progress, held_seconds)
         # What reached another upstream than the chosen one was no attempt at the service.
         if progress.arrivals - progress.misdirected >= progress.route.attempts:
             return self._given_up(progress)
@@ -150,6 +157,13 @@
         reason = Reason.UPSTREAMS_REFUSED if progress.tried else Reason.NO_UPSTREAM
         return Refusal(reason, progress.last_detail)
 
+    @staticmethod
+    def _quarantined(progress: Progress, held_seconds: float) -> Refusal:
+        """Return the answer to a request whose content crashes upstreams."""
+        if progress.may_have_run:
+            return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+        return quarantine_refusal(progress, held_seconds)
+
     @staticmethod
     def _timed_out(progress: Progress) -> Refusal:
         """Return the answer to a request whose time is up."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -89,6 +89,16 @@
     margin_share: float = 0.01
 
 
+class QuarantineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """When content that crashes upstreams is run no more.
+
+    ``crashes`` is how many upstreams it has crashed then, ``hold_seconds`` how long it is not run.
+    """
+
+    crashes: int = 3
+    hold_seconds: float = 600.0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a gateway."""
 
@@ -100,6 +110,7 @@
     directory: DirectorySettings = DirectorySettings()
     freshness: FreshnessSettings = FreshnessSettings()
     budgets: BudgetSettings = BudgetSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
 
     @classmethod
     def load(cls, path: Path) -> "Settings":
@@ -141,6 +152,8 @@
             "freshness.leaving_milliseconds": self.freshness.leaving_milliseconds,
             "budgets.max_holders": self.budgets.max_holders,
             "budgets.few_holders": self.budgets.few_holders,
+            "quarantine.crashes": self.quarantine.crashes,
+            "quarantine.hold_seconds": self.quarantine.hold_seconds,
         }
         faults += [f"{name} must be above zero" for name, value in positive.items() if value <= 0]
         shares = {
