Refuse content that crashes engines in the routers of our own interface, too

The same cause stood in quinceferryd: nothing outlived a request that told the next one of the same content, and each try could end up to max_attempts engines. A caller that sent one prompt five times ended all of eight engines, and everybody else was told that no engine has the model.

A router whose connection to an engine breaks, and whose resume finds nobody listening, takes the engine for crashed under that request. quinceferry_core.quarantine decides as in the gateway; a request whose content may be the cause is not run at another engine when one more crash would be conclusive. The content is then refused with quarantined, before tokens are set aside, for ten minutes; the heartbeat record of the router that concluded tells all others.

Left out: crashes of plain services, whose runs can't be resumed; evidence is not shared, only conclusions, so that each router that such a request reaches sees three crashes at most.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -139,3 +139,18 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario: A request that crashes its engines is run no more after the third
+    Given a router with 8 stand-in engines
+    And every engine crashes under the prompt "boom"
+    When a caller sends the prompt "boom" 5 times, each with a new identifier
+    Then 3 engines have crashed
+    And the last request failed with quarantined and did not run
+    And the prompt "hello" is answered
+
+  Scenario: Other routers refuse what one has found to crash engines
+    Given a router with 8 stand-in engines
+    And every engine crashes under the prompt "boom"
+    When a caller sends the prompt "boom" 5 times, each with a new identifier
+    And another router takes the heartbeat record of the first
+    Then the other router refuses the prompt "boom" without running it
--- a/packages/quinceferry-core/src/quinceferry_core/membership.py
+++ b/packages/quinceferry-core/src/quinceferry_core/membership.py
@@ -1,6 +1,7 @@
 """Records by which routers know each other."""
 
 from dataclasses import dataclass
+from datetime import datetime
 from enum import Enum
 
 from quinceferry_core.limits import LimitClaim
@@ -22,6 +23,14 @@
     STOPPING = "stopping"
 
 
+@dataclass(slots=True, frozen=True)
+class QuarantinedContent:
+    """Content of requests that must not be run until a time, named by its fingerprint."""
+
+    content: str
+    ends_at: datetime
+
+
 @dataclass(slots=True, frozen=True)
 class Member:
     """Heartbeat record of a live incarnation, stored under its lease.
@@ -30,6 +39,7 @@
     the workspaces' limits. ``applied_revision`` is that at the last write; the confirmed one stands
     in the incarnation record. ``stop_step`` names the step of a graceful stop in progress, and
     ``open_streams`` counts the requests in progress when the record was written.
+    ``quarantined`` is what this router has found to crash engines.
     """
 
     incarnation: IncarnationId
@@ -43,6 +53,7 @@
     limit_claims: tuple[LimitClaim, ...] = ()
     stop_step: str = ""
     open_streams: int = 0
+    quarantined: tuple[QuarantinedContent, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/quinceferry-core/src/quinceferry_core/outcomes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/outcomes.py
@@ -63,6 +63,7 @@
     REQUEST_NOT_FOUND = "request_not_found"
     SERVICE_NOT_ATTACHED = "service_not_attached"
     MEMORY_FULL = "memory_full"
+    QUARANTINED = "quarantined"
     INTERNAL = "internal"
 
 
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -19,6 +19,7 @@
 from quinceferryd.controllers import Controller
 from quinceferryd.copy_sender import CopySender
 from quinceferryd.copy_store import CopyStore
+from quinceferryd.crashes import CrashWatch
 from quinceferryd.execution import Executor
 from quinceferryd.forwards import Forwarder
 from quinceferryd.kv_health import KvProbe, MonitoredKv
@@ -88,6 +89,7 @@
             self.configuration,
             self.loads,
             self.scheduler,
+            self.crashes,
             self.accounts,
             self.copy_sender,
             self.recovery,
@@ -167,6 +169,7 @@
         )
         readiness = UpstreamReadiness(self.blackboard, self.clock, self.loads.active)
         self.membership.add_join_hook(readiness.wait)
+        self.crashes = CrashWatch(self.blackboard, self.clock)
         self.streams = StreamRunner(
             dependencies.upstreams,
             self.scheduler,
@@ -174,6 +177,7 @@
             self.clock,
             self._rng,
             settings.streams,
+            crashes=self.crashes,
         )
         shortages = ShortageHandler(self.blackboard, self.peers, self.clock, settings.budgets)
         self.copy_sender = CopySender(self.blackboard, self.peers, self.membership, self.clock)
@@ -206,6 +210,7 @@
             self.peers,
             self.clock,
             self.demand,
+            self.crashes,
         )
 
     def _build_operations(self, dependencies: Dependencies) -> None:
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -23,9 +23,11 @@
     Run,
     Unknown,
 )
+from quinceferry_core.quarantine import RunStage
 from quinceferry_core.reassembly import DeliveredText
 from quinceferryd.answer_buffer import AnswerBuffer
 from quinceferryd.connections import Connection, Ending, UpstreamRun
+from quinceferryd.refusals import quarantine_refusal
 from quinceferryd.stream_contexts import StreamContext
 from quinceferryd.stream_results import Attempt, DispatchHook, StreamResult
 
@@ -93,6 +95,10 @@
         scheduler = self._context.scheduler
         excluded: frozenset[UpstreamId] = frozenset()
         while True:
+            await self._context.crashes.settle(self._request)
+            held_seconds = self._context.crashes.held_seconds(self._request)
+            if held_seconds:
+                return self._failed(quarantine_refusal(held_seconds))
             chosen = await self._choose(excluded)
             if isinstance(chosen, Failure):
                 return self._failed(chosen.failure())
@@ -111,6 +117,7 @@
             finally:
                 scheduler.ended(self._request, upstream.id)
             if isinstance(ending, Finished):
+                self._context.crashes.completed(self._request)
                 return ending
             excluded |= {upstream.id}
             failed = self._retry_refusal(upstream, attempt, ending)
@@ -143,6 +150,7 @@
         """Run at one upstream, through as many connections as it takes."""
         run = UpstreamRun(self._request, upstream, self._delivered)
         ended: Finished | Ending = Ending.LOST
+        lost = False
         try:
             ended = await self._connect(run, attempt, is_resume=False)
             while isinstance(ended, Ending) and self._may_resume(run, ended):
@@ -150,7 +158,12 @@
                 self._connection = next(self._context.connection_numbers)
                 self._context.counters.resumes += 1
                 self._result.resumes += 1
+                lost = lost or ended is Ending.LOST
                 ended = await self._connect(run, attempt, is_resume=True)
+            if lost and ended is Ending.UNREACHABLE:
+                # Its connection broke and nobody listens there any more.
+                stage = RunStage.PRODUCING if run.chunks.next_offset else RunStage.SENT
+                self._context.crashes.crashed(self._request, upstream.id, stage)
         finally:
             self._context.counters.duplicate_chunks += run.chunks.duplicates
             self._note_end(upstream, attempt, ended)
@@ -225,6 +238,8 @@
             return "a non-idempotent request is not sent again"
         if self._delivered.has_unmatched:
             return "too much was delivered to continue from another run"
+        if not self._context.crashes.may_repeat(self._request):
+            return "the same content has crashed engines"
         if len(self._result.attempts) >= self._context.settings.max_attempts:
             return "too many attempts"
         if self._context.clock.monotonic() >= self._give_up_at:
--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -8,7 +8,7 @@
 
 from quinceferry_core.adapters import LoadReport
 from quinceferry_core.limits import LimitClaim
-from quinceferry_core.membership import Member
+from quinceferry_core.membership import Member, QuarantinedContent
 from quinceferry_core.models import (
     Configuration,
     IncarnationId,
@@ -88,6 +88,9 @@
     leaving_upstreams: set[UpstreamId] = field(default_factory=set)
     """Upstreams that this router itself saw leave, for its heartbeat record; written by the load
     controller."""
+    quarantined: tuple[QuarantinedContent, ...] = ()
+    """Content that this router found to crash engines, for its heartbeat record; written by the
+    crash watch."""
     limit_claims: tuple[LimitClaim, ...] = ()
     """Claims for the heartbeat record; written by the limit share controller."""
     limit_claims_read: tuple[LimitClaim, ...] | None = None
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/crashes.py
@@ -0,0 +1,119 @@
+"""Content that crashes the engines that run it: own evidence, and what other routers concluded.
+
+The requests of one workspace reach few routers, so that the one that a caller returns to sees the
+crashes. What it concludes stands in its heartbeat record, which all others read.
+"""
+
+from datetime import timedelta
+
+import structlog
+
+from quinceferry_core.clocks import Clock
+from quinceferry_core.membership import QuarantinedContent
+from quinceferry_core.models import CallerRequest, UpstreamId
+from quinceferry_core.quarantine import SETTLE_SECONDS, Quarantine, RunStage
+from quinceferryd.blackboard import Blackboard
+from quinceferryd.controllers import TaskGroupController
+from quinceferryd.fingerprints import fingerprint
+
+CRASHES = 3
+"""Engines that content has crashed when it is refused."""
+HOLD_SECONDS = 600.0
+"""How long it is refused the first time."""
+EXCHANGE_SECONDS = 1.0
+"""How often the records of other routers are looked through; they are written every few seconds."""
+
+_log = structlog.get_logger()
+
+
+class CrashWatch(TaskGroupController):
+    """Tells which content must not be run.
+
+    :param blackboard: shows other routers' heartbeat records, and takes what this one's shall say.
+    """
+
+    def __init__(self, blackboard: Blackboard, clock: Clock) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._clock = clock
+        self._quarantine = Quarantine(CRASHES, HOLD_SECONDS)
+
+    async def start(self) -> None:
+        """Begin to take what other routers concluded."""
+        self.spawn(self._exchange_forever(), "quarantine")
+
+    def held_seconds(self, request: CallerRequest) -> float:
+        """Return how long a request's content is refused, zero if it may run."""
+        if self._quarantine.empty:
+            return 0.0
+        return self._quarantine.held_seconds(_content(request), self._clock.monotonic())
+
+    def may_repeat(self, request: CallerRequest) -> bool:
+        """Tell whether a request that broke off may run at another engine."""
+        now = self._clock.monotonic()
+        return self._quarantine.empty or not self._quarantine.next_concludes(_content(request), now)
+
+    async def settle(self, request: CallerRequest) -> None:
+        """Wait for evidence that may clear a request's content of enough crashes."""
+        if self._quarantine.empty or self.held_seconds(request):
+            return
+        settled_at = self._clock.monotonic() + SETTLE_SECONDS
+        if len(self._quarantine.blamed(_content(request), settled_at)) >= CRASHES:
+            await self._clock.sleep(SETTLE_SECONDS)
+
+    def completed(self, request: CallerRequest) -> None:
+        """Note that a request was answered whole."""
+        if not self._quarantine.empty:
+            self._note(self._quarantine.completed(_content(request), self._clock.monotonic()))
+
+    def crashed(self, request: CallerRequest, upstream: UpstreamId, stage: RunStage) -> None:
+        """Note that an engine crashed while it had a request."""
+        # An engine that is down reports nothing: its last report is from before the crash.
+        status = self._blackboard.upstreams_by_id.get(upstream)
+        lifetime = f"{upstream}@{status.reported_at if status else 0.0}"
+        content = _content(request)
+        _log.warning("engine crashed", upstream=upstream, content=content, stage=stage.name.lower())
+        if self._quarantine.crashed(lifetime, content, stage, self._clock.monotonic()):
+            self._note([content])
+        self.spawn(self._settle(lifetime), "crash evidence")
+
+    async def _settle(self, lifetime: str) -> None:
+        """Draw conclusions once the other requests of a crashed engine have broken off, too."""
+        await self._clock.sleep(SETTLE_SECONDS)
+        self._note(self._quarantine.settle(lifetime, self._clock.monotonic()))
+
+    def _note(self, concluded: list[str]) -> None:
+        """Let the heartbeat record say what was concluded here."""
+        now = self._clock.monotonic()
+        for content in concluded:
+            seconds = self._quarantine.held_seconds(content, now)
+            crashed = self._quarantine.blamed(content, now)
+            _log.warning("content quarantined", content=content, seconds=seconds, crashed=crashed)
+            ends_at = self._clock.now() + timedelta(seconds=seconds)
+            self._blackboard.quarantined += (QuarantinedContent(content, ends_at),)
+
+    async def _exchange_forever(self) -> None:
+        """Take what other routers concluded, and drop from the own record what is over."""
+        while True:
+            await self._clock.sleep(EXCHANGE_SECONDS)
+            self.take_from_others()
+            now = self._clock.now()
+            own = self._blackboard.quarantined
+            if any(item.ends_at <= now for item in own):
+                self._blackboard.quarantined = tuple(item for item in own if item.ends_at > now)
+
+    def take_from_others(self) -> None:
+        """Take what the heartbeat records of other routers say."""
+        now, steady = self._clock.now(), self._clock.monotonic()
+        for member in self._blackboard.members_by_incarnation.values():
+            for item in member.quarantined:
+                left = (item.ends_at - now).total_seconds()
+                if self._quarantine.hold(item.content, left, steady):
+                    _log.warning(
+                        "content quarantined", content=item.content, origin=member.incarnation
+                    )
+
+
+def _content(request: CallerRequest) -> str:
+    """Return the name of a request's content; no workspace can bring another's into disrepute."""
+    return f"{request.workspace}/{fingerprint(request).hex()}"
--- /dev/null
+++ b/packages/quinceferry-daemon/src/quinceferryd/fingerprints.py
@@ -0,0 +1,17 @@
+"""Digests of what callers ask for."""
+
+import hashlib
+
+from quinceferry_core.models import CallerRequest
+
+DIGEST_BYTES = 16
+
+
+def fingerprint(request: CallerRequest) -> bytes:
+    """Return a digest of what makes a repeated request the same one."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (str(request.target), request.method, request.path, request.prompt):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -193,7 +193,10 @@
                 self.leases_lost += 1
                 await self._take_new_lease()
             case Beat.RENEWED:
-                self._heartbeat.change(limit_claims=self._blackboard.limit_claims)
+                board = self._blackboard
+                self._heartbeat.change(
+                    limit_claims=board.limit_claims, quarantined=board.quarantined
+                )
                 await self._heartbeat.write()
             case Beat.NO_ANSWER:
                 return
@@ -285,4 +288,5 @@
         state=MemberState.STARTING,
         leaving_upstreams=tuple(sorted(blackboard.leaving_upstreams)),
         limit_claims=blackboard.limit_claims,
+        quarantined=blackboard.quarantined,
     )
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -1,6 +1,5 @@
 """The path of a caller's request through one router."""
 
-import hashlib
 from contextlib import aclosing
 
 from quinceferry_core.adapters import PeerClient
@@ -23,10 +22,13 @@
 from quinceferryd.accounts import AccountController
 from quinceferryd.blackboard import Blackboard, RouterState
 from quinceferryd.controllers import TaskGroupController
+from quinceferryd.crashes import CrashWatch
 from quinceferryd.execution import Executor
+from quinceferryd.fingerprints import fingerprint
 from quinceferryd.forwards import forward
 from quinceferryd.proofs import JournalProofs
 from quinceferryd.recording import NEVER_SENT, not_ready
+from quinceferryd.refusals import quarantine_refusal
 from quinceferryd.runs import RequestRun, RunStore
 
 HOME_RETRY_SECONDS = 2.0
@@ -54,8 +56,10 @@
         peers: PeerClient,
         clock: Clock,
         demand: DemandMeter | None = None,
+        crashes: CrashWatch | None = None,
     ) -> None:
         super().__init__()
+        self._crashes = crashes
         self._demand = demand
         self.runs = RunStore(clock)
         self._open_readers = 0
@@ -96,9 +100,9 @@
             return _only(_CIRCULAR)
         if known is not None and self._answers(known, request):
             return self._follow(known, request)
-        refusal = self._ticket_refusal(request)
-        if refusal is not None:
-            return _only(refusal)
+        refused = self._ticket_refusal(request) or self._quarantine_refusal(request)
+        if refused is not None:
+            return _only(refused)
         ticket = request.ticket
         if ticket is None or ticket.home == self._blackboard.identity.incarnation:
             return self._run(key, request)
@@ -123,7 +127,7 @@
 
     def _follow(self, known: RequestRun, request: CallerRequest) -> AnswerStream:
         """Answer a repeated request from the run of the first."""
-        if known.fingerprint != _fingerprint(request):
+        if known.fingerprint != fingerprint(request):
             detail = "the request id was used for another request"
             return _only(Failed(RefusalReason.REQUEST_ID_REUSED, NEVER_SENT, detail=detail))
         if known.text_dropped and known.outcome is not None:
@@ -149,6 +153,11 @@
             return Failed(RefusalReason.TICKET_INVALID, Unknown(), detail=detail)
         return None
 
+    def _quarantine_refusal(self, request: CallerRequest) -> Failed | None:
+        """Refuse a request whose content has crashed engines, before tokens are set aside."""
+        held_seconds = self._crashes.held_seconds(request) if self._crashes is not None else 0.0
+        return quarantine_refusal(held_seconds) if held_seconds else None
+
     async def _run(self, key: RequestKey, request: CallerRequest) -> AnswerStream:
         """Run a request here and return its answer."""
         if self._blackboard.state not in _OPEN_STATES or self._accounts.current is None:
@@ -157,7 +166,7 @@
         if self._demand is not None and request.kind is not RequestKind.SERVICE:
             self._demand.note(request.target)
         expires_at = request.ticket.expires_at if request.ticket else None
-        run = self.runs.begin(key, _fingerprint(request), request.idempotent, expires_at)
+        run = self.runs.begin(key, fingerprint(request), request.idempotent, expires_at)
         run.task = self.spawn(self._execute(run, request), f"request {key.request}")
         async with aclosing(self._read(run)) as events:
             async for event in events:
@@ -291,16 +300,6 @@
     return request.ticket.expires_at > known.ticket_expires_at
 
 
-def _fingerprint(request: CallerRequest) -> bytes:
-    """Return a digest of what makes a repeated request the same one."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (str(request.target), request.method, request.path, request.prompt):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(request.body)
-    return digest.digest()
-
-
 async def _only(event: AnswerEvent) -> AnswerStream:
     """Return a single event."""
     yield event
--- a/packages/quinceferry-daemon/src/quinceferryd/refusals.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/refusals.py
@@ -40,6 +40,7 @@
     RefusalReason.REQUEST_NOT_FOUND: 404,
     RefusalReason.SERVICE_NOT_ATTACHED: 404,
     RefusalReason.MEMORY_FULL: 503,
+    RefusalReason.QUARANTINED: 503,
     RefusalReason.INTERNAL: 500,
 }
 """HTTP status of each reason."""
@@ -90,6 +91,12 @@
     return Failed(reason, _NEVER_SENT, retry_after_seconds, detail)
 
 
+def quarantine_refusal(held_seconds: float) -> Failed:
+    """Return the refusal of content that has crashed engines, until its quarantine ends."""
+    detail = "the same content has crashed engines"
+    return refusal(RefusalReason.QUARANTINED, detail, held_seconds)
+
+
 def outcome_word(outcome: Outcome) -> str:
     """Return the word by which callers are told an outcome."""
     match outcome:
--- a/packages/quinceferry-daemon/src/quinceferryd/stream_contexts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/stream_contexts.py
@@ -11,6 +11,7 @@
 from quinceferry_core.retries import RetryBudget
 from quinceferryd.blackboard import Identity
 from quinceferryd.connections import Ending
+from quinceferryd.crashes import CrashWatch
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import StreamSettings
 
@@ -38,6 +39,7 @@
     settings: StreamSettings
     identity: Callable[[], Identity]
     retries: RetryBudget
+    crashes: CrashWatch
     counters: StreamCounters = field(default_factory=StreamCounters)
     connection_numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
     """Numbers of connections; unique in this process, so that no two runs share one."""
--- a/packages/quinceferry-daemon/src/quinceferryd/streams.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/streams.py
@@ -12,6 +12,7 @@
 from quinceferryd.answer_buffer import AnswerBuffer
 from quinceferryd.attempts import AttemptLoop
 from quinceferryd.blackboard import Blackboard, Identity
+from quinceferryd.crashes import CrashWatch
 from quinceferryd.scheduling import Scheduler
 from quinceferryd.settings import StreamSettings
 from quinceferryd.stream_contexts import StreamContext, StreamCounters
@@ -24,6 +25,7 @@
     :param upstreams: connections to them.
     :param scheduler: chooses upstreams and keeps their load.
     :param rng: source of back-off jitter.
+    :param crashes: knows which content must not be run.
     :param identity: returns this router's incarnation and fencing number.
     """
 
@@ -36,6 +38,7 @@
         rng: random.Random,
         settings: StreamSettings,
         identity: Callable[[], Identity] | None = None,
+        crashes: CrashWatch | None = None,
     ) -> None:
         self._context = StreamContext(
             upstreams,
@@ -45,8 +48,14 @@
             settings,
             identity or (lambda: blackboard.identity),
             RetryBudget(settings.retry_share),
+            crashes or CrashWatch(blackboard, clock),
         )
 
+    @property
+    def crashes(self) -> CrashWatch:
+        """Return what knows which content must not be run."""
+        return self._context.crashes
+
     @property
     def counters(self) -> StreamCounters:
         """Return the counts since start, for metrics."""
