Hold content after five crashes at the latest, whatever else crashes

The bounds for bystanders and for upstreams that crash by themselves added up to seven crashes. At five without one answer, content is no bystander in either case: a router and its caller send one request four times in all.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -33,6 +33,23 @@
     And other content is begun at each of these crashes
     Then held are a
 
+  Scenario: However often upstreams crash by themselves, content is held after five crashes
+    Given a quarantine for content that crashes 3 upstreams
+    When content b is begun at crashes of v1, v2
+    And content c is begun at crashes of v3, v4
+    And content d is begun at crashes of v5, v6
+    And content e is begun at crashes of v7, v8
+    And content a is begun at crashes of u1, u2, u3, u4, u5
+    Then held are a
+
+  Scenario: While upstreams crash by themselves, three crashes are not enough
+    Given a quarantine for content that crashes 3 upstreams
+    When content b is begun at crashes of v1, v2
+    And content c is begun at crashes of v3, v4
+    And content d is begun at crashes of v5, v6
+    And content a is begun at crashes of u1, u2, u3, u4
+    Then held are nothing
+
   Scenario: Content that has produced output each time stays a bystander
     Given a quarantine for content that crashes 3 upstreams
     When content a is producing at crashes of u1, u2, u3, u4, u5
--- a/packages/quinceferry-core/src/quinceferry_core/quarantine.py
+++ b/packages/quinceferry-core/src/quinceferry_core/quarantine.py
@@ -209,11 +209,12 @@
         if self.held_seconds(content, now):
             return False
         counted = self._counted(content, now)
-        if len(counted) < self._least(content, now):
+        least = self._least(content, now)
+        if len(counted) < least:
             return False
-        limit = self._limit(content, now)
         involved = sum(self._crashes_by_lifetime[key].involves(content) for key in counted)
-        if len(self.blamed(content, now)) < limit and involved < limit + MORE_AS_BYSTANDER:
+        is_bystander = involved < least + MORE_AS_BYSTANDER
+        if is_bystander and len(self.blamed(content, now)) < self._limit(content, now):
             return False
         before = self._holds_by_content.get(content)
         seconds = self._hold_seconds if before is None else 2 * before.seconds
