Split what had grown large: attempt lines, callers' exchanges, steps of crashes

The log line of an attempt and one caller's exchange have modules of their own; an ending of a connection says itself what it proves; refusals stand with the refusals.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -4,12 +4,10 @@
 import random
 from contextlib import aclosing
 
-import msgspec
 from behave import given, then, when
 from fixtures_routing import MODEL, Answer, Router, Site, request
 from fixtures_streams import ReadLog, ScriptedUpstreams, draw_fault
 
-from quinceferry_core.membership import Member
 from quinceferry_core.models import UpstreamId
 from quinceferry_core.outcomes import (
     Chunk,
@@ -399,75 +397,3 @@
             continue
         runs = [r for r in context.site.runs() if r.request_id == answer.request.request_id]
         assert len(runs) <= 1, runs
-
-
-@given('every engine crashes under the prompt "{prompt}"')
-def crash_under(context, prompt):
-    context.fatal = prompt
-    crash_engines_under(context.router, prompt)
-
-
-def crash_engines_under(router, prompt):
-    """Have each engine of a router's site crash when it has begun a run of a prompt."""
-
-    def draw(dispatch):
-        if dispatch.request.prompt == prompt:
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.04, router.site.engines_by_id[dispatch.upstream.id].crash)
-
-    for engine in router.site.engines_by_id:
-        router.upstreams.link(engine).draw_fault = draw
-
-
-@when('a caller sends the prompt "{prompt}" {times:d} times, each with a new identifier')
-def send_again(context, prompt, times):
-    async def work():
-        context.answers = []
-        for number in range(times):
-            answer = await context.router.answer(request(f"r{number}", prompt=prompt))
-            context.answers.append(answer)
-        context.crashed = [item for item in context.site.engines_by_id.values() if item.down]
-        context.other = await context.router.answer(request("other", prompt="hello"))
-        context.told = context.router.blackboard.quarantined
-
-    _run(context, work)
-
-
-@then("{count:d} engines have crashed")
-def then_engines_crashed(context, count):
-    assert len(context.crashed) == count, [item.last for item in context.answers]
-
-
-@then("the last request failed with {reason} and did not run")
-def then_last_refused(context, reason):
-    last = context.answers[-1].last
-    assert isinstance(last, Failed) and last.reason.value == reason, last
-    assert last.outcome == NotRun(NotRunProof.NEVER_SENT) and last.retry_after_seconds > 0, last
-
-
-@then('the prompt "{prompt}" is answered')
-def then_prompt_answered(context, prompt):
-    assert isinstance(context.other.last, Finished), context.other.last
-
-
-@when("another router takes the heartbeat record of the first")
-def take_record(context):
-    context.second = Router(context.site, name="r1")
-    identity = context.router.blackboard.identity
-    member = Member(identity.incarnation, identity.vm, "a", "address", 1, quarantined=context.told)
-    stored = msgspec.json.decode(msgspec.json.encode(member), type=Member)
-    context.second.blackboard.members_by_incarnation[member.incarnation] = stored
-
-
-@then('the other router refuses the prompt "{prompt}" without running it')
-def then_other_refuses(context, prompt):
-    crash_engines_under(context.second, prompt)
-    runs = len(context.site.runs())
-
-    async def work():
-        context.second.streams.crashes.take_from_others()
-        return await context.second.answer(request("again", prompt=prompt))
-
-    answer = _run(context, work)
-    assert answer.last.reason is RefusalReason.QUARANTINED, answer.last
-    assert len(context.site.runs()) == runs
--- a/packages/quinceferry-daemon/src/quinceferryd/attempts.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/attempts.py
@@ -23,11 +23,9 @@
     Run,
     Unknown,
 )
-from quinceferry_core.quarantine import RunStage
 from quinceferry_core.reassembly import DeliveredText
 from quinceferryd.answer_buffer import AnswerBuffer
 from quinceferryd.connections import Connection, Ending, UpstreamRun
-from quinceferryd.refusals import quarantine_refusal
 from quinceferryd.stream_contexts import StreamContext
 from quinceferryd.stream_results import Attempt, DispatchHook, StreamResult
 
@@ -35,11 +33,6 @@
 FAILED_RETRY_SECONDS = 1.0
 """When a caller may repeat a request that failed at its upstreams."""
 
-_NOT_RUN_BY_ENDING = {
-    Ending.NOT_SENT: NotRunProof.NEVER_SENT,
-    Ending.REFUSED: NotRunProof.REFUSED_BY_UPSTREAM,
-}
-
 
 class AttemptLoop:
     """Runs one request until its answer is whole or nothing more may be tried.
@@ -95,10 +88,9 @@
         scheduler = self._context.scheduler
         excluded: frozenset[UpstreamId] = frozenset()
         while True:
-            await self._context.crashes.settle(self._request)
-            held_seconds = self._context.crashes.held_seconds(self._request)
-            if held_seconds:
-                return self._failed(quarantine_refusal(held_seconds))
+            refused = await self._context.crashes.settled_refusal(self._request)
+            if refused is not None:
+                return self._failed(refused)
             chosen = await self._choose(excluded)
             if isinstance(chosen, Failure):
                 return self._failed(chosen.failure())
@@ -162,8 +154,9 @@
                 ended = await self._connect(run, attempt, is_resume=True)
             if lost and ended is Ending.UNREACHABLE:
                 # Its connection broke and nobody listens there any more.
-                stage = RunStage.PRODUCING if run.chunks.next_offset else RunStage.SENT
-                self._context.crashes.crashed(self._request, upstream.id, stage)
+                self._context.crashes.crashed(
+                    self._request, upstream.id, run.chunks.next_offset > 0
+                )
         finally:
             self._context.counters.duplicate_chunks += run.chunks.duplicates
             self._note_end(upstream, attempt, ended)
@@ -267,7 +260,7 @@
         if isinstance(ended, Finished):
             attempt.tokens = ended.usage.total
             return
-        attempt.not_run = _NOT_RUN_BY_ENDING.get(ended)
+        attempt.not_run = ended.not_run
         if attempt.may_have_run:
             task = asyncio.create_task(self._cancel(upstream, attempt), name="cancel upstream")
             self._cancels.add(task)
--- a/packages/quinceferry-daemon/src/quinceferryd/connections.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/connections.py
@@ -12,7 +12,7 @@
     UpstreamUnknownRequestError,
 )
 from quinceferry_core.models import CallerRequest, RequestKind, UpstreamSpec
-from quinceferry_core.outcomes import AnswerEvent, Chunk, Failed, Finished
+from quinceferry_core.outcomes import AnswerEvent, Chunk, Failed, Finished, NotRunProof
 from quinceferry_core.reassembly import DeliveredText, Reassembler, ReplayFilter
 from quinceferryd.answer_buffer import AnswerBuffer
 from quinceferryd.blackboard import Identity
@@ -48,9 +48,18 @@
         """Return whether the upstream or the way to it is at fault."""
         return self in _FAILURES
 
+    @property
+    def not_run(self) -> NotRunProof | None:
+        """Return the proof that the run did not begin, if the ending is one."""
+        return _PROOFS_BY_ENDING.get(self)
+
 
 _RESUMABLE = frozenset((Ending.LOST, Ending.SILENT, Ending.UNREACHABLE, Ending.INCOMPLETE))
 _FAILURES = frozenset((Ending.NOT_SENT, Ending.LOST, Ending.SILENT, Ending.UNREACHABLE))
+_PROOFS_BY_ENDING = {
+    Ending.NOT_SENT: NotRunProof.NEVER_SENT,
+    Ending.REFUSED: NotRunProof.REFUSED_BY_UPSTREAM,
+}
 
 
 class UpstreamRun:
--- a/packages/quinceferry-daemon/src/quinceferryd/crashes.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/crashes.py
@@ -11,10 +11,12 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_core.membership import QuarantinedContent
 from quinceferry_core.models import CallerRequest, UpstreamId
+from quinceferry_core.outcomes import Failed
 from quinceferry_core.quarantine import SETTLE_SECONDS, Quarantine, RunStage
 from quinceferryd.blackboard import Blackboard
 from quinceferryd.controllers import TaskGroupController
 from quinceferryd.fingerprints import fingerprint
+from quinceferryd.refusals import quarantine_refusal
 
 CRASHES = 3
 """Engines that content has crashed when it is refused."""
@@ -42,32 +44,39 @@
         """Begin to take what other routers concluded."""
         self.spawn(self._exchange_forever(), "quarantine")
 
-    def held_seconds(self, request: CallerRequest) -> float:
-        """Return how long a request's content is refused, zero if it may run."""
+    def refusal(self, request: CallerRequest) -> Failed | None:
+        """Return why a request must not run, None if it may."""
         if self._quarantine.empty:
-            return 0.0
-        return self._quarantine.held_seconds(_content(request), self._clock.monotonic())
+            return None
+        left = self._quarantine.held_seconds(_content(request), self._clock.monotonic())
+        return quarantine_refusal(left) if left else None
+
+    async def settled_refusal(self, request: CallerRequest) -> Failed | None:
+        """Return the same, once all evidence of crashes that may decide it has come."""
+        refused = self.refusal(request)
+        if refused is not None or self._quarantine.empty:
+            return refused
+        settled_at = self._clock.monotonic() + SETTLE_SECONDS
+        if len(self._quarantine.blamed(_content(request), settled_at)) >= CRASHES:
+            await self._clock.sleep(SETTLE_SECONDS)
+        return self.refusal(request)
 
     def may_repeat(self, request: CallerRequest) -> bool:
         """Tell whether a request that broke off may run at another engine."""
         now = self._clock.monotonic()
         return self._quarantine.empty or not self._quarantine.next_concludes(_content(request), now)
 
-    async def settle(self, request: CallerRequest) -> None:
-        """Wait for evidence that may clear a request's content of enough crashes."""
-        if self._quarantine.empty or self.held_seconds(request):
-            return
-        settled_at = self._clock.monotonic() + SETTLE_SECONDS
-        if len(self._quarantine.blamed(_content(request), settled_at)) >= CRASHES:
-            await self._clock.sleep(SETTLE_SECONDS)
-
     def completed(self, request: CallerRequest) -> None:
         """Note that a request was answered whole."""
         if not self._quarantine.empty:
             self._note(self._quarantine.completed(_content(request), self._clock.monotonic()))
 
-    def crashed(self, request: CallerRequest, upstream: UpstreamId, stage: RunStage) -> None:
-        """Note that an engine crashed while it had a request."""
+    def crashed(self, request: CallerRequest, upstream: UpstreamId, has_output: bool) -> None:
+        """Note that an engine crashed while it had a request.
+
+        :param has_output: whether any output of the run had come.
+        """
+        stage = RunStage.PRODUCING if has_output else RunStage.SENT
         # An engine that is down reports nothing: its last report is from before the crash.
         status = self._blackboard.upstreams_by_id.get(upstream)
         lifetime = f"{upstream}@{status.reported_at if status else 0.0}"
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -28,11 +28,9 @@
 from quinceferryd.forwards import forward
 from quinceferryd.proofs import JournalProofs
 from quinceferryd.recording import NEVER_SENT, not_ready
-from quinceferryd.refusals import quarantine_refusal
+from quinceferryd.refusals import HOME_RETRY_SECONDS, home_failure
 from quinceferryd.runs import RequestRun, RunStore
 
-HOME_RETRY_SECONDS = 2.0
-"""When to ask the home of a request again."""
 _CIRCULAR = Failed(
     RefusalReason.BUDGET_UNREACHABLE,
     NEVER_SENT,
@@ -155,8 +153,7 @@
 
     def _quarantine_refusal(self, request: CallerRequest) -> Failed | None:
         """Refuse a request whose content has crashed engines, before tokens are set aside."""
-        held_seconds = self._crashes.held_seconds(request) if self._crashes is not None else 0.0
-        return quarantine_refusal(held_seconds) if held_seconds else None
+        return None if self._crashes is None else self._crashes.refusal(request)
 
     async def _run(self, key: RequestKey, request: CallerRequest) -> AnswerStream:
         """Run a request here and return its answer."""
@@ -235,7 +232,7 @@
                 return
             except PeerUnavailableError as error:
                 if started:
-                    yield _home_failure(error, Unknown())
+                    yield home_failure(error, Unknown())
                     return
         async with aclosing(self._run(key, request)) as events:
             async for event in events:
@@ -261,7 +258,7 @@
                     yield event
         except PeerUnavailableError as error:
             # Even if this call did not reach the home, an earlier one of the caller may have.
-            yield _home_failure(error, Unknown())
+            yield home_failure(error, Unknown())
 
     async def _judge(self, request: CallerRequest, ticket: Ticket) -> Failed:
         """Tell what became of a non-idempotent request whose home is gone."""
@@ -281,18 +278,6 @@
         return member.address
 
 
-def _home_failure(error: PeerUnavailableError, outcome: Outcome) -> Failed:
-    """Return the failure of a request whose home cannot be reached."""
-    return Failed(
-        RefusalReason.HOME_GONE,
-        outcome,
-        HOME_RETRY_SECONDS,
-        str(error),
-        step="forward",
-        peer=error.peer,
-    )
-
-
 def _has_later_ticket(known: RequestRun, request: CallerRequest) -> bool:
     """Tell whether a request carries a later ticket than the run that is known."""
     if known.ticket_expires_at is None or request.ticket is None:
--- a/packages/quinceferry-daemon/src/quinceferryd/refusals.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/refusals.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_core.models import Usage
 from quinceferry_core.outcomes import (
     Failed,
@@ -47,6 +48,8 @@
 
 JSON_HEADER: Header = (b"content-type", b"application/json")
 
+HOME_RETRY_SECONDS = 2.0
+"""When to ask the home of a request again."""
 _NEVER_SENT = NotRun(NotRunProof.NEVER_SENT)
 _TYPES_BY_STATUS = {
     400: "invalid_request_error",
@@ -97,6 +100,18 @@
     return refusal(RefusalReason.QUARANTINED, detail, held_seconds)
 
 
+def home_failure(error: PeerUnavailableError, outcome: Outcome) -> Failed:
+    """Return the failure of a request whose home cannot be reached."""
+    return Failed(
+        RefusalReason.HOME_GONE,
+        outcome,
+        HOME_RETRY_SECONDS,
+        str(error),
+        step="forward",
+        peer=error.peer,
+    )
+
+
 def outcome_word(outcome: Outcome) -> str:
     """Return the word by which callers are told an outcome."""
     match outcome:
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
@@ -0,0 +1,75 @@
+"""One request and its answer on a caller's connection."""
+
+from collections.abc import Callable
+
+from quinceferry_gateway.asgi import Receive, Scope, Send
+from quinceferry_gateway.catalog import AnswerHead, CallerLimits
+from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
+from quinceferry_gateway.interfaces import Headers
+
+OVERSIZED_BODY = 413
+
+
+class CallerExchange:
+    """One request and its answer on a caller's connection.
+
+    :param closing: tells whether the connection should end after this answer.
+    """
+
+    def __init__(
+        self, scope: Scope, receive: Receive, send: Send, closing: Callable[[], bool]
+    ) -> None:
+        self.scope = scope
+        self._receive = receive
+        self._send = send
+        self._closing = closing
+
+    async def read_body(self, limits: CallerLimits) -> bytes:
+        """Return the whole body.
+
+        :raises BadCallError: it is too large.
+        :raises CallerGoneError: the caller closed the connection first.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CallerGoneError("connection closed", step="read")
+            part = message.get("body", b"")
+            size += len(part)
+            if size > limits.max_body_bytes:
+                raise BadCallError("the body is too large", status=OVERSIZED_BODY, step="read")
+            parts.append(part)
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def gone(self) -> None:
+        """Return once the caller has closed the connection or has its whole answer."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self._start(status, [*headers, length])
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head of an answer whose length is not known."""
+        await self._start(head.status, head.headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body, as fast as the caller reads."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def _start(self, status: int, headers: Headers) -> None:
+        """Send a status line and headers."""
+        ending = [(b"connection", b"close")] if self._closing() else []
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": [*headers, *ending]}
+        )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
@@ -14,8 +13,8 @@
 )
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.caller_exchange import OVERSIZED_BODY, CallerExchange
 from quinceferry_gateway.catalog import (
-    AnswerHead,
     Call,
     CallerLimits,
     Route,
@@ -25,84 +24,18 @@
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
-from quinceferry_gateway.interfaces import Dialect, Headers
+from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import CallerStream, Progress
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
 
-_OVERSIZED_BODY = 413
 _OVERSIZED_HEADERS = 431
 _SPREAD = 0.5
 """Share by which times to come back are spread, so that callers don't return all at once."""
 
 
-class Exchange:
-    """One request and its answer on a caller's connection.
-
-    :param closing: tells whether the connection should end after this answer.
-    """
-
-    def __init__(
-        self, scope: Scope, receive: Receive, send: Send, closing: Callable[[], bool]
-    ) -> None:
-        self.scope = scope
-        self._receive = receive
-        self._send = send
-        self._closing = closing
-
-    async def read_body(self, limits: CallerLimits) -> bytes:
-        """Return the whole body.
-
-        :raises BadCallError: it is too large.
-        :raises CallerGoneError: the caller closed the connection first.
-        """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise CallerGoneError("connection closed", step="read")
-            part = message.get("body", b"")
-            size += len(part)
-            if size > limits.max_body_bytes:
-                raise BadCallError("the body is too large", status=_OVERSIZED_BODY, step="read")
-            parts.append(part)
-            if not message.get("more_body"):
-                return b"".join(parts)
-
-    async def gone(self) -> None:
-        """Return once the caller has closed the connection or has its whole answer."""
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        length = (b"content-length", str(len(body)).encode())
-        await self._start(status, [*headers, length])
-        await self._send({"type": "http.response.body", "body": body})
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Send the head of an answer whose length is not known."""
-        await self._start(head.status, head.headers)
-
-    async def send(self, data: bytes) -> None:
-        """Send a piece of the body, as fast as the caller reads."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": True})
-
-    async def finish(self) -> None:
-        """End the body."""
-        await self._send({"type": "http.response.body", "body": b""})
-
-    async def _start(self, status: int, headers: Headers) -> None:
-        """Send a status line and headers."""
-        ending = [(b"connection", b"close")] if self._closing() else []
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": [*headers, *ending]}
-        )
-
-
 class CallerApi:
     """ASGI application that takes the requests of callers.
 
@@ -138,7 +71,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        exchange = Exchange(scope, receive, send, lambda: self._closing)
+        exchange = CallerExchange(scope, receive, send, lambda: self._closing)
         self.in_progress += 1
         try:
             await self._serve(exchange)
@@ -147,7 +80,7 @@
         finally:
             self.in_progress -= 1
 
-    async def _serve(self, exchange: Exchange) -> None:
+    async def _serve(self, exchange: CallerExchange) -> None:
         """Read, decide and answer."""
         started_at = self._clock.monotonic()
         request_id = self._dialect.request_id(exchange.scope["headers"])
@@ -178,7 +111,7 @@
         if not work.cancelled() and (error := work.exception()) is not None:
             log.failure("request.bug", request=request_id, error=repr(error))
 
-    async def _admit(self, exchange: Exchange, started_at: float) -> Progress | Refusal:
+    async def _admit(self, exchange: CallerExchange, started_at: float) -> Progress | Refusal:
         """Decode a request and find its route, service and workspace."""
         scope = exchange.scope
         configuration = self._blackboard.configuration
@@ -210,7 +143,7 @@
 
     def _progress(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         call: Call,
         route: Route,
         workspace: Workspace | None,
@@ -232,7 +165,7 @@
         weights = [destination.weight for destination in route.destinations]
         return self._random.choices(route.destinations, weights)[0].service
 
-    async def _work(self, exchange: Exchange, progress: Progress, started_at: float) -> None:
+    async def _work(self, exchange: CallerExchange, progress: Progress, started_at: float) -> None:
         """Reserve, run, answer and settle."""
         reservation = await self._reserve(progress)
         if isinstance(reservation, Refusal):
@@ -284,7 +217,7 @@
 
     async def _answer(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         progress: Progress,
         outcome: Whole | Streamed | Refusal,
         started_at: float,
@@ -323,7 +256,7 @@
 
     async def _refuse(
         self,
-        exchange: Exchange,
+        exchange: CallerExchange,
         request_id: str,
         refusal: Refusal,
         started_at: float,
@@ -356,4 +289,4 @@
 
 def _malformed(error: BadCallError) -> Reason:
     """Return the reason that belongs to a malformed request."""
-    return Reason.OVERSIZED if error.status == _OVERSIZED_BODY else Reason.MALFORMED
+    return Reason.OVERSIZED if error.status == OVERSIZED_BODY else Reason.MALFORMED
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -13,6 +13,7 @@
     Unknown,
     Whole,
 )
+from quinceferry_gateway.attempt_log import log_attempt
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.crashes import CrashWatch, quarantine_refusal
@@ -78,7 +79,7 @@
                 return placement
             progress.tried.append(placement.upstream.id)
             outcome = await self._attempt(progress, placement)
-            self._log_attempt(progress, placement, outcome)
+            log_attempt(progress, placement, outcome, self._missing_seconds(placement.upstream))
             match outcome:
                 case Streamed():
                     self._crashes.completed(progress)
@@ -139,6 +140,11 @@
             if item.service == progress.service
         ]
 
+    def _missing_seconds(self, upstream: Upstream) -> float | None:
+        """Return for how long the list has lacked an upstream that is used; None if it is there."""
+        missing_since = self._blackboard.missing_since_by_upstream.get(upstream.id)
+        return None if missing_since is None else self._clock.monotonic() - missing_since
+
     def _may_repeat(self, progress: Progress) -> bool:
         """Tell whether the retry budget grants one more send, and take it."""
         if not progress.repeat_granted:
@@ -261,45 +267,6 @@
             return False
         return self._place(progress) is not None
 
-    def _log_attempt(
-        self, progress: Progress, placement: Placement, outcome: AttemptOutcome
-    ) -> None:
-        """Log what an attempt came to, and what placed it."""
-        fields: dict[str, object] = {
-            "request": progress.call.request_id,
-            "upstream": placement.upstream.id,
-            "address": placement.upstream.address,
-            "attempt": len(progress.tried),
-        }
-        if placement.unread_tokens:
-            fields["unread"] = placement.unread_tokens
-            fields["backlog_seconds"] = round(placement.backlog_seconds, 3)
-        if placement.fetch_from is not None:
-            fields["fetched_from"] = placement.fetch_from.id
-        missing_since = self._blackboard.missing_since_by_upstream.get(placement.upstream.id)
-        if missing_since is not None:
-            fields["missing_seconds"] = round(self._clock.monotonic() - missing_since, 3)
-        match outcome:
-            case NotRun(detail, sent):
-                log.failure("attempt.not_run", sent=sent, detail=detail, **fields)
-            case Unknown(detail):
-                events = progress.stream.buffer.count
-                content = progress.fingerprint
-                log.failure(
-                    "attempt.unknown", detail=detail, events=events, content=content, **fields
-                )
-            case Whole(head, _):
-                log.success("attempt.answered", status=head.status, **fields)
-            case Streamed(events):
-                pace = progress.stream.pace
-                log.success(
-                    "attempt.streamed",
-                    events=events,
-                    first_event_seconds=round(pace.first_event_seconds, 3),
-                    longest_pause_seconds=round(pace.longest_pause_seconds, 3),
-                    **fields,
-                )
-
 
 def _priority(progress: Progress) -> int:
     """Return the priority that the upstream is told; a workspace's own goes first."""
