Play a request that crashes upstreams among thirty other callers

Three gateways over real sockets, five upstreams that are replaced when they crash: three to five end, and nothing but that request is refused for its content.

--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -113,6 +113,7 @@
         self.applications = []
         self.stops = []
         async with contextlib.AsyncExitStack() as stack:
+            self.ending = stack
             store_address = free_address()
             await _enter(stack, HttpListener(self.store, store_address, 5.0))
             for upstream in self.upstreams_by_id.values():
@@ -185,12 +186,17 @@
 
     async def register(self, **changes):
         """Write the entries of all upstreams."""
-        for upstream_id, upstream in self.upstreams_by_id.items():
-            entry = {"service": self.services_by_id[upstream_id], "addr": upstream.address}
-            entry |= {"zone": "zone-a", "slots": 4, "state": "ready", "seq": 1}
-            entry |= {"version": "v1", "cold_left_ms": 0}
-            entry |= changes.get(upstream_id, {})
-            await self.store.put(f"servers/{upstream_id}", json.dumps(entry).encode())
+        for upstream_id in self.upstreams_by_id:
+            await self.register_one(upstream_id, **changes.get(upstream_id, {}))
+
+    async def register_one(self, upstream_id, **changes):
+        """Write the entry of an upstream."""
+        address = self.upstreams_by_id[upstream_id].address
+        entry = {"service": self.services_by_id[upstream_id], "addr": address}
+        entry |= {"zone": "zone-a", "slots": 4, "state": "ready", "seq": 1}
+        entry |= {"version": "v1", "cold_left_ms": 0}
+        entry |= changes
+        await self.store.put(f"servers/{upstream_id}", json.dumps(entry).encode())
 
     def headers(self, **changes):
         """Return a caller's headers; a value of None leaves one out."""
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -37,6 +37,19 @@
     Then 3 upstreams of the fleet have crashed
     And "hello" on /draft/ is answered at each gateway
 
+  Scenario Outline: Among many callers the one request is refused, and nobody else
+    Given a fleet of 3 gateways before 5 upstreams of service llm
+    And its log is kept
+    And "boom" crashes all upstreams of the fleet, and another one starts for each
+    When 30 callers stream other things meanwhile, and "boom" comes 10 times, with seed <seed>
+    Then 3 to 5 upstreams of the fleet have crashed
+    And nothing but "boom" was refused for its content
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario Outline: All gateways know what three of them saw, before the request comes again
     Given <count> gateways that know each other, losing <lost> of 100 digests, seed <seed>
     When three gateways each see one crash under the same content
--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -1,5 +1,9 @@
 """Steps for requests that crash upstreams, on real gateways and stand-ins."""
 
+import asyncio
+import itertools
+import random
+from collections import deque
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -12,6 +16,9 @@
 from quinceferry_gateway.logs import log
 from quinceferry_standins.managed_upstream import Answered, Broken, Streaming
 
+SLOW_STREAM = Streaming(12, pause_seconds=0.05)
+RESTART_SECONDS = 0.5
+"""Time after which the next upstream is listed in place of one that has crashed."""
 TOLD_SECONDS = 2.0
 """Time in which each gateway has told all others what it saw, and digests have gone around."""
 TOKENS = {"x_quinceferry_token_count": "100,40", "x_quinceferry_prompt_prefix": "a:60,b:40"}
@@ -51,6 +58,85 @@
         upstream.fatal_body = body.encode()
 
 
+@given('"{body}" crashes all upstreams of the fleet, and another one starts for each')
+def given_replaced(context, body):
+    given_fatal(context, body)
+
+    async def replace(scene):
+        while True:
+            for key, upstream in list(scene.upstreams_by_id.items()):
+                if upstream.crashed and f"{key}-next" not in scene.upstreams_by_id:
+                    await start_next(scene, key, upstream.fatal_body)
+            await asyncio.sleep(0.05)
+
+    async def begin(scene):
+        task = asyncio.create_task(replace(scene))
+        scene.ending.callback(task.cancel)
+
+    context.fleet.acts.append(begin)
+
+
+async def start_next(scene, key, fatal_body):
+    """Start another upstream in place of one that has crashed."""
+    name = f"{key}-next"
+    scene.add_upstream(name, scene.services_by_id[key], SLOW_STREAM)
+    upstream = scene.upstreams_by_id[name]
+    upstream.fatal_body = fatal_body
+    await upstream.start()
+    scene.ending.push_async_callback(upstream.stop)
+    await asyncio.sleep(RESTART_SECONDS)
+    await scene.store.remove(f"servers/{key}")
+    await scene.register_one(name)
+
+
+@when(
+    '{callers:d} callers stream other things meanwhile, and "{body}" comes {times:d} times, with '
+    "seed {seed:d}"
+)
+def when_crowd(context, callers, body, times, seed):
+    async def crowd(scene):
+        draws = random.Random(seed)
+        for upstream in scene.upstreams_by_id.values():
+            upstream.script = deque([SLOW_STREAM])
+        others = [
+            asyncio.create_task(call_again(scene, number, draws)) for number in range(callers)
+        ]
+        for _ in range(times):
+            await asyncio.sleep(draws.uniform(0.2, 0.8))
+            gateway = draws.randrange(len(scene.applications))
+            await scene.ask("POST", "/draft/", body.encode(), gateway=gateway, **TOKENS)
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        context.crashed = [key for key, item in scene.upstreams_by_id.items() if item.crashed]
+
+    context.fleet.acts.append(crowd)
+
+
+async def call_again(scene, number, draws):
+    """Send one request after another, and each once more when it was not answered."""
+    for request in itertools.count():
+        body = f"caller {number}, request {request}".encode()
+        for _ in range(2):
+            gateway = draws.randrange(len(scene.applications))
+            answer = await scene.ask("POST", "/draft/", body, gateway=gateway, **TOKENS)
+            if answer.status == 200 and answer.whole:
+                break
+
+
+@then("{least:d} to {most:d} upstreams of the fleet have crashed")
+def then_some_crashed(context, least, most):
+    context.fleet.play()
+    assert least <= len(context.crashed) <= most, context.crashed
+
+
+@then('nothing but "{body}" was refused for its content')
+def then_only_refused(context, body):
+    refused = [line for line in context.lines if line.get("reason") == "quarantined"]
+    assert refused and len({line["detail"] for line in refused}) == 1, refused
+    assert sum(answer.status == 200 for answer in context.fleet.answers) > len(refused)
+
+
 @when("{first} and {second} break the next connection")
 def when_break(context, first, second):
     async def change(scene):
