--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -17,7 +17,6 @@
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.interfaces import Snapshot
 from quinceferry_gateway.membership import MemberReader
-from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import PeerError
 from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.upstream_reader import UpstreamReader
@@ -175,6 +174,16 @@
         return Configuration(int(document), {}, {})
 
 
+class Uncounted:
+    """Metrics that nobody reads."""
+
+    def upstream_crashed(self, service):
+        """Count nothing."""
+
+    def observe_quarantine(self, held):
+        """Serve nothing."""
+
+
 class Deserted:
     """Connections to addresses at which nobody listens."""
 
@@ -208,7 +217,7 @@
         peers = Peers(world.network, address)
         self.copies = Copies(lists_by_kind, peers, clock, self.gossip.renewed)
         quarantine = Quarantine(crashes=3, hold_seconds=600.0)
-        self.crashes = CrashWatch(board, quarantine, Deserted(), self.port, clock, Metrics())
+        self.crashes = CrashWatch(board, quarantine, Deserted(), self.port, clock, Uncounted())
         self.gossip.use(self.copies, self.crashes)
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
