--- a/features/steps/verdict.py
+++ b/features/steps/verdict.py
@@ -2,11 +2,16 @@
 
 from behave import given, then, use_step_matcher, when
 
-from quinceferry_lab.verdict import judge
+from quinceferry_lab.verdict import judge, known_red
 
 use_step_matcher("re")
 
 
+@given('scenario "one" ended as "(?P<one>.*)" and scenario "two, three" as "(?P<two>.*)"')
+def given_comma(context, one, two):
+    context.statuses_by_name = {"one": one, "two, three": two}
+
+
 @given('scenario "one" ended as "(?P<one>.*)" and scenario "two" as "(?P<two>.*)"')
 def given_statuses(context, one, two):
     context.statuses_by_name = {"one": one, "two": two}
@@ -14,13 +19,13 @@
 
 @given('the known list names "(?P<known>.*)"')
 def given_known(context, known):
-    context.known_by_name = {known.split(",")[0]: known} if known else {}
+    context.known_by_name = known_red([known] if known else [], context.statuses_by_name)
 
 
 @when(r"behave exits with (?P<code>\d+)")
 def when_exits(context, code):
     context.lines, context.run_failed = judge(
-        context.statuses_by_name, context.known_by_name, int(code)
+        context.statuses_by_name, context.known_by_name, int(code), {"two": "a reason"}
     )
 
 
