Log upstream rate limits and count requests sent to limited upstreams

Callers of one service saw no problem, but two of its five upstreams received more requests than they had announced they accept: 15 and 16 in 4 s instead of at most 11. Neither logs nor metrics showed whether gateways ignore the limit, or each applies it separately and the total is too high: no log line reported a limit, and no counter reported the requests sent despite it.

The adapter now decodes the rate limit from the headers of an answer. A value that cannot be parsed (sign, exponent, not a number, more than nine digits on either side of the point) leaves the limit unchanged and is logged. Changes are logged as upstream.limited and upstream.unlimited, and quinceferry_gateway_rate_limited_sends_total counts requests sent to such upstreams. The limit is not enforced yet.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -34,6 +34,7 @@
 from quinceferry_gateway.sends import SendTeller
 from quinceferry_gateway.server import HttpListener
 from quinceferry_gateway.settings import Settings
+from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_reader import UpstreamReader
 
@@ -121,7 +122,7 @@
             QuarantineRecords(board, store, clock, crashes),
         ]
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
-        exchanges = Exchanges(dialect, http, clock, metrics)
+        exchanges = Exchanges(dialect, http, clock, metrics, UpstreamSignals(beliefs, metrics))
         relay = Relay(
             board,
             beliefs,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -176,7 +176,9 @@
     ``not_run`` is the upstream's own statement that it did not begin the request; ``misdirected``
     says besides that another upstream is at the address. ``request_id`` is
     the request it answers, empty when it does not say. ``genuine`` tells that the headers bear the
-    upstream's mark.
+    upstream's mark. ``max_requests_per_second`` is the request rate that the upstream accepts
+    across all gateways, None when the answer has no valid limit. ``malformed_headers`` names the
+    headers about the upstream that could not be parsed.
     """
 
     status: int
@@ -186,3 +188,5 @@
     genuine: bool
     load: Load | None = None
     misdirected: bool = False
+    max_requests_per_second: float | None = None
+    malformed_headers: tuple[str, ...] = ()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -43,6 +43,8 @@
         "in_flight",
         "load",
         "load_at",
+        "malformed_headers",
+        "max_requests_per_second",
         "misdirected_until",
         "reading",
         "sent_since_load",
@@ -61,6 +63,8 @@
         self.failures = 0
         self.suspect_until = 0.0
         self.misdirected_until = 0.0
+        self.max_requests_per_second: float | None = None
+        self.malformed_headers: tuple[str, ...] = ()
         self.reading = ReadingQueue()
         self.slow_factor = 1.0
         self.slow_at = 0.0
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -10,6 +10,7 @@
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import CallerStream, Progress
+from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.transport import HttpClient, OpenReply
 
 EVENT_SILENCE_SECONDS = 2.0
@@ -25,9 +26,18 @@
     """Sends requests to upstreams and passes their answers on.
 
     :param metrics: counts how streams went.
+    :param signals: updates the beliefs about upstreams from the headers of their answers.
     """
 
-    def __init__(self, dialect: Dialect, http: HttpClient, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        http: HttpClient,
+        clock: Clock,
+        metrics: Metrics,
+        signals: UpstreamSignals,
+    ) -> None:
+        self._signals = signals
         self._dialect = dialect
         self._http = http
         self._clock = clock
@@ -46,10 +56,12 @@
             self._metrics.prompt_sent(
                 progress.route.name, call.prompt_tokens, attempt.unread_tokens
             )
+        self._signals.request_sent(upstream)
         async with self._http.open(
             upstream.address, call.method, call.target, headers, call.body
         ) as reply:
             head = self._dialect.decode_answer(reply.status, reply.headers)
+            self._signals.answer_received(upstream, head)
             if head.misdirected:
                 attempt.misdirected(self._clock.monotonic())
             elif head.load is not None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -76,6 +76,10 @@
             "quinceferry_gateway_upstream_crashes",
             description="Upstreams that ended while they worked on requests",
         )
+        self._rate_limited_sends = meter.create_counter(
+            "quinceferry_gateway_rate_limited_sends",
+            description="Requests sent to upstreams that had named a limit of their rate",
+        )
         self._prompt_tokens = meter.create_counter(
             "quinceferry_gateway_prompt_tokens",
             description="Prompt tokens sent to upstreams, and those believed to be read there",
@@ -107,6 +111,10 @@
         """Count an upstream that ended while it worked on requests of this gateway."""
         self._crashes.add(1, {"service": self._label(service)})
 
+    def rate_limited_send(self, service: str) -> None:
+        """Count a request sent to an upstream that limits its request rate."""
+        self._rate_limited_sends.add(1, {"service": self._label(service)})
+
     def prompt_sent(self, route: str, tokens: int, unread_tokens: int) -> None:
         """Count the tokens of a prompt that goes to an upstream."""
         label = self._label(route)
