--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -11,6 +11,7 @@
 
 SEAL = b"x-quinceferry-server-seal"
 REQUEST_ID = b"x-quinceferry-request-id"
+RATE_LIMIT = b"server-limit"
 _READ_BYTES = 65_536
 READ_SECONDS = 0.4
 """Time left to the reader before a reset, which discards what has not been read."""
@@ -78,14 +79,17 @@
     """One upstream; it plays its script, then answers with the last entry again and again.
 
     It crashes when it begins a request with the fatal body: all its connections end, and it listens
-    no more.
+    no more. ``rate_limit`` is the rate that its answers name, empty for none; ``arrived_at`` holds
+    the arrivals of its requests by the event loop's clock.
     """
 
     id: str
     script: deque[Behaviour] = field(default_factory=lambda: deque([Answered()]))
     seen: list[Seen] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
     closed_by_peer: int = 0
     fatal_body: bytes = b""
+    rate_limit: str = ""
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -136,11 +140,12 @@
             writer.close()
             return
         self.seen.append(seen)
+        self.arrived_at.append(asyncio.get_running_loop().time())
         behaviour = self.script.popleft() if len(self.script) > 1 else self.script[0]
         if seen.headers.get(b"x-quinceferry-expect-instance", b"").decode() != self.id:
             behaviour = Declined(421)
         if self.fatal_body and seen.body == self.fatal_body and not isinstance(behaviour, Declined):
-            await _send(connection, writer, _stream_head(seen))
+            await _send(connection, writer, _stream_head(self._headers(seen)))
             await asyncio.sleep(READ_SECONDS)
             self._crash()
             writer.transport.abort()
@@ -157,6 +162,15 @@
             await asyncio.gather(play, gone, return_exceptions=True)
         writer.close()
 
+    def _headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
+        """Return the headers that the upstream adds to its answers."""
+        named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
+        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._signals()]
+
+    def _signals(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell of the upstream itself."""
+        return [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
+
     async def _play(
         self,
         behaviour: Behaviour,
@@ -167,9 +181,11 @@
         """Answer a request as scripted."""
         match behaviour:
             case Answered():
-                await _answer(behaviour, seen, connection, writer)
+                headers = self._headers(seen, behaviour.foreign)
+                await _answer(behaviour, headers, connection, writer)
             case Declined(status):
                 headers = [(b"x-quinceferry-not-run", b"1"), (b"content-length", b"0")]
+                headers += self._signals()
                 await _send(
                     connection,
                     writer,
@@ -177,10 +193,10 @@
                     h11.EndOfMessage(),
                 )
             case Streaming():
-                await _stream(behaviour, seen, connection, writer)
+                await _stream(behaviour, seen, self._headers(seen), connection, writer)
             case Broken(body):
                 if body:
-                    headers = [*_own_headers(seen), (b"content-length", b"1000")]
+                    headers = [*self._headers(seen), (b"content-length", b"1000")]
                     await _send(
                         connection,
                         writer,
@@ -211,18 +227,14 @@
                 return None
 
 
-def _own_headers(seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
-    """Return the headers that an upstream adds to its answers."""
-    named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
-    return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named)]
-
-
 async def _answer(
-    behaviour: Answered, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
+    behaviour: Answered,
+    headers: list[tuple[bytes, bytes]],
+    connection: h11.Connection,
+    writer: asyncio.StreamWriter,
 ) -> None:
     """Send a whole answer, after its delay."""
     await asyncio.sleep(behaviour.delay_seconds)
-    headers = _own_headers(seen, behaviour.foreign)
     if not behaviour.sealed:
         headers = headers[:1]
     if behaviour.framed:
@@ -239,10 +251,14 @@
 
 
 async def _stream(
-    behaviour: Streaming, seen: Seen, connection: h11.Connection, writer: asyncio.StreamWriter
+    behaviour: Streaming,
+    seen: Seen,
+    headers: list[tuple[bytes, bytes]],
+    connection: h11.Connection,
+    writer: asyncio.StreamWriter,
 ) -> None:
     """Send the events that the request does not have yet."""
-    await _send(connection, writer, _stream_head(seen))
+    await _send(connection, writer, _stream_head(headers))
     first = int(seen.headers.get(b"last-event-id", b"0")) + 1
     last = behaviour.events if behaviour.last is None else behaviour.last
     for number in range(first, last + 1):
@@ -262,9 +278,9 @@
             _reset(writer)
 
 
-def _stream_head(seen: Seen) -> h11.Response:
+def _stream_head(headers: list[tuple[bytes, bytes]]) -> h11.Response:
     """Return the head of a stream of events."""
-    headers = [*_own_headers(seen), (b"content-type", b"text/event-stream")]
+    headers = [*headers, (b"content-type", b"text/event-stream")]
     headers.append((b"transfer-encoding", b"chunked"))
     return h11.Response(status_code=200, headers=headers)
 
