Enforce upstream rate limits through one issuing gateway

Callers saw nothing at first.

Class of the cause: what an answer says about its upstream was read for its caller only. A limit applies to the whole fleet and is small compared with the number of gateways: with equal shares and one request in hand each, nine gateways can send nine requests at once.

A gateway that receives a limit notifies all others in one datagram. A request to a rate-limited upstream needs a permit from the gateway that rendezvous hashing selects for it, which spaces the permits evenly, without bursts. A gateway that takes over as issuer, or does not rank first in its own view, grants half of the rate, so that an old and a new issuer together stay within one and a half times the limit for four seconds.

Without a permit the request goes to another upstream. If all of them limit their rate, it waits for up to half of its objective and half of its remaining time, in the order of asking, or is refused at once with the time of the next permit. A withdrawn limit rises for two seconds before it ends. A limit of zero is enforced as one request in ten seconds, since only an answer can end it.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -157,6 +157,9 @@
     metrics.prompt_sent("r", 2, 1)
     metrics.upstream_crashed("s")
     metrics.observe_quarantine(lambda: 1)
+    metrics.permit("granted")
+    metrics.rate_limited_send("s")
+    metrics.observe_rate_limits(lambda: 1)
     route = Route("r", "h", "/", RouteKind.STREAM, (), 1.0, 0.1, 0, 1, pause_seconds=0.1)
     pace = StreamPace(0.0)
     for time in (1.0, 2.0):
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -9,16 +9,21 @@
 from quinceferry_core.adapters import KvEntry
 from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
 from quinceferry_core.quarantine import Quarantine
+from quinceferry_gateway.addresses import host_and_port
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.catalog import Configuration, Upstream, UpstreamList
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.crashes import CrashWatch
+from quinceferry_gateway.decisions import Beliefs
+from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.interfaces import Snapshot
 from quinceferry_gateway.membership import MemberReader
 from quinceferry_gateway.peers import PeerError
+from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.quarantine_records import QuarantineRecords
+from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
 
@@ -26,6 +31,8 @@
 HEARTBEAT_SECONDS = 1.2
 REGISTERED_WITHIN_SECONDS = 1.5
 """Gateways that start together register one after the other within this time."""
+CALL_NUMBER_BITS = 32
+"""Bits reserved for the call numbers of one gateway, so that those of two gateways differ."""
 CHANGES_A_SECOND = 50
 """Revisions that heartbeats of upstreams make."""
 
@@ -83,12 +90,13 @@
         for address in addresses:
             if self._network.passes(self._address, address):
                 port = self._network.nodes_by_address[address].port
-                loop.call_later(LATENCY_SECONDS, port.take, message)
+                loop.call_later(LATENCY_SECONDS, port.take, message, self._address)
 
-    def take(self, message):
+    def take(self, message, origin):
         """Hand a message on."""
         if self._network.nodes_by_address[self._address].alive:
-            self._handlers_by_type[type(message)](message, "peer")
+            sender = host_and_port(origin)
+            self._handlers_by_type[type(message)](message, sender)
 
 
 class Peers:
@@ -183,6 +191,12 @@
     def observe_quarantine(self, held):
         """Serve nothing."""
 
+    def observe_rate_limits(self, limited):
+        """Serve nothing."""
+
+    def permit(self, result):
+        """Count nothing."""
+
 
 class Deserted:
     """Connections to addresses at which nobody listens."""
@@ -219,9 +233,13 @@
         quarantine = Quarantine(crashes=3, hold_seconds=600.0)
         self.crashes = CrashWatch(board, quarantine, Deserted(), self.port, clock, Uncounted())
         self.gossip.use(self.copies, self.crashes)
+        calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
+        self.beliefs = Beliefs()
+        self.signals = UpstreamSignals(board, self.beliefs, self.port, clock, Uncounted())
+        self.permits = SendPermits(board, self.beliefs, calls, clock, Uncounted())
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
-        self._controllers += [self.crashes, records]
+        self._controllers += [self.crashes, records, calls]
         world.network.nodes_by_address[address] = self
 
     async def start(self):
--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -22,6 +22,7 @@
     "unknown_key": "The configuration has no such workspace key. It did not run.",
     "no_upstream": "No upstream of its service was registered and usable. It did not run.",
     "quarantined": "The same content has crashed upstreams before. It did not run.",
+    "upstreams_limited": "Every remaining upstream limits its request rate. It did not run.",
     "upstreams_refused": "Every upstream that was tried declined it. It did not run.",
     "outcome_unknown": "It was sent, the answer was lost, and it may not be sent again. It may have"
     " run: ask the owners of the upstream.",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -19,6 +19,7 @@
     BUDGET_UNTIL_STORE = "budget_until_store"
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
+    UPSTREAMS_LIMITED = "upstreams_limited"
     QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
@@ -37,6 +38,7 @@
     Reason.BUDGET_UNTIL_STORE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
+    Reason.UPSTREAMS_LIMITED: 503,
     Reason.QUARANTINED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -27,6 +27,7 @@
 from quinceferry_gateway.membership import MemberReader, Registration
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import PeerClient, PeerError
+from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservations
@@ -121,8 +122,10 @@
             crashes,
             QuarantineRecords(board, store, clock, crashes),
         ]
+        signals = UpstreamSignals(board, beliefs, port, clock, metrics)
+        permits = SendPermits(board, beliefs, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
-        exchanges = Exchanges(dialect, http, clock, metrics, UpstreamSignals(beliefs, metrics))
+        exchanges = Exchanges(dialect, http, clock, metrics, signals)
         relay = Relay(
             board,
             beliefs,
@@ -133,6 +136,7 @@
             clock,
             self._retry_budgets(),
             crashes,
+            permits,
         )
         self.caller_api = CallerApi(
             board, dialect, self.reservations, relay, metrics, clock, random.Random(), crashes
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -12,6 +12,7 @@
 from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.kept_parts import KeptParts
+from quinceferry_gateway.decisions.rate_limits import RateLimit
 from quinceferry_gateway.decisions.reading import ReadingQueue, ReadingRates
 
 SUSPECT_SECONDS = 1.5
@@ -36,7 +37,12 @@
 
 
 class Belief:
-    """What is known of one lifetime of an upstream. Times are those of the steady clock."""
+    """What is known of one lifetime of an upstream. Times are those of the steady clock.
+
+    ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
+    one, and ``notified_at`` is when it last sent one. ``no_permit_until`` is the earliest time at
+    which a permit may be available.
+    """
 
     __slots__ = (
         "failures",
@@ -44,8 +50,11 @@
         "load",
         "load_at",
         "malformed_headers",
-        "max_requests_per_second",
         "misdirected_until",
+        "no_permit_until",
+        "notified_at",
+        "notified_rate",
+        "rate_limit",
         "reading",
         "sent_since_load",
         "slow_at",
@@ -63,7 +72,10 @@
         self.failures = 0
         self.suspect_until = 0.0
         self.misdirected_until = 0.0
-        self.max_requests_per_second: float | None = None
+        self.rate_limit = RateLimit()
+        self.no_permit_until = 0.0
+        self.notified_rate: float | None = None
+        self.notified_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
         self.reading = ReadingQueue()
         self.slow_factor = 1.0
@@ -175,20 +187,25 @@
 
 
 class Beliefs:
-    """What is known of all upstreams, and of the engines of each service."""
+    """What is known of all upstreams, and of the engines of each service.
+
+    ``limited_ids`` holds the ids of upstreams that may have a rate limit in force.
+    """
 
-    __slots__ = ("_by_id", "_rates_by_service", "kept")
+    __slots__ = ("_by_id", "_rates_by_service", "kept", "limited_ids")
 
     def __init__(self) -> None:
         self._by_id: dict[str, Belief] = {}
         self._rates_by_service: defaultdict[str, ReadingRates] = defaultdict(ReadingRates)
         self.kept = KeptParts()
+        self.limited_ids: set[str] = set()
 
     def of(self, upstream: Upstream) -> Belief:
         """Return what is known of an upstream; nothing when it has started anew."""
         known = self._by_id.get(upstream.id)
         if known is None or known.started_at != upstream.started_at:
             known = self._by_id[upstream.id] = Belief(upstream.started_at)
+            self.limited_ids.discard(upstream.id)
             self.kept.forget(upstream.id)
         return known
 
@@ -218,4 +235,5 @@
         for key in [key for key in self._by_id if key not in present]:
             if self._by_id[key].in_flight <= 0:
                 del self._by_id[key]
+                self.limited_ids.discard(key)
                 self.kept.forget(key)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -80,6 +80,10 @@
             "quinceferry_gateway_rate_limited_sends",
             description="Requests sent to upstreams that had named a limit of their rate",
         )
+        self._permits = meter.create_counter(
+            "quinceferry_gateway_permits",
+            description="Permits asked for to send requests to upstreams that limit their rate",
+        )
         self._prompt_tokens = meter.create_counter(
             "quinceferry_gateway_prompt_tokens",
             description="Prompt tokens sent to upstreams, and those believed to be read there",
@@ -115,6 +119,13 @@
         """Count a request sent to an upstream that limits its request rate."""
         self._rate_limited_sends.add(1, {"service": self._label(service)})
 
+    def permit(self, result: str) -> None:
+        """Count a permit that was asked for.
+
+        :param result: ``granted``, ``denied`` or ``unanswered``.
+        """
+        self._permits.add(1, {"result": result})
+
     def prompt_sent(self, route: str, tokens: int, unread_tokens: int) -> None:
         """Count the tokens of a prompt that goes to an upstream."""
         label = self._label(route)
@@ -157,6 +168,14 @@
             description="Contents of requests that are not run, since they crashed upstreams",
         )
 
+    def observe_rate_limits(self, limited: Callable[[], int]) -> None:
+        """Serve from now on how many upstreams limit their request rate."""
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_rate_limited_upstreams",
+            callbacks=[lambda _: [Observation(limited())]],
+            description="Upstreams that limit their request rate",
+        )
+
     def exposition(self) -> bytes:
         """Return all series in the text format that scrapers read."""
         return generate_latest(self._registry)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -0,0 +1,184 @@
+"""Permits to send requests to rate-limited upstreams.
+
+One gateway, the issuer, grants the permits for an upstream to all gateways.
+"""
+
+import msgspec
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.decisions import Beliefs
+from quinceferry_gateway.decisions.rate_limits import MIN_REQUESTS_PER_SECOND, PermitSchedule
+from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.rendezvous import ranked
+
+PERMIT = "permit"
+"""Kind of the datagram call that requests a permit."""
+PERMIT_TIMEOUT_SECONDS = 0.15
+"""Longest wait for a reply, which allows one resend after a loss."""
+UNANSWERED_PAUSE_SECONDS = 0.3
+"""Time for which no permit is expected for an upstream after its issuer did not reply."""
+MIN_PAUSE_SECONDS = 0.02
+"""Shortest time for which no permit is expected after a failed request for one."""
+MAX_RATE = 1e9
+"""Largest rate accepted from a peer, in requests a second."""
+MAX_SCHEDULES = 1_024
+"""Most schedules that an issuer keeps, one per lifetime of an upstream; evicts the oldest."""
+
+Lifetime = tuple[str, float]
+"""Identifier and start time of an upstream."""
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Requests a permit to send one request to an upstream.
+
+    ``rate`` is the limit known to the requesting gateway, in requests a second.
+    """
+
+    upstream: str
+    started_at: float
+    rate: float
+    max_wait_seconds: float
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the permit is granted, and the seconds until it is valid or until the next one."""
+
+    granted: bool
+    wait_seconds: float
+
+
+class PermitIssuer:
+    """Grants permits to all gateways.
+
+    A duplicated call reserves two slots, one of which stays unused.
+    """
+
+    def __init__(self, blackboard: Blackboard, beliefs: Beliefs, clock: Clock) -> None:
+        self._blackboard = blackboard
+        self._beliefs = beliefs
+        self._clock = clock
+        self._schedules_by_lifetime: dict[Lifetime, PermitSchedule] = {}
+
+    async def serve(self, body: bytes) -> bytes:
+        """Answer a permit request of a peer.
+
+        :raises msgspec.DecodeError: the request is malformed, or its rate or wait is out of range.
+        """
+        request = msgspec.msgpack.decode(body, type=PermitRequest)
+        if not (0 <= request.rate <= MAX_RATE and request.max_wait_seconds >= 0):
+            raise msgspec.DecodeError(f"rate or wait out of range: {request}")
+        return msgspec.msgpack.encode(self.issue(request))
+
+    def issue(self, request: PermitRequest) -> PermitReply:
+        """Grant a permit if a slot is free within the longest acceptable wait."""
+        now = self._clock.monotonic()
+        lifetime = (request.upstream, request.started_at)
+        schedule = self._schedules_by_lifetime.get(lifetime)
+        if schedule is None:
+            while len(self._schedules_by_lifetime) >= MAX_SCHEDULES:
+                del self._schedules_by_lifetime[next(iter(self._schedules_by_lifetime))]
+            schedule = self._schedules_by_lifetime[lifetime] = PermitSchedule(now)
+        sole_issuer = issuer_of(self._blackboard, request.upstream) is self._blackboard.own
+        rate = max(MIN_REQUESTS_PER_SECOND, self._rate(request, now))
+        return PermitReply(*schedule.reserve(rate, sole_issuer, request.max_wait_seconds, now))
+
+    def _rate(self, request: PermitRequest, now: float) -> float:
+        """Return the limit known to this gateway, or else the one in the request."""
+        upstream = self._blackboard.upstreams_by_id.get(request.upstream)
+        if upstream is None or upstream.started_at != request.started_at:
+            return request.rate
+        known = self._beliefs.of(upstream).rate_limit.current(now)
+        return request.rate if known is None else known
+
+
+class SendPermits:
+    """Acquires permits for the requests of this gateway.
+
+    :param metrics: counts permit requests by result.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        beliefs: Beliefs,
+        calls: DatagramCalls,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._blackboard = blackboard
+        self._beliefs = beliefs
+        self._calls = calls
+        self._clock = clock
+        self._metrics = metrics
+        self._issuer = PermitIssuer(blackboard, beliefs, clock)
+        calls.serve(PERMIT, self._issuer.serve)
+
+    def needed(self, upstream: Upstream) -> bool:
+        """Tell whether a request to an upstream needs a permit."""
+        return self._rate(upstream) is not None
+
+    def pause_seconds(self, upstream: Upstream) -> float:
+        """Return how long no permit for an upstream is expected, zero if one may be available."""
+        if not self.needed(upstream):
+            return 0.0
+        return max(0.0, self._beliefs.of(upstream).no_permit_until - self._clock.monotonic())
+
+    async def acquire(self, upstream: Upstream, max_wait_seconds: float) -> float | None:
+        """Return the seconds until a request may be sent, None if no permit was granted.
+
+        :param max_wait_seconds: longest acceptable wait.
+        """
+        rate = self._rate(upstream)
+        if rate is None:
+            return 0.0
+        request = PermitRequest(upstream.id, upstream.started_at, rate, max_wait_seconds)
+        issuer = issuer_of(self._blackboard, upstream.id)
+        if issuer is self._blackboard.own:
+            reply = self._issuer.issue(request)
+        else:
+            reply = await self._request_permit(issuer, request)
+        if reply is not None and reply.granted:
+            self._metrics.permit("granted")
+            return reply.wait_seconds
+        self._metrics.permit("denied" if reply else "unanswered")
+        pause = reply.wait_seconds if reply else UNANSWERED_PAUSE_SECONDS
+        self._beliefs.of(upstream).no_permit_until = self._clock.monotonic() + max(
+            MIN_PAUSE_SECONDS, pause
+        )
+        return None
+
+    def _rate(self, upstream: Upstream) -> float | None:
+        """Return the rate limit in force for an upstream, None without one."""
+        if upstream.id not in self._beliefs.limited_ids:
+            return None
+        rate = self._beliefs.of(upstream).rate_limit.current(self._clock.monotonic())
+        if rate is None:
+            self._beliefs.limited_ids.discard(upstream.id)
+        return rate
+
+    async def _request_permit(self, issuer: Member, request: PermitRequest) -> PermitReply | None:
+        """Request a permit from a peer; None without a valid reply."""
+        body = msgspec.msgpack.encode(request)
+        try:
+            reply = await self._calls.call(
+                issuer.peer_address, PERMIT, body, PERMIT_TIMEOUT_SECONDS
+            )
+            return msgspec.msgpack.decode(reply, type=PermitReply)
+        except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.failure("permit.not_answered", peer=issuer.incarnation, error=str(error))
+            return None
+
+
+def issuer_of(blackboard: Blackboard, upstream_id: str) -> Member:
+    """Return the gateway that grants permits for an upstream.
+
+    Ranking by VM keeps the assignment when a gateway restarts on the same VM.
+    """
+    members_by_vm = {member.vm: member for member in blackboard.usable_members()}
+    if not members_by_vm:
+        return blackboard.own
+    return members_by_vm[ranked(upstream_id, members_by_vm)[0]]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -27,6 +27,7 @@
 from quinceferry_gateway.exchanges import EVENT_SILENCE_SECONDS, Exchanges
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
+from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.progress import Progress
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendTeller
@@ -37,6 +38,10 @@
 stream after four times."""
 PATIENCE_SHARE = 0.5
 """Most of the remaining time that is spent so, which leaves as much to the next attempt."""
+PERMIT_WAIT_OBJECTIVES = 0.5
+"""Longest wait for a permit as a multiple of the objective, which the answer can still meet."""
+MAX_PERMIT_REQUESTS = 3
+"""Most permits requested without a wait before the request goes to an upstream without a limit."""
 SERVER_ERROR = 500
 
 
@@ -46,6 +51,7 @@
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
     :param crashes: is told of connections that upstreams closed, and knows what must not run.
+    :param permits: acquires permits for requests to rate-limited upstreams.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         clock: Clock,
         retry_budget: Callable[[str], RetryBudget],
         crashes: CrashWatch,
+        permits: SendPermits,
     ) -> None:
         self._blackboard = blackboard
         self._beliefs = beliefs
@@ -69,12 +76,13 @@
         self._clock = clock
         self._retry_budget = retry_budget
         self._crashes = crashes
+        self._permits = permits
 
     async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
         """Attempt a request until it is answered or must be given up."""
         self._retry_budget(progress.service).count_request()
         while True:
-            placement = self._next_placement(progress)
+            placement = await self._next_placement(progress)
             if not isinstance(placement, Placement):
                 return placement
             progress.tried.append(placement.upstream.id)
@@ -108,8 +116,24 @@
             return self._timed_out(progress)
         return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
 
-    def _next_placement(self, progress: Progress) -> Placement | Refusal | Whole:
+    async def _next_placement(self, progress: Progress) -> Placement | Refusal | Whole:
         """Return where to send the request next, or why it ends here."""
+        while True:
+            answer = self._final_answer(progress)
+            if answer is not None:
+                return answer
+            placement = self._place(progress, self._available(progress))
+            if placement is None and self._place(progress, self._candidates(progress)) is None:
+                return self._given_up(progress)
+            if progress.arrivals and not self._may_repeat(progress):
+                return self._given_up(progress)
+            outcome = await self._with_permit(progress, placement)
+            if outcome is not None:
+                progress.repeat_granted = False
+                return outcome
+
+    def _final_answer(self, progress: Progress) -> Refusal | Whole | None:
+        """Return the final answer if the request may not be sent any more, else None."""
         if self._clock.monotonic() >= progress.ends_at:
             return self._timed_out(progress)
         # Others may have found out what the request does while it waited for its turn.
@@ -119,18 +143,70 @@
         # What reached another upstream than the chosen one was no attempt at the service.
         if progress.arrivals - progress.misdirected >= progress.route.attempts:
             return self._given_up(progress)
-        placement = self._place(progress)
-        if placement is None:
-            return self._given_up(progress)
-        if progress.arrivals and not self._may_repeat(progress):
-            return self._given_up(progress)
-        progress.repeat_granted = False
-        return placement
+        return None
+
+    async def _with_permit(
+        self, progress: Progress, placement: Placement | None
+    ) -> Placement | Refusal | Whole | None:
+        """Return where to send the request now, the final answer, or None to choose again.
+
+        :param placement: the preferred placement, None if no permit is expected to be available.
+        """
+        for _ in range(MAX_PERMIT_REQUESTS):
+            if placement is None:
+                return await self._wait_for_permit(progress)
+            if await self._permits.acquire(placement.upstream, 0.0) is not None:
+                return placement
+            placement = self._place(progress, self._available(progress))
+        placement = self._place(progress, self._unlimited(progress))
+        return placement or await self._wait_for_permit(progress)
+
+    async def _wait_for_permit(self, progress: Progress) -> Placement | Refusal | Whole | None:
+        """Wait for the earliest permit of any upstream; refuse the request if that takes too long.
 
-    def _place(self, progress: Progress) -> Placement | None:
+        :return: None to choose again, since no upstream is usable or the chosen one no longer is.
+        """
+        placements = [
+            placement
+            for candidate in self._candidates(progress)
+            if (placement := self._place(progress, [candidate])) is not None
+        ]
+        if not placements:
+            return None
+        chosen = min(placements, key=lambda item: self._permits.pause_seconds(item.upstream))
+        max_wait = self._max_permit_wait_seconds(progress)
+        pause = self._permits.pause_seconds(chosen.upstream)
+        wait = None
+        if pause <= max_wait:
+            wait = await self._permits.acquire(chosen.upstream, max_wait)
+        if wait is None:
+            return self._rate_limited(progress, self._permits.pause_seconds(chosen.upstream))
+        if not wait:
+            return chosen
+        await self._clock.sleep(wait)
+        return self._final_answer(progress) or self._place(progress, [chosen.upstream])
+
+    def _max_permit_wait_seconds(self, progress: Progress) -> float:
+        """Return how long a request may wait for a permit."""
+        remaining = progress.ends_at - self._clock.monotonic()
+        wait = PERMIT_WAIT_OBJECTIVES * progress.route.objective_seconds
+        return max(0.0, min(wait, PATIENCE_SHARE * remaining))
+
+    def _place(self, progress: Progress, candidates: list[Upstream]) -> Placement | None:
         """Return where the next attempt may go."""
         now = self._clock.monotonic()
-        return self._placer.place(progress.demand, self._candidates(progress), progress.tried, now)
+        return self._placer.place(progress.demand, candidates, progress.tried, now)
+
+    def _available(self, progress: Progress) -> list[Upstream]:
+        """Return the upstreams that need no permit or may have one available."""
+        candidates = self._candidates(progress)
+        if not self._beliefs.limited_ids:
+            return candidates
+        return [item for item in candidates if not self._permits.pause_seconds(item)]
+
+    def _unlimited(self, progress: Progress) -> list[Upstream]:
+        """Return the upstreams that need no permit."""
+        return [item for item in self._candidates(progress) if not self._permits.needed(item)]
 
     def _candidates(self, progress: Progress) -> list[Upstream]:
         """Return the upstreams of the request's service."""
@@ -163,6 +239,13 @@
         reason = Reason.UPSTREAMS_REFUSED if progress.tried else Reason.NO_UPSTREAM
         return Refusal(reason, progress.last_detail)
 
+    def _rate_limited(self, progress: Progress, retry_seconds: float) -> Refusal | Whole:
+        """Return the answer to a request that gets no permit within its longest wait."""
+        if progress.last_failure is not None or progress.may_have_run:
+            return self._given_up(progress)
+        detail = progress.last_detail or "all upstreams limit their request rate"
+        return Refusal(Reason.UPSTREAMS_LIMITED, detail, retry_seconds=retry_seconds)
+
     @staticmethod
     def _quarantined(progress: Progress, held_seconds: float) -> Refusal:
         """Return the answer to a request whose content crashes upstreams."""
@@ -265,7 +348,7 @@
         route = progress.route
         if not route.repeatable or progress.arrivals - progress.misdirected + 1 >= route.attempts:
             return False
-        return self._place(progress) is not None
+        return self._place(progress, self._unlimited(progress)) is not None
 
 
 def _priority(progress: Progress) -> int:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -1,31 +1,65 @@
-"""Tracks the rate limits that upstreams announce in the headers of their answers."""
+"""Tracks the rate limits that upstreams announce in the headers of their answers.
 
+A limit applies to all gateways together, so each gateway notifies its peers of changes.
+"""
+
+import msgspec
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.decisions import Beliefs
+from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.permits import MAX_RATE
+
+MIN_NOTICE_INTERVAL_SECONDS = 1.0
+"""Shortest time between two notices about an upstream, which bounds the traffic if its limit keeps
+changing."""
+
+
+class RateLimitNotice(msgspec.Struct, frozen=True, array_like=True, tag="limit"):
+    """Tells peers the rate that an upstream announces, None when it has withdrawn its limit."""
+
+    upstream: str
+    started_at: float
+    rate: float | None
 
 
 class UpstreamSignals:
     """Updates the beliefs about upstreams from the headers of their answers.
 
+    :param port: carries notices between gateways.
     :param metrics: counts requests sent to upstreams that limit their request rate.
     """
 
-    def __init__(self, beliefs: Beliefs, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        beliefs: Beliefs,
+        port: DatagramPort,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._blackboard = blackboard
         self._beliefs = beliefs
+        self._port = port
+        self._clock = clock
         self._metrics = metrics
+        port.handle(RateLimitNotice, self._take_notice)
+        metrics.observe_rate_limits(self._limited_upstreams)
 
     def request_sent(self, upstream: Upstream) -> None:
         """Count a request if the upstream limits its request rate."""
-        if self._beliefs.of(upstream).max_requests_per_second is not None:
+        if self._beliefs.of(upstream).rate_limit.announced is not None:
             self._metrics.rate_limited_send(upstream.service)
 
     def answer_received(self, upstream: Upstream, head: AnswerHead) -> None:
         """Update the rate limit of an upstream from an answer.
 
         Malformed headers leave the limit unchanged. A misdirected answer is ignored, since it comes
-        from another upstream.
+        from another upstream. Only a genuine or not-run answer can end a limit.
         """
         if head.misdirected:
             return
@@ -33,22 +67,50 @@
         if head.malformed_headers and head.malformed_headers != belief.malformed_headers:
             log.failure("answer.malformed", upstream=upstream.id, headers=head.malformed_headers)
         belief.malformed_headers = head.malformed_headers
-        if head.malformed_headers:
+        rate = head.max_requests_per_second
+        if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
-        self._update_rate_limit(upstream, head.max_requests_per_second)
+        self._update_rate_limit(upstream, rate, "own")
+        self._notify_peers(upstream)
 
-    def _update_rate_limit(self, upstream: Upstream, rate_limit: float | None) -> None:
+    def _update_rate_limit(self, upstream: Upstream, rate: float | None, origin: str) -> None:
         """Store the rate limit of an upstream and log a change."""
-        belief = self._beliefs.of(upstream)
-        before, belief.max_requests_per_second = belief.max_requests_per_second, rate_limit
-        if rate_limit == before:
+        limit = self._beliefs.of(upstream).rate_limit
+        before = limit.announced
+        limit.announce(rate, self._clock.monotonic())
+        if rate is not None:
+            self._beliefs.limited_ids.add(upstream.id)
+        if rate == before:
             return
-        if rate_limit is None:
-            log.change("upstream.unlimited", upstream=upstream.id, before=before)
+        fields = {"upstream": upstream.id, "before": before, "origin": origin}
+        if rate is None:
+            log.change("upstream.unlimited", **fields)
         else:
-            log.change(
-                "upstream.limited",
-                upstream=upstream.id,
-                requests_per_second=rate_limit,
-                before=before,
-            )
+            log.change("upstream.limited", requests_per_second=rate, **fields)
+
+    def _notify_peers(self, upstream: Upstream) -> None:
+        """Send the rate limit of an upstream to all peers if it is new to them."""
+        belief = self._beliefs.of(upstream)
+        rate, now = belief.rate_limit.announced, self._clock.monotonic()
+        if rate == belief.notified_rate or now - belief.notified_at < MIN_NOTICE_INTERVAL_SECONDS:
+            return
+        belief.notified_rate, belief.notified_at = rate, now
+        notice = RateLimitNotice(upstream.id, upstream.started_at, rate)
+        self._port.send(notice, [peer.peer_address for peer in self._blackboard.peers()])
+
+    def _take_notice(self, notice: RateLimitNotice, sender: object) -> None:
+        """Apply a notice from a peer; ignore one about an unknown upstream."""
+        upstream = self._blackboard.upstreams_by_id.get(notice.upstream)
+        if upstream is None or upstream.started_at != notice.started_at:
+            return
+        if notice.rate is not None and not 0 <= notice.rate <= MAX_RATE:
+            log.failure("limit.malformed", peer=str(sender), rate=str(notice.rate))
+            return
+        self._update_rate_limit(upstream, notice.rate, str(sender))
+        self._beliefs.of(upstream).notified_rate = notice.rate
+
+    def _limited_upstreams(self) -> int:
+        """Return how many upstreams limit their request rate."""
+        upstreams = self._blackboard.upstreams_by_id.values()
+        limits = [self._beliefs.of(upstream).rate_limit for upstream in upstreams]
+        return sum(limit.announced is not None for limit in limits)
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -79,8 +79,8 @@
     """One upstream; it plays its script, then answers with the last entry again and again.
 
     It crashes when it begins a request with the fatal body: all its connections end, and it listens
-    no more. ``rate_limit`` is the rate that its answers name, empty for none; ``arrived_at`` holds
-    the arrivals of its requests by the event loop's clock.
+    no more. ``rate_limit`` is the rate limit header of its answers, omitted when empty;
+    ``arrived_at`` holds the arrival times of its requests on the event loop's clock.
     """
 
     id: str
@@ -145,7 +145,7 @@
         if seen.headers.get(b"x-quinceferry-expect-instance", b"").decode() != self.id:
             behaviour = Declined(421)
         if self.fatal_body and seen.body == self.fatal_body and not isinstance(behaviour, Declined):
-            await _send(connection, writer, _stream_head(self._headers(seen)))
+            await _send(connection, writer, _stream_head(self._own_headers(seen)))
             await asyncio.sleep(READ_SECONDS)
             self._crash()
             writer.transport.abort()
@@ -162,13 +162,13 @@
             await asyncio.gather(play, gone, return_exceptions=True)
         writer.close()
 
-    def _headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
+    def _own_headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
         """Return the headers that the upstream adds to its answers."""
         named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
-        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._signals()]
+        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._rate_limit_headers()]
 
-    def _signals(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers that tell of the upstream itself."""
+    def _rate_limit_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the rate limit header, if the upstream has a limit."""
         return [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
 
     async def _play(
@@ -181,11 +181,11 @@
         """Answer a request as scripted."""
         match behaviour:
             case Answered():
-                headers = self._headers(seen, behaviour.foreign)
+                headers = self._own_headers(seen, behaviour.foreign)
                 await _answer(behaviour, headers, connection, writer)
             case Declined(status):
                 headers = [(b"x-quinceferry-not-run", b"1"), (b"content-length", b"0")]
-                headers += self._signals()
+                headers += self._rate_limit_headers()
                 await _send(
                     connection,
                     writer,
@@ -193,10 +193,10 @@
                     h11.EndOfMessage(),
                 )
             case Streaming():
-                await _stream(behaviour, seen, self._headers(seen), connection, writer)
+                await _stream(behaviour, seen, self._own_headers(seen), connection, writer)
             case Broken(body):
                 if body:
-                    headers = [*self._headers(seen), (b"content-length", b"1000")]
+                    headers = [*self._own_headers(seen), (b"content-length", b"1000")]
                     await _send(
                         connection,
                         writer,
