Show that upstreams which announced their leaving get requests

Three gateways and two upstreams on real connections, of which one says in its answers that it leaves: 99 requests reach it in the 4 s after that, also while the store is away, and 38 in 2 s where it is the only one.

--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -26,6 +26,7 @@
 
 @given("a fleet of {count:d} gateway before {upstreams:d} upstreams of service {service}")
 @given("a fleet of {count:d} gateways before {upstreams:d} upstreams of service {service}")
+@given("a fleet of {count:d} gateways before {upstreams:d} upstream of service {service}")
 def given_fleet(context, count, upstreams, service):
     context.fleet = scene = Scene(configuration(), gateways=count)
     behaviour = Streaming(3) if service == "llm" else Answered()
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -12,6 +12,7 @@
 SEAL = b"x-quinceferry-server-seal"
 REQUEST_ID = b"x-quinceferry-request-id"
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 _READ_BYTES = 65_536
 READ_SECONDS = 0.4
 """Time left to the reader before a reset, which discards what has not been read."""
@@ -31,9 +32,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Declined:
-    """Says that it did not run the request."""
+    """Says that it did not run the request; ``retry_after`` is that header, omitted when empty."""
 
     status: int = 503
+    retry_after: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,7 +82,8 @@
 
     It crashes when it begins a request with the fatal body: all its connections end, and it listens
     no more. ``rate_limit`` is the rate limit header of its answers, omitted when empty;
-    ``arrived_at`` holds the arrival times of its requests on the event loop's clock.
+    ``arrived_at`` holds the arrival times of its requests on the event loop's clock. ``leaving``
+    announces its planned stop in all answers.
     """
 
     id: str
@@ -90,6 +93,7 @@
     closed_by_peer: int = 0
     fatal_body: bytes = b""
     rate_limit: str = ""
+    leaving: bool = False
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -165,11 +169,12 @@
     def _own_headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
         """Return the headers that the upstream adds to its answers."""
         named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
-        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._rate_limit_headers()]
+        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._status_headers()]
 
-    def _rate_limit_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the rate limit header, if the upstream has a limit."""
-        return [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
+    def _status_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell of the upstream itself."""
+        headers = [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
+        return [*headers, (LEAVING, b"1")] if self.leaving else headers
 
     async def _play(
         self,
@@ -183,9 +188,11 @@
             case Answered():
                 headers = self._own_headers(seen, behaviour.foreign)
                 await _answer(behaviour, headers, connection, writer)
-            case Declined(status):
+            case Declined(status, retry_after):
                 headers = [(b"x-quinceferry-not-run", b"1"), (b"content-length", b"0")]
-                headers += self._rate_limit_headers()
+                headers += self._status_headers()
+                if retry_after:
+                    headers.append((b"retry-after", retry_after.encode()))
                 await _send(
                     connection,
                     writer,
