--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -78,12 +78,16 @@
 
 @dataclass
 class Answer:
-    """What a caller got; ``whole`` is False when the answer broke off."""
+    """What a caller got; ``whole`` is False when the answer broke off.
+
+    ``at`` is when its head came, on the event loop's clock.
+    """
 
     status: int
     headers: dict
     body: bytes = b""
     whole: bool = True
+    at: float = 0.0
 
 
 @dataclass
@@ -214,7 +218,8 @@
         headers = [*self.headers(**changes), (b"content-length", str(len(body)).encode())]
         opened = self.http.open(address, method.encode(), target.encode(), headers, body)
         async with asyncio.timeout(PATIENCE_SECONDS), opened as reply:
-            answer = Answer(reply.status, dict(reply.headers))
+            at = asyncio.get_running_loop().time()
+            answer = Answer(reply.status, dict(reply.headers), at=at)
             try:
                 async for chunk in reply.chunks():
                     answer.body += chunk
--- /dev/null
+++ b/features/gateway_resting_upstreams.feature
@@ -0,0 +1,27 @@
+Feature: Upstreams that turn requests away and ask for a pause
+  An upstream that refuses a request with a retry time gets no more from that gateway until then.
+
+  Scenario: An upstream that asked for a pause gets no requests meanwhile
+    Given a fleet of 1 gateway before 2 upstreams of service app
+    And app-1 always refuses with a pause of "3" seconds
+    When 6 callers send requests on /get/ for 3 seconds
+    Then app-1 got at most 2 requests between 0.5 and 3 seconds after the first
+    And no request was refused
+
+  Scenario: All upstreams ask for a pause
+    Given a fleet of 1 gateway before 2 upstreams of service app
+    And app-1 always refuses with a pause of "4" seconds
+    And app-2 always refuses with a pause of "2.5" seconds
+    When 6 callers send requests on /get/ for 2 seconds
+    Then app-1 got at most 2 requests between 0.5 and 4 seconds after the first
+    And app-2 got at most 2 requests between 0.5 and 2.5 seconds after the first
+    And refused requests have not run and have a retry time
+    And no caller was told to come back before the pause of app-2 ends
+
+  Scenario: An upstream gets requests again after its pause
+    Given a fleet of 1 gateway before 2 upstreams of service app
+    And app-1 refuses once with a pause of "1.5" seconds
+    When 6 callers send requests on /get/ for 4 seconds
+    Then app-1 got at most 2 requests between 0.5 and 1.5 seconds after the first
+    And app-1 got 10 or more requests later than 2.5 seconds after the first
+    And no request was refused
