Stop sending requests to upstreams that announce they are leaving

Requests reached an upstream up to 2.8 s after one of its answers had told the gateway that it was leaving, where 2 s are allowed. The store was away from 7 to 20 s, and the gateway learned of leaving upstreams only from the store's list.

Class of the cause: what an answer says about its upstream was only passed on to the caller and not used by the gateway, as with rate limits.

An older list that names the upstream as ready, or a list that lacks it for a while, does not undo the record, and an upstream that restarts with the same identifier gets requests. The gateway that first receives the announcement in an answer notifies all other gateways in one datagram. Placement excludes a leaving upstream immediately, as it does one that the list names as draining; streams that it is serving continue to their end.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -177,8 +177,9 @@
     says besides that another upstream is at the address. ``request_id`` is
     the request it answers, empty when it does not say. ``genuine`` tells that the headers bear the
     upstream's mark. ``max_requests_per_second`` is the request rate that the upstream accepts
-    across all gateways, None when the answer has no valid limit. ``malformed_headers`` names the
-    headers about the upstream that could not be parsed.
+    across all gateways, None when the answer has no valid limit. ``leaving`` tells that the
+    upstream is shutting down and must get no new requests. ``malformed_headers`` names the headers
+    about the upstream that could not be parsed.
     """
 
     status: int
@@ -189,4 +190,5 @@
     load: Load | None = None
     misdirected: bool = False
     max_requests_per_second: float | None = None
+    leaving: bool = False
     malformed_headers: tuple[str, ...] = ()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -32,6 +32,8 @@
 """How far one first event moves the belief; three late ones make it half of what they show."""
 MOST_SLOWNESS = 8.0
 """Largest factor that one first event may show; beyond it lies silence, not slowness."""
+MAX_LEAVING_LIFETIMES = 1_024
+"""Largest number of leaving lifetimes kept; the oldest is evicted first."""
 ALONE_SECONDS = 0.02
 """Backlog up to which a first event shows how long reading takes; a few short prompts."""
 
@@ -192,13 +194,14 @@
     ``limited_ids`` holds the ids of upstreams that may have a rate limit in force.
     """
 
-    __slots__ = ("_by_id", "_rates_by_service", "kept", "limited_ids")
+    __slots__ = ("_by_id", "_leaving_lifetimes", "_rates_by_service", "kept", "limited_ids")
 
     def __init__(self) -> None:
         self._by_id: dict[str, Belief] = {}
         self._rates_by_service: defaultdict[str, ReadingRates] = defaultdict(ReadingRates)
         self.kept = KeptParts()
         self.limited_ids: set[str] = set()
+        self._leaving_lifetimes: dict[tuple[str, float], None] = {}
 
     def of(self, upstream: Upstream) -> Belief:
         """Return what is known of an upstream; nothing when it has started anew."""
@@ -209,6 +212,24 @@
             self.kept.forget(upstream.id)
         return known
 
+    def note_leaving(self, upstream_id: str, started_at: float) -> bool:
+        """Record that an upstream is leaving, and return whether this is new.
+
+        The record is kept by lifetime, so that a list that lacks the upstream or names it as ready
+        does not undo it.
+        """
+        lifetime = (upstream_id, started_at)
+        if lifetime in self._leaving_lifetimes:
+            return False
+        self._leaving_lifetimes[lifetime] = None
+        while len(self._leaving_lifetimes) > MAX_LEAVING_LIFETIMES:
+            del self._leaving_lifetimes[next(iter(self._leaving_lifetimes))]
+        return True
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether the current lifetime of an upstream is leaving."""
+        return (upstream.id, upstream.started_at) in self._leaving_lifetimes
+
     def rates(self, service: str) -> ReadingRates:
         """Return how long the engines of a service read."""
         return self._rates_by_service[service]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -171,6 +171,7 @@
             for item in candidates
             if not item.draining
             and item.id not in excluded
+            and not self._beliefs.is_leaving(item)
             and self._beliefs.of(item).misdirected_until <= now
         ]
         sound = [item for item in usable if self._beliefs.of(item).suspect_until <= now]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -1,6 +1,7 @@
-"""Tracks the rate limits that upstreams announce in the headers of their answers.
+"""Tracks what upstreams announce about themselves in the headers of their answers.
 
-A limit applies to all gateways together, so each gateway notifies its peers of changes.
+Rate limits and leaving announcements apply to all gateways, so each gateway notifies its peers of
+changes.
 """
 
 import msgspec
@@ -14,6 +15,8 @@
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.permits import MAX_RATE
 
+MAX_NAME_CHARACTERS = 200
+"""Longest upstream identifier accepted in a notice from a peer."""
 MIN_NOTICE_INTERVAL_SECONDS = 1.0
 """Shortest time between two notices about an upstream, which bounds the traffic if its limit keeps
 changing."""
@@ -27,6 +30,13 @@
     rate: float | None
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True, tag="leaving"):
+    """An upstream announced in an answer that it is leaving."""
+
+    upstream: str
+    started_at: float
+
+
 class UpstreamSignals:
     """Updates the beliefs about upstreams from the headers of their answers.
 
@@ -48,6 +58,7 @@
         self._clock = clock
         self._metrics = metrics
         port.handle(RateLimitNotice, self._take_notice)
+        port.handle(LeavingNotice, self._take_leaving_notice)
         metrics.observe_rate_limits(self._limited_upstreams)
 
     def request_sent(self, upstream: Upstream) -> None:
@@ -56,7 +67,7 @@
             self._metrics.rate_limited_send(upstream.service)
 
     def answer_received(self, upstream: Upstream, head: AnswerHead) -> None:
-        """Update the rate limit of an upstream from an answer.
+        """Update the rate limit and the leaving state of an upstream from an answer.
 
         Malformed headers leave the limit unchanged. A misdirected answer is ignored, since it comes
         from another upstream. Only a genuine or not-run answer can end a limit.
@@ -67,6 +78,8 @@
         if head.malformed_headers and head.malformed_headers != belief.malformed_headers:
             log.failure("answer.malformed", upstream=upstream.id, headers=head.malformed_headers)
         belief.malformed_headers = head.malformed_headers
+        if head.leaving and self._note_leaving(upstream.id, upstream.started_at, "own"):
+            self._send_to_peers(LeavingNotice(upstream.id, upstream.started_at))
         rate = head.max_requests_per_second
         if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
@@ -95,9 +108,26 @@
         if rate == belief.notified_rate or now - belief.notified_at < MIN_NOTICE_INTERVAL_SECONDS:
             return
         belief.notified_rate, belief.notified_at = rate, now
-        notice = RateLimitNotice(upstream.id, upstream.started_at, rate)
+        self._send_to_peers(RateLimitNotice(upstream.id, upstream.started_at, rate))
+
+    def _send_to_peers(self, notice: msgspec.Struct) -> None:
+        """Send a notice to all peers, including those that seem unreachable."""
         self._port.send(notice, [peer.peer_address for peer in self._blackboard.peers()])
 
+    def _note_leaving(self, upstream_id: str, started_at: float, origin: str) -> bool:
+        """Record and log that an upstream is leaving, and return whether this is new."""
+        if not self._beliefs.note_leaving(upstream_id, started_at):
+            return False
+        log.change("upstream.leaving", upstream=upstream_id, origin=origin)
+        return True
+
+    def _take_leaving_notice(self, notice: LeavingNotice, sender: object) -> None:
+        """Apply a notice from a peer, even if the upstream is not yet known to this gateway."""
+        if len(notice.upstream) > MAX_NAME_CHARACTERS:
+            log.failure("leaving.malformed", peer=str(sender))
+            return
+        self._note_leaving(notice.upstream, notice.started_at, str(sender))
+
     def _take_notice(self, notice: RateLimitNotice, sender: object) -> None:
         """Apply a notice from a peer; ignore one about an unknown upstream."""
         upstream = self._blackboard.upstreams_by_id.get(notice.upstream)
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -83,7 +83,7 @@
     It crashes when it begins a request with the fatal body: all its connections end, and it listens
     no more. ``rate_limit`` is the rate limit header of its answers, omitted when empty;
     ``arrived_at`` holds the arrival times of its requests on the event loop's clock. ``leaving``
-    announces its planned stop in all answers.
+    adds the leaving header to all its answers.
     """
 
     id: str
@@ -169,10 +169,10 @@
     def _own_headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
         """Return the headers that the upstream adds to its answers."""
         named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
-        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._status_headers()]
+        return [(REQUEST_ID, named), (SEAL, b"seal-of-" + named), *self._announcement_headers()]
 
-    def _status_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers that tell of the upstream itself."""
+    def _announcement_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the rate limit and leaving headers that apply."""
         headers = [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
         return [*headers, (LEAVING, b"1")] if self.leaving else headers
 
@@ -190,7 +190,7 @@
                 await _answer(behaviour, headers, connection, writer)
             case Declined(status, retry_after):
                 headers = [(b"x-quinceferry-not-run", b"1"), (b"content-length", b"0")]
-                headers += self._status_headers()
+                headers += self._announcement_headers()
                 if retry_after:
                     headers.append((b"retry-after", retry_after.encode()))
                 await _send(
