Stop sending requests to upstreams during a pause they asked for

Callers were refused with 503 while other upstreams were free: an upstream that had refused a request with 503 and `Retry-After: 3` received up to six more from the same gateway within that time and refused each of them, and each cost the caller an attempt.

Class of the cause: what an answer says about its upstream was read only for its caller, as with rate limits and leaving upstreams.

The adapter decodes the pause from a 503. It is stored for that lifetime of the upstream and only on that gateway, since it was asked of that gateway. Placement excludes the upstream during the pause. After the pause, a single request probes the upstream: the next one is sent when the probe is answered, or after one second. If all upstreams of a service are paused, a request is refused immediately, with the time until the first of them accepts requests again as its retry time, at most 60 s. quinceferry_gateway_upstream_pauses_total counts each such answer, and upstream.paused logs it.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -158,6 +158,7 @@
     metrics.upstream_crashed("s")
     metrics.observe_quarantine(lambda: 1)
     metrics.permit("granted")
+    metrics.upstream_paused("s")
     metrics.rate_limited_send("s")
     metrics.observe_rate_limits(lambda: 1)
     route = Route("r", "h", "/", RouteKind.STREAM, (), 1.0, 0.1, 0, 1, pause_seconds=0.1)
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -194,6 +194,9 @@
     def observe_rate_limits(self, limited):
         """Serve nothing."""
 
+    def upstream_paused(self, service):
+        """Count nothing."""
+
     def permit(self, result):
         """Count nothing."""
 
--- a/features/gateway_resting_upstreams.feature
+++ b/features/gateway_upstream_pauses.feature
@@ -25,3 +25,31 @@
     Then app-1 got at most 2 requests between 0.5 and 1.5 seconds after the first
     And app-1 got 10 or more requests later than 2.5 seconds after the first
     And no request was refused
+
+  Scenario: A single request probes an upstream after its pause
+    Given an upstream asked for a pause of 3 seconds at 10 s
+    When an earlier request is answered at 11 s
+    Then no request may be sent at 12.9 s
+    When a request is sent at 13 s
+    Then no request may be sent at 13.5 s
+    When that request is answered at 13.6 s
+    Then requests may be sent at 13.6 s
+
+  Scenario: A longer pause is not shortened by a later one
+    Given an upstream asked for a pause of 3 seconds at 10 s
+    When it asks for a pause of 1 second at 10.5 s
+    Then no request may be sent at 12.9 s
+    And requests may be sent at 13 s
+
+  Scenario Outline: The adapter parses the Retry-After header of an answer
+    When an answer with status <status> has the Retry-After header "<header>"
+    Then the pause is parsed as <pause>
+
+    Examples:
+      | status | header | pause     |
+      | 503    | 3      | 3.0       |
+      | 503    | 0.25   | 0.25      |
+      | 200    | 3      | None      |
+      | 429    | 3      | None      |
+      | 503    | -1     | malformed |
+      | 503    | soon   | malformed |
--- a/features/steps/gateway_resting_upstreams.py
+++ b/features/steps/gateway_upstream_pauses.py
@@ -2,8 +2,10 @@
 
 from collections import deque
 
-from behave import given, then
+from behave import given, then, when
 
+from quinceferry_gateway.decisions.pauses import RequestPause
+from quinceferry_platform.headers import PlatformDialect
 from quinceferry_standins.managed_upstream import Answered, Declined
 
 
@@ -52,3 +54,49 @@
         context.fleet.play()
     arrived_at = context.fleet.upstreams_by_id[name].arrived_at
     return [at - arrived_at[0] for at in arrived_at]
+
+
+@given("an upstream asked for a pause of {seconds:g} seconds at {at:g} s")
+def given_paused(context, seconds, at):
+    context.pause = RequestPause()
+    context.pause.begin(seconds, at)
+
+
+@when("it asks for a pause of {seconds:g} second at {at:g} s")
+def when_paused_again(context, seconds, at):
+    context.pause.begin(seconds, at)
+
+
+@when("an earlier request is answered at {at:g} s")
+@when("that request is answered at {at:g} s")
+def when_answered(context, at):
+    context.pause.answer_received(at)
+
+
+@when("a request is sent at {at:g} s")
+def when_sent(context, at):
+    context.pause.request_sent(at)
+
+
+@then("no request may be sent at {at:g} s")
+def then_blocked(context, at):
+    assert context.pause.blocked_until > at, context.pause.blocked_until
+
+
+@then("requests may be sent at {at:g} s")
+def then_unblocked(context, at):
+    assert context.pause.blocked_until <= at, context.pause.blocked_until
+
+
+@when('an answer with status {status:d} has the Retry-After header "{header}"')
+def when_decoded(context, status, header):
+    headers = [(b"Retry-After", header.encode())]
+    context.head = PlatformDialect().decode_answer(status, headers)
+
+
+@then("the pause is parsed as {pause}")
+def then_parsed(context, pause):
+    malformed = pause == "malformed"
+    assert context.head.malformed_headers == (("retry-after",) if malformed else ())
+    expected = None if pause in ("malformed", "None") else float(pause)
+    assert context.head.retry_after_seconds == expected, context.head
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -20,6 +20,7 @@
     NO_UPSTREAM = "no_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
     UPSTREAMS_LIMITED = "upstreams_limited"
+    UPSTREAMS_PAUSED = "upstreams_paused"
     QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
@@ -39,6 +40,7 @@
     Reason.NO_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
     Reason.UPSTREAMS_LIMITED: 503,
+    Reason.UPSTREAMS_PAUSED: 503,
     Reason.QUARANTINED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMED_OUT: 504,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -178,8 +178,10 @@
     the request it answers, empty when it does not say. ``genuine`` tells that the headers bear the
     upstream's mark. ``max_requests_per_second`` is the request rate that the upstream accepts
     across all gateways, None when the answer has no valid limit. ``leaving`` tells that the
-    upstream is shutting down and must get no new requests. ``malformed_headers`` names the headers
-    about the upstream that could not be parsed.
+    upstream is shutting down and must get no new requests.
+    ``retry_after_seconds`` is the pause in requests that a 503 asks of this gateway, None when the
+    answer has no valid one. ``malformed_headers`` names the headers about the upstream that could
+    not be parsed.
     """
 
     status: int
@@ -191,4 +193,5 @@
     misdirected: bool = False
     max_requests_per_second: float | None = None
     leaving: bool = False
+    retry_after_seconds: float | None = None
     malformed_headers: tuple[str, ...] = ()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -12,6 +12,7 @@
 from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.kept_parts import KeptParts
+from quinceferry_gateway.decisions.pauses import RequestPause
 from quinceferry_gateway.decisions.rate_limits import RateLimit
 from quinceferry_gateway.decisions.reading import ReadingQueue, ReadingRates
 
@@ -56,6 +57,7 @@
         "no_permit_until",
         "notified_at",
         "notified_rate",
+        "pause",
         "rate_limit",
         "reading",
         "sent_since_load",
@@ -76,6 +78,7 @@
         self.misdirected_until = 0.0
         self.rate_limit = RateLimit()
         self.no_permit_until = 0.0
+        self.pause = RequestPause()
         self.notified_rate: float | None = None
         self.notified_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
@@ -136,6 +139,7 @@
         self._alone = backlog < ALONE_SECONDS
         self._expected = rates.base_seconds + backlog + reading
         self._number = belief.reading.add(now, reading) if tokens else 0
+        belief.pause.request_sent(now)
         belief.in_flight += 1
         belief.sent_since_load += 1
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -173,6 +173,7 @@
             and item.id not in excluded
             and not self._beliefs.is_leaving(item)
             and self._beliefs.of(item).misdirected_until <= now
+            and self._beliefs.of(item).pause.blocked_until <= now
         ]
         sound = [item for item in usable if self._beliefs.of(item).suspect_until <= now]
         return sound or usable
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -84,6 +84,10 @@
             "quinceferry_gateway_permits",
             description="Permits asked for to send requests to upstreams that limit their rate",
         )
+        self._upstream_pauses = meter.create_counter(
+            "quinceferry_gateway_upstream_pauses",
+            description="Answers by which upstreams asked for no requests for some time",
+        )
         self._prompt_tokens = meter.create_counter(
             "quinceferry_gateway_prompt_tokens",
             description="Prompt tokens sent to upstreams, and those believed to be read there",
@@ -126,6 +130,10 @@
         """
         self._permits.add(1, {"result": result})
 
+    def upstream_paused(self, service: str) -> None:
+        """Count an answer in which an upstream asks for a pause in requests."""
+        self._upstream_pauses.add(1, {"service": self._label(service)})
+
     def prompt_sent(self, route: str, tokens: int, unread_tokens: int) -> None:
         """Count the tokens of a prompt that goes to an upstream."""
         label = self._label(route)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -42,6 +42,8 @@
 """Longest wait for a permit as a multiple of the objective, which the answer can still meet."""
 MAX_PERMIT_REQUESTS = 3
 """Most permits requested without a wait before the request goes to an upstream without a limit."""
+MAX_RETRY_SECONDS = 60.0
+"""Longest retry time given to a caller when all upstreams are paused."""
 SERVER_ERROR = 500
 
 
@@ -236,6 +238,10 @@
             return progress.last_failure
         if progress.may_have_run:
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+        pause_seconds = self._remaining_pause_seconds(progress)
+        if pause_seconds:
+            detail = progress.last_detail or "all upstreams asked for a pause"
+            return Refusal(Reason.UPSTREAMS_PAUSED, detail, retry_seconds=pause_seconds)
         reason = Reason.UPSTREAMS_REFUSED if progress.tried else Reason.NO_UPSTREAM
         return Refusal(reason, progress.last_detail)
 
@@ -246,6 +252,16 @@
         detail = progress.last_detail or "all upstreams limit their request rate"
         return Refusal(Reason.UPSTREAMS_LIMITED, detail, retry_seconds=retry_seconds)
 
+    def _remaining_pause_seconds(self, progress: Progress) -> float:
+        """Return the time until an upstream accepts requests, zero if one does now."""
+        now = self._clock.monotonic()
+        remaining = [
+            self._beliefs.of(item).pause.blocked_until - now
+            for item in self._candidates(progress)
+            if not item.draining and not self._beliefs.is_leaving(item)
+        ]
+        return min(max(0.0, min(remaining, default=0.0)), MAX_RETRY_SECONDS)
+
     @staticmethod
     def _quarantined(progress: Progress, held_seconds: float) -> Refusal:
         """Return the answer to a request whose content crashes upstreams."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -80,12 +80,23 @@
         belief.malformed_headers = head.malformed_headers
         if head.leaving and self._note_leaving(upstream.id, upstream.started_at, "own"):
             self._send_to_peers(LeavingNotice(upstream.id, upstream.started_at))
+        self._update_pause(upstream, head.retry_after_seconds)
         rate = head.max_requests_per_second
         if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
         self._update_rate_limit(upstream, rate, "own")
         self._notify_peers(upstream)
 
+    def _update_pause(self, upstream: Upstream, seconds: float | None) -> None:
+        """Begin, extend or end the pause of an upstream and log and count each one it asks for."""
+        pause, now = self._beliefs.of(upstream).pause, self._clock.monotonic()
+        if seconds is None:
+            pause.answer_received(now)
+            return
+        pause.begin(seconds, now)
+        self._metrics.upstream_paused(upstream.service)
+        log.change("upstream.paused", upstream=upstream.id, seconds=seconds)
+
     def _update_rate_limit(self, upstream: Upstream, rate: float | None, origin: str) -> None:
         """Store the rate limit of an upstream and log a change."""
         limit = self._beliefs.of(upstream).rate_limit
