Move upstream selection out of the relay

Two details differ: the deadline and content of a request are checked again after each permit and not only after a wait for one, and the longest wait is computed before permits are requested.

--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -80,14 +80,14 @@
 class Answer:
     """What a caller got; ``whole`` is False when the answer broke off.
 
-    ``at`` is when its head came, on the event loop's clock.
+    ``received_at`` is the event loop time at which the response head was received.
     """
 
     status: int
     headers: dict
     body: bytes = b""
     whole: bool = True
-    at: float = 0.0
+    received_at: float = 0.0
 
 
 @dataclass
@@ -218,8 +218,8 @@
         headers = [*self.headers(**changes), (b"content-length", str(len(body)).encode())]
         opened = self.http.open(address, method.encode(), target.encode(), headers, body)
         async with asyncio.timeout(PATIENCE_SECONDS), opened as reply:
-            at = asyncio.get_running_loop().time()
-            answer = Answer(reply.status, dict(reply.headers), at=at)
+            received_at = asyncio.get_running_loop().time()
+            answer = Answer(reply.status, dict(reply.headers), received_at=received_at)
             try:
                 async for chunk in reply.chunks():
                     answer.body += chunk
--- a/features/gateway_upstream_pauses.feature
+++ b/features/gateway_upstream_pauses.feature
@@ -1,7 +1,7 @@
-Feature: Upstreams that turn requests away and ask for a pause
-  An upstream that refuses a request with a retry time gets no more from that gateway until then.
+Feature: Upstreams that refuse requests and ask for a pause
+  A gateway sends no requests to an upstream until the retry time of its refusal has passed.
 
-  Scenario: An upstream that asked for a pause gets no requests meanwhile
+  Scenario: An upstream gets no requests during its pause
     Given a fleet of 1 gateway before 2 upstreams of service app
     And app-1 always refuses with a pause of "3" seconds
     When 6 callers send requests on /get/ for 3 seconds
@@ -16,7 +16,7 @@
     Then app-1 got at most 2 requests between 0.5 and 4 seconds after the first
     And app-2 got at most 2 requests between 0.5 and 2.5 seconds after the first
     And refused requests have not run and have a retry time
-    And no caller was told to come back before the pause of app-2 ends
+    And no refusal has a retry time before the end of the pause of app-2
 
   Scenario: An upstream gets requests again after its pause
     Given a fleet of 1 gateway before 2 upstreams of service app
--- a/features/steps/gateway_upstream_pauses.py
+++ b/features/steps/gateway_upstream_pauses.py
@@ -1,4 +1,4 @@
-"""Steps for upstreams that turn requests away and ask for a pause."""
+"""Steps for upstreams that refuse requests and ask for a pause."""
 
 from collections import deque
 
@@ -20,22 +20,22 @@
     context.fleet.upstreams_by_id[name].script = script
 
 
-@then("{name} got at most {most:d} requests between {start:g} and {end:g} seconds after the first")
-def then_spared(context, name, most, start, end):
-    passed = seconds_after_first(context, name)
-    during = [seconds for seconds in passed if start <= seconds < end]
-    assert len(during) <= most, (len(during), during[:5])
+@then("{name} got at most {limit:d} requests between {start:g} and {end:g} seconds after the first")
+def then_got_at_most(context, name, limit, start, end):
+    arrivals = seconds_after_first(context, name)
+    during = [seconds for seconds in arrivals if start <= seconds < end]
+    assert len(during) <= limit, (len(during), during[:5])
 
 
-@then("{name} got {least:d} or more requests later than {start:g} seconds after the first")
-def then_used_again(context, name, least, start):
-    passed = seconds_after_first(context, name)
-    later = [seconds for seconds in passed if seconds > start]
-    assert len(later) >= least, (len(later), passed)
+@then("{name} got {minimum:d} or more requests later than {start:g} seconds after the first")
+def then_got_at_least(context, name, minimum, start):
+    arrivals = seconds_after_first(context, name)
+    later = [seconds for seconds in arrivals if seconds > start]
+    assert len(later) >= minimum, (len(later), arrivals)
 
 
-@then("no caller was told to come back before the pause of {name} ends")
-def then_truthful(context, name):
+@then("no refusal has a retry time before the end of the pause of {name}")
+def then_no_early_retry(context, name):
     script = context.fleet.upstreams_by_id[name].script
     pause = float(script[0].retry_after)
     refused = [answer for answer in context.fleet.answers if answer.status == 503]
@@ -43,13 +43,13 @@
     early = [
         answer
         for answer in refused
-        if answer.at + float(answer.headers[b"retry-after"]) < first_at + pause
+        if answer.received_at + float(answer.headers[b"retry-after"]) < first_at + pause
     ]
     assert not early, (len(early), len(refused))
 
 
 def seconds_after_first(context, name):
-    """Return when requests arrived at an upstream, counted from the first of them."""
+    """Return the arrival times of requests at an upstream, relative to the first one."""
     if not context.fleet.answers:
         context.fleet.play()
     arrived_at = context.fleet.upstreams_by_id[name].arrived_at
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -37,6 +37,7 @@
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.transport import HttpClient
+from quinceferry_gateway.upstream_choice import UpstreamChoice
 from quinceferry_gateway.upstream_reader import UpstreamReader
 
 PEER_IDLE_SECONDS = 5.0
@@ -125,18 +126,18 @@
         signals = UpstreamSignals(board, beliefs, port, clock, metrics)
         permits = SendPermits(board, beliefs, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, beliefs, random.Random())
+        choice = UpstreamChoice(board, beliefs, placer, permits, clock)
         exchanges = Exchanges(dialect, http, clock, metrics, signals)
         relay = Relay(
             board,
             beliefs,
-            placer,
+            choice,
             teller,
             dialect,
             exchanges,
             clock,
             self._retry_budgets(),
             crashes,
-            permits,
         )
         self.caller_api = CallerApi(
             board, dialect, self.reservations, relay, metrics, clock, random.Random(), crashes
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -17,7 +17,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.crashes import CrashWatch, quarantine_refusal
-from quinceferry_gateway.decisions import Attempt, Beliefs, Placement, Placer
+from quinceferry_gateway.decisions import Attempt, Beliefs, Placement
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     ForeignAnswerError,
@@ -27,10 +27,10 @@
 from quinceferry_gateway.exchanges import EVENT_SILENCE_SECONDS, Exchanges
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
-from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.progress import Progress
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendTeller
+from quinceferry_gateway.upstream_choice import PermitDenied, UpstreamChoice
 
 PATIENCE_OBJECTIVES = 2.5
 """How many times the objective an upstream may take until its first byte, before a request that may
@@ -40,10 +40,8 @@
 """Most of the remaining time that is spent so, which leaves as much to the next attempt."""
 PERMIT_WAIT_OBJECTIVES = 0.5
 """Longest wait for a permit as a multiple of the objective, which the answer can still meet."""
-MAX_PERMIT_REQUESTS = 3
-"""Most permits requested without a wait before the request goes to an upstream without a limit."""
 MAX_RETRY_SECONDS = 60.0
-"""Longest retry time given to a caller when all upstreams are paused."""
+"""Longest retry time returned to a caller when all upstreams are paused."""
 SERVER_ERROR = 500
 
 
@@ -53,32 +51,30 @@
     :param teller: tells peers of prompts that keep an engine busy.
     :param retry_budget: returns the retry budget of a service.
     :param crashes: is told of connections that upstreams closed, and knows what must not run.
-    :param permits: acquires permits for requests to rate-limited upstreams.
+    :param choice: chooses the upstream of each attempt.
     """
 
     def __init__(
         self,
         blackboard: Blackboard,
         beliefs: Beliefs,
-        placer: Placer,
+        choice: UpstreamChoice,
         teller: SendTeller,
         dialect: Dialect,
         exchanges: Exchanges,
         clock: Clock,
         retry_budget: Callable[[str], RetryBudget],
         crashes: CrashWatch,
-        permits: SendPermits,
     ) -> None:
         self._blackboard = blackboard
         self._beliefs = beliefs
-        self._placer = placer
+        self._choice = choice
         self._teller = teller
         self._dialect = dialect
         self._exchanges = exchanges
         self._clock = clock
         self._retry_budget = retry_budget
         self._crashes = crashes
-        self._permits = permits
 
     async def run(self, progress: Progress) -> Whole | Streamed | Refusal:
         """Attempt a request until it is answered or must be given up."""
@@ -124,15 +120,18 @@
             answer = self._final_answer(progress)
             if answer is not None:
                 return answer
-            placement = self._place(progress, self._available(progress))
-            if placement is None and self._place(progress, self._candidates(progress)) is None:
+            placement = self._choice.preferred(progress)
+            if placement is None and not self._choice.has_usable(progress):
                 return self._given_up(progress)
             if progress.arrivals and not self._may_repeat(progress):
                 return self._given_up(progress)
-            outcome = await self._with_permit(progress, placement)
-            if outcome is not None:
-                progress.repeat_granted = False
-                return outcome
+            max_wait = self._max_permit_wait_seconds(progress)
+            match await self._choice.acquire(progress, placement, max_wait):
+                case PermitDenied(retry_seconds):
+                    return self._rate_limited(progress, retry_seconds)
+                case Placement() as chosen if self._final_answer(progress) is None:
+                    progress.repeat_granted = False
+                    return chosen
 
     def _final_answer(self, progress: Progress) -> Refusal | Whole | None:
         """Return the final answer if the request may not be sent any more, else None."""
@@ -147,77 +146,12 @@
             return self._given_up(progress)
         return None
 
-    async def _with_permit(
-        self, progress: Progress, placement: Placement | None
-    ) -> Placement | Refusal | Whole | None:
-        """Return where to send the request now, the final answer, or None to choose again.
-
-        :param placement: the preferred placement, None if no permit is expected to be available.
-        """
-        for _ in range(MAX_PERMIT_REQUESTS):
-            if placement is None:
-                return await self._wait_for_permit(progress)
-            if await self._permits.acquire(placement.upstream, 0.0) is not None:
-                return placement
-            placement = self._place(progress, self._available(progress))
-        placement = self._place(progress, self._unlimited(progress))
-        return placement or await self._wait_for_permit(progress)
-
-    async def _wait_for_permit(self, progress: Progress) -> Placement | Refusal | Whole | None:
-        """Wait for the earliest permit of any upstream; refuse the request if that takes too long.
-
-        :return: None to choose again, since no upstream is usable or the chosen one no longer is.
-        """
-        placements = [
-            placement
-            for candidate in self._candidates(progress)
-            if (placement := self._place(progress, [candidate])) is not None
-        ]
-        if not placements:
-            return None
-        chosen = min(placements, key=lambda item: self._permits.pause_seconds(item.upstream))
-        max_wait = self._max_permit_wait_seconds(progress)
-        pause = self._permits.pause_seconds(chosen.upstream)
-        wait = None
-        if pause <= max_wait:
-            wait = await self._permits.acquire(chosen.upstream, max_wait)
-        if wait is None:
-            return self._rate_limited(progress, self._permits.pause_seconds(chosen.upstream))
-        if not wait:
-            return chosen
-        await self._clock.sleep(wait)
-        return self._final_answer(progress) or self._place(progress, [chosen.upstream])
-
     def _max_permit_wait_seconds(self, progress: Progress) -> float:
         """Return how long a request may wait for a permit."""
         remaining = progress.ends_at - self._clock.monotonic()
         wait = PERMIT_WAIT_OBJECTIVES * progress.route.objective_seconds
         return max(0.0, min(wait, PATIENCE_SHARE * remaining))
 
-    def _place(self, progress: Progress, candidates: list[Upstream]) -> Placement | None:
-        """Return where the next attempt may go."""
-        now = self._clock.monotonic()
-        return self._placer.place(progress.demand, candidates, progress.tried, now)
-
-    def _available(self, progress: Progress) -> list[Upstream]:
-        """Return the upstreams that need no permit or may have one available."""
-        candidates = self._candidates(progress)
-        if not self._beliefs.limited_ids:
-            return candidates
-        return [item for item in candidates if not self._permits.pause_seconds(item)]
-
-    def _unlimited(self, progress: Progress) -> list[Upstream]:
-        """Return the upstreams that need no permit."""
-        return [item for item in self._candidates(progress) if not self._permits.needed(item)]
-
-    def _candidates(self, progress: Progress) -> list[Upstream]:
-        """Return the upstreams of the request's service."""
-        return [
-            item
-            for item in self._blackboard.upstreams_by_id.values()
-            if item.service == progress.service
-        ]
-
     def _missing_seconds(self, upstream: Upstream) -> float | None:
         """Return for how long the list has lacked an upstream that is used; None if it is there."""
         missing_since = self._blackboard.missing_since_by_upstream.get(upstream.id)
@@ -238,7 +172,7 @@
             return progress.last_failure
         if progress.may_have_run:
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
-        pause_seconds = self._remaining_pause_seconds(progress)
+        pause_seconds = min(self._choice.remaining_pause_seconds(progress), MAX_RETRY_SECONDS)
         if pause_seconds:
             detail = progress.last_detail or "all upstreams asked for a pause"
             return Refusal(Reason.UPSTREAMS_PAUSED, detail, retry_seconds=pause_seconds)
@@ -252,16 +186,6 @@
         detail = progress.last_detail or "all upstreams limit their request rate"
         return Refusal(Reason.UPSTREAMS_LIMITED, detail, retry_seconds=retry_seconds)
 
-    def _remaining_pause_seconds(self, progress: Progress) -> float:
-        """Return the time until an upstream accepts requests, zero if one does now."""
-        now = self._clock.monotonic()
-        remaining = [
-            self._beliefs.of(item).pause.blocked_until - now
-            for item in self._candidates(progress)
-            if not item.draining and not self._beliefs.is_leaving(item)
-        ]
-        return min(max(0.0, min(remaining, default=0.0)), MAX_RETRY_SECONDS)
-
     @staticmethod
     def _quarantined(progress: Progress, held_seconds: float) -> Refusal:
         """Return the answer to a request whose content crashes upstreams."""
@@ -364,7 +288,7 @@
         route = progress.route
         if not route.repeatable or progress.arrivals - progress.misdirected + 1 >= route.attempts:
             return False
-        return self._place(progress, self._unlimited(progress)) is not None
+        return self._choice.unlimited(progress) is not None
 
 
 def _priority(progress: Progress) -> int:
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -0,0 +1,122 @@
+"""Selection of the upstream for the next attempt of a request."""
+
+from dataclasses import dataclass
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.decisions import Beliefs, Placement, Placer
+from quinceferry_gateway.permits import SendPermits
+from quinceferry_gateway.progress import Progress
+
+MAX_PERMIT_REQUESTS = 3
+"""Most permits requested without a wait before falling back to an upstream without a limit."""
+
+
+@dataclass(slots=True, frozen=True)
+class PermitDenied:
+    """No permit is available within the longest wait, and all usable upstreams are rate-limited.
+
+    ``retry_seconds`` is the time until a permit is expected to be available.
+    """
+
+    retry_seconds: float
+
+
+class UpstreamChoice:
+    """Chooses the upstream of each attempt and acquires a permit where one is needed.
+
+    :param permits: acquires permits for requests to rate-limited upstreams.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        beliefs: Beliefs,
+        placer: Placer,
+        permits: SendPermits,
+        clock: Clock,
+    ) -> None:
+        self._blackboard = blackboard
+        self._beliefs = beliefs
+        self._placer = placer
+        self._permits = permits
+        self._clock = clock
+
+    def preferred(self, progress: Progress) -> Placement | None:
+        """Return the best placement among upstreams that need no permit or may grant one now."""
+        candidates = self._candidates(progress)
+        if self._beliefs.limited_ids:
+            candidates = [item for item in candidates if not self._permits.pause_seconds(item)]
+        return self._place(progress, candidates)
+
+    def unlimited(self, progress: Progress) -> Placement | None:
+        """Return the best placement among upstreams that need no permit."""
+        candidates = [item for item in self._candidates(progress) if not self._permits.needed(item)]
+        return self._place(progress, candidates)
+
+    def has_usable(self, progress: Progress) -> bool:
+        """Tell whether any upstream can serve the request, now or once a permit is available."""
+        return self._place(progress, self._candidates(progress)) is not None
+
+    async def acquire(
+        self, progress: Progress, placement: Placement | None, max_wait_seconds: float
+    ) -> Placement | PermitDenied | None:
+        """Return a placement to send the request to now, after acquiring a permit if needed.
+
+        :param placement: the preferred placement, None if no permit is expected to be available.
+        :param max_wait_seconds: longest wait for a permit.
+        :return: None if no upstream is usable or the chosen one no longer is; choose again then.
+        """
+        for _ in range(MAX_PERMIT_REQUESTS):
+            if placement is None:
+                return await self._wait_for_permit(progress, max_wait_seconds)
+            if await self._permits.acquire(placement.upstream, 0.0) is not None:
+                return placement
+            placement = self.preferred(progress)
+        return self.unlimited(progress) or await self._wait_for_permit(progress, max_wait_seconds)
+
+    def remaining_pause_seconds(self, progress: Progress) -> float:
+        """Return the time until the first pause of an upstream ends, zero if one is not paused."""
+        now = self._clock.monotonic()
+        remaining = [
+            self._beliefs.of(item).pause.blocked_until - now
+            for item in self._candidates(progress)
+            if not item.draining and not self._beliefs.is_leaving(item)
+        ]
+        return max(0.0, min(remaining, default=0.0))
+
+    async def _wait_for_permit(
+        self, progress: Progress, max_wait_seconds: float
+    ) -> Placement | PermitDenied | None:
+        """Wait for the earliest permit of any upstream, for at most ``max_wait_seconds``."""
+        placements = [
+            placement
+            for candidate in self._candidates(progress)
+            if (placement := self._place(progress, [candidate])) is not None
+        ]
+        if not placements:
+            return None
+        chosen = min(placements, key=lambda item: self._permits.pause_seconds(item.upstream))
+        wait = None
+        if self._permits.pause_seconds(chosen.upstream) <= max_wait_seconds:
+            wait = await self._permits.acquire(chosen.upstream, max_wait_seconds)
+        if wait is None:
+            return PermitDenied(self._permits.pause_seconds(chosen.upstream))
+        if not wait:
+            return chosen
+        await self._clock.sleep(wait)
+        return self._place(progress, [chosen.upstream])
+
+    def _place(self, progress: Progress, candidates: list[Upstream]) -> Placement | None:
+        """Return the best placement among the candidates, None if none is usable."""
+        now = self._clock.monotonic()
+        return self._placer.place(progress.demand, candidates, progress.tried, now)
+
+    def _candidates(self, progress: Progress) -> list[Upstream]:
+        """Return the upstreams of the request's service."""
+        return [
+            item
+            for item in self._blackboard.upstreams_by_id.values()
+            if item.service == progress.service
+        ]
