Spread the permit retries of denied gateways over time

All gateways that were denied a permit retried at the same next slot: with 195 gateways that request permits continuously, an upstream limited to 10 requests a second cost its issuer 1,499 calls a second. The issuer now assigns successive slots to denied gateways as retry times. The delay is at most two seconds unless the next slot is later, since slots assigned to other gateways may stay unused. Requests that can wait are still told the time of the next slot.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -62,6 +62,7 @@
         self.nodes_by_address = {}
         self.cut = set()
         self.sent = Counter()
+        self.sent_by_type = Counter()
 
     def passes(self, origin, target):
         """Tell whether a message arrives."""
@@ -86,6 +87,7 @@
     def send(self, message, addresses):
         """Send a message to some addresses."""
         self._network.sent[self._address] += len(addresses)
+        self._network.sent_by_type[type(message)] += len(addresses)
         loop = asyncio.get_running_loop()
         for address in addresses:
             if self._network.passes(self._address, address):
--- a/features/gateway_rate_limits.feature
+++ b/features/gateway_rate_limits.feature
@@ -51,6 +51,12 @@
       | 9     | 5    | 208  | 4    | 29   | 40    | , while half of the gateways restart |
       | 83    | 30   | 209  | 4    | 29   | 20    | , while the issuer is killed         |
 
+  Scenario: Denied gateways spread out their requests for permits
+    Given 195 gateways that know each other, losing 0 of 100 digests, seed 210
+    When an upstream announces a limit of 10 requests a second to one gateway
+    And 1 second passes, and all gateways continuously need immediate permits for 10 seconds
+    Then gateways make at most 120 calls a second, and 5 or more permits a second are granted
+
   Scenario Outline: The adapter parses the limit header of an answer
     When an answer has the limit header "<header>"
     Then the limit is read as <rate>
--- a/features/steps/gateway_rate_limits.py
+++ b/features/steps/gateway_rate_limits.py
@@ -7,6 +7,7 @@
 from features.fixtures_fleet import Node
 from features.steps.gateway_fleet import play
 from quinceferry_gateway.catalog import AnswerHead
+from quinceferry_gateway.fleet.calls import Call
 from quinceferry_gateway.permits import issuer_of
 from quinceferry_platform.headers import PlatformDialect
 
@@ -168,6 +169,42 @@
     context.permit_tasks.append(asyncio.create_task(request_permits()))
 
 
+@when(
+    "1 second passes, and all gateways continuously need immediate permits for {seconds:d} seconds"
+)
+def when_immediate_permits_needed(context, seconds):
+    async def request_permits(world, node):
+        while True:
+            await world.clock.sleep(REQUEST_PAUSE_SECONDS)
+            if node.permits.pause_seconds(context.upstream):
+                continue
+            if await node.permits.acquire(context.upstream, 0.0) is not None:
+                context.permitted_at.append(world.clock.monotonic())
+
+    async def run(world):
+        await world.clock.sleep(1)
+        world.network.sent_by_type.clear()
+        tasks = [asyncio.create_task(request_permits(world, node)) for node in world.nodes]
+        await world.clock.sleep(seconds)
+        context.calls_per_second = world.network.sent_by_type[Call] / seconds
+        context.permits_per_second = len(context.permitted_at) / seconds
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.acts.append(run)
+
+
+@then(
+    "gateways make at most {most:d} calls a second, and {least:d} or more permits a second are "
+    "granted"
+)
+def then_call_rate(context, most, least):
+    play(context)
+    assert context.calls_per_second <= most, context.calls_per_second
+    assert context.permits_per_second >= least, context.permits_per_second
+
+
 @then("in any 4 seconds at most {most:d} requests are permitted, and {least:d} or more in all")
 def then_permitted(context, most, least):
     play(context)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/beliefs.py
@@ -44,7 +44,8 @@
 
     ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
     one, and ``notified_at`` is when it last sent one. ``no_permit_until`` is the earliest time at
-    which a permit may be available.
+    which to request an immediate permit, and ``next_permit_at`` is when the next permit becomes
+    valid for a request that waits for it.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "load_at",
         "malformed_headers",
         "misdirected_until",
+        "next_permit_at",
         "no_permit_until",
         "notified_at",
         "notified_rate",
@@ -77,6 +79,7 @@
         self.suspect_until = 0.0
         self.misdirected_until = 0.0
         self.rate_limit = RateLimit()
+        self.next_permit_at = 0.0
         self.no_permit_until = 0.0
         self.pause = RequestPause()
         self.notified_rate: float | None = None
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/rate_limits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/rate_limits.py
@@ -5,6 +5,8 @@
 same moment, so a single gateway spaces out the requests of all.
 """
 
+from dataclasses import dataclass
+
 MIN_REQUESTS_PER_SECOND = 0.1
 """Lowest rate that is enforced. Only an answer can end a limit, so an upstream that accepts no
 requests must still get one occasionally."""
@@ -17,6 +19,23 @@
 REDUCED_RATE_SHARE = 0.5
 """Share of the rate that a gateway grants while another may grant for the same upstream."""
 
+MAX_RETRY_SPREAD_SECONDS = 2.0
+"""Longest retry delay of a denied gateway, unless the next slot is later. Bounds the time for which
+slots stay unused because the gateways assigned to them do not retry."""
+
+
+@dataclass(slots=True, frozen=True)
+class SlotReservation:
+    """The result of an attempt to reserve a slot.
+
+    ``wait_seconds`` is the time until the slot, whether or not it is reserved. ``retry_seconds`` is
+    the delay before the next attempt to reserve an immediate slot, zero if the slot is reserved.
+    """
+
+    reserved: bool
+    wait_seconds: float
+    retry_seconds: float = 0.0
+
 
 class RateLimit:
     """The request rate that one lifetime of an upstream accepts, according to its answers.
@@ -52,29 +71,34 @@
 class PermitSchedule:
     """Spaces out the requests to one upstream evenly, without bursts.
 
+    Assigns successive retry times to denied gateways, so that they do not all retry at each slot.
+
     :param now: start of the schedule; the first slot is one interval later.
     """
 
-    __slots__ = ("_last_at", "_started_at")
+    __slots__ = ("_last_at", "_last_retry_at", "_started_at")
 
     def __init__(self, now: float) -> None:
         self._started_at = now
         self._last_at = now
+        self._last_retry_at = now
 
     def reserve(
         self, rate: float, sole_issuer: bool, max_wait_seconds: float, now: float
-    ) -> tuple[bool, float]:
+    ) -> SlotReservation:
         """Reserve the next slot if it is within the longest acceptable wait.
 
         :param rate: requests a second that the upstream accepts.
         :param sole_issuer: whether no other gateway is expected to grant for this upstream.
-        :return: whether the slot is reserved, and the seconds until it.
         """
         if not sole_issuer or now - self._started_at < TAKEOVER_SECONDS:
             rate *= REDUCED_RATE_SHARE
         slot_at = max(now, self._last_at + 1 / rate)
         wait = slot_at - now
         if wait > max_wait_seconds:
-            return False, wait
+            retry_at = max(slot_at, self._last_retry_at + 1 / rate)
+            retry_at = min(retry_at, now + MAX_RETRY_SPREAD_SECONDS)
+            self._last_retry_at = retry_at
+            return SlotReservation(False, wait, max(wait, retry_at - now))
         self._last_at = slot_at
-        return True, wait
+        return SlotReservation(True, wait)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -45,10 +45,15 @@
 
 
 class PermitReply(msgspec.Struct, frozen=True, array_like=True):
-    """Whether the permit is granted, and the seconds until it is valid or until the next one."""
+    """Whether the permit is granted, and the seconds until it is valid or until the next one.
+
+    ``retry_seconds`` is the delay before the next request for an immediate permit, zero if this one
+    is granted.
+    """
 
     granted: bool
     wait_seconds: float
+    retry_seconds: float
 
 
 class PermitIssuer:
@@ -84,7 +89,10 @@
             schedule = self._schedules_by_lifetime[lifetime] = PermitSchedule(now)
         sole_issuer = issuer_of(self._blackboard, request.upstream) is self._blackboard.own
         rate = max(MIN_REQUESTS_PER_SECOND, self._rate(request, now))
-        return PermitReply(*schedule.reserve(rate, sole_issuer, request.max_wait_seconds, now))
+        reservation = schedule.reserve(rate, sole_issuer, request.max_wait_seconds, now)
+        return PermitReply(
+            reservation.reserved, reservation.wait_seconds, reservation.retry_seconds
+        )
 
     def _rate(self, request: PermitRequest, now: float) -> float:
         """Return the limit known to this gateway, or else the one in the request."""
@@ -122,11 +130,17 @@
         return self._rate(upstream) is not None
 
     def pause_seconds(self, upstream: Upstream) -> float:
-        """Return how long no permit for an upstream is expected, zero if one may be available."""
+        """Return the time until an immediate permit may be requested, zero if it may be now."""
         if not self.needed(upstream):
             return 0.0
         return max(0.0, self._beliefs.of(upstream).no_permit_until - self._clock.monotonic())
 
+    def wait_seconds(self, upstream: Upstream) -> float:
+        """Return the time until the next permit is valid for a request that waits for it."""
+        if not self.needed(upstream):
+            return 0.0
+        return max(0.0, self._beliefs.of(upstream).next_permit_at - self._clock.monotonic())
+
     async def acquire(self, upstream: Upstream, max_wait_seconds: float) -> float | None:
         """Return the seconds until a request may be sent, None if no permit was granted.
 
@@ -145,10 +159,11 @@
             self._metrics.permit("granted")
             return reply.wait_seconds
         self._metrics.permit("denied" if reply else "unanswered")
-        pause = reply.wait_seconds if reply else UNANSWERED_PAUSE_SECONDS
-        self._beliefs.of(upstream).no_permit_until = self._clock.monotonic() + max(
-            MIN_PAUSE_SECONDS, pause
-        )
+        belief, now = self._beliefs.of(upstream), self._clock.monotonic()
+        wait = reply.wait_seconds if reply else UNANSWERED_PAUSE_SECONDS
+        pause = reply.retry_seconds if reply else UNANSWERED_PAUSE_SECONDS
+        belief.next_permit_at = now + max(MIN_PAUSE_SECONDS, wait)
+        belief.no_permit_until = now + max(MIN_PAUSE_SECONDS, pause)
         return None
 
     def _rate(self, upstream: Upstream) -> float | None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -97,9 +97,9 @@
         ]
         if not placements:
             return None
-        chosen = min(placements, key=lambda item: self._permits.pause_seconds(item.upstream))
+        chosen = min(placements, key=lambda item: self._permits.wait_seconds(item.upstream))
         wait = None
-        if self._permits.pause_seconds(chosen.upstream) <= max_wait_seconds:
+        if self._permits.wait_seconds(chosen.upstream) <= max_wait_seconds:
             wait = await self._permits.acquire(chosen.upstream, max_wait_seconds)
         if wait is None:
             return PermitDenied(self._permits.pause_seconds(chosen.upstream))
