Log the tokens that ended holders took with them, and those that nobody has drawn

Callers were refused for want of tokens after all gateways had restarted. The logs named what a workspace had left and what one holder had, but neither what all holders had drawn nor what was written off with those that ended, so that real spending and lost allotments could not be told apart.

allotments.drawn names what of each workspace nobody has drawn, and allotments.written_off what a holder had drawn and not reported when it ended.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -30,6 +30,7 @@
 from quinceferry_gateway.shared_budgets import SharedBudgets
 from quinceferry_gateway.shared_draws import SharedDraw
 from quinceferry_gateway.store_health import note_answer, note_failure
+from quinceferry_gateway.write_offs import WriteOffs
 
 CHECK_SECONDS = 0.25
 """How often a holder looks whether to draw more."""
@@ -94,6 +95,7 @@
         self._ended_early: dict[str, float] = {}
         self._accounts_by_workspace: dict[str, Account] = {}
         self._predecessors: set[str] = set()
+        self._write_offs = WriteOffs(blackboard)
 
     async def start(self) -> None:
         """Begin to draw."""
@@ -370,10 +372,16 @@
             account.drawn = drawn
             for holder in predecessors & account.inherited_by_holder.keys():
                 del account.inherited_by_holder[holder]
+        self._write_offs.note(self._shared)
+        drawable_by_workspace = self._drawable()
         log.success(
             "allotments.drawn",
             version=self._shared.version,
             left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
+            undrawn_by_workspace={
+                name: self._shared.of(name).undrawn(drawable)
+                for name, drawable in drawable_by_workspace.items()
+            },
             available_by_workspace=self.available_by_workspace(),
         )
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/shared_budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/shared_budgets.py
@@ -40,6 +40,19 @@
         """Return the budget of a workspace; a change of it is part of the next write."""
         return self._record.budgets_by_workspace.setdefault(workspace, WorkspaceBudget())
 
+    def holders(self) -> set[str]:
+        """Return all that have an allotment of some workspace, also those that have ended."""
+        budgets = self._record.budgets_by_workspace.values()
+        return {holder for budget in budgets for holder in budget.allotments_by_holder}
+
+    def outstanding_by_workspace(self, holder: str) -> dict[str, int]:
+        """Return the tokens that a holder has drawn and not reported as spent."""
+        return {
+            workspace: budget.allotments_by_holder[holder].outstanding
+            for workspace, budget in self._record.budgets_by_workspace.items()
+            if holder in budget.allotments_by_holder
+        }
+
     async def read(self) -> None:
         """Read the record.
 
