--- a/features/fixtures_gateway_budgets.py
+++ b/features/fixtures_gateway_budgets.py
@@ -1,5 +1,6 @@
 """Token holders on one store in virtual time, as the scenarios on prepaid tokens need them."""
 
+import asyncio
 import random
 from collections import Counter
 
@@ -16,6 +17,8 @@
 
 WORKSPACE = "choir"
 MAX_TOKENS = 900
+SPENT_AT_ONCE = 2_000
+"""Tokens of each request of those that come at an even rate."""
 
 
 class CountedConnection:
@@ -55,6 +58,7 @@
         self.writes = Counter()
         self.used = 0
         self.next_name = 0
+        self.next_request = 0
         self.count = count
 
     async def fill(self):
@@ -76,13 +80,65 @@
         await holder.start()
 
     def refresh(self):
-        """Tell all holders who lives and whether the store does."""
+        """Tell all holders who lives and whether they reach the store."""
         members = {name: board.own for name, board in self.boards_by_name.items()}
-        for board in self.boards_by_name.values():
+        for name, board in self.boards_by_name.items():
             if board.members_by_incarnation.keys() != members.keys():
                 board.members_changed_at = self.clock.monotonic()
             board.members_by_incarnation = members
-            board.store_reachable = not self.kv.faults.outage
+            cut_off = self.kv.connect(name).faults.outage
+            board.store_reachable = not self.kv.faults.outage and not cut_off
+
+    def cut(self, names, is_cut=True):
+        """Cut some holders off from the store, or end the cut."""
+        for name in names:
+            self.kv.connect(name).faults.outage = is_cut
+        self.refresh()
+
+    async def restart(self, name):
+        """Kill a holder and start another one on its vm."""
+        vm = self.boards_by_name[name].own.vm
+        await self.kill(name)
+        self.next_name += 1
+        await self.add(f"{vm}-{self.next_name}", vm)
+        self.refresh()
+
+    async def spend(self, tokens_per_second, seconds):
+        """Ask for tokens at an even rate, and use all that are granted.
+
+        A request takes what the holder that it reaches has, then what the others have, then what
+        that holder draws.
+
+        :return: the share of the requests that got all their tokens.
+        """
+        pause = SPENT_AT_ONCE / tokens_per_second
+        outcomes = []
+        for _ in range(round(seconds / pause)):
+            self.next_request += 1
+            outcomes.append(asyncio.create_task(self._spend_once(f"s{self.next_request}")))
+            await self.clock.sleep(pause)
+        served = await asyncio.gather(*outcomes)
+        return sum(served) / len(served)
+
+    async def _spend_once(self, reservation):
+        """Make one request; tell whether it got all its tokens."""
+        names = self.random.sample(list(self.holders_by_name), len(self.holders_by_name))
+        parts = {}
+        for name in names:
+            missing = SPENT_AT_ONCE - sum(parts.values())
+            parts[name] = self.holders_by_name[name].reserve(reservation, WORKSPACE, missing)
+            parts[name] = parts[name].reserved
+        missing = SPENT_AT_ONCE - sum(parts.values())
+        drawer = self.holders_by_name[names[0]]
+        if missing and await drawer.draw_for(WORKSPACE, missing):
+            parts["drawn"] = drawer.reserve(f"{reservation}/d", WORKSPACE, missing).reserved
+        is_served = sum(parts.values()) == SPENT_AT_ONCE
+        for name, tokens in parts.items():
+            holder = drawer if name == "drawn" else self.holders_by_name.get(name)
+            key = f"{reservation}/d" if name == "drawn" else reservation
+            if holder is not None:
+                holder.settle(Settlement(key, WORKSPACE, tokens if is_served else 0))
+        return is_served
 
     async def request_drawing(self, number):
         """Reserve, with tokens drawn for the request where some are missing; settle as well."""
--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -20,6 +20,29 @@
     When they serve requests, drawing on demand, for 20 seconds under no faults, seed 17
     Then the killed and the living used no more than 9000 tokens, and more than 5500
 
+  Scenario: Holders that are cut off and holders that join keep to the share together
+    Given 4 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And they are cut off from the store
+    And 4 more holders start
+    And 4 seconds pass for the holders
+    Then the holders have no more than 3119 tokens available together
+
+  Scenario Outline: Tokens last until service has recovered from a kill of all holders
+    Given 8 token holders and a budget of 4400000 tokens
+    When they spend 100000 tokens a second for <seconds> seconds
+    And <trouble> happens to them
+    And all holders are killed and others start on their vms
+    And they are asked for 100000 tokens a second for 12 seconds
+    Then more than a quarter of the requests of the next 4 seconds get their tokens
+
+    Examples:
+      | seconds | trouble                                          |
+      | 26      | nothing                                          |
+      | 23      | an outage of 3 seconds                           |
+      | 16      | a cut of 5 holders while the others start again  |
+      | 24      | another kill of all a second before              |
+
   Scenario: A request that is short of tokens gets them drawn while it waits
     Given 1 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
