--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -0,0 +1,95 @@
+"""How many tokens of each workspace this gateway should hold, as far as it knows the fleet."""
+
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.budgets import (
+    Account,
+    DrawPolicy,
+    WorkspaceBudget,
+    left_tokens,
+    update_allotment,
+)
+from quinceferry_gateway.settings import BudgetSettings
+from quinceferry_gateway.shared_budgets import SharedBudgets
+
+CURRENT_SECONDS = 3.0
+"""How long a reading of the record shows what others hold: a reading each two seconds, and the time
+for one that fails."""
+
+
+class AllotmentTargets:
+    """Works out what may be drawn, from the configuration, the budget record and the members.
+
+    :param settings: who holds how much.
+    """
+
+    __slots__ = ("_blackboard", "_policy", "_settings", "_shared")
+
+    def __init__(
+        self, blackboard: Blackboard, shared: SharedBudgets, settings: BudgetSettings
+    ) -> None:
+        self._blackboard = blackboard
+        self._shared = shared
+        self._settings = settings
+        self._policy = DrawPolicy(settings.held_share)
+
+    def drawable_by_workspace(self) -> dict[str, int]:
+        """Return the tokens of each workspace that may be drawn."""
+        configuration = self._blackboard.configuration
+        if configuration is None:
+            return {}
+        return {
+            name: self.drawable_in(name)
+            for name, workspace in configuration.workspaces_by_name.items()
+            if workspace.prepaid_tokens is not None
+        }
+
+    def drawable_in(self, workspace: str) -> int:
+        """Return the tokens of one workspace that may be drawn, which leaves out the margin."""
+        configuration = self._blackboard.configuration
+        found = configuration.workspaces_by_name.get(workspace) if configuration else None
+        if found is None or found.prepaid_tokens is None:
+            return 0
+        return int((1 - self._settings.margin_share) * found.prepaid_tokens)
+
+    def left_at_most(self, workspace: str) -> int:
+        """Return an upper bound of what the workspace has left.
+
+        Tokens of an ended holder count as spent, once the record is current: otherwise a caller
+        would be asked again and again to come back for tokens that nobody can give.
+        """
+        budget = self._shared.of(workspace)
+        drawable = self.drawable_in(workspace)
+        if self._shared.age_seconds > CURRENT_SECONDS or not self._blackboard.store_reachable:
+            return drawable - budget.spent
+        holders = [key for key in budget.allotments_by_holder if not self._blackboard.ended(key)]
+        return left_tokens(budget, drawable, holders)
+
+    def is_due(self, workspace: str, account: Account, parts: int) -> bool:
+        """Tell whether a workspace's allotment should change."""
+        if account.inherited_by_holder:
+            return True
+        budget = self._shared.of(workspace)
+        drawable = self.drawable_in(workspace)
+        target = self._target(budget, drawable, parts)
+        return self._policy.due(account.available, target, budget.undrawn(drawable))
+
+    def update(self, workspace: str, account: Account, parts: int, wanted: int) -> int:
+        """Change the allotment in the record in memory.
+
+        :param parts: among how many holders the tokens are divided, zero for a gateway that is
+            none.
+        :param wanted: tokens that waiting requests need.
+        :return: the tokens drawn once the record is written.
+        """
+        budget = self._shared.of(workspace)
+        drawable = self.drawable_in(workspace)
+        target = max(self._target(budget, drawable, parts), wanted)
+        own = self._blackboard.own.incarnation
+        return update_allotment(budget, own, account, budget.undrawn(drawable), target)
+
+    def _target(self, budget: WorkspaceBudget, drawable: int, parts: int) -> int:
+        """Return the tokens that this gateway should have available in a workspace."""
+        if not parts:
+            return 0
+        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
+        return self._policy.target(left, parts)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -6,16 +6,9 @@
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvConflictError, KvError
+from quinceferry_gateway.allotment_targets import AllotmentTargets
 from quinceferry_gateway.blackboard import Blackboard
-from quinceferry_gateway.budgets import (
-    Account,
-    DrawPolicy,
-    Inherited,
-    WorkspaceBudget,
-    left_tokens,
-    return_allotment,
-    update_allotment,
-)
+from quinceferry_gateway.budgets import Account, Inherited, return_allotment
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.holding import HolderRole
 from quinceferry_gateway.logs import log
@@ -48,9 +41,6 @@
 share a write."""
 REREAD_SECONDS = 2.0
 """How often a holder without tokens looks whether others have given some back."""
-CURRENT_SECONDS = 3.0
-"""How long a reading of the record shows what others hold: a reading each two seconds, and the time
-for one that fails."""
 TRIES = 10
 """Conflicts in a row after which a write waits for the next check; all holders draw at once when
 they start together, and one of them succeeds in each round."""
@@ -82,9 +72,8 @@
         super().__init__()
         self._blackboard = blackboard
         self._clock = clock
-        self._settings = settings
-        self._policy = DrawPolicy(settings.held_share)
         self._shared = SharedBudgets(store, clock)
+        self._targets = AllotmentTargets(blackboard, self._shared, settings)
         self._closed = False
         self._random = source
         self._role = HolderRole(blackboard, clock, settings, self._random)
@@ -116,12 +105,16 @@
         """Set tokens aside, or as many as the allotment has."""
         account = self._accounts_by_workspace.get(workspace)
         if account is None or self._closed or reservation in self._ended_early:
-            return ReserveReply(0, self._left_at_most(workspace), 0, self._may_draw(workspace))
+            return ReserveReply(
+                0, self._targets.left_at_most(workspace), 0, self._may_draw(workspace)
+            )
         reserved = account.reserve(reservation, tokens)
         # Whether it could draw matters only to a request that still lacks tokens; worked out for
         # each, a reservation took 0.08 ms among 195 gateways and 40 workspaces instead of 0.003 ms.
         draws = reserved < tokens and self._may_draw(workspace)
-        return ReserveReply(reserved, self._left_at_most(workspace), account.available, draws)
+        return ReserveReply(
+            reserved, self._targets.left_at_most(workspace), account.available, draws
+        )
 
     async def serve(self, asked: ReserveRequest) -> ReserveReply:
         """Set tokens aside for a request of any gateway, drawing what is missing if it says so."""
@@ -160,7 +153,7 @@
             return False
         if self._draw_seconds > DRAW_WAIT_SECONDS:
             return False
-        drawable = self._drawable_in(workspace)
+        drawable = self._targets.drawable_in(workspace)
         budget = self._shared.of(workspace)
         return not self._shared.known or budget.undrawn(drawable) > 0
 
@@ -231,19 +224,6 @@
         """Return the name of this holder in the record."""
         return self._blackboard.own.incarnation
 
-    def _left_at_most(self, workspace: str) -> int:
-        """Return an upper bound of what the workspace has left.
-
-        Tokens of an ended holder count as spent, once the record is current: otherwise a caller
-        would be asked again and again to come back for tokens that nobody can give.
-        """
-        budget = self._shared.of(workspace)
-        drawable = self._drawable_in(workspace)
-        if self._shared.age_seconds > CURRENT_SECONDS or not self._blackboard.store_reachable:
-            return drawable - budget.spent
-        holders = [key for key in budget.allotments_by_holder if not self._blackboard.ended(key)]
-        return left_tokens(budget, drawable, holders)
-
     async def _draw_forever(self) -> None:
         """Keep the allotments near their targets."""
         while True:
@@ -277,7 +257,7 @@
             return False
         return not self._shared.version or any(
             self._shared.of(name).undrawn(drawable) <= 0
-            for name, drawable in self._drawable().items()
+            for name, drawable in self._targets.drawable_by_workspace().items()
         )
 
     async def _reread(self) -> None:
@@ -299,43 +279,10 @@
             return False
         if parts and not self._shared.known:
             return True
-        drawables = self._drawable().items()
-        return any(self._off_target(name, drawable, parts) for name, drawable in drawables)
-
-    def _drawable(self) -> dict[str, int]:
-        """Return the tokens of each workspace that may be drawn."""
-        configuration = self._blackboard.configuration
-        if configuration is None:
-            return {}
-        return {
-            name: self._drawable_in(name)
-            for name, workspace in configuration.workspaces_by_name.items()
-            if workspace.prepaid_tokens is not None
-        }
-
-    def _drawable_in(self, workspace: str) -> int:
-        """Return the tokens of one workspace that may be drawn, which leaves out the margin."""
-        configuration = self._blackboard.configuration
-        found = configuration.workspaces_by_name.get(workspace) if configuration else None
-        if found is None or found.prepaid_tokens is None:
-            return 0
-        return int((1 - self._settings.margin_share) * found.prepaid_tokens)
-
-    def _target(self, budget: WorkspaceBudget, drawable: int, parts: int) -> int:
-        """Return the tokens that this gateway should have available in a workspace."""
-        if not parts:
-            return 0
-        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
-        return self._policy.target(left, parts)
-
-    def _off_target(self, workspace: str, drawable: int, parts: int) -> bool:
-        """Tell whether a workspace's allotment should change."""
-        budget = self._shared.of(workspace)
-        account = self._accounts_by_workspace.get(workspace, Account())
-        if account.inherited_by_holder:
-            return True
-        target = self._target(budget, drawable, parts)
-        return self._policy.due(account.available, target, budget.undrawn(drawable))
+        return any(
+            self._targets.is_due(name, self._accounts_by_workspace.get(name, Account()), parts)
+            for name in self._targets.drawable_by_workspace()
+        )
 
     async def _draw(self) -> None:
         """Report spending and draw, by compare-and-swap."""
@@ -373,11 +320,13 @@
             for holder in predecessors & account.inherited_by_holder.keys():
                 del account.inherited_by_holder[holder]
         self._write_offs.note(self._shared)
-        drawable_by_workspace = self._drawable()
+        drawable_by_workspace = self._targets.drawable_by_workspace()
         log.success(
             "allotments.drawn",
             version=self._shared.version,
-            left_by_workspace={name: self._left_at_most(name) for name in drawn_by_workspace},
+            left_by_workspace={
+                name: self._targets.left_at_most(name) for name in drawn_by_workspace
+            },
             undrawn_by_workspace={
                 name: self._shared.of(name).undrawn(drawable)
                 for name, drawable in drawable_by_workspace.items()
@@ -389,13 +338,10 @@
         """Change the record in memory for all workspaces; return what will be drawn by then."""
         drawn_by_workspace: dict[str, int] = {}
         parts = self._parts()
-        for name, drawable in self._drawable().items():
-            budget = self._shared.of(name)
+        for name in self._targets.drawable_by_workspace():
             account = self._accounts_by_workspace.setdefault(name, Account())
-            target = max(self._target(budget, drawable, parts), self._shared_draw.wanted(name))
-            drawn_by_workspace[name] = update_allotment(
-                budget, self._own, account, budget.undrawn(drawable), target
-            )
+            wanted = self._shared_draw.wanted(name)
+            drawn_by_workspace[name] = self._targets.update(name, account, parts, wanted)
         return drawn_by_workspace
 
     def _forget_ended(self) -> None:
