Bound what all holders together have at hand by the record, not each by its part

Callers: after a cut of some gateways from the store and a restart of all, whole workspaces had no tokens, though a third of them at most should have been lost.

Cause: each holder drew its part of the held share by the number of members that it saw. Holders that drew in a smaller fleet kept their larger parts while they were cut off, and those that joined drew parts of their own besides: four and four had 4,672 tokens of 9,000 where 3,119 are allowed.

A holder now draws no more than what the others' idle tokens in the record leave of the share. Entries name what is reserved, as running requests are no idle tokens. A holder gives back only what exceeds its part, and requests that lack tokens still get them drawn.

--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -7,6 +7,7 @@
 from features.fixtures_gateway_budgets import WORKSPACE, Bench
 from quinceferry_gateway.budgets import (
     Account,
+    Allowance,
     HolderAllotment,
     WorkspaceBudget,
     update_allotment,
@@ -183,7 +184,7 @@
 
 @when("the record is updated towards a target of {target:d} tokens")
 def when_updated(context, target):
-    update_allotment(context.budget, "me", context.account, 0, target)
+    update_allotment(context.budget, "me", context.account, 0, Allowance(target, target))
 
 
 @then("the account has {tokens:d} tokens available")
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -3,8 +3,10 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.budgets import (
     Account,
+    Allowance,
     DrawPolicy,
     WorkspaceBudget,
+    idle_tokens,
     left_tokens,
     update_allotment,
 )
@@ -15,6 +17,8 @@
 """How long a reading of the record shows what others hold: a reading each two seconds, and the time
 for one that fails."""
 
+NO_ALLOWANCE = Allowance(0, 0)
+
 
 class AllotmentTargets:
     """Works out what may be drawn, from the configuration, the budget record and the members.
@@ -70,8 +74,8 @@
             return True
         budget = self._shared.of(workspace)
         drawable = self.drawable_in(workspace)
-        target = self._target(budget, drawable, parts)
-        return self._policy.due(account.available, target, budget.undrawn(drawable))
+        allowance = self._allowance(budget, drawable, parts)
+        return self._policy.due(account.available, allowance, budget.undrawn(drawable))
 
     def update(self, workspace: str, account: Account, parts: int, wanted: int) -> int:
         """Change the allotment in the record in memory.
@@ -83,13 +87,16 @@
         """
         budget = self._shared.of(workspace)
         drawable = self.drawable_in(workspace)
-        target = max(self._target(budget, drawable, parts), wanted)
+        allowance = self._allowance(budget, drawable, parts)
         own = self._blackboard.own.incarnation
-        return update_allotment(budget, own, account, budget.undrawn(drawable), target)
+        undrawn = budget.undrawn(drawable)
+        return update_allotment(budget, own, account, undrawn, allowance, wanted)
 
-    def _target(self, budget: WorkspaceBudget, drawable: int, parts: int) -> int:
-        """Return the tokens that this gateway should have available in a workspace."""
+    def _allowance(self, budget: WorkspaceBudget, drawable: int, parts: int) -> Allowance:
+        """Return what this gateway may have available in a workspace."""
         if not parts:
-            return 0
-        left = left_tokens(budget, drawable, self._blackboard.members_by_incarnation)
-        return self._policy.target(left, parts)
+            return NO_ALLOWANCE
+        members = self._blackboard.members_by_incarnation.keys()
+        left = left_tokens(budget, drawable, members)
+        idle_elsewhere = idle_tokens(budget, members - {self._blackboard.own.incarnation})
+        return self._policy.allowance(left, parts, idle_elsewhere)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -12,16 +12,25 @@
 
 
 class HolderAllotment(msgspec.Struct, omit_defaults=True):
-    """Tokens drawn by one holder over its lifetime, and how many of them it reported as spent."""
+    """Tokens drawn by one holder over its lifetime, and how many of them it reported as spent.
+
+    ``reserved`` are those that were set aside for running requests when it last reported.
+    """
 
     drawn: int = 0
     reported: int = 0
+    reserved: int = 0
 
     @property
     def outstanding(self) -> int:
         """Return the tokens that the holder may still spend or may have spent unreported."""
         return self.drawn - self.reported
 
+    @property
+    def idle(self) -> int:
+        """Return the tokens that were neither spent nor reserved when the holder last reported."""
+        return max(0, self.outstanding - self.reserved)
+
 
 class WorkspaceBudget(msgspec.Struct, omit_defaults=True):
     """Tokens of one workspace; ``spent`` are those that were reported and those given up."""
@@ -112,32 +121,52 @@
             self.spent += min(tokens, reserved)
 
 
+@dataclass(slots=True, frozen=True)
+class Allowance:
+    """What one holder may have available in a workspace.
+
+    ``part`` is its equal part of what all holders may have together, ``room`` what the others leave
+    of that. Holders drew in a fleet of another size, or can't give anything back while they are cut
+    off: a holder draws no more than the room, and gives back only what exceeds its part.
+    """
+
+    part: int
+    room: int
+
+    @property
+    def goal(self) -> int:
+        """Return up to how many available tokens the holder draws."""
+        return max(0, min(self.part, self.room))
+
+
 @dataclass(slots=True, frozen=True)
 class DrawPolicy:
     """How much the holders keep at hand together, as a share of what a workspace has left.
 
     A larger share serves longer through an outage of the store, and strands more when holders are
-    killed. A holder draws when it has less than ``refill_share`` of its part, and gives back what
-    exceeds ``surplus_share`` of it.
+    killed. A holder draws when it has less than ``refill_share`` of its goal, and gives back what
+    exceeds ``surplus_share`` of its part.
     """
 
     held_share: float
     refill_share: float = 0.75
     surplus_share: float = 1.6
 
-    def target(self, left: int, holders: int) -> int:
-        """Return the tokens that one holder should have available.
+    def allowance(self, left: int, holders: int, idle_elsewhere: int) -> Allowance:
+        """Return what one holder may have available.
 
         :param left: tokens that nobody holds or that live holders hold.
         :param holders: number of holders.
+        :param idle_elsewhere: idle tokens of all other live holders.
         """
-        return int(self.held_share * max(0, left)) // max(1, holders)
+        held = int(self.held_share * max(0, left))
+        return Allowance(held // max(1, holders), held - idle_elsewhere)
 
-    def due(self, available: int, target: int, undrawn: int) -> bool:
-        """Tell whether an allotment is far enough from its target to write the record."""
-        if available > self.surplus_share * target:
+    def due(self, available: int, allowance: Allowance, undrawn: int) -> bool:
+        """Tell whether an allotment is far enough from its goal to write the record."""
+        if available > self.surplus_share * allowance.part:
             return True
-        return undrawn > 0 and available < self.refill_share * target
+        return undrawn > 0 and available < self.refill_share * allowance.goal
 
 
 def left_tokens(budget: WorkspaceBudget, drawable: int, holders: Collection[str]) -> int:
@@ -150,14 +179,26 @@
     return max(0, budget.undrawn(drawable)) + held
 
 
+def idle_tokens(budget: WorkspaceBudget, holders: Collection[str]) -> int:
+    """Return the tokens that some holders have drawn and neither spent nor reserved."""
+    entries = budget.allotments_by_holder.items()
+    return sum(entry.idle for holder, entry in entries if holder in holders)
+
+
 def update_allotment(
-    budget: WorkspaceBudget, holder: str, account: Account, undrawn: int, target: int
+    budget: WorkspaceBudget,
+    holder: str,
+    account: Account,
+    undrawn: int,
+    allowance: Allowance,
+    wanted: int = 0,
 ) -> int:
-    """Report a holder's spending in the record, and draw or give back up to the target.
+    """Report a holder's spending in the record, and draw up to its goal or give back its surplus.
 
     Tokens to be given back leave the account at once, before the record is written.
 
     :param undrawn: tokens that nobody holds.
+    :param wanted: tokens that waiting requests need, whatever the allowance is.
     :return: the holder's drawn tokens once the record is written.
     """
     entry = budget.allotments_by_holder.setdefault(holder, HolderAllotment())
@@ -165,8 +206,11 @@
     account.drawn = min(account.drawn, entry.drawn - account.inherited)
     budget.spent += account.spent - entry.reported
     entry.reported = account.spent
+    entry.reserved = account.reserved
     available = entry.drawn - account.spent - account.reserved
-    entry.drawn += min(max(0, undrawn), target - available)
+    missing = max(allowance.goal, wanted) - available
+    surplus = available - max(allowance.part, wanted)
+    entry.drawn += min(max(0, undrawn), max(0, missing)) - max(0, surplus)
     account.drawn = min(account.drawn, entry.drawn - account.inherited)
     return entry.drawn
 
