Show the age of the configuration and how much of a transfer had arrived

Callers got answers by an old configuration after a large change. Logs named the transfers between gateways that ran out of time, but not how much had arrived, and no metric told how old the configuration of a gateway was.

The error of such a call names the bytes received, and quinceferry_gateway_configuration_age_seconds is served. No decision changes.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -154,6 +154,7 @@
     metrics.store_called("get", "200")
     metrics.peer_messages("digest", "sent", 1, 1)
     metrics.observe_list_age(lambda: 0.1)
+    metrics.observe_configuration_age(lambda: 0.1)
     metrics.prompt_sent("r", 2, 1)
     metrics.upstream_crashed("s")
     metrics.observe_quarantine(lambda: 1)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -83,7 +83,8 @@
         self._clock = clock
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
-        metrics.observe_list_age(self._list_age_seconds)
+        metrics.observe_list_age(lambda: self._age_seconds(board.upstreams_read_at))
+        metrics.observe_configuration_age(lambda: self._age_seconds(board.configuration_read_at))
         draws = random.Random()
         port = DatagramPort(settings.listen.peers, metrics)
         calls = DatagramCalls(port, clock, draws.getrandbits(FIRST_NUMBER_BITS))
@@ -231,9 +232,8 @@
             self.beliefs.forget(self.blackboard.upstreams_by_id)
             await self._clock.sleep(HOUSEKEEPING_SECONDS)
 
-    def _list_age_seconds(self) -> float | None:
-        """Return how long ago the list of upstreams was read, None before the first reading."""
-        read_at = self.blackboard.upstreams_read_at
+    def _age_seconds(self, read_at: float | None) -> float | None:
+        """Return how long ago a list was read, None before the first reading."""
         return None if read_at is None else self._clock.monotonic() - read_at
 
     def _retry_budgets(self) -> Callable[[str], RetryBudget]:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -156,16 +156,31 @@
 
     def observe_list_age(self, age_seconds: Callable[[], float | None]) -> None:
         """Serve the age of the list of upstreams from now on; no series while it is None."""
+        self._observe_age(
+            "quinceferry_gateway_upstream_list_age",
+            "Time since the list of upstreams was last read",
+            age_seconds,
+        )
+
+    def observe_configuration_age(self, age_seconds: Callable[[], float | None]) -> None:
+        """Serve the age of the configuration from now on; no series while it is None."""
+        self._observe_age(
+            "quinceferry_gateway_configuration_age",
+            "Time since the configuration in force was known to be the newest",
+            age_seconds,
+        )
+
+    def _observe_age(
+        self, name: str, description: str, age_seconds: Callable[[], float | None]
+    ) -> None:
+        """Serve an age; no series while it is None."""
 
         def observe(_: CallbackOptions) -> Iterable[Observation]:
             age = age_seconds()
             return [] if age is None else [Observation(age)]
 
         self._meter.create_observable_gauge(
-            "quinceferry_gateway_upstream_list_age",
-            callbacks=[observe],
-            unit="s",
-            description="Time since the list of upstreams was last read",
+            name, callbacks=[observe], unit="s", description=description
         )
 
     def observe_quarantine(self, held: Callable[[], int]) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -143,13 +143,16 @@
         :raises NotSentError: no connection came about.
         :raises ConnectionBrokenError: it failed or took too long after bytes may have left.
         """
+        received = bytearray()
         try:
             async with asyncio.timeout(timeout_seconds):
                 async with self.open(address, method, target, headers, body) as reply:
-                    parts = [chunk async for chunk in reply.chunks()]
-                    return Reply(reply.status, reply.headers, b"".join(parts))
+                    async for chunk in reply.chunks():
+                        received += chunk
+                    return Reply(reply.status, reply.headers, bytes(received))
         except TimeoutError as error:
-            raise ConnectionBrokenError("timeout", step="exchange", peer=address) from error
+            detail = f"timeout after {len(received)} bytes"
+            raise ConnectionBrokenError(detail, step="exchange", peer=address) from error
 
 
 def _broken(error: Exception, step: str, peer: str) -> QuinceferryError:
