Show that a large configuration does not reach all gateways in time

Callers were served by an old configuration more than three seconds after a change that added 1,224 routes.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of gateways that knows itself, on a modelled network and store, in virtual time."""
 
 import asyncio
+import json
 import random
 from collections import Counter
 
@@ -15,6 +16,7 @@
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.crashes import CrashWatch
 from quinceferry_gateway.decisions import Beliefs
+from quinceferry_gateway.exceptions import ConfigurationError
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import Copies
 from quinceferry_gateway.fleet.gossip import Gossip
@@ -33,6 +35,10 @@
 """Gateways that start together register one after the other within this time."""
 CALL_NUMBER_BITS = 32
 """Bits reserved for the call numbers of one gateway, so that those of two gateways differ."""
+CHUNK_BYTES = 16_384
+"""Bytes of a transfer that pass a link at once, as much as small windows hold."""
+STORE_TIMEOUT_SECONDS = 0.8
+UNREADABLE = b"{"
 CHANGES_A_SECOND = 50
 """Revisions that heartbeats of upstreams make."""
 
@@ -52,8 +58,25 @@
         return Snapshot(self._connection.revision, entries)
 
 
+class Link:
+    """One direction of a gateway's link, which passes chunks on one after the other."""
+
+    def __init__(self, bytes_per_second):
+        self._bytes_per_second = bytes_per_second
+        self._free_at = 0.0
+
+    def take(self, size, now):
+        """Return when a chunk that arrives now has been passed on."""
+        self._free_at = max(now, self._free_at) + size / self._bytes_per_second
+        return self._free_at
+
+
 class Network:
-    """Carries messages between gateways, and loses some."""
+    """Carries messages between gateways, and loses some.
+
+    ``links_out`` and ``links_in`` bound the bytes of transfers by address; datagrams are small and
+    not counted.
+    """
 
     def __init__(self, clock, source, lost_share):
         self.clock = clock
@@ -61,6 +84,9 @@
         self.lost_share = lost_share
         self.nodes_by_address = {}
         self.cut = set()
+        self.links_out = {}
+        self.links_in = {}
+        self.copied_bytes = Counter()
         self.sent = Counter()
         self.sent_by_type = Counter()
 
@@ -71,6 +97,21 @@
             return False
         return self.random.random() >= self.lost_share
 
+    async def carry(self, links, size):
+        """Wait until all chunks of a transfer have passed some links in turn."""
+        links = [link for link in links if link is not None]
+        for begin in range(0, size if links else 0, CHUNK_BYTES):
+            passed_at = self.clock.monotonic()
+            for link in links:
+                passed_at = link.take(min(CHUNK_BYTES, size - begin), passed_at)
+            await self.clock.sleep(passed_at - self.clock.monotonic())
+
+    async def copy(self, origin, target, body):
+        """Carry a copy from one gateway to another, and count its bytes."""
+        links = [self.links_out.get(origin), self.links_in.get(target)]
+        self.copied_bytes[target] += len(body)
+        await self.carry(links, len(body))
+
 
 class Port:
     """Datagrams of one gateway on the modelled network."""
@@ -114,16 +155,23 @@
         if not self._network.passes(self._address, target):
             await self._network.clock.sleep(timeout_seconds)
             raise PeerError("timeout", step="copy", peer=peer.vm, sent=True)
-        await self._network.clock.sleep(2 * LATENCY_SECONDS)
-        return self._network.nodes_by_address[target].copies.encode(kind)
+        body = self._network.nodes_by_address[target].copies.encode(kind)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self._network.clock.sleep(2 * LATENCY_SECONDS)
+                await self._network.copy(target, self._address, body)
+        except TimeoutError as error:
+            raise PeerError("timeout", step="copy", peer=peer.vm, sent=True) from error
+        return body
 
 
 class Store:
     """The platform's store as one gateway reaches it; all share its content."""
 
-    def __init__(self, world, vm):
+    def __init__(self, world, vm, address):
         self._world = world
         self._vm = vm
+        self._address = address
 
     async def _call(self, step):
         """Count a call and wait for its answer."""
@@ -135,7 +183,19 @@
     async def configuration(self):
         """Return the newest configuration."""
         await self._call("get")
-        return self._world.document, self._world.revision
+        document, revision = self._world.document, self._world.revision
+        await self._receive(document)
+        return document, revision
+
+    async def _receive(self, document):
+        """Wait until a document, in base64, has passed the gateway's link."""
+        self._world.documents_sent += 1
+        links = [self._world.network.links_in.get(self._address)]
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_SECONDS):
+                await self._world.network.carry(links, len(document) * 4 // 3)
+        except TimeoutError as error:
+            raise KvUnavailableError("timeout", step="get") from error
 
     async def next_configuration(self, revision, timeout_seconds):
         """Wait for a newer configuration."""
@@ -143,7 +203,9 @@
         ends_at = self._world.clock.monotonic() + timeout_seconds
         while self._world.clock.monotonic() < ends_at:
             if self._world.document_revision > revision:
-                return self._world.document
+                document = self._world.document
+                await self._receive(document)
+                return document
             await self._world.clock.sleep(0.05)
         return None
 
@@ -180,7 +242,11 @@
         self._world.records_by_key[key] = value
 
     def decode_configuration(self, document):
-        """Return a configuration."""
+        """Return a configuration, of which only the version counts here."""
+        if document == UNREADABLE:
+            raise ConfigurationError("unreadable", step="decode")
+        if document.startswith(b"{"):
+            return Configuration(json.loads(document)["version"], {}, {})
         return Configuration(int(document), {}, {})
 
 
@@ -223,7 +289,7 @@
         self._world = world
         clock = world.clock
         draws = random.Random(f"{world.seed}/{number}/{incarnation}")
-        store = Store(world, self.vm)
+        store = Store(world, self.vm, address)
         self.registered = asyncio.Event()
         self.port = Port(world.network, address)
         configuration = ConfigurationReader(board, store, clock, draws, world.bound_seconds)
@@ -280,6 +346,7 @@
         self.base_revision = 1
         self.document = b"1"
         self.document_revision = 1
+        self.documents_sent = 0
         self.registrations_by_key = {}
         self.records_by_key = {}
         self.upstreams_by_id = {f"up-{n}": _upstream(f"up-{n}") for n in range(20)}
@@ -324,3 +391,16 @@
 def _upstream(name):
     """Return a registered upstream."""
     return Upstream(name, "app", "10.0.1.1:80", "z", 4, False, registration=1)
+
+
+def large_document(version, routes, seed):
+    """Return a configuration of so many routes, as an operator's tool writes it."""
+    draws = random.Random(seed)
+    common = {"host": "tanks.example", "kind": "stream", "timeout_ms": 10_000, "slo_ms": 645}
+    common |= {"priority": 2, "attempts": 2, "anonymous": False, "sticky": True}
+    named = [f"{draws.getrandbits(40):x}" for _ in range(routes)]
+    listed = [
+        {"name": f"r-{name}", "prefix": f"/{name[::-1]}/", "service": f"s{index % 7}"} | common
+        for index, name in enumerate(named)
+    ]
+    return json.dumps({"version": version, "routes": listed}).encode()
