Hand lists from gateway to gateway compressed, one transfer at a time

Callers were served by an old configuration: 1,224 routes added at once were not in force at all gateways more than three seconds after the store had acknowledged them.

Cause: a copy of the configuration was JSON in base64 in JSON, a third larger than the document, and a gateway fetched it from each peer that offered it, up to ten times a second. On links of 10 Mbit/s and less these transfers shared the link and all ran into the timeout of 0.6 s, again and again.

A gateway has one transfer of each list under way at most.

--- a/features/steps/gateway_fleet_parts.py
+++ b/features/steps/gateway_fleet_parts.py
@@ -11,6 +11,7 @@
 from features.steps.gateway_fleet import play
 from quinceferry_gateway.configuration_reader import ConfigurationCopy
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
+from quinceferry_gateway.fleet.packing import pack
 from quinceferry_gateway.fleet_api import addresses
 from quinceferry_gateway.membership import MembersCopy
 from quinceferry_gateway.peers import Settlement
@@ -209,11 +210,14 @@
     async def get(world):
         node = world.nodes[number - 1]
         older = {
-            "configuration": ConfigurationCopy(1, 0.0, b"7"),
+            "configuration": ConfigurationCopy(1, 0.0, pack(b"7")),
             "upstreams": UpstreamsCopy(1, 0.0, [], []),
             "members": MembersCopy(1, 0.0, []),
         }[kind]
-        body = b"half" if fault == "malformed" else msgspec.json.encode(older)
+        packed = msgspec.msgpack.encode(older)
+        body = b"half" if fault == "malformed" else packed
+        if fault == "older" and kind != "configuration":
+            body = pack(packed)
         peer = world.nodes[number]
         peer.copies.encode = lambda _: body
         context.before = lists(node)
--- a/features/steps/gateway_large_configurations.py
+++ b/features/steps/gateway_large_configurations.py
@@ -15,6 +15,7 @@
 from quinceferry_gateway.configuration_reader import ConfigurationCopy
 from quinceferry_gateway.exceptions import ConnectionBrokenError
 from quinceferry_gateway.fleet.digests import FORMAT, Digest, Summary
+from quinceferry_gateway.fleet.packing import pack
 
 BYTES_PER_MEGABIT = 125_000
 FIRST_VERSION = 2
@@ -161,7 +162,8 @@
 
 def newer_copy(node, document):
     """Return the message with a copy that is newer than a gateway's own."""
-    return msgspec.json.encode(ConfigurationCopy(node.board.revision + 100, 0.0, document))
+    copy = ConfigurationCopy(node.board.revision + 100, 0.0, pack(document))
+    return msgspec.msgpack.encode(copy)
 
 
 @when("a peer hands gateway {number:d} an unreadable configuration")
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -21,6 +21,7 @@
     UNTRIED_SECONDS,
     ReadSchedule,
 )
+from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.interfaces import CatalogSource
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.store_health import note_answer, note_failure
@@ -33,7 +34,7 @@
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True):
-    """A configuration as one gateway hands it to another."""
+    """A configuration as one gateway hands it to another, its document packed."""
 
     revision: int
     age_seconds: float
@@ -63,6 +64,7 @@
         self._watch_seconds = min(MAX_WATCH_SECONDS, INTERVAL_SHARE * bound_seconds)
         self._refused: bytes = b""
         self._content = 0
+        self._packed = b""
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -90,6 +92,7 @@
         board.configuration = configuration
         board.document = document
         self._content = zlib.crc32(document)
+        self._packed = b""
         log.change(
             "configuration.applied",
             version=configuration.version,
@@ -115,20 +118,22 @@
         board = self._blackboard
         if board.configuration is None or board.configuration_read_at is None:
             return None
+        if not self._packed:
+            self._packed = pack(board.document)
         age = now - board.configuration_read_at
-        return msgspec.json.encode(ConfigurationCopy(board.revision, age, board.document))
+        return msgspec.msgpack.encode(ConfigurationCopy(board.revision, age, self._packed))
 
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's configuration.
 
         :raises msgspec.DecodeError: it has not the expected form.
         """
-        copy = msgspec.json.decode(body, type=ConfigurationCopy)
+        copy = msgspec.msgpack.decode(body, type=ConfigurationCopy)
         board = self._blackboard
         newer = board.configuration is None or copy.revision > board.revision
         if copy.age_seconds < 0 or not newer:
             return
-        self.offer(copy.document, copy.revision, origin)
+        self.offer(unpack(copy.document), copy.revision, origin)
         self.confirm(copy.revision, now - copy.age_seconds)
 
     async def _follow(self) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -1,4 +1,8 @@
-"""Copies of the store's lists, handed from gateway to gateway with the age of their reading."""
+"""Copies of the store's lists, handed from gateway to gateway with the age of their reading.
+
+The load: after a change each gateway hears of the newer copy from several peers within a period.
+Fetches from all of them at once share one link, and a thin link then carries none of them in time.
+"""
 
 import math
 from collections.abc import Callable, Mapping
@@ -59,6 +63,7 @@
         self._clock = clock
         self._renewed = renewed
         self._fetched_at_by_kind: dict[str, float] = {}
+        self._fetching: set[str] = set()
 
     def summaries(self, now: float) -> dict[str, Summary]:
         """Return which copies this gateway has."""
@@ -87,10 +92,13 @@
         return None if item is None else item.encode(self._clock.monotonic())
 
     def _begin_fetch(self, kind: str, sender: Member, now: float) -> None:
-        """Fetch a list from a peer, unless another fetch of it has just begun."""
-        if now - self._fetched_at_by_kind.get(kind, -math.inf) >= FETCH_PAUSE_SECONDS:
-            self._fetched_at_by_kind[kind] = now
-            self.spawn(self._fetch(kind, sender), f"copy of {kind}")
+        """Fetch a list from a peer, unless another fetch of it is under way or has just begun."""
+        is_early = now - self._fetched_at_by_kind.get(kind, -math.inf) < FETCH_PAUSE_SECONDS
+        if is_early or kind in self._fetching:
+            return
+        self._fetched_at_by_kind[kind] = now
+        self._fetching.add(kind)
+        self.spawn(self._fetch(kind, sender), f"copy of {kind}")
 
     async def _fetch(self, kind: str, sender: Member) -> None:
         """Fetch a list from a peer and adopt it."""
@@ -102,3 +110,5 @@
             log.failure("copy.not_fetched", kind=kind, peer=sender.vm, error=str(error))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.failure("copy.malformed", kind=kind, peer=sender.vm, error=str(error))
+        finally:
+            self._fetching.discard(kind)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -23,6 +23,7 @@
 MAX_PEER_BODY_BYTES = 1_048_576
 COPIES_PATH = "/copies/"
 _JSON = b"application/json"
+_BINARY = b"application/octet-stream"
 
 
 class PeerApi:
@@ -52,7 +53,7 @@
                 return 200, CONTENT_TYPE_LATEST.encode(), self._metrics.exposition()
             case _ if path.startswith(COPIES_PATH):
                 copy = self._copies.encode(path.removeprefix(COPIES_PATH))
-                return (404, b"text/plain", b"") if copy is None else (200, _JSON, copy)
+                return (404, b"text/plain", b"") if copy is None else (200, _BINARY, copy)
             case _:
                 return 404, b"text/plain", b""
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -14,6 +14,7 @@
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.fleet.digests import Summary, summary_of
 from quinceferry_gateway.fleet.duties import UNTRIED_SECONDS, ReadSchedule
+from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.interfaces import SnapshotSource
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.store_health import note_answer, note_failure
@@ -179,14 +180,14 @@
         if read_at is None:
             return None
         copy = MembersCopy(self._revision, now - read_at, self._registered)
-        return msgspec.json.encode(copy)
+        return pack(msgspec.msgpack.encode(copy))
 
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's list.
 
         :raises msgspec.DecodeError: it has not the expected form.
         """
-        copy = msgspec.json.decode(body, type=MembersCopy)
+        copy = msgspec.msgpack.decode(unpack(body), type=MembersCopy)
         if copy.age_seconds >= 0 and copy.revision > self._revision:
             self._take(copy.members, copy.revision, now - copy.age_seconds)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -23,6 +23,7 @@
     SOONEST_READ_SECONDS,
     ReadSchedule,
 )
+from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.interfaces import CatalogSource
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.store_health import note_answer, note_failure
@@ -111,14 +112,15 @@
         ]
         listed = list(self._absences.listed_by_id.values())
         age = now - board.upstreams_read_at
-        return msgspec.json.encode(UpstreamsCopy(board.upstreams_revision, age, listed, absent))
+        copy = UpstreamsCopy(board.upstreams_revision, age, listed, absent)
+        return pack(msgspec.msgpack.encode(copy))
 
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's list, with what it concluded of missing entries.
 
         :raises msgspec.DecodeError: it has not the expected form.
         """
-        copy = msgspec.json.decode(body, type=UpstreamsCopy)
+        copy = msgspec.msgpack.decode(unpack(body), type=UpstreamsCopy)
         if copy.age_seconds < 0 or copy.revision <= self._blackboard.upstreams_revision:
             return
         asked_at = now - copy.age_seconds
