Bound the silence of a transfer instead of its length

Callers were served by an old configuration where links are thin. A call between gateways or to the store had to end within 0.6 or 0.8 s from its first byte to its last, however much there was to transfer. A configuration of 1,400 routes takes 0.32 s on an idle link of 10 Mbit/s in base64, and with two or three beside it none ended in time; each began anew. A reading of the store that was ended like this also counted as a loss of the store, though it had answered.

The timeout now bounds the wait for the head of an answer and for each piece of its body, and ten seconds the whole.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -18,7 +18,8 @@
 from quinceferry_gateway.peers import PeerClient, PeerError
 
 FETCH_TIMEOUT_SECONDS = 0.6
-"""Longest wait for a peer's copy; another peer will offer it half a second later."""
+"""Longest silence of a peer that hands over its copy; another peer will offer it half a second
+later."""
 FETCH_PAUSE_SECONDS = 0.1
 """Shortest time between two fetches of one list, so that a peer whose copies can't be taken costs
 ten calls a second at most."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -24,6 +24,8 @@
 CONNECT_SECONDS = 0.7
 """Longest wait for a connection; links of one region answer in a few milliseconds, a lost packet
 takes some 200 ms, and callers give a new connection one second."""
+MAX_TRANSFER_SECONDS = 10.0
+"""Longest time for the body of a whole answer; a megabyte takes 8.4 s at 1 Mbit/s."""
 UNACKNOWLEDGED_MILLISECONDS = 2_500
 """How long sent bytes may stay without acknowledgement; longer than two lost packets in a row."""
 
@@ -140,15 +142,23 @@
     ) -> Reply:
         """Send a request and return its whole answer.
 
+        The timeout does not bound the whole transfer, whose time grows with its size: a transfer
+        that is ended for its length alone would begin anew and fail again.
+
+        :param timeout_seconds: longest wait for the head of the answer, and for each piece of its
+            body after that.
         :raises NotSentError: no connection came about.
         :raises ConnectionBrokenError: it failed or took too long after bytes may have left.
         """
         received = bytearray()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_seconds + MAX_TRANSFER_SECONDS
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(timeout_seconds) as timeout:
                 async with self.open(address, method, target, headers, body) as reply:
                     async for chunk in reply.chunks():
                         received += chunk
+                        timeout.reschedule(min(ends_at, loop.time() + timeout_seconds))
                     return Reply(reply.status, reply.headers, bytes(received))
         except TimeoutError as error:
             detail = f"timeout after {len(received)} bytes"
