Take a changed configuration from the watch that tells of it, and spread it at once

Callers were served by an old configuration after a large change. Each designated reader received it twice from the store, with the watch and with a reading after it, and gateways that heard of it late, or believed their new copy as old as the watch that had brought it, read it from the store as well: 8 transfers of 399 kB for each change among 83 modelled gateways, three of them readers.

The document of the watch is used as it is, the next watch is a short one, which makes the copy recent, and each gateway tells six peers of new content instead of three.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -203,9 +203,9 @@
         ends_at = self._world.clock.monotonic() + timeout_seconds
         while self._world.clock.monotonic() < ends_at:
             if self._world.document_revision > revision:
-                document = self._world.document
+                document, revision = self._world.document, self._world.revision
                 await self._receive(document)
-                return document
+                return document, revision
             await self._world.clock.sleep(0.05)
         return None
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -31,6 +31,9 @@
 begins."""
 MAX_WATCH_SECONDS = 1.0
 """Longest wait of one watch, so that a connection that has fallen silent costs a second at most."""
+CHANGED_WATCH_SECONDS = 0.25
+"""The same for the watch after a change. A copy that a watch has brought counts as old as that
+watch, and gateways far away would read the store before they hear of a more recent one."""
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True):
@@ -63,6 +66,7 @@
         self._schedule = ReadSchedule(0.0, LIMIT_SHARE * bound_seconds, draws)
         self._watch_seconds = min(MAX_WATCH_SECONDS, INTERVAL_SHARE * bound_seconds)
         self._refused: bytes = b""
+        self._changed = False
         self._content = 0
         self._packed = b""
 
@@ -168,13 +172,18 @@
         return pause
 
     async def _watch(self, asked_at: float) -> bool:
-        """Wait for a change, and read it; tell whether there is a configuration."""
-        revision = self._blackboard.revision
-        document = await self._source.next_configuration(revision, self._watch_seconds)
-        if document is not None:
-            return await self._read()
-        # The answer tells that nothing had changed when the wait was over.
-        self.confirm(revision, asked_at + self._watch_seconds)
+        """Wait for a change; tell whether there is a configuration."""
+        known = self._blackboard.revision
+        wait_seconds = CHANGED_WATCH_SECONDS if self._changed else self._watch_seconds
+        found = await self._source.next_configuration(known, wait_seconds)
+        self._changed = found is not None
+        if found is not None:
+            document, revision = found
+            self.offer(document, revision, "store")
+            self.confirm(revision, asked_at)
+        else:
+            # The answer tells that nothing had changed when the wait was over.
+            self.confirm(known, asked_at + wait_seconds)
         return True
 
     async def _read(self) -> bool:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -32,6 +32,9 @@
 """Suspect members that are asked directly in each period."""
 REPLY_PAUSE_SECONDS = 0.5
 """Shortest time between two digests in reply to the same peer."""
+CONTENT_FANOUT = 6
+"""Peers that are told of new content. When each gateway tells three, one in twenty hears of it a
+period later only."""
 CONTENT_PAUSE_SECONDS = 0.05
 """Shortest time between two digests for new content; one that is put off goes with the period."""
 MAX_TOLD_CONTENTS = 16
@@ -95,7 +98,9 @@
         more_recent = self._asked_at() - self._sent_asked_at > RENEWED_SECONDS
         changed_now = content and since_sent > CONTENT_PAUSE_SECONDS
         recent_now = more_recent and since_sent > RENEWED_PAUSE_SECONDS
-        if changed_now or recent_now:
+        if changed_now:
+            self._send(CONTENT_FANOUT)
+        elif recent_now:
             self._send(FANOUT)
 
     def announce_leaving(self) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/interfaces.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/interfaces.py
@@ -37,9 +37,12 @@
     async def configuration(self) -> tuple[bytes, int] | None:
         """Return the newest configuration, undecoded, and the store's revision; None if unset."""
 
-    async def next_configuration(self, revision: int, timeout_seconds: float) -> bytes | None:
+    async def next_configuration(
+        self, revision: int, timeout_seconds: float
+    ) -> tuple[bytes, int] | None:
         """Wait for a configuration that was written after a revision; None when there is none.
 
+        :return: the newest document, undecoded, and the store's revision.
         :raises WatchLostError: changes since the revision are no longer known.
         """
 
