Date a copy from a peer by when it was asked for

Callers could be served by a configuration older than its gateway believed. A copy was dated by its age at the peer and the end of its transfer, so that each hop made it look more recent by the time of a transfer, seconds on a busy link, and gateways that were all behind confirmed each other.

The age counts back from the request for the copy.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -40,6 +40,8 @@
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's copy, if it is newer.
 
+        :param now: when it was asked for. Its age was that at the peer then or later, so that the
+            time of the transfer makes no copy look more recent.
         :raises msgspec.DecodeError: it has not the expected form.
         """
 
@@ -103,9 +105,10 @@
 
     async def _fetch(self, kind: str, sender: Member) -> None:
         """Fetch a list from a peer and adopt it."""
+        asked_at = self._clock.monotonic()
         try:
             body = await self._peers.copy(sender, kind, FETCH_TIMEOUT_SECONDS)
-            self._lists_by_kind[kind].adopt(body, sender.vm, self._clock.monotonic())
+            self._lists_by_kind[kind].adopt(body, sender.vm, asked_at)
             self._renewed(True)
         except PeerError as error:
             log.failure("copy.not_fetched", kind=kind, peer=sender.vm, error=str(error))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -185,6 +185,7 @@
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's list.
 
+        :param now: when it was asked for.
         :raises msgspec.DecodeError: it has not the expected form.
         """
         copy = msgspec.msgpack.decode(unpack(body), type=MembersCopy)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -118,6 +118,7 @@
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's list, with what it concluded of missing entries.
 
+        :param now: when it was asked for.
         :raises msgspec.DecodeError: it has not the expected form.
         """
         copy = msgspec.msgpack.decode(unpack(body), type=UpstreamsCopy)
