Claim no configuration that could not be read

A gateway that got a configuration which it could not read served callers by the one before, and told its peers and itself that this was the newest: the revision was taken before the document was decoded, and the copy was confirmed whatever came of it. It asked nobody for another copy any more.

Revision and age are taken only with a document that can be read; the store is asked again after five seconds.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -12,6 +12,7 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_core.exceptions import KvError
 from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.catalog import Configuration
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
 from quinceferry_gateway.fleet.digests import Summary, summary_of
@@ -29,6 +30,8 @@
 UNSET_RETRY_SECONDS = 0.5
 """Pause while there is no configuration yet; operators write the first one before traffic
 begins."""
+UNREADABLE_RETRY_SECONDS = 5.0
+"""Pause after a configuration that can't be read; only the operators can mend it."""
 MAX_WATCH_SECONDS = 1.0
 """Longest wait of one watch, so that a connection that has fallen silent costs a second at most."""
 CHANGED_WATCH_SECONDS = 0.25
@@ -74,25 +77,35 @@
         """Begin to follow."""
         self.spawn(self._follow(), "configuration")
 
-    def offer(self, document: bytes, revision: int, origin: str) -> None:
+    def offer(self, document: bytes, revision: int, origin: str) -> bool:
         """Apply a configuration if it is newer than the one in force.
 
         :param revision: revision of the store up to which it is the newest.
         :param origin: where it came from, for the log.
+        :return: False when it can't be read. Its revision must not be claimed then: nobody would
+            hand over a copy of it any more.
         """
         board = self._blackboard
+        if document == self._refused:
+            return False
+        if document != board.document:
+            try:
+                configuration = self._source.decode_configuration(document)
+            except ConfigurationError as error:
+                self._refused = document
+                log.failure("configuration.refused", error=str(error), revision=revision)
+                return False
+            if board.configuration is None or configuration.version > board.configuration.version:
+                self._apply(configuration, document, revision, origin)
         board.revision = max(board.revision, revision)
-        if document in (board.document, self._refused):
-            return
-        try:
-            configuration = self._source.decode_configuration(document)
-        except ConfigurationError as error:
-            self._refused = document
-            log.failure("configuration.refused", error=str(error), revision=revision)
-            return
+        return True
+
+    def _apply(
+        self, configuration: Configuration, document: bytes, revision: int, origin: str
+    ) -> None:
+        """Put a configuration in force."""
+        board = self._blackboard
         before = board.configuration.version if board.configuration else 0
-        if board.configuration is not None and configuration.version <= before:
-            return
         board.configuration = configuration
         board.document = document
         self._content = zlib.crc32(document)
@@ -130,6 +143,7 @@
     def adopt(self, body: bytes, origin: str, now: float) -> None:
         """Take a peer's configuration.
 
+        :param now: when it was asked for.
         :raises msgspec.DecodeError: it has not the expected form.
         """
         copy = msgspec.msgpack.decode(body, type=ConfigurationCopy)
@@ -137,8 +151,8 @@
         newer = board.configuration is None or copy.revision > board.revision
         if copy.age_seconds < 0 or not newer:
             return
-        self.offer(unpack(copy.document), copy.revision, origin)
-        self.confirm(copy.revision, now - copy.age_seconds)
+        if self.offer(unpack(copy.document), copy.revision, origin):
+            self.confirm(copy.revision, now - copy.age_seconds)
 
     async def _follow(self) -> None:
         """Read once; then a designated reader waits for changes, and others for old copies."""
@@ -178,12 +192,9 @@
         found = await self._source.next_configuration(known, wait_seconds)
         self._changed = found is not None
         if found is not None:
-            document, revision = found
-            self.offer(document, revision, "store")
-            self.confirm(revision, asked_at)
-        else:
-            # The answer tells that nothing had changed when the wait was over.
-            self.confirm(known, asked_at + wait_seconds)
+            return self._take(*found, asked_at)
+        # The answer tells that nothing had changed when the wait was over.
+        self.confirm(known, asked_at + wait_seconds)
         return True
 
     async def _read(self) -> bool:
@@ -195,7 +206,12 @@
         if found is None:
             self._schedule.wait(UNSET_RETRY_SECONDS, self._clock.monotonic())
             return False
-        document, revision = found
-        self.offer(document, revision, "store")
-        self.confirm(revision, asked_at)
-        return True
+        return self._take(*found, asked_at)
+
+    def _take(self, document: bytes, revision: int, asked_at: float) -> bool:
+        """Take the newest configuration of the store; tell whether it could be read."""
+        if self.offer(document, revision, "store"):
+            self.confirm(revision, asked_at)
+            return True
+        self._schedule.wait(UNREADABLE_RETRY_SECONDS, self._clock.monotonic())
+        return False
