Ask the store for changes of the configuration instead of for all of it

Callers were served by an old configuration where links are thin. A gateway that is no designated reader and whose copy had grown old read the whole document from the store, also when nothing had changed, and took bytes from the transfers that brought changes.

It watches for 0.05 s instead; the answer holds the document only if it has changed.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -37,6 +37,9 @@
 CHANGED_WATCH_SECONDS = 0.25
 """The same for the watch after a change. A copy that a watch has brought counts as old as that
 watch, and gateways far away would read the store before they hear of a more recent one."""
+LONE_WATCH_SECONDS = 0.05
+"""The same for a gateway that is no designated reader and whose copy has grown old. The answer
+holds the document only if it has changed, which a reading would transfer each time."""
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True):
@@ -155,7 +158,7 @@
             self.confirm(copy.revision, now - copy.age_seconds)
 
     async def _follow(self) -> None:
-        """Read once; then a designated reader waits for changes, and others for old copies."""
+        """Read once, then watch: a designated reader all the time, others when copies are old."""
         known = False
         board = self._blackboard
         while True:
@@ -166,7 +169,7 @@
                     await self._clock.sleep(pause)
                     continue
             try:
-                known = await (self._watch(asked_at) if known and board.reader else self._read())
+                known = await (self._watch(asked_at) if known else self._read())
             except WatchLostError as error:
                 known = False
                 log.change("configuration.watch_lost", error=str(error))
@@ -188,7 +191,8 @@
     async def _watch(self, asked_at: float) -> bool:
         """Wait for a change; tell whether there is a configuration."""
         known = self._blackboard.revision
-        wait_seconds = CHANGED_WATCH_SECONDS if self._changed else self._watch_seconds
+        wait_seconds = self._wait_seconds()
+        self._schedule.began(asked_at)
         found = await self._source.next_configuration(known, wait_seconds)
         self._changed = found is not None
         if found is not None:
@@ -197,6 +201,12 @@
         self.confirm(known, asked_at + wait_seconds)
         return True
 
+    def _wait_seconds(self) -> float:
+        """Return how long the next watch waits for a change."""
+        if not self._blackboard.reader:
+            return LONE_WATCH_SECONDS
+        return CHANGED_WATCH_SECONDS if self._changed else self._watch_seconds
+
     async def _read(self) -> bool:
         """Read the newest configuration; tell whether there is one."""
         asked_at = self._clock.monotonic()
