Deny nothing for good, and serve nothing for long, by an outdated configuration

Callers got 404 for routes that had been added, 401 for keys that had been added, and answers of services from which routes had been moved away, by gateways that knew from their peers' digests that a newer configuration existed.

While a newer configuration is known of, or the own one is older than the platform's bound, a request that it would deny gets 503 and a time to come back: what it does not know may exist by then. An old copy alone, as in an outage of the store, still serves.

--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -23,6 +23,10 @@
     "no_upstream": "No upstream of its service was registered and usable. It did not run.",
     "quarantined": "The same content has crashed upstreams before. It did not run.",
     "upstreams_limited": "Every remaining upstream limits its request rate. It did not run.",
+    "configuration_outdated": (
+        "The gateway knew of a newer configuration than its own, or its own was too old to deny "
+        "anything by it. It did not run."
+    ),
     "upstreams_paused": "Every usable upstream had asked for a pause in requests. It did not run.",
     "upstreams_refused": "Every upstream that was tried declined it. It did not run.",
     "outcome_unknown": "It was sent, the answer was lost, and it may not be sent again. It may have"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -10,6 +10,7 @@
     """Why the gateway answered a request by itself."""
 
     STARTING = "starting"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
     MALFORMED = "malformed"
     OVERSIZED = "oversized"
     NO_ROUTE = "no_route"
@@ -30,6 +31,7 @@
 
 STATUS_BY_REASON = {
     Reason.STARTING: 503,
+    Reason.CONFIGURATION_OUTDATED: 503,
     Reason.MALFORMED: 400,
     Reason.OVERSIZED: 413,
     Reason.NO_ROUTE: 404,
@@ -51,6 +53,7 @@
 
 RETRY_SECONDS_BY_REASON = {
     Reason.STARTING: 0.5,
+    Reason.CONFIGURATION_OUTDATED: 0.5,
     Reason.BUDGET_OUT_OF_REACH: 0.7,
     Reason.BUDGET_UNTIL_STORE: 2.0,
     Reason.NO_UPSTREAM: 0.4,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -13,6 +13,7 @@
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.crashes import CrashWatch
+from quinceferry_gateway.currency import CONFIGURATION, ConfigurationCurrency
 from quinceferry_gateway.decisions import Beliefs, Placer
 from quinceferry_gateway.exchanges import Exchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
@@ -104,7 +105,7 @@
         )
         members = MemberReader(board, snapshots, clock, draws, self._registration.written)
         self._gossip = Gossip(board, members, port, clock, draws, suspended_seconds)
-        lists_by_kind = {"configuration": configuration, "upstreams": upstreams, "members": members}
+        lists_by_kind = {CONFIGURATION: configuration, "upstreams": upstreams, "members": members}
         copies = Copies(lists_by_kind, peers, clock, self._gossip.renewed)
         quarantine = Quarantine(settings.quarantine.crashes, settings.quarantine.hold_seconds)
         crashes = CrashWatch(board, quarantine, http, port, clock, metrics)
@@ -141,7 +142,15 @@
             crashes,
         )
         self.caller_api = CallerApi(
-            board, dialect, self.reservations, relay, metrics, clock, random.Random(), crashes
+            board,
+            dialect,
+            self.reservations,
+            relay,
+            metrics,
+            clock,
+            random.Random(),
+            crashes,
+            ConfigurationCurrency(board, copies, clock, bounds.configuration_milliseconds / 1000),
         )
         self._callers = HttpListener(
             self.caller_api, settings.listen.callers, PEER_IDLE_SECONDS * 3
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -17,10 +17,12 @@
 from quinceferry_gateway.catalog import (
     Call,
     CallerLimits,
+    Configuration,
     Route,
     Workspace,
 )
 from quinceferry_gateway.crashes import CrashWatch, quarantine_refusal
+from quinceferry_gateway.currency import ConfigurationCurrency
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
@@ -41,6 +43,7 @@
 
     :param source: draws the service of a split route and spreads times to come back.
     :param crashes: knows which content must not run.
+    :param currency: knows whether the configuration may be relied on.
     """
 
     def __init__(
@@ -53,8 +56,10 @@
         clock: Clock,
         source: random.Random,
         crashes: CrashWatch,
+        currency: ConfigurationCurrency,
     ) -> None:
         self._crashes = crashes
+        self._currency = currency
         self._blackboard = blackboard
         self._dialect = dialect
         self._reservations = reservations
@@ -131,16 +136,24 @@
         )
         # The configuration may have changed while the body arrived.
         configuration = self._blackboard.configuration or configuration
+        if self._currency.outdated:
+            return Refusal(Reason.CONFIGURATION_OUTDATED, f"version {configuration.version}")
         route = configuration.route(call.host, call.path)
         if route is None:
-            return Refusal(Reason.NO_ROUTE, f"version {configuration.version}")
+            return self._deny(Reason.NO_ROUTE, configuration)
         workspace = configuration.workspaces_by_key.get(call.credential)
         if workspace is None and configuration.workspaces_by_key and not route.anonymous:
-            return Refusal(Reason.UNKNOWN_KEY, f"version {configuration.version}")
+            return self._deny(Reason.UNKNOWN_KEY, configuration)
         progress = self._progress(exchange, call, route, workspace, started_at)
         held_seconds = self._crashes.held_seconds(progress)
         return quarantine_refusal(progress, held_seconds) if held_seconds else progress
 
+    def _deny(self, reason: Reason, configuration: Configuration) -> Refusal:
+        """Return the answer to a request that the configuration does not allow."""
+        if self._currency.in_doubt:
+            reason = Reason.CONFIGURATION_OUTDATED
+        return Refusal(reason, f"version {configuration.version}")
+
     def _progress(
         self,
         exchange: CallerExchange,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -6,6 +6,7 @@
 
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -25,6 +26,14 @@
 ten calls a second at most."""
 
 
+@dataclass(slots=True, frozen=True)
+class _Newer:
+    """A copy of a peer that is newer than the own one, and since when it is known of."""
+
+    revision: int
+    known_at: float
+
+
 class CopiedList(Protocol):
     """A list of the store of which this gateway has a copy."""
 
@@ -67,6 +76,7 @@
         self._renewed = renewed
         self._fetched_at_by_kind: dict[str, float] = {}
         self._fetching: set[str] = set()
+        self._newer_by_kind: dict[str, _Newer] = {}
 
     def summaries(self, now: float) -> dict[str, Summary]:
         """Return which copies this gateway has."""
@@ -83,12 +93,30 @@
             elif own is not None and own.content == their.content:
                 item.confirm(their.revision, now - age_seconds(their.age))
             elif own is None or own.revision < their.revision:
+                self._note_newer(kind, their.revision, now)
                 self._begin_fetch(kind, sender, now)
             else:
                 behind = behind or own.revision > their.revision
         self._renewed(False)
         return behind
 
+    def missed_seconds(self, kind: str, now: float) -> float | None:
+        """Return for how long peers have had a newer copy, None if they have none."""
+        newer = self._newer_by_kind.get(kind)
+        own = self._lists_by_kind[kind].summary(now)
+        if newer is None or own is None:
+            return None
+        if own.revision >= newer.revision:
+            del self._newer_by_kind[kind]
+            return None
+        return now - newer.known_at
+
+    def _note_newer(self, kind: str, revision: int, now: float) -> None:
+        """Note that a peer has a newer copy."""
+        missed_seconds = self.missed_seconds(kind, now)
+        known_at = now if missed_seconds is None else now - missed_seconds
+        self._newer_by_kind[kind] = _Newer(revision, known_at)
+
     def encode(self, kind: str) -> bytes | None:
         """Return this gateway's copy of a list for a peer; None without one."""
         item = self._lists_by_kind.get(kind)
