Report spending while there is no room to draw

Callers could be refused for want of tokens that nobody had drawn. Holders draw no more than what the others' idle tokens in the record leave of the share.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -75,7 +75,10 @@
         budget = self._shared.of(workspace)
         drawable = self.drawable_in(workspace)
         allowance = self._allowance(budget, drawable, parts)
-        return self._policy.due(account.available, allowance, budget.undrawn(drawable))
+        entry = budget.allotments_by_holder.get(self._blackboard.own.incarnation)
+        unreported = account.spent - (entry.reported if entry else 0)
+        undrawn = budget.undrawn(drawable)
+        return self._policy.due(account.available, unreported, allowance, undrawn)
 
     def update(self, workspace: str, account: Account, parts: int, wanted: int) -> int:
         """Change the allotment in the record in memory.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -144,8 +144,8 @@
     """How much the holders keep at hand together, as a share of what a workspace has left.
 
     A larger share serves longer through an outage of the store, and strands more when holders are
-    killed. A holder draws when it has less than ``refill_share`` of its goal, and gives back what
-    exceeds ``surplus_share`` of its part.
+    killed. A holder draws when it has less than ``refill_share`` of its goal, reports when it has
+    spent the rest of its part, and gives back what exceeds ``surplus_share`` of its part.
     """
 
     held_share: float
@@ -162,10 +162,16 @@
         held = int(self.held_share * max(0, left))
         return Allowance(held // max(1, holders), held - idle_elsewhere)
 
-    def due(self, available: int, allowance: Allowance, undrawn: int) -> bool:
-        """Tell whether an allotment is far enough from its goal to write the record."""
+    def due(self, available: int, unreported: int, allowance: Allowance, undrawn: int) -> bool:
+        """Tell whether an allotment is far enough from its goal to write the record.
+
+        :param unreported: tokens spent since the last write. The others take them for idle, which
+            leaves less room for their own draws.
+        """
         if available > self.surplus_share * allowance.part:
             return True
+        if unreported > (1 - self.refill_share) * allowance.part:
+            return True
         return undrawn > 0 and available < self.refill_share * allowance.goal
 
 
