Hold less of a workspace's tokens the sooner they will be spent

Callers: after a restart of all gateways most requests were refused for want of tokens.

Cause: holders kept 0.35 of what a workspace has left against an outage of the store, however long that would last. What is held when holders end is lost, since nothing that survives tells whether it was spent. A workspace with plenty can do without it; for one that will be spent within seconds each lost token is a refused request, while a token that is not spent in an outage is spent after it.

The share is whole while tokens last for 35 s, and shrinks in proportion below, to two seconds of spending at least. Each holder averages the spending that the record shows; the record names the rate for holders that have just started. Holders read it again every two seconds while they have tokens, so that one without requests gives back too.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -5,13 +5,13 @@
     Account,
     Allowance,
     DrawPolicy,
-    WorkspaceBudget,
     idle_tokens,
     left_tokens,
     update_allotment,
 )
 from quinceferry_gateway.settings import BudgetSettings
 from quinceferry_gateway.shared_budgets import SharedBudgets
+from quinceferry_gateway.spending import SpendingRates
 
 CURRENT_SECONDS = 3.0
 """How long a reading of the record shows what others hold: a reading each two seconds, and the time
@@ -26,7 +26,7 @@
     :param settings: who holds how much.
     """
 
-    __slots__ = ("_blackboard", "_policy", "_settings", "_shared")
+    __slots__ = ("_blackboard", "_policy", "_rates", "_settings", "_shared")
 
     def __init__(
         self, blackboard: Blackboard, shared: SharedBudgets, settings: BudgetSettings
@@ -34,7 +34,14 @@
         self._blackboard = blackboard
         self._shared = shared
         self._settings = settings
-        self._policy = DrawPolicy(settings.held_share)
+        self._policy = DrawPolicy(settings.held_share, settings.ample_seconds)
+        self._rates = SpendingRates()
+
+    def note_reading(self, now: float) -> None:
+        """Learn from a reading of the record how fast each workspace spends."""
+        for workspace in self.drawable_by_workspace():
+            budget = self._shared.of(workspace)
+            self._rates.note(workspace, budget.spent, budget.tokens_per_second, now)
 
     def drawable_by_workspace(self) -> dict[str, int]:
         """Return the tokens of each workspace that may be drawn."""
@@ -74,7 +81,7 @@
             return True
         budget = self._shared.of(workspace)
         drawable = self.drawable_in(workspace)
-        allowance = self._allowance(budget, drawable, parts)
+        allowance = self._allowance(workspace, parts)
         entry = budget.allotments_by_holder.get(self._blackboard.own.incarnation)
         unreported = account.spent - (entry.reported if entry else 0)
         undrawn = budget.undrawn(drawable)
@@ -90,16 +97,19 @@
         """
         budget = self._shared.of(workspace)
         drawable = self.drawable_in(workspace)
-        allowance = self._allowance(budget, drawable, parts)
+        allowance = self._allowance(workspace, parts)
+        budget.tokens_per_second = self._rates.tokens_per_second(workspace)
         own = self._blackboard.own.incarnation
         undrawn = budget.undrawn(drawable)
         return update_allotment(budget, own, account, undrawn, allowance, wanted)
 
-    def _allowance(self, budget: WorkspaceBudget, drawable: int, parts: int) -> Allowance:
+    def _allowance(self, workspace: str, parts: int) -> Allowance:
         """Return what this gateway may have available in a workspace."""
         if not parts:
             return NO_ALLOWANCE
+        budget = self._shared.of(workspace)
         members = self._blackboard.members_by_incarnation.keys()
-        left = left_tokens(budget, drawable, members)
+        left = left_tokens(budget, self.drawable_in(workspace), members)
+        held = self._policy.held(left, self._rates.tokens_per_second(workspace))
         idle_elsewhere = idle_tokens(budget, members - {self._blackboard.own.incarnation})
-        return self._policy.allowance(left, parts, idle_elsewhere)
+        return self._policy.allowance(held, parts, idle_elsewhere)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -33,10 +33,14 @@
 
 
 class WorkspaceBudget(msgspec.Struct, omit_defaults=True):
-    """Tokens of one workspace; ``spent`` are those that were reported and those given up."""
+    """Tokens of one workspace; ``spent`` are those that were reported and those given up.
+
+    ``tokens_per_second`` is the rate of spending that the last writer saw.
+    """
 
     spent: int = 0
     allotments_by_holder: dict[str, HolderAllotment] = msgspec.field(default_factory=dict)
+    tokens_per_second: int = 0
 
     @property
     def outstanding(self) -> int:
@@ -144,22 +148,41 @@
     """How much the holders keep at hand together, as a share of what a workspace has left.
 
     A larger share serves longer through an outage of the store, and strands more when holders are
-    killed. A holder draws when it has less than ``refill_share`` of its goal, reports when it has
-    spent the rest of its part, and gives back what exceeds ``surplus_share`` of its part.
+    killed. A workspace that has plenty can do without what is stranded. For one that is about to
+    run dry each stranded token is a refused request, while what is not spent in an outage is spent
+    after it. So the share shrinks with the time for which the tokens last: it is whole from
+    ``ample_seconds`` on, and never less than ``least_seconds`` of spending.
+
+    A holder draws when it has less than ``refill_share`` of its goal, reports when it has spent the
+    rest of its part, and gives back what exceeds ``surplus_share`` of its part.
     """
 
     held_share: float
+    ample_seconds: float
+    least_seconds: float = 2.0
     refill_share: float = 0.75
     surplus_share: float = 1.6
 
-    def allowance(self, left: int, holders: int, idle_elsewhere: int) -> Allowance:
-        """Return what one holder may have available.
+    def held(self, left: int, tokens_per_second: int) -> int:
+        """Return the tokens that all holders together should have available.
 
         :param left: tokens that nobody holds or that live holders hold.
+        :param tokens_per_second: rate at which the workspace spends.
+        """
+        whole = self.held_share * max(0, left)
+        if not tokens_per_second:
+            return int(whole)
+        lasting_seconds = max(0, left) / tokens_per_second
+        shrunk = whole * lasting_seconds / self.ample_seconds
+        return int(min(whole, max(shrunk, self.least_seconds * tokens_per_second)))
+
+    def allowance(self, held: int, holders: int, idle_elsewhere: int) -> Allowance:
+        """Return what one holder may have available.
+
+        :param held: tokens that all holders together should have available.
         :param holders: number of holders.
         :param idle_elsewhere: idle tokens of all other live holders.
         """
-        held = int(self.held_share * max(0, left))
         return Allowance(held // max(1, holders), held - idle_elsewhere)
 
     def due(self, available: int, unreported: int, allowance: Allowance, undrawn: int) -> bool:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -249,25 +249,37 @@
         """Tell whether to read the record without writing it.
 
         A holder that has just started must know whether there is one; later, others may have given
-        back tokens that it lacks.
+        back tokens that it lacks, or spent so much that it should give some back.
         """
         if self._shared.age_seconds < REREAD_SECONDS or not self._blackboard.store_reachable:
             return False
         if not self._role.candidate:
             return False
         return not self._shared.version or any(
-            self._shared.of(name).undrawn(drawable) <= 0
+            self._holds(name) or self._shared.of(name).undrawn(drawable) <= 0
             for name, drawable in self._targets.drawable_by_workspace().items()
         )
 
+    def _holds(self, workspace: str) -> bool:
+        """Tell whether tokens are available here."""
+        return not self._lacks(workspace, 1)
+
     async def _reread(self) -> None:
         """Read the record outside of a draw."""
         async with self._drawing:
             try:
-                await self._shared.read()
+                await self._read()
             except KvError as error:
                 log.failure("allotments.not_read", error=str(error))
 
+    async def _read(self) -> None:
+        """Read the record, and learn from it how fast workspaces spend.
+
+        :raises KvError: the store did not answer, or the record is damaged.
+        """
+        await self._shared.read()
+        self._targets.note_reading(self._clock.monotonic())
+
     def _due(self) -> bool:
         """Tell whether to write the record now."""
         if self._blackboard.configuration is None:
@@ -301,7 +313,7 @@
         for _ in range(TRIES):
             try:
                 if not self._shared.known or self._shared.age_seconds > FRESH_SECONDS:
-                    await self._shared.read()
+                    await self._read()
                 drawn_by_workspace = self._update_all()
                 predecessors = set(self._predecessors)
                 await self._shared.write()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -80,10 +80,12 @@
     Up to ``max_holders`` gateways all hold; of a larger fleet, ``few_holders`` do, since each
     writes the record up to 1.3 times a second. ``margin_share`` of the prepaid tokens is never
     drawn: it covers what is in doubt, such as the prompt of a run whose first event was lost on the
-    way.
+    way. ``held_share`` is kept at hand while a workspace's tokens last for ``ample_seconds`` or
+    longer, and less the sooner they will be spent.
     """
 
     held_share: float = 0.35
+    ample_seconds: float = 35.0
     max_holders: int = 12
     few_holders: int = 5
     margin_share: float = 0.01
@@ -150,6 +152,7 @@
             "directory.max_addresses": self.directory.max_addresses,
             "freshness.configuration_milliseconds": self.freshness.configuration_milliseconds,
             "freshness.leaving_milliseconds": self.freshness.leaving_milliseconds,
+            "budgets.ample_seconds": self.budgets.ample_seconds,
             "budgets.max_holders": self.budgets.max_holders,
             "budgets.few_holders": self.budgets.few_holders,
             "quarantine.crashes": self.quarantine.crashes,
