--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -141,6 +141,9 @@
       | lost answers, outages and kills | 14   |
       | lost answers, outages and stops | 15   |
       | lost answers, outages and stops | 16   |
+      | cuts and kills                  | 17   |
+      | lost answers, cuts and kills    | 18   |
+      | lost answers, cuts and stops    | 19   |
 
   Scenario: A holder that stops while the store is away strands nothing
     Given 3 token holders and a budget of 9000 tokens
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -64,6 +64,10 @@
     if "outages" in faults and bench.random.random() < 0.03:
         bench.kv.faults.outage = not bench.kv.faults.outage
         bench.refresh()
+    if "cuts" in faults and bench.random.random() < 0.03:
+        names = list(bench.holders_by_name)
+        count = bench.random.randint(1, len(names))
+        bench.cut(bench.random.sample(names, count), bench.random.random() < 0.5)
 
 
 @when("the store is away and holder {number:d} stops")
