--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -58,19 +58,6 @@
         return Snapshot(self._connection.revision, entries)
 
 
-class Link:
-    """One direction of a gateway's link, which passes chunks on one after the other."""
-
-    def __init__(self, bytes_per_second):
-        self._bytes_per_second = bytes_per_second
-        self._free_at = 0.0
-
-    def take(self, size, now):
-        """Return when a chunk that arrives now has been passed on."""
-        self._free_at = max(now, self._free_at) + size / self._bytes_per_second
-        return self._free_at
-
-
 class Network:
     """Carries messages between gateways, and loses some.
 
@@ -391,16 +378,3 @@
 def _upstream(name):
     """Return a registered upstream."""
     return Upstream(name, "app", "10.0.1.1:80", "z", 4, False, registration=1)
-
-
-def large_document(version, routes, seed):
-    """Return a configuration of so many routes, as an operator's tool writes it."""
-    draws = random.Random(seed)
-    common = {"host": "tanks.example", "kind": "stream", "timeout_ms": 10_000, "slo_ms": 645}
-    common |= {"priority": 2, "attempts": 2, "anonymous": False, "sticky": True}
-    named = [f"{draws.getrandbits(40):x}" for _ in range(routes)]
-    listed = [
-        {"name": f"r-{name}", "prefix": f"/{name[::-1]}/", "service": f"s{index % 7}"} | common
-        for index, name in enumerate(named)
-    ]
-    return json.dumps({"version": version, "routes": listed}).encode()
--- a/features/steps/gateway_large_configurations.py
+++ b/features/steps/gateway_large_configurations.py
@@ -6,8 +6,8 @@
 import msgspec
 from behave import given, then, when
 
-from features.fixtures_fleet import UNREADABLE, Link, large_document
-from features.fixtures_large_configurations import SlowServer
+from features.fixtures_fleet import UNREADABLE
+from features.fixtures_large_configurations import Link, SlowServer, large_document
 from features.steps.gateway_fleet import BETWEEN_SECONDS, obeys, play
 from features.steps.gateway_fleet_parts import lists
 from quinceferry_gateway import HttpClient
--- /dev/null
+++ b/features/steps/gateway_token_losses.py
@@ -0,0 +1,109 @@
+"""Steps for tokens that are lost with their holders."""
+
+from behave import then, when
+
+from features.fixtures_gateway_budgets import WORKSPACE
+from features.steps.gateway_budgets import play
+
+
+@when("all holders are killed and others start on their vms")
+def when_all_killed(context):
+    async def kill_all(bench):
+        vms = [board.own.vm for board in bench.boards_by_name.values()]
+        for name in list(bench.holders_by_name):
+            await bench.kill(name)
+        for vm in vms:
+            bench.next_name += 1
+            await bench.add(f"{vm}-{bench.next_name}", vm)
+        bench.refresh()
+
+    context.acts.append(kill_all)
+
+
+@when("they are cut off from the store")
+def when_all_cut(context):
+    async def cut(bench):
+        bench.cut(list(bench.holders_by_name))
+
+    context.acts.append(cut)
+
+
+@when("{count:d} more holders start")
+def when_more_start(context, count):
+    async def start(bench):
+        bench.count += count
+        await bench.fill()
+
+    context.acts.append(start)
+
+
+@then("the holders have no more than {tokens:d} tokens available together")
+def then_at_most_together(context, tokens):
+    async def check(bench):
+        held = [
+            holder.available_by_workspace().get(WORKSPACE, 0)
+            for holder in bench.holders_by_name.values()
+        ]
+        assert sum(held) <= tokens, held
+
+    play(context, check)
+
+
+@when("they spend {tokens:d} tokens a second for {seconds:d} seconds")
+def when_they_spend(context, tokens, seconds):
+    async def spend(bench):
+        share = await bench.spend(tokens, seconds)
+        assert share > 0.9, share
+
+    context.acts.append(spend)
+
+
+@when("they are asked for {tokens:d} tokens a second for {seconds:d} seconds")
+def when_they_are_asked(context, tokens, seconds):
+    context.rate = tokens
+    context.acts.append(lambda bench: bench.spend(tokens, seconds))
+
+
+@when("nothing happens to them")
+def when_nothing_happens(context):
+    pass
+
+
+@when("an outage of {seconds:d} seconds happens to them")
+def when_outage_happens(context, seconds):
+    async def outage(bench):
+        bench.kv.faults.outage = True
+        bench.refresh()
+        await bench.spend(100_000, seconds)
+        bench.kv.faults.outage = False
+        bench.refresh()
+
+    context.acts.append(outage)
+
+
+@when("a cut of {count:d} holders while the others start again happens to them")
+def when_cut_happens(context, count):
+    async def cut(bench):
+        names = list(bench.holders_by_name)
+        bench.cut(names[:count])
+        for name in names[count:]:
+            await bench.restart(name)
+            await bench.spend(100_000, 3)
+        await bench.spend(100_000, 1)
+
+    context.acts.append(cut)
+
+
+@when("another kill of all a second before happens to them")
+def when_killed_before(context):
+    when_all_killed(context)
+    context.acts.append(lambda bench: bench.spend(100_000, 1))
+
+
+@then("more than a quarter of the requests of the next {seconds:d} seconds get their tokens")
+def then_quarter(context, seconds):
+    async def check(bench):
+        share = await bench.spend(context.rate, seconds)
+        assert share > 0.25, share
+
+    play(context, check)
