Count the age of a missed configuration from the one that is still missed

Callers could be refused with configuration_outdated by a gateway that followed changes in quick succession, each within the bound. Once it knew of a newer configuration, the time that it had missed one counted on when it had got that one and knew of another.

Copies of peers are noted by content, with the first revision at which they were heard of, and forgotten when this gateway's copy has reached it.

--- a/features/gateway_large_configurations.feature
+++ b/features/gateway_large_configurations.feature
@@ -55,6 +55,12 @@
     When gateway 1 takes 0.5 seconds to get a newer configuration
     Then it does not believe it more recent than the request for it
 
+  Scenario: A gateway that has got one of two newer configurations counts from the other
+    Given 3 gateways that know each other, losing 0 of 100 digests, seed 110
+    When gateway 1 is told of a newer configuration, and of another one 1 seconds later
+    And it gets the first of them
+    Then it has missed a configuration for 0 seconds, and not for 1
+
   Scenario Outline: A gateway that knows of a newer configuration denies nothing for good
     Given a gateway before the services
     And upstream app-1 of service app that "answers"
--- a/features/steps/gateway_large_configurations.py
+++ b/features/steps/gateway_large_configurations.py
@@ -221,3 +221,39 @@
         application._gossip.take(digest, address)
 
     context.gateway.acts.append(tell)
+
+
+@when(
+    "gateway {number:d} is told of a newer configuration, and of another one {seconds:d} seconds "
+    "later"
+)
+def when_told_of_two(context, number, seconds):
+    async def tell(world):
+        context.node, context.peer = world.nodes[number - 1], world.nodes[number]
+        context.first_revision = context.node.board.revision + 1_000
+        for index in range(2):
+            await world.clock.sleep(index * seconds)
+            newer = Summary(context.first_revision + 1_000 * index, index, 0)
+            now = world.clock.monotonic()
+            context.node.copies.compare(context.peer.board.own, {"configuration": newer}, now)
+
+    context.acts.append(tell)
+
+
+@when("it gets the first of them")
+def when_gets_first(context):
+    async def get(world):
+        copy = ConfigurationCopy(context.first_revision, 0.0, pack(b"7"))
+        now = world.clock.monotonic()
+        reader = context.node.copies._lists_by_kind["configuration"]
+        reader.adopt(msgspec.msgpack.encode(copy), "peer", now)
+        context.missed = context.node.copies.missed_seconds("configuration", now)
+
+    context.acts.append(get)
+
+
+@then("it has missed a configuration for {least:d} seconds, and not for {most:d}")
+def then_missed_seconds(context, least, most):
+    play(context)
+    assert context.missed is not None
+    assert least <= context.missed < most, context.missed
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -28,7 +29,10 @@
 
 @dataclass(slots=True, frozen=True)
 class _Newer:
-    """A copy of a peer that is newer than the own one, and since when it is known of."""
+    """A copy of a peer that is newer than the own one.
+
+    ``revision`` is the first at which a peer had it, ``known_at`` when that was heard.
+    """
 
     revision: int
     known_at: float
@@ -76,7 +80,7 @@
         self._renewed = renewed
         self._fetched_at_by_kind: dict[str, float] = {}
         self._fetching: set[str] = set()
-        self._newer_by_kind: dict[str, _Newer] = {}
+        self._newer_by_kind: defaultdict[str, dict[int, _Newer]] = defaultdict(dict)
 
     def summaries(self, now: float) -> dict[str, Summary]:
         """Return which copies this gateway has."""
@@ -93,7 +97,7 @@
             elif own is not None and own.content == their.content:
                 item.confirm(their.revision, now - age_seconds(their.age))
             elif own is None or own.revision < their.revision:
-                self._note_newer(kind, their.revision, now)
+                self._note_newer(kind, their, now)
                 self._begin_fetch(kind, sender, now)
             else:
                 behind = behind or own.revision > their.revision
@@ -101,21 +105,26 @@
         return behind
 
     def missed_seconds(self, kind: str, now: float) -> float | None:
-        """Return for how long peers have had a newer copy, None if they have none."""
-        newer = self._newer_by_kind.get(kind)
+        """Return for how long peers have had a newer copy, None if they have none.
+
+        Of several newer ones, the time counts from the first that this gateway has not got.
+        """
+        newer_by_content = self._missed(kind, now)
+        known_at = min((newer.known_at for newer in newer_by_content.values()), default=None)
+        return None if known_at is None else now - known_at
+
+    def _note_newer(self, kind: str, their: Summary, now: float) -> None:
+        """Note that a peer has a newer copy, and since when it is known of."""
+        self._missed(kind, now).setdefault(their.content, _Newer(their.revision, now))
+
+    def _missed(self, kind: str, now: float) -> dict[int, _Newer]:
+        """Return the newer copies by content, after forgetting those that this gateway has got."""
         own = self._lists_by_kind[kind].summary(now)
-        if newer is None or own is None:
-            return None
-        if own.revision >= newer.revision:
-            del self._newer_by_kind[kind]
-            return None
-        return now - newer.known_at
-
-    def _note_newer(self, kind: str, revision: int, now: float) -> None:
-        """Note that a peer has a newer copy."""
-        missed_seconds = self.missed_seconds(kind, now)
-        known_at = now if missed_seconds is None else now - missed_seconds
-        self._newer_by_kind[kind] = _Newer(revision, known_at)
+        newer_by_content = self._newer_by_kind[kind]
+        for content, newer in list(newer_by_content.items()):
+            if own is not None and newer.revision <= own.revision:
+                del newer_by_content[content]
+        return newer_by_content
 
     def encode(self, kind: str) -> bytes | None:
         """Return this gateway's copy of a list for a peer; None without one."""
