--- a/features/fixtures_gateway_budgets.py
+++ b/features/fixtures_gateway_budgets.py
@@ -122,23 +122,22 @@
 
     async def _spend_once(self, reservation):
         """Make one request; tell whether it got all its tokens."""
-        names = self.random.sample(list(self.holders_by_name), len(self.holders_by_name))
-        parts = {}
-        for name in names:
-            missing = SPENT_AT_ONCE - sum(parts.values())
-            parts[name] = self.holders_by_name[name].reserve(reservation, WORKSPACE, missing)
-            parts[name] = parts[name].reserved
-        missing = SPENT_AT_ONCE - sum(parts.values())
-        drawer = self.holders_by_name[names[0]]
-        if missing and await drawer.draw_for(WORKSPACE, missing):
-            parts["drawn"] = drawer.reserve(f"{reservation}/d", WORKSPACE, missing).reserved
-        is_served = sum(parts.values()) == SPENT_AT_ONCE
-        for name, tokens in parts.items():
-            holder = drawer if name == "drawn" else self.holders_by_name.get(name)
-            key = f"{reservation}/d" if name == "drawn" else reservation
-            if holder is not None:
-                holder.settle(Settlement(key, WORKSPACE, tokens if is_served else 0))
-        return is_served
+        holders = list(self.holders_by_name.values())
+        self.random.shuffle(holders)
+        missing = SPENT_AT_ONCE
+        parts = []
+        for holder in holders:
+            reply = holder.reserve(reservation, WORKSPACE, missing)
+            parts.append((holder, reservation, reply.reserved))
+            missing -= reply.reserved
+        if missing and await holders[0].draw_for(WORKSPACE, missing):
+            drawn = f"{reservation}/drawn"
+            reply = holders[0].reserve(drawn, WORKSPACE, missing)
+            parts.append((holders[0], drawn, reply.reserved))
+            missing -= reply.reserved
+        for holder, part, tokens in parts:
+            holder.settle(Settlement(part, WORKSPACE, 0 if missing else tokens))
+        return not missing
 
     async def request_drawing(self, number):
         """Reserve, with tokens drawn for the request where some are missing; settle as well."""
--- a/features/steps/gateway_token_losses.py
+++ b/features/steps/gateway_token_losses.py
@@ -51,6 +51,8 @@
 
 @when("they spend {tokens:d} tokens a second for {seconds:d} seconds")
 def when_they_spend(context, tokens, seconds):
+    context.rate = tokens
+
     async def spend(bench):
         share = await bench.spend(tokens, seconds)
         assert share > 0.9, share
@@ -60,7 +62,6 @@
 
 @when("they are asked for {tokens:d} tokens a second for {seconds:d} seconds")
 def when_they_are_asked(context, tokens, seconds):
-    context.rate = tokens
     context.acts.append(lambda bench: bench.spend(tokens, seconds))
 
 
@@ -74,7 +75,7 @@
     async def outage(bench):
         bench.kv.faults.outage = True
         bench.refresh()
-        await bench.spend(100_000, seconds)
+        await bench.spend(context.rate, seconds)
         bench.kv.faults.outage = False
         bench.refresh()
 
@@ -88,8 +89,8 @@
         bench.cut(names[:count])
         for name in names[count:]:
             await bench.restart(name)
-            await bench.spend(100_000, 3)
-        await bench.spend(100_000, 1)
+            await bench.spend(context.rate, 3)
+        await bench.spend(context.rate, 1)
 
     context.acts.append(cut)
 
@@ -97,7 +98,7 @@
 @when("another kill of all a second before happens to them")
 def when_killed_before(context):
     when_all_killed(context)
-    context.acts.append(lambda bench: bench.spend(100_000, 1))
+    context.acts.append(lambda bench: bench.spend(context.rate, 1))
 
 
 @then("more than a quarter of the requests of the next {seconds:d} seconds get their tokens")
