--- a/features/fixtures_gateway_budgets.py
+++ b/features/fixtures_gateway_budgets.py
@@ -89,6 +89,11 @@
             cut_off = self.kv.connect(name).faults.outage
             board.store_reachable = not self.kv.faults.outage and not cut_off
 
+    def held(self):
+        """Return the tokens that each holder has available."""
+        holders = self.holders_by_name.values()
+        return [holder.available_by_workspace().get(WORKSPACE, 0) for holder in holders]
+
     def cut(self, names, is_cut=True):
         """Cut some holders off from the store, or end the cut."""
         for name in names:
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -119,10 +119,7 @@
 @then("the holders have about {tokens:d} tokens available together")
 def then_available(context, tokens):
     async def check(bench):
-        held = [
-            holder.available_by_workspace().get(WORKSPACE, 0)
-            for holder in bench.holders_by_name.values()
-        ]
+        held = bench.held()
         assert abs(sum(held) - tokens) < 0.02 * tokens, held
 
     play(context, check)
@@ -242,10 +239,7 @@
 @then("each holder has tokens, and all of them no more than {tokens:d}")
 def then_each_has(context, tokens):
     async def check(bench):
-        held = [
-            holder.available_by_workspace().get(WORKSPACE, 0)
-            for holder in bench.holders_by_name.values()
-        ]
+        held = bench.held()
         assert all(held), held
         assert sum(held) <= tokens, held
 
--- a/features/steps/gateway_token_losses.py
+++ b/features/steps/gateway_token_losses.py
@@ -2,7 +2,6 @@
 
 from behave import then, when
 
-from features.fixtures_gateway_budgets import WORKSPACE
 from features.steps.gateway_budgets import play
 
 
@@ -40,10 +39,7 @@
 @then("the holders have no more than {tokens:d} tokens available together")
 def then_at_most_together(context, tokens):
     async def check(bench):
-        held = [
-            holder.available_by_workspace().get(WORKSPACE, 0)
-            for holder in bench.holders_by_name.values()
-        ]
+        held = bench.held()
         assert sum(held) <= tokens, held
 
     play(context, check)
