Bound the requests that a cold upstream gets from all gateways together

Cause: an upstream that has just started has no requests, so all gateways prefer it at once, and nothing read how long it stays cold.

Change: the cold time of the list and of answers is read; upstreams of a zone whose evacuation ends count as cold at once, before the list says so.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -16,12 +16,15 @@
     Configuration,
     OperatorChanges,
     OperatorRecords,
+    Service,
     Upstream,
     UpstreamList,
 )
+from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import UpstreamStates
+from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
 from quinceferry_gateway.exceptions import ConfigurationError
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
@@ -45,6 +48,9 @@
 """Bytes of a transfer that pass a link at once, as much as small windows hold."""
 STORE_TIMEOUT_SECONDS = 0.8
 UNREADABLE = b"{"
+COLD_SERVICE = Service("app", cold_seconds=3.0, cold_requests_per_second=11.0)
+"""Service of all upstreams of the modelled fleet."""
+COLD_LIMIT = ColdStartLimit(excess=1.5, slack=5)
 CHANGES_A_SECOND = 50
 """Revisions that heartbeats of upstreams make."""
 
@@ -240,9 +246,8 @@
         """Return a configuration, of which only the version counts here."""
         if document == UNREADABLE:
             raise ConfigurationError("unreadable", step="decode")
-        if document.startswith(b"{"):
-            return Configuration(json.loads(document)["version"], {}, {})
-        return Configuration(int(document), {}, {})
+        version = json.loads(document)["version"] if document.startswith(b"{") else int(document)
+        return Configuration(version, {}, {"app": COLD_SERVICE})
 
 
 class Uncounted:
@@ -257,6 +262,9 @@
     def observe_rate_limits(self, limited):
         """Serve nothing."""
 
+    def observe_cold_upstreams(self, cold):
+        """Serve nothing."""
+
     def count_upstream_pause(self, service):
         """Count nothing."""
 
@@ -287,9 +295,21 @@
         store = Store(world, self.vm, address)
         self.registered = asyncio.Event()
         self.port = Port(world.network, address)
-        configuration = ConfigurationReader(board, store, clock, draws, world.bound_seconds)
+        self.upstream_states = UpstreamStates()
+        self.cold_starts = ColdStarts(
+            board, self.upstream_states, COLD_LIMIT, self.port, clock, Uncounted()
+        )
+        configuration = ConfigurationReader(
+            board, store, clock, draws, world.bound_seconds, self.cold_starts.zone_restored
+        )
         upstreams = UpstreamReader(
-            board, store, clock, HEARTBEAT_SECONDS, draws, world.bound_seconds
+            board,
+            store,
+            clock,
+            HEARTBEAT_SECONDS,
+            draws,
+            world.bound_seconds,
+            self.cold_starts.list_read,
         )
         members = MemberReader(board, store, clock, draws, self.registered)
         self.gossip = Gossip(board, members, self.port, clock, draws, lambda: 0.0)
@@ -300,9 +320,12 @@
         self.crashes = CrashMonitor(board, quarantine, Deserted(), self.port, clock, Uncounted())
         self.gossip.attach(self.copies, self.crashes)
         calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
-        self.upstream_states = UpstreamStates()
-        self.signals = UpstreamSignals(board, self.upstream_states, self.port, clock, Uncounted())
-        self.permits = SendPermits(board, self.upstream_states, calls, clock, Uncounted())
+        self.signals = UpstreamSignals(
+            board, self.upstream_states, self.cold_starts, self.port, clock, Uncounted()
+        )
+        self.permits = SendPermits(
+            board, self.upstream_states, self.cold_starts, calls, clock, Uncounted()
+        )
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
         self._controllers += [self.crashes, records, calls]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -11,9 +11,11 @@
 from quinceferry_core.quarantine import Quarantine
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
+from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import Placer, UpstreamStates
+from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
 from quinceferry_gateway.exchanges import UpstreamExchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
@@ -98,11 +100,18 @@
         self.reservations = Reservations(board, self.holder, peers, clock, settings.budgets)
         self._registration = Registration(board, store, clock)
         self.upstream_states = upstream_states = UpstreamStates()
+        cold_limit = ColdStartLimit(settings.cold_starts.excess, settings.cold_starts.slack)
+        cold_starts = ColdStarts(board, upstream_states, cold_limit, port, clock, metrics)
         send_notifier = SendNotifier(board, upstream_states, port, clock, rng)
         heartbeat_seconds = settings.store.heartbeat_milliseconds / 1000
         freshness_settings = settings.freshness
         configuration = ConfigurationReader(
-            board, source, clock, rng, freshness_settings.configuration_milliseconds / 1000
+            board,
+            source,
+            clock,
+            rng,
+            freshness_settings.configuration_milliseconds / 1000,
+            cold_starts.zone_restored,
         )
         upstreams = UpstreamReader(
             board,
@@ -111,6 +120,7 @@
             heartbeat_seconds,
             rng,
             freshness_settings.leaving_milliseconds / 1000,
+            cold_starts.list_read,
         )
         members = MemberReader(board, snapshots, clock, rng, self._registration.registered)
         self._gossip = Gossip(board, members, port, clock, rng, suspended_seconds)
@@ -138,8 +148,8 @@
             crashes,
             QuarantineRecords(board, store, clock, crashes),
         ]
-        signals = UpstreamSignals(board, upstream_states, port, clock, metrics)
-        permits = SendPermits(board, upstream_states, calls, clock, metrics)
+        signals = UpstreamSignals(board, upstream_states, cold_starts, port, clock, metrics)
+        permits = SendPermits(board, upstream_states, cold_starts, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, upstream_states, random.Random())
         selector = UpstreamSelector(board, upstream_states, placer, permits, clock)
         exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -91,6 +91,17 @@
         remaining = {item.service for item in upstreams if item.zone not in self.evacuated_zones}
         return sorted({item.service for item in upstreams} - remaining)
 
+    @property
+    def reaches_majority(self) -> bool:
+        """Return whether this gateway reaches more than half of the known members.
+
+        At most one part of a partitioned fleet does. A gateway that has not read the members yet
+        does not know whom it should reach.
+        """
+        if self.members_read_at is None:
+            return False
+        return 2 * len(self.usable_members()) > len(self.members_by_vm)
+
     def should_skip_read(self, read_at: float | None) -> bool:
         """Return whether to skip a read because the store is not reachable from this gateway.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -54,11 +54,14 @@
     """A set of interchangeable upstreams.
 
     ``tokens_per_event`` is the most output tokens that one event of a stream carries; zero for a
-    service that generates none.
+    service that generates none. An upstream is cold for ``cold_seconds`` after its start, and
+    tolerates ``cold_requests_per_second`` meanwhile; zero if that is not limited.
     """
 
     name: str
     tokens_per_event: int = 0
+    cold_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,7 +140,8 @@
     time of its start in seconds, by its own clock, zero if it does not state it. What was observed
     in one lifetime does not apply to the next. ``registration`` is the revision of the store at
     which its entry was created: it changes when the lease of the entry expired and the upstream
-    registered again.
+    registered again. ``cold_seconds`` is how much longer it stays cold, infinite if its entry has
+    an invalid time.
     """
 
     id: str
@@ -148,6 +152,7 @@
     draining: bool
     started_at: float = 0.0
     registration: int = 0
+    cold_seconds: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -213,8 +218,9 @@
     ``max_requests_per_second`` is the request rate that the upstream accepts across all gateways,
     None when the answer has no valid limit. ``leaving`` states that the upstream is shutting down
     and must get no new requests. ``retry_after_seconds`` is the time for which a 503 asks this
-    gateway to send no requests, None when the answer has no valid one. ``malformed_headers`` names
-    the headers about the upstream that could not be parsed.
+    gateway to send no requests, None when the answer has no valid one. ``cold_seconds`` is how much
+    longer the upstream stays cold, infinite if the answer has an invalid time, None if it has none.
+    ``malformed_headers`` names the headers about the upstream that could not be parsed.
     """
 
     status: int
@@ -227,4 +233,5 @@
     max_requests_per_second: float | None = None
     leaving: bool = False
     retry_after_seconds: float | None = None
+    cold_seconds: float | None = None
     malformed_headers: tuple[str, ...] = ()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -6,6 +6,7 @@
 
 import random
 import zlib
+from collections.abc import Callable
 
 import msgspec
 
@@ -60,6 +61,7 @@
 
     :param blackboard: receives the configuration and the evacuated zones.
     :param bound_seconds: time within which a new configuration must be in force.
+    :param on_zone_restored: receives each zone whose evacuation has ended.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         clock: Clock,
         rng: random.Random,
         bound_seconds: float,
+        on_zone_restored: Callable[[str], None] = lambda zone: None,
     ) -> None:
         super().__init__()
+        self._on_zone_restored = on_zone_restored
         self._blackboard = blackboard
         self._source = source
         self._clock = clock
@@ -119,6 +123,7 @@
             )
         for zone in sorted(before - evacuated_zones):
             log.change("zone.restored", zone=zone, revision=revision, origin=origin)
+            self._on_zone_restored(zone)
 
     def _apply_document(self, document: bytes, revision: int, origin: str) -> bool:
         """Apply a configuration with a later version; return whether it could be decoded."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -12,6 +12,7 @@
 from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.cached_prefixes import CachedPrefixes
+from quinceferry_gateway.decisions.cold_starts import ColdPeriod
 from quinceferry_gateway.decisions.pauses import RequestPause
 from quinceferry_gateway.decisions.prefill import PrefillQueue, PrefillTimes
 from quinceferry_gateway.decisions.rate_limits import RateLimit
@@ -54,6 +55,7 @@
     """
 
     __slots__ = (
+        "cold_period",
         "consecutive_failures",
         "in_flight",
         "load",
@@ -83,6 +85,7 @@
         self.consecutive_failures = 0
         self.suspect_until = 0.0
         self.misdirected_until = 0.0
+        self.cold_period = ColdPeriod()
         self.rate_limit = RateLimit()
         self.next_permit_at = 0.0
         self.no_permit_until = 0.0
@@ -211,7 +214,7 @@
     """States of all upstreams, and prefill times of the engines of each service.
 
     ``cached_prefixes`` estimates which engines cache a shared prefix. ``rate_limited_ids`` holds
-    the identifiers of upstreams that may have a rate limit in force.
+    the identifiers of upstreams that may have a rate limit in force, or may be cold.
     """
 
     __slots__ = (
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -202,6 +202,14 @@
             description="Upstreams that limit their request rate",
         )
 
+    def observe_cold_upstreams(self, cold_count: Callable[[], int]) -> None:
+        """Export the number of upstreams that are cold."""
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_cold_upstreams",
+            callbacks=[lambda _: [Observation(cold_count())]],
+            description="Upstreams that tolerate few requests, shortly after their start",
+        )
+
     def observe_evacuated_zones(self, evacuated_count: Callable[[], int]) -> None:
         """Export the number of zones whose upstreams must get no requests."""
         self._meter.create_observable_gauge(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to rate-limited upstreams.
+"""Permits to send requests to rate-limited and to cold upstreams.
 
 One gateway, the issuer, grants the permits for an upstream to all gateways.
 """
@@ -8,6 +8,7 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.decisions.rate_limits import MIN_REQUESTS_PER_SECOND, PermitSchedule
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
@@ -35,13 +36,15 @@
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """Requests a permit to send one request to an upstream.
 
-    ``rate`` is the limit known to the requesting gateway, in requests a second.
+    ``rate`` is the limit known to the requesting gateway, in requests a second. ``cold`` states
+    that the upstream is cold, which it cannot correct by its answers.
     """
 
     upstream: str
     started_at: float
     rate: float
     max_wait_seconds: float
+    cold: bool = False
 
 
 class PermitReply(msgspec.Struct, frozen=True, array_like=True):
@@ -63,10 +66,15 @@
     """
 
     def __init__(
-        self, blackboard: Blackboard, upstream_states: UpstreamStates, clock: Clock
+        self,
+        blackboard: Blackboard,
+        upstream_states: UpstreamStates,
+        cold_starts: ColdStarts,
+        clock: Clock,
     ) -> None:
         self._blackboard = blackboard
         self._upstream_states = upstream_states
+        self._cold_starts = cold_starts
         self._clock = clock
         self._schedules_by_lifetime: dict[Lifetime, PermitSchedule] = {}
 
@@ -83,6 +91,9 @@
     def issue(self, request: PermitRequest) -> PermitReply:
         """Grant a permit if a slot is free within the longest acceptable wait."""
         now = self._clock.monotonic()
+        if request.cold and not self._blackboard.reaches_majority:
+            # In a partition, each part would have an issuer of its own.
+            return PermitReply(False, UNANSWERED_PAUSE_SECONDS, UNANSWERED_PAUSE_SECONDS)
         lifetime = (request.upstream, request.started_at)
         schedule = self._schedules_by_lifetime.get(lifetime)
         if schedule is None:
@@ -97,17 +108,24 @@
         )
 
     def _rate_limit(self, request: PermitRequest, now: float) -> float:
-        """Return the limit known to this gateway, or else the one in the request."""
+        """Return the limit known to this gateway, or else the one in the request.
+
+        Of a cold upstream, the lower one applies.
+        """
         upstream = self._blackboard.upstreams_by_id.get(request.upstream)
         if upstream is None or upstream.started_at != request.started_at:
             return request.rate
-        known_rate = self._upstream_states.get(upstream).rate_limit.current(now)
-        return request.rate if known_rate is None else known_rate
+        announced_rate = self._upstream_states.get(upstream).rate_limit.current(now)
+        if announced_rate is not None and not request.cold:
+            return announced_rate
+        rates = (request.rate, announced_rate, self._cold_starts.rate(upstream))
+        return min(rate for rate in rates if rate is not None)
 
 
 class SendPermits:
     """Acquires permits for the requests of this gateway.
 
+    :param cold_starts: provides the request rates of cold upstreams.
     :param metrics: counts permit requests by result.
     """
 
@@ -115,16 +133,18 @@
         self,
         blackboard: Blackboard,
         upstream_states: UpstreamStates,
+        cold_starts: ColdStarts,
         calls: DatagramCalls,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._blackboard = blackboard
         self._upstream_states = upstream_states
+        self._cold_starts = cold_starts
         self._calls = calls
         self._clock = clock
         self._metrics = metrics
-        self._issuer = PermitIssuer(blackboard, upstream_states, clock)
+        self._issuer = PermitIssuer(blackboard, upstream_states, cold_starts, clock)
         calls.register_handler(PERMIT_CALL_KIND, self._issuer.serve)
 
     def needed(self, upstream: Upstream) -> bool:
@@ -155,7 +175,13 @@
         rate = self._rate_limit(upstream)
         if rate is None:
             return 0.0
-        request = PermitRequest(upstream.id, upstream.started_at, rate, max_wait_seconds)
+        request = PermitRequest(
+            upstream.id,
+            upstream.started_at,
+            rate,
+            max_wait_seconds,
+            cold=self._cold_starts.rate(upstream) is not None,
+        )
         issuer = permit_issuer(self._blackboard, upstream.id)
         if issuer is self._blackboard.own:
             reply = self._issuer.issue(request)
@@ -176,10 +202,13 @@
         """Return the rate limit in force for an upstream, None without one."""
         if upstream.id not in self._upstream_states.rate_limited_ids:
             return None
-        rate = self._upstream_states.get(upstream).rate_limit.current(self._clock.monotonic())
-        if rate is None:
+        state, now = self._upstream_states.get(upstream), self._clock.monotonic()
+        announced_rate = state.rate_limit.current(now)
+        if announced_rate is None and not state.cold_period.remaining_seconds(now):
             self._upstream_states.rate_limited_ids.discard(upstream.id)
-        return rate
+            return None
+        rates = (announced_rate, self._cold_starts.rate(upstream))
+        return min((rate for rate in rates if rate is not None), default=None)
 
     async def _request_permit(self, issuer: Member, request: PermitRequest) -> PermitReply | None:
         """Request a permit from a peer; None without a valid reply."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -74,6 +74,16 @@
     leaving_milliseconds: int = 2_000
 
 
+class ColdStartSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How far requests may exceed the rate that a cold upstream tolerates.
+
+    In any second, the fleet may send it ``excess`` times that rate and ``slack`` requests more.
+    """
+
+    excess: float = 1.0
+    slack: float = 0.0
+
+
 class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Number of gateways that hold tokens, and the share of a workspace's tokens that they hold.
 
@@ -113,6 +123,7 @@
     stop: StopSettings
     directory: DirectorySettings = DirectorySettings()
     freshness: FreshnessSettings = FreshnessSettings()
+    cold_starts: ColdStartSettings = ColdStartSettings()
     budgets: BudgetSettings = BudgetSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
 
@@ -158,6 +169,7 @@
             "directory.max_addresses": self.directory.max_addresses,
             "freshness.configuration_milliseconds": self.freshness.configuration_milliseconds,
             "freshness.leaving_milliseconds": self.freshness.leaving_milliseconds,
+            "cold_starts.excess": self.cold_starts.excess,
             "budgets.ample_seconds": self.budgets.ample_seconds,
             "budgets.max_holders": self.budgets.max_holders,
             "budgets.few_holders": self.budgets.few_holders,
@@ -178,6 +190,8 @@
             for name, value in shares_by_name.items()
             if not 0 < value < 1
         ]
+        if self.cold_starts.slack < 0:
+            faults.append("cold_starts.slack must not be below zero")
         if self.stop.leave_seconds >= self.stop.grace_seconds:
             faults.append("stop.leave_seconds must be below stop.grace_seconds")
         return faults
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -9,6 +9,7 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
+from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.logs import log
@@ -40,6 +41,7 @@
 class UpstreamSignals:
     """Updates the states of upstreams from the headers of their answers.
 
+    :param cold_starts: tracks which upstreams are cold.
     :param port: carries notices between gateways.
     :param metrics: counts requests sent to upstreams that limit their request rate.
     """
@@ -48,10 +50,12 @@
         self,
         blackboard: Blackboard,
         upstream_states: UpstreamStates,
+        cold_starts: ColdStarts,
         port: DatagramPort,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._cold_starts = cold_starts
         self._blackboard = blackboard
         self._upstream_states = upstream_states
         self._port = port
@@ -81,6 +85,7 @@
         if head.leaving and self._record_leaving(upstream.id, upstream.started_at, "own"):
             self._send_to_peers(LeavingNotice(upstream.id, upstream.started_at))
         self._update_pause(upstream, head.retry_after_seconds)
+        self._cold_starts.answer_received(upstream, head.cold_seconds)
         rate = head.max_requests_per_second
         if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -6,7 +6,7 @@
 
 import random
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -58,6 +58,7 @@
     :param blackboard: receives the upstreams.
     :param heartbeat_seconds: interval at which upstreams renew their leases.
     :param bound_seconds: time after which an upstream that leaves must get no more requests.
+    :param on_list: receives the list whenever it is read or confirmed, and when that was requested.
     """
 
     def __init__(
@@ -68,8 +69,10 @@
         heartbeat_seconds: float,
         random_source: random.Random,
         bound_seconds: float,
+        on_list: Callable[[Iterable[Upstream], float], None] = lambda upstreams, requested_at: None,
     ) -> None:
         super().__init__()
+        self._on_list = on_list
         self._blackboard = blackboard
         self._source = source
         self._clock = clock
@@ -100,6 +103,7 @@
         if board.upstreams_read_at is None or requested_at > board.upstreams_read_at:
             board.upstreams_read_at = requested_at
             self._absences.confirm_list(requested_at)
+            self._on_list(self._absences.listed_by_id.values(), requested_at)
 
     def encode(self, now: float) -> bytes | None:
         """Return the list for a peer, None without one."""
@@ -133,6 +137,7 @@
         }
         self._absences.adopt(listed_by_id, absent_by_id, requested_at)
         self._publish(copy.revision, requested_at, now)
+        self._on_list(copy.listed, requested_at)
 
     async def _follow(self) -> None:
         """Read the list when it is due, and remove missing entries whose time has expired."""
@@ -174,6 +179,7 @@
         now = self._clock.monotonic()
         self._absences.apply_list(listed.by_id, requested_at, now)
         self._publish(listed.revision, requested_at, now)
+        self._on_list(listed.by_id.values(), requested_at)
 
     def _publish(self, revision: int, requested_at: float | None, now: float) -> None:
         """Write the upstreams that may be used to the blackboard."""
