Run requests in the home regions of their route and workspace only

Cause: home regions were not decoded, so a deployment of several regions would have had requests run anywhere, and callers sent to any gateway.

Change: upstreams in other regions, or in a zone of unknown region, are left out; where both route and workspace have home regions, both bind; a request without a permitted upstream is refused at once (no_home_upstream). The settings state the region of each zone; unknown home regions are logged once for each version.

Measured: features only; the deployments at hand have one region each.

--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -101,6 +101,8 @@
     answers: list = field(default_factory=list)
     gateways: int = 1
     held_share: float = 0.5
+    region: str = "region"
+    region_by_zone: dict = field(default_factory=dict)
 
     def add_upstream(self, upstream_id, service, *script):
         """Add an upstream with its behaviours."""
@@ -136,7 +138,7 @@
     def _begin(self, number, store_address):
         """Start one gateway and return its task."""
         settings = Settings(
-            Identity(f"vm-{number}", "zone-a", "region"),
+            Identity(f"vm-{number}", "zone-a", self.region, self.region_by_zone),
             Addresses(*(free_address() for _ in range(5))),
             StoreSettings(store_address, timeout_seconds=1.0),
             RetrySettings(0.2, 20, 10),
--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -21,6 +21,8 @@
     "no_route": "The configuration has no route for its host and path. It did not run.",
     "unknown_key": "The configuration has no such workspace key. It did not run.",
     "no_upstream": "No upstream of its service was registered and usable. It did not run.",
+    "no_home_upstream": "No upstream of its service is in a region in which its route and workspace"
+    " may run. It did not run.",
     "zone_evacuated": "Operators evacuate every zone that has upstreams of its service. It did not"
     " run.",
     "quarantined": "The same content has crashed upstreams before. It did not run.",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -20,6 +20,7 @@
     BUDGET_UNTIL_STORE = "budget_until_store"
     NO_UPSTREAM = "no_upstream"
     ZONE_EVACUATED = "zone_evacuated"
+    NO_HOME_UPSTREAM = "no_home_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
     UPSTREAMS_LIMITED = "upstreams_limited"
     UPSTREAMS_PAUSED = "upstreams_paused"
@@ -42,6 +43,7 @@
     Reason.BUDGET_UNTIL_STORE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.ZONE_EVACUATED: 503,
+    Reason.NO_HOME_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
     Reason.UPSTREAMS_LIMITED: 503,
     Reason.UPSTREAMS_PAUSED: 503,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -112,6 +112,7 @@
             rng,
             freshness_settings.configuration_milliseconds / 1000,
             cold_starts.zone_restored,
+            frozenset(settings.gateway.region_by_zone.values()),
         )
         upstreams = UpstreamReader(
             board,
@@ -151,7 +152,9 @@
         signals = UpstreamSignals(board, upstream_states, cold_starts, port, clock, metrics)
         permits = SendPermits(board, upstream_states, cold_starts, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, upstream_states, random.Random())
-        selector = UpstreamSelector(board, upstream_states, placer, permits, clock)
+        selector = UpstreamSelector(
+            board, upstream_states, placer, permits, clock, settings.gateway.region_of
+        )
         exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals)
         relay = Relay(
             board,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -25,7 +25,7 @@
     """Where requests of a host and path prefix are sent, and how long they may take.
 
     ``max_pause_seconds`` is the longest pause between events of a stream that callers accept, zero
-    if not configured.
+    if not configured. Requests may run in ``home_regions`` only, anywhere if there are none.
     """
 
     name: str
@@ -40,6 +40,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_pause_seconds: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def retryable(self) -> bool:
@@ -66,11 +67,25 @@
 
 @dataclass(slots=True, frozen=True)
 class Workspace:
-    """A customer; ``prepaid_tokens`` is None if its tokens are not limited."""
+    """A customer; ``prepaid_tokens`` is None if its tokens are not limited.
+
+    Its requests may run in ``home_regions`` only, anywhere if there are none.
+    """
 
     name: str
     prepaid_tokens: int | None = None
     priority: int | None = None
+    home_regions: frozenset[str] = frozenset()
+
+
+def permitted_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions in which a request may run, None if all are permitted.
+
+    Where both the route and the workspace have home regions, both bind.
+    """
+    home_regions = [route.home_regions, workspace.home_regions if workspace else frozenset()]
+    binding = [regions for regions in home_regions if regions]
+    return frozenset.intersection(*binding) if binding else None
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +108,13 @@
     workspaces_by_key: dict[str, Workspace] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    def home_regions(self) -> frozenset[str]:
+        """Return all home regions of routes and workspaces."""
+        routes = [route for routes in self.routes_by_host.values() for route in routes]
+        return frozenset().union(
+            *(item.home_regions for item in (*routes, *self.workspaces_by_name.values()))
+        )
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
         matching = (r for r in self.routes_by_host.get(host, ()) if path.startswith(r.prefix))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -44,6 +44,10 @@
 watch returns the document only if it has changed, whereas a read transfers it each time."""
 
 
+MAX_LOGGED_REGIONS = 8
+"""Most unknown regions that a log line names; the count includes all."""
+
+
 class ConfigurationCopy(msgspec.Struct, frozen=True):
     """Records of the operators as sent between gateways, with a compressed document."""
 
@@ -62,6 +66,7 @@
     :param blackboard: receives the configuration and the evacuated zones.
     :param bound_seconds: time within which a new configuration must be in force.
     :param on_zone_restored: receives each zone whose evacuation has ended.
+    :param known_regions: regions of the deployment, for a warning about unknown home regions.
     """
 
     def __init__(
@@ -72,8 +77,10 @@
         rng: random.Random,
         bound_seconds: float,
         on_zone_restored: Callable[[str], None] = lambda zone: None,
+        known_regions: frozenset[str] = frozenset(),
     ) -> None:
         super().__init__()
+        self._known_regions = known_regions
         self._on_zone_restored = on_zone_restored
         self._blackboard = blackboard
         self._source = source
@@ -157,6 +164,13 @@
             revision=revision,
             origin=origin,
         )
+        unknown_regions = configuration.home_regions() - self._known_regions
+        if unknown_regions and self._known_regions:
+            log.failure(
+                "configuration.unknown_regions",
+                regions=sorted(unknown_regions)[:MAX_LOGGED_REGIONS],
+                count=len(unknown_regions),
+            )
 
     def summary(self, now: float) -> CopySummary | None:
         """Return the summary of this gateway's copy, None without a copy."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -1,6 +1,7 @@
 """Serves calls of other gateways and metrics, and selects the addresses for callers."""
 
 import random
+from collections.abc import Collection
 
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST
@@ -78,7 +79,11 @@
 
 
 def caller_addresses(
-    board: Blackboard, max_addresses: int, zone: str, rng: random.Random
+    board: Blackboard,
+    max_addresses: int,
+    zone: str,
+    rng: random.Random,
+    permitted_zones: Collection[str] | None = None,
 ) -> list[str]:
     """Return the addresses that callers may use now; none until this gateway has its lists.
 
@@ -88,10 +93,14 @@
     exceeded their deadline.
 
     :param zone: the caller's availability zone, empty if it is unknown.
+    :param permitted_zones: zones in which requests of the caller may be received. Members of other
+        zones are named only if there is none in these; None if all zones are permitted.
     """
     if not board.has_catalog:
         return []
     members = board.usable_members()
+    if permitted_zones is not None:
+        members = [item for item in members if item.zone in permitted_zones] or members
     if len(members) > max_addresses:
         rng.shuffle(members)
         members.sort(key=lambda member: member.zone != zone)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -179,6 +179,8 @@
         if pause_seconds:
             detail = progress.last_detail or "all upstreams asked for a pause"
             return Refusal(Reason.UPSTREAMS_PAUSED, detail, retry_seconds=pause_seconds)
+        if self._selector.is_away_from_home(progress):
+            return Refusal(Reason.NO_HOME_UPSTREAM, progress.last_detail)
         if self._selector.is_evacuated(progress):
             return Refusal(Reason.ZONE_EVACUATED, progress.last_detail)
         reason = Reason.UPSTREAMS_REFUSED if progress.tried_upstream_ids else Reason.NO_UPSTREAM
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -9,11 +9,16 @@
 
 
 class Identity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Identity of this gateway."""
+    """Identity of this gateway, and the regions of all availability zones."""
 
     vm: str
     zone: str
     region: str
+    region_by_zone: dict[str, str] = {}
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone, empty if it is unknown."""
+        return self.region if zone == self.zone else self.region_by_zone.get(zone, "")
 
 
 class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -1,10 +1,11 @@
 """Selection of the upstream for the next attempt of a request."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard
-from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.catalog import Upstream, permitted_regions
 from quinceferry_gateway.decisions import Placement, Placer, UpstreamStates
 from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.progress import Progress
@@ -27,6 +28,7 @@
     """Selects the upstream of each attempt and acquires a permit where one is needed.
 
     :param permits: acquires permits for requests to rate-limited upstreams.
+    :param region_of: returns the region of an availability zone.
     """
 
     def __init__(
@@ -36,7 +38,9 @@
         placer: Placer,
         permits: SendPermits,
         clock: Clock,
+        region_of: Callable[[str], str] = lambda zone: "",
     ) -> None:
+        self._region_of = region_of
         self._blackboard = blackboard
         self._upstream_states = upstream_states
         self._placer = placer
@@ -63,6 +67,16 @@
         """Return whether the service has upstreams, but only in evacuated zones."""
         return progress.service in self._blackboard.evacuated_services()
 
+    def is_away_from_home(self, progress: Progress) -> bool:
+        """Return whether the service has upstreams, but only in regions that are not permitted."""
+        regions = permitted_regions(progress.route, progress.workspace)
+        upstream_regions = {
+            self._region_of(item.zone)
+            for item in self._blackboard.upstreams_by_id.values()
+            if item.service == progress.service
+        }
+        return regions is not None and bool(upstream_regions) and not upstream_regions & regions
+
     async def acquire(
         self, progress: Progress, placement: Placement | None, max_wait_seconds: float
     ) -> Placement | PermitDenied | None:
@@ -122,10 +136,13 @@
         return self._placer.place(progress.demand, candidates, progress.tried_upstream_ids, now)
 
     def _candidates(self, progress: Progress) -> list[Upstream]:
-        """Return the upstreams of the request's service, except those in evacuated zones."""
+        """Return the upstreams of the request's service that are in permitted zones."""
         board = self._blackboard
+        regions = permitted_regions(progress.route, progress.workspace)
         return [
             item
             for item in board.upstreams_by_id.values()
-            if item.service == progress.service and item.zone not in board.evacuated_zones
+            if item.service == progress.service
+            and item.zone not in board.evacuated_zones
+            and (regions is None or self._region_of(item.zone) in regions)
         ]
