Hold tokens for an outage as long as the longest recent one

Cause: in a cut of eight seconds, a workspace with some 30 s of spending left had tokens at the holders for a fraction of it, and every later request was refused though a third of a million tokens were left.

Change: holders learn the length of the store's outages from their own draws, and keep 1.25 times the longest of the last eight, within the held share. Without outages they hold what they held before.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -43,6 +43,23 @@
       | 16      | a cut of 5 holders while the others start again  |
       | 24      | another kill of all a second before              |
 
+  Scenario Outline: Tokens last for a second outage that is as long as the first one
+    Given 5 token holders and a budget of <budget> tokens
+    When they spend 100000 tokens a second for 6 seconds
+    And an outage of 8 seconds happens to them
+    And they spend 100000 tokens a second for 4 seconds
+    Then more than 80 of 100 requests get tokens in another outage of 8 seconds
+
+    Examples:
+      | budget   |
+      | 4400000  |
+      | 6000000  |
+      | 12000000 |
+
+  Scenario: The length of an outage counts from the last answer before it
+    When the store answers at 10 seconds, fails at 12, 15 and 17 and answers at 18 and 19
+    Then the longest outage took 8 seconds
+
   Scenario: A request that is short of tokens gets them drawn while it waits
     Given 1 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
--- a/features/steps/gateway_token_losses.py
+++ b/features/steps/gateway_token_losses.py
@@ -3,6 +3,7 @@
 from behave import then, when
 
 from features.steps.gateway_budgets import play
+from quinceferry_gateway.decisions.outages import OutageHistory
 
 
 @when("all holders are killed and others start on their vms")
@@ -104,3 +105,29 @@
         assert share > 0.25, share
 
     play(context, check)
+
+
+@then("more than {percent:d} of 100 requests get tokens in another outage of {seconds:d} seconds")
+def then_lasts(context, percent, seconds):
+    async def check(bench):
+        bench.kv.faults.outage = True
+        bench.refresh()
+        share = await bench.spend(context.rate, seconds)
+        assert share > percent / 100, share
+
+    play(context, check)
+
+
+@when("the store answers at 10 seconds, fails at 12, 15 and 17 and answers at 18 and 19")
+def when_store_fails(context):
+    context.outages = OutageHistory()
+    context.outages.record_answer(10.0)
+    for _ in range(3):
+        context.outages.record_failure()
+    context.outages.record_answer(18.0)
+    context.outages.record_answer(19.0)
+
+
+@then("the longest outage took {seconds:g} seconds")
+def then_longest(context, seconds):
+    assert context.outages.longest_seconds == seconds, context.outages.longest_seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -9,6 +9,7 @@
     remaining_tokens,
     update_allotment,
 )
+from quinceferry_gateway.decisions.outages import OutageHistory
 from quinceferry_gateway.settings import BudgetSettings
 from quinceferry_gateway.shared_budgets import SharedBudgets
 from quinceferry_gateway.spending import SpendingRates
@@ -24,13 +25,19 @@
     """Computes allotment targets from the configuration, the budget record and the members.
 
     :param settings: how many tokens the holders draw in total.
+    :param outages: outages of the store that this gateway has observed.
     """
 
-    __slots__ = ("_blackboard", "_policy", "_rates", "_settings", "_shared_budgets")
+    __slots__ = ("_blackboard", "_outages", "_policy", "_rates", "_settings", "_shared_budgets")
 
     def __init__(
-        self, blackboard: Blackboard, shared_budgets: SharedBudgets, settings: BudgetSettings
+        self,
+        blackboard: Blackboard,
+        shared_budgets: SharedBudgets,
+        settings: BudgetSettings,
+        outages: OutageHistory,
     ) -> None:
+        self._outages = outages
         self._blackboard = blackboard
         self._shared_budgets = shared_budgets
         self._settings = settings
@@ -127,7 +134,9 @@
         members = self._blackboard.members_by_incarnation.keys()
         remaining = remaining_tokens(budget, self.drawable_tokens(workspace), members)
         target_tokens = self._policy.target_tokens(
-            remaining, self._rates.tokens_per_second(workspace)
+            remaining,
+            self._rates.tokens_per_second(workspace),
+            self._outages.longest_seconds,
         )
         idle_elsewhere = idle_tokens(budget, members - {self._blackboard.own.incarnation})
         return self._policy.allowance(target_tokens, holder_count, idle_elsewhere)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -158,7 +158,10 @@
     can do without the stranded ones. For one that is nearly exhausted, stranded tokens mean
     rejected requests, whereas tokens that are not spent during an outage can be spent after it. So
     the share shrinks with the time for which the remaining tokens last: it is ``held_share`` if
-    they last ``ample_seconds`` or longer, and never less than ``min_seconds`` of spending.
+    they last ``ample_seconds`` or longer, and never less than ``min_seconds`` of spending. Once the
+    store has had outages, the holders keep as much as the longest one takes, and
+    ``outage_margin_share`` more, since spending rises and holders are not always full. That is
+    never more than ``held_share``, which bounds what a death of all holders strands.
 
     A holder draws when it has less than ``refill_share`` of its target, reports when it has spent
     more than the rest of its equal share, and returns tokens when it has more than
@@ -168,21 +171,27 @@
     held_share: float
     ample_seconds: float
     min_seconds: float = 2.0
+    outage_margin_share: float = 0.25
     refill_share: float = 0.75
     surplus_share: float = 1.6
 
-    def target_tokens(self, remaining: int, tokens_per_second: int) -> int:
+    def target_tokens(
+        self, remaining: int, tokens_per_second: int, longest_outage_seconds: float = 0.0
+    ) -> int:
         """Return the tokens that all holders together should have available.
 
         :param remaining: undrawn tokens and those that live holders hold.
         :param tokens_per_second: rate at which the workspace spends.
+        :param longest_outage_seconds: longest recent outage of the store.
         """
         full_share = self.held_share * max(0, remaining)
         if not tokens_per_second:
             return int(full_share)
         lasting_seconds = max(0, remaining) / tokens_per_second
         reduced_share = full_share * lasting_seconds / self.ample_seconds
-        return int(min(full_share, max(reduced_share, self.min_seconds * tokens_per_second)))
+        outage_seconds = (1 + self.outage_margin_share) * longest_outage_seconds
+        min_tokens = max(self.min_seconds, outage_seconds) * tokens_per_second
+        return int(min(full_share, max(reduced_share, min_tokens)))
 
     def allowance(self, target_tokens: int, holders: int, idle_elsewhere: int) -> Allowance:
         """Return the limits for one holder.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -10,6 +10,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.budgets import Account, InheritedTokens, return_allotment
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decisions.outages import OutageHistory
 from quinceferry_gateway.holder_role import HolderRole
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.peers import (
@@ -76,7 +77,8 @@
         self._blackboard = blackboard
         self._clock = clock
         self._shared_budgets = SharedBudgets(store, clock)
-        self._targets = AllotmentTargets(blackboard, self._shared_budgets, settings)
+        self._outages = OutageHistory()
+        self._targets = AllotmentTargets(blackboard, self._shared_budgets, settings, self._outages)
         self._closed = False
         self._rng = rng
         self._role = HolderRole(blackboard, clock, settings, self._rng)
@@ -316,8 +318,10 @@
         try:
             await self._write_record()
             record_store_answer(self._blackboard)
+            self._outages.record_answer(self._clock.monotonic())
         except KvError as error:
             record_store_failure(self._blackboard, error)
+            self._outages.record_failure()
             log.failure("allotments.not_drawn", error=str(error))
         finally:
             self._last_draw_seconds = self._clock.monotonic() - self._last_write_at
