Reword the features of the gateway's decisions and name remaining seconds

The step texts speak of states, estimates, prefill and value instead of beliefs, reading and worth; no check, bound or seed changed. held_seconds is remaining_seconds, as elsewhere.

--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -1,4 +1,4 @@
-"""Steps for the decisions of a gateway, on beliefs and modelled engines."""
+"""Steps for the decisions of a gateway, on upstream states and modelled engines."""
 
 import asyncio
 import json
@@ -25,7 +25,7 @@
 KEY = "ledger"
 SLACK = 1e-6
 KEPT_EACH = 20
-"""One prompt in so many is kept whole by its engine, against what was believed."""
+"""One prompt in so many is cached whole by its engine, contrary to the estimate."""
 
 
 class StoppedClock:
@@ -36,7 +36,7 @@
 
 
 def engine(name="engine", started_at=0.0):
-    """Return an upstream that reads prompts."""
+    """Return an upstream that prefills prompts."""
     return Upstream(name, SERVICE, "10.0.0.1:80", "z", 64, False, started_at)
 
 
@@ -68,8 +68,8 @@
     assert found <= count, found
 
 
-@given("beliefs of an upstream")
-def given_beliefs(context):
+@given("the state of an upstream")
+def given_state(context):
     context.upstream_states = UpstreamStates()
     context.upstream = engine()
     context.now = 100.0
@@ -157,13 +157,14 @@
     assert abs(found - backlog) < SLACK, found
 
 
-@given("answers of engines that read {rate:d} tokens a second after {base:g} seconds")
+@given("answers of engines that prefill {rate:d} tokens a second after {base:g} seconds")
 def given_answers(context, rate, base):
     context.reading_rate, context.reading_base = rate, base
 
 
 @given(
-    "one answer in {share:d} waited {seconds:g} seconds behind others, one in 20 kept its prompt"
+    "one answer in {share:d} waited {seconds:g} seconds behind others, one in 20 had its prompt "
+    "cached"
 )
 def given_waits(context, share, seconds):
     source = random.Random(1)
@@ -176,7 +177,7 @@
         context.prefill_times.record_sample(tokens, time)
 
 
-@then("a prompt of {tokens:d} tokens is believed to take {least:g} to {most:g} seconds")
+@then("a prompt of {tokens:d} tokens is estimated to take {least:g} to {most:g} seconds")
 def then_takes(context, tokens, least, most):
     found = context.prefill_times.estimate_seconds(tokens)
     assert least <= found <= most, found
@@ -189,38 +190,38 @@
 
 
 def credit(context, variant):
-    """Return the share of the worth that a way to place requests earns."""
+    """Return the share of the value that a placement policy earns."""
     return play(context.customer, variant, context.seeds, 1.0).credit()
 
 
-@when("it is placed by shared parts alone, and as a gateway does")
+@when("it is placed by shared prefixes alone, and as a gateway does")
 def when_placed(context):
     context.credit_by_variant = {name: credit(context, name) for name in ("home", "ours")}
 
 
-@when("it is placed with peers told, and without")
-def when_placed_told(context):
+@when("it is placed with peers notified, and without")
+def when_placed_notified(context):
     context.credit_by_variant = {name: credit(context, name) for name in ("untold", "ours")}
 
 
-@then("placing it as a gateway does earns {least:g} or more of the worth besides")
+@then("placing it as a gateway does earns {least:g} or more of the value besides")
 def then_besides(context, least):
     found = context.credit_by_variant
     assert found["ours"] - found["home"] >= least, found
 
 
-@then("{least:g} or more of the worth is earned")
+@then("{least:g} or more of the value is earned")
 def then_earned(context, least):
     assert context.credit_by_variant["ours"] >= least, context.credit_by_variant
 
 
-@then("telling peers earns {least:g} or more of the worth")
-def then_told(context, least):
+@then("notifying peers earns {least:g} or more of the value")
+def then_notified(context, least):
     found = context.credit_by_variant
     assert found["ours"] - found["untold"] >= least, found
 
 
-@given("beliefs of {count:d} engines that read {rate:d} tokens a second")
+@given("the states of {count:d} engines that prefill {rate:d} tokens a second")
 def given_engines(context, count, rate):
     context.upstream_states = UpstreamStates()
     context.engines = [engine(f"engine{number}") for number in range(count)]
@@ -255,13 +256,13 @@
     assert context.placements[-1].upstream is context.engines[-1], context.placements[-1]
 
 
-@when("its engine is told to read {tokens:d} tokens more")
+@when("its engine gets another prompt of {tokens:d} tokens")
 def when_engine_busy(context, tokens):
     upstream = context.placements[-1].upstream
     context.upstream_states.record_peer_prompt(upstream, tokens, "others", context.now)
 
 
-@then("the second goes elsewhere and fetches the parts from the first engine")
+@then("the second goes elsewhere and fetches the prefix from the first engine")
 def then_fetches(context):
     first, second = context.placements
     assert second.upstream.id != first.upstream.id
@@ -269,8 +270,8 @@
     assert second.uncached_tokens == 4000, second
 
 
-@given("a teller before one known engine")
-def given_teller(context):
+@given("a send notifier before one known engine")
+def given_notifier(context):
     board = Blackboard(Member("me", "vm", "z", "", ""))
     board.upstreams_by_id = {"engine": engine()}
     context.upstream_states = UpstreamStates()
@@ -292,20 +293,20 @@
     return msgspec.msgpack.encode(["sent", *fields] if isinstance(fields, list) else fields)
 
 
-def believed_seconds(context):
-    """Return how long the engine is believed to read."""
+def backlog_seconds(context):
+    """Return how long the engine is estimated to prefill."""
     return context.upstream_states.get(engine()).prefill_queue.backlog_seconds(0.0)
 
 
-@then("nothing is believed to be read")
-def then_nothing_read(context):
-    assert believed_seconds(context) == 0.0
+@then("the engine is estimated to have nothing to prefill")
+def then_no_backlog(context):
+    assert backlog_seconds(context) == 0.0
 
 
-@then("{tokens:d} tokens are believed to be read")
-def then_believed(context, tokens):
+@then("the engine is estimated to prefill {tokens:d} tokens")
+def then_backlog(context, tokens):
     expected = context.upstream_states.prefill_times(SERVICE).estimate_seconds(tokens)
-    assert abs(believed_seconds(context) - expected) < 0.01, believed_seconds(context)
+    assert abs(backlog_seconds(context) - expected) < 0.01, backlog_seconds(context)
 
 
 @when("gateway {number:d} is asked to stream a prompt of {tokens:d} tokens")
@@ -322,8 +323,8 @@
     context.gateway.acts.append(ask)
 
 
-@then("gateway {number:d} believes that {name} keeps the prompt's parts")
-def then_believes(context, number, name):
+@then("gateway {number:d} estimates that {name} caches the prompt's prefix")
+def then_caches(context, number, name):
     def check(scene):
         upstream_states = scene.applications[number - 1].upstream_states
         caching = upstream_states.cached_prefixes.caching_upstreams(
@@ -334,17 +335,20 @@
     context.gateway.play(check)
 
 
-@when("one engine works five times as long for 7 of 24 seconds, believed slow or not")
+@when(
+    "one engine works five times as long for 7 of 24 seconds, with and without estimates of "
+    "slowdown"
+)
 def when_slow_engine(context):
-    believed = play(context.customer, "ours", context.seeds, 1.0, slow=SLOW_SPELL).credit()
-    unbelieved = play(context.customer, "unslowed", context.seeds, 1.0, slow=SLOW_SPELL).credit()
-    context.credits = (believed, unbelieved)
+    estimated = play(context.customer, "ours", context.seeds, 1.0, slow=SLOW_SPELL).credit()
+    ignored = play(context.customer, "unslowed", context.seeds, 1.0, slow=SLOW_SPELL).credit()
+    context.credits = (estimated, ignored)
 
 
-@then("believing it earns more of the worth")
-def then_believing_earns(context):
-    believed, unbelieved = context.credits
-    assert believed > unbelieved, context.credits
+@then("estimating it earns more of the value")
+def then_estimating_earns(context):
+    estimated, ignored = context.credits
+    assert estimated > ignored, context.credits
 
 
 @when("{count:d} first events of one engine take {factor:d} times as long as expected")
@@ -357,8 +361,8 @@
         attempt.finish(context.now)
 
 
-@then("it is believed to take {least:g} to {most:g} times as long")
-@then("after {seconds:g} seconds it is believed to take {least:g} to {most:g} times as long")
+@then("it is estimated to take {least:g} to {most:g} times as long")
+@then("after {seconds:g} seconds it is estimated to take {least:g} to {most:g} times as long")
 def then_slow(context, least, most, seconds=0.0):
     found = context.upstream_states.get(context.engines[0]).slowdown(context.now + seconds)
     assert least <= found <= most, found
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -144,8 +144,8 @@
         if workspace is None and configuration.workspaces_by_key and not route.anonymous:
             return self._denial(Reason.UNKNOWN_KEY, configuration)
         progress = self._new_progress(exchange, call, route, workspace, started_at)
-        held_seconds = self._crashes.quarantine_seconds(progress)
-        return quarantine_refusal(progress, held_seconds) if held_seconds else progress
+        remaining_seconds = self._crashes.quarantine_seconds(progress)
+        return quarantine_refusal(progress, remaining_seconds) if remaining_seconds else progress
 
     def _denial(self, reason: Reason, configuration: Configuration) -> Refusal:
         """Return the refusal of a request that the configuration does not allow."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/placement.py
@@ -37,24 +37,19 @@
     """A prefill backlog of at least this share of the pause delays every stream of the engine too
     long."""
     stream_delay_cost_seconds: float = 0.1
-    """Cost of one stream that pauses too long. In the engine model, requests earn 0.90 of their
-    value with it and 0.87 without on the load of the tank book-keeping, and the same either way on
-    the load of the fleet underwriting."""
+    """Cost of one stream that pauses too long."""
     cache_miss_cost_seconds: float = 0.05
     """Cost of an engine that does not cache the shared prefix: a fetch over the network, or the
     prefill of some thousand tokens if the fetch fails."""
     fetches_prefixes: bool = True
     """Whether an engine fetches a shared prefix from one that caches it."""
     other_zone_cost_seconds: float = 0.01
-    """Cost of an engine in another availability zone, small so that it only breaks ties. In a model
-    of six engines in four zones, 0.47 instead of 0.74 of the requests cross zones, and requests
-    earn 0.01 less of their value."""
+    """Cost of an engine in another availability zone, small so that it only breaks ties."""
     max_normal_slowdown: float = 1.5
     """Slowdown up to which an engine counts as healthy. Prompts of which no gateway was notified
     cause that much, and their cost would outweigh that of the zone."""
     slowdown_cost_seconds: float = 0.1
-    """Cost per unit of slowdown above ``max_normal_slowdown``. With one engine of five slow for 7
-    of 24 s, requests earn 0.91 of their value in the engine model with it and 0.90 without."""
+    """Cost per unit of slowdown above ``max_normal_slowdown``."""
     unranked_cost_seconds: float = 0.005
     """Cost, for a prefix that no engine caches, of any engine but the first of the prefix's
     ranking, where other gateways look for the prefix first."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -139,9 +139,9 @@
         if self._clock.monotonic() >= progress.deadline_at:
             return self._timeout_refusal(progress)
         # Its content may have been quarantined while it waited for a permit.
-        held_seconds = self._crashes.quarantine_seconds(progress)
-        if held_seconds:
-            return self._quarantine_refusal(progress, held_seconds)
+        remaining_seconds = self._crashes.quarantine_seconds(progress)
+        if remaining_seconds:
+            return self._quarantine_refusal(progress, remaining_seconds)
         # A send that reached another upstream than the selected one does not count as an attempt.
         if progress.delivered_sends - progress.misdirected >= progress.route.max_attempts:
             return self._given_up_answer(progress)
@@ -196,11 +196,11 @@
         return Refusal(Reason.UPSTREAMS_LIMITED, detail, retry_seconds=retry_seconds)
 
     @staticmethod
-    def _quarantine_refusal(progress: Progress, held_seconds: float) -> Refusal:
+    def _quarantine_refusal(progress: Progress, remaining_seconds: float) -> Refusal:
         """Return the refusal of a request whose content crashes upstreams."""
         if progress.may_have_run:
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
-        return quarantine_refusal(progress, held_seconds)
+        return quarantine_refusal(progress, remaining_seconds)
 
     @staticmethod
     def _timeout_refusal(progress: Progress) -> Refusal:
