Check that callers are not told addresses of killed gateways

The platform allows three seconds after a gateway's contact time, six seconds at up to 60 gateways and seven at 80.

--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -66,6 +66,18 @@
       | 30    | 5    | 42   |
       | 200   | 5    | 43   |
 
+  Scenario Outline: Callers are not told addresses of killed gateways
+    Given <count> gateways that know each other, losing <lost> of 100 digests, seed <seed>
+    When half of the gateways are killed
+    Then no address answer names a killed one after <seconds> seconds
+
+    Examples:
+      | count | lost | seed | seconds |
+      | 4     | 5    | 44   | 6       |
+      | 30    | 5    | 45   | 6       |
+      | 80    | 5    | 46   | 7       |
+      | 195   | 5    | 47   | 7       |
+
   Scenario: A bad link between two gateways is no proof that one is gone
     Given 30 gateways that know each other, losing 2 of 100 digests, seed 51
     When gateway 1 can send nothing to half of the others
--- a/features/steps/gateway_fleet.py
+++ b/features/steps/gateway_fleet.py
@@ -8,6 +8,7 @@
 from features.fixtures_fleet import Node, World
 from quinceferry_gateway.blackboard import Member
 from quinceferry_gateway.fleet.digests import DIGEST_FORMAT, Digest, incarnation_checksum
+from quinceferry_gateway.fleet_api import caller_addresses
 from quinceferry_lab.virtual_time import run_virtual
 
 SETTLE_SECONDS = 8.0
@@ -182,6 +183,19 @@
             assert node.board.unreachable == killed, (node.vm, node.board.unreachable)
 
 
+@then("no address answer names a killed one after {seconds:d} seconds")
+def then_not_named(context, seconds):
+    async def resolve(world):
+        await world.clock.sleep(seconds)
+        killed = {node.board.own.caller_address for node in world.nodes if not node.alive}
+        for node in world.living:
+            named = caller_addresses(node.board, len(world.nodes), "", world.network.random)
+            assert not killed & set(named), (node.vm, len(killed & set(named)))
+
+    context.acts.append(resolve)
+    play(context)
+
+
 @then("they did not call a living one unreachable")
 def then_not_wrongly(context):
     play(context)
