--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -19,6 +19,7 @@
 from quinceferry_gateway.fleet.digests import CopySummary, summarize_copy
 from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.fleet.read_schedule import (
+    INTERVAL_SHARE,
     MAX_AGE_SHARE,
     SKIPPED_READ_SECONDS,
     ReadSchedule,
@@ -34,9 +35,6 @@
 """Interval of reads after a configuration that cannot be decoded; only operators can correct it."""
 MAX_WATCH_SECONDS = 1.0
 """Longest wait of one watch, so that a dead connection delays a change by at most a second."""
-WATCH_SHARE = 0.5
-"""Longest wait of one watch, as a share of the bound of the configuration. Below the maximum age of
-a copy, so that a reader's answers keep all copies recent."""
 MAX_WATCH_AFTER_CHANGE_SECONDS = 0.25
 """Longest wait of the watch after a change. The age of a copy counts from the request of the watch
 that returned it, and distant gateways would read the store before they receive a more recent
@@ -88,7 +86,7 @@
         self._source = source
         self._clock = clock
         self._schedule = ReadSchedule(0.0, MAX_AGE_SHARE * bound_seconds, rng)
-        self._watch_seconds = min(MAX_WATCH_SECONDS, WATCH_SHARE * bound_seconds)
+        self._watch_seconds = min(MAX_WATCH_SECONDS, INTERVAL_SHARE * bound_seconds)
         self._rejected_document: bytes = b""
         self._has_last_watch_changed = False
         self._records_checksum = 0
