Render the sections of the settings template in its check

Change: the check renders sections as the platform's page says, with and without the bounds for cold upstreams, and compares the regions and bounds that arrive. Two rows for invalid bounds. It is stricter than before.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -60,7 +60,10 @@
       | stop.leave_seconds     | 90      | stop.leave_seconds     |
       | budgets.held_share     | 1.5     | budgets.held_share     |
       | budgets.moons          | 1       | moons                  |
+      | cold_starts.excess     | 0       | cold_starts.excess     |
+      | cold_starts.slack      | -1      | cold_starts.slack      |
       | retries.ratio          | "often" | retries.ratio          |
 
   Scenario: The template renders settings that are valid
-    Then the rendered template passes the check
+    Then the rendered template passes the check with bounds for cold upstreams
+    And the rendered template passes the check without bounds for cold upstreams
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -53,7 +53,13 @@
     "bounds.grace_s": "8",
     "bounds.config_ms": "4000",
     "bounds.drain_ms": "3000",
+    "bounds.cold_excess": "1.5",
+    "bounds.cold_slack": "5",
 }
+ZONES = {"hall-a": "south", "hall-b": "north"}
+"""Regions by availability zone, the only table that the template repeats a section for."""
+COLD_FIELDS = frozenset({"bounds.cold_excess", "bounds.cold_slack"})
+"""Fields that deployments without cold upstreams lack."""
 
 
 class ManualClock:
@@ -230,12 +236,33 @@
             raise AssertionError("the settings were taken")
 
 
-@then("the rendered template passes the check")
-def then_template(context):
+def render(template, fields):
+    """Render a template as the platform does: sections first, then fields."""
+
+    def section(match):
+        name, body = match[1], match[2]
+        if name == "zones":
+            return "".join(
+                body.replace("{{@}}", zone).replace("{{.}}", region)
+                for zone, region in ZONES.items()
+            )
+        return body if name in fields else ""
+
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
+
+
+@then("the rendered template passes the check {cold} bounds for cold upstreams")
+def then_template(context, cold):
     template = (ROOT / "deploy" / "gateway.toml.template").read_text()
-    text = re.sub(r"\{\{([\w.]+)\}\}", lambda match: FIELDS[match[1]], template)
+    left_out = COLD_FIELDS if cold == "without" else frozenset()
+    fields = {name: value for name, value in FIELDS.items() if name not in left_out}
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "gateway.toml"
-        path.write_text(text)
+        path.write_text(render(template, fields))
         result = CliRunner().invoke(main, ["--config", str(path), "--check"])
-    assert result.exit_code == 0, result.output
+        assert result.exit_code == 0, result.output
+        settings = Settings.load(path)
+    assert settings.gateway.region_by_zone == ZONES, settings.gateway
+    limit = settings.cold_starts
+    assert (limit.excess, limit.slack) == ((1.0, 0.0) if left_out else (1.5, 5.0)), limit
