Export counts as gauges in one place

The region of a zone is a required argument of the upstream selector: its default would have placed every upstream in no region. Behaviour is unchanged.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -188,34 +188,40 @@
 
     def observe_quarantine(self, quarantined_count: Callable[[], int]) -> None:
         """Export the number of contents in quarantine."""
-        self._meter.create_observable_gauge(
+        self._observe_count(
             "quinceferry_gateway_quarantined_contents",
-            callbacks=[lambda _: [Observation(quarantined_count())]],
-            description="Contents of requests that are not run, since they crashed upstreams",
+            "Contents of requests that are not run, since they crashed upstreams",
+            quarantined_count,
         )
 
     def observe_rate_limits(self, rate_limited_count: Callable[[], int]) -> None:
         """Export the number of upstreams that limit their request rate."""
-        self._meter.create_observable_gauge(
+        self._observe_count(
             "quinceferry_gateway_rate_limited_upstreams",
-            callbacks=[lambda _: [Observation(rate_limited_count())]],
-            description="Upstreams that limit their request rate",
+            "Upstreams that limit their request rate",
+            rate_limited_count,
         )
 
     def observe_cold_upstreams(self, cold_count: Callable[[], int]) -> None:
         """Export the number of upstreams that are cold."""
-        self._meter.create_observable_gauge(
+        self._observe_count(
             "quinceferry_gateway_cold_upstreams",
-            callbacks=[lambda _: [Observation(cold_count())]],
-            description="Upstreams that tolerate few requests, shortly after their start",
+            "Upstreams that tolerate few requests, shortly after their start",
+            cold_count,
         )
 
     def observe_evacuated_zones(self, evacuated_count: Callable[[], int]) -> None:
         """Export the number of zones whose upstreams must get no requests."""
-        self._meter.create_observable_gauge(
+        self._observe_count(
             "quinceferry_gateway_evacuated_zones",
-            callbacks=[lambda _: [Observation(evacuated_count())]],
-            description="Zones that operators evacuate, whose upstreams get no requests",
+            "Zones that operators evacuate, whose upstreams get no requests",
+            evacuated_count,
+        )
+
+    def _observe_count(self, name: str, description: str, count: Callable[[], int]) -> None:
+        """Export a count as a gauge."""
+        self._meter.create_observable_gauge(
+            name, callbacks=[lambda _: [Observation(count())]], description=description
         )
 
     def exposition(self) -> bytes:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -38,7 +38,7 @@
         placer: Placer,
         permits: SendPermits,
         clock: Clock,
-        region_of: Callable[[str], str] = lambda zone: "",
+        region_of: Callable[[str], str],
     ) -> None:
         self._region_of = region_of
         self._blackboard = blackboard
