Share the steps that move upstreams, rank them and run through a fault

The scenarios of evacuations, home regions and cold upstreams had written again how an upstream is registered elsewhere, which of two is the first choice, how a configuration is written, and how tasks run through a fault. A table entry that no step text could reach is gone.

--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -63,11 +63,15 @@
 
 @given('two upstreams of service {service}: the first choice "{first}", the other "{other}"')
 def given_first_choice(context, service, first, other):
-    order = rank_candidates(hash_prefix(["a"]), [f"{service}-1", f"{service}-2"])
-    for name, behaviour in zip(order, (first, other), strict=True):
+    for name, behaviour in zip(ranked_upstreams(service), (first, other), strict=True):
         context.gateway.add_upstream(name, service, BEHAVIOURS[behaviour])
 
 
+def ranked_upstreams(service):
+    """Return the two upstreams of a service, the first choice of the scenarios' prompt first."""
+    return rank_candidates(hash_prefix(["a"]), [f"{service}-1", f"{service}-2"])
+
+
 @given("upstream {name} of service {service} that is gone without a word")
 def given_dead_upstream(context, name, service):
     context.gateway.add_upstream(name, service, Answered())
@@ -80,10 +84,20 @@
 
 @when("upstream {name} is in another availability zone")
 def when_elsewhere(context, name):
+    move_upstreams(context, {name: "zone-b"})
+
+
+def move_upstreams(context, zone_by_name):
+    """Register upstreams in other zones, and wait until the gateway lists them there."""
+
     async def move(scene):
-        await scene.register(**{name: {"zone": "zone-b"}})
+        await scene.register(**{name: {"zone": zone} for name, zone in zone_by_name.items()})
         board = scene.applications[0].blackboard
-        await until(lambda: board.upstreams_by_id[name].zone == "zone-b")
+        await until(
+            lambda: all(
+                board.upstreams_by_id[name].zone == zone for name, zone in zone_by_name.items()
+            )
+        )
 
     context.gateway.acts.append(move)
 
--- a/features/steps/gateway_cold_starts.py
+++ b/features/steps/gateway_cold_starts.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import replace
+from functools import partial
 
 from behave import then, when
 
@@ -11,6 +12,7 @@
 from features.steps.gateway import check
 from features.steps.gateway_evacuation import FLEET_ZONE, heeds
 from features.steps.gateway_fleet import cut_link, play
+from features.steps.gateway_rate_limits import no_fault, run_through_fault
 from quinceferry_gateway.catalog import AnswerHead
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
 from quinceferry_gateway.permits import permit_issuer
@@ -49,10 +51,6 @@
         await world.clock.sleep(1.2)
 
 
-async def no_fault(context, world):
-    """Keep all gateways running."""
-
-
 async def kill_issuer(context, world):
     """Kill the gateway that grants the permits for the first cold upstream."""
     issuer = permit_issuer(world.nodes[0].board, context.cold_ids[0])
@@ -83,7 +81,6 @@
 
 
 FAULTS = {
-    "": no_fault,
     ", while the issuer is killed": kill_issuer,
     ", while half of the gateways restart": restart_half,
     ", while the fleet is split in two": split(2),
@@ -101,7 +98,7 @@
 
 @when("2 seconds pass, and all gateways send cold upstreams what they may for {seconds:d} seconds")
 def when_sent(context, seconds):
-    send_during(context, seconds, no_fault)
+    send_during(context, seconds, lambda context, world: no_fault(world))
 
 
 def send_during(context, seconds, inject_fault):
@@ -113,12 +110,7 @@
         await world.clock.sleep(SETTLING_SECONDS)
         for node in world.nodes:
             start_sending(context, world, node)
-        await world.clock.sleep(seconds / 3)
-        await inject_fault(context, world)
-        await world.clock.sleep(seconds * 2 / 3)
-        for task in context.sending:
-            task.cancel()
-        await asyncio.gather(*context.sending, return_exceptions=True)
+        await run_through_fault(world, context.sending, seconds, partial(inject_fault, context))
 
     context.acts.append(run)
 
--- a/features/steps/gateway_evacuation.py
+++ b/features/steps/gateway_evacuation.py
@@ -6,10 +6,8 @@
 from behave import then, when
 
 from features.fixtures_gateway import until
-from features.steps.gateway import TOKENS, check
+from features.steps.gateway import TOKENS, check, move_upstreams, ranked_upstreams
 from features.steps.gateway_fleet import BETWEEN_SECONDS, obeys, play
-from quinceferry_gateway.decisions.cached_prefixes import hash_prefix
-from quinceferry_gateway.rendezvous import rank_candidates
 
 FLEET_ZONE = "z"
 """Zone of all upstreams of the modelled fleet."""
@@ -28,13 +26,17 @@
         context.delays = []
         for is_set in [True, False] * times:
             world.evacuate(FLEET_ZONE, is_set)
-            delay = await world.seconds_until(partial(heeds, is_set), MAX_DELAY_SECONDS)
-            context.delays.append(delay)
-            await world.clock.sleep(BETWEEN_SECONDS)
+            await record_delay(context, world, partial(heeds, is_set))
 
     context.acts.append(evacuate)
 
 
+async def record_delay(context, world, holds):
+    """Record how long it takes until a condition holds everywhere, and pause after that."""
+    context.delays.append(await world.seconds_until(holds, MAX_DELAY_SECONDS))
+    await world.clock.sleep(BETWEEN_SECONDS)
+
+
 @then("each time the evacuation is in force or over everywhere within {bound:g} seconds")
 def then_in_force_in_time(context, bound):
     play(context)
@@ -73,13 +75,12 @@
             is_set = number % 2 == 0
             world.configure(str(number + 2).encode())
             world.evacuate(FLEET_ZONE, is_set)
-            delay = await world.seconds_until(
+            await record_delay(
+                context,
+                world,
                 lambda node, number=number, is_set=is_set: obeys(number + 2, node)
                 and heeds(is_set, node),
-                MAX_DELAY_SECONDS,
             )
-            context.delays.append(delay)
-            await world.clock.sleep(BETWEEN_SECONDS)
 
     context.acts.append(write)
 
@@ -137,26 +138,14 @@
     context.gateway.acts.append(stream)
 
 
-def second_choice(service):
-    """Return the upstream of two that is not the first choice of the test's prompt."""
-    return rank_candidates(hash_prefix(["a"]), [f"{service}-1", f"{service}-2"])[1]
-
-
 @when("the second choice of service {service} is in another availability zone")
 def when_second_elsewhere(context, service):
-    name = second_choice(service)
-
-    async def move(scene):
-        await scene.register(**{name: {"zone": "zone-b"}})
-        board = scene.applications[0].blackboard
-        await until(lambda: board.upstreams_by_id[name].zone == "zone-b")
-
-    context.gateway.acts.append(move)
+    move_upstreams(context, {ranked_upstreams(service)[1]: "zone-b"})
 
 
 @then("the second choice of service {service} got {count:d} request")
 def then_second_got(context, service, count):
-    assert len(context.gateway.upstreams_by_id[second_choice(service)].seen) == count
+    assert len(context.gateway.upstreams_by_id[ranked_upstreams(service)[1]].seen) == count
 
 
 @when("{name} has answered once, and accepts a request only in {seconds:g} seconds")
--- a/features/steps/gateway_homes.py
+++ b/features/steps/gateway_homes.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
-from features.fixtures_gateway import Scene, configuration, until
-from features.steps.gateway import check
+from features.fixtures_gateway import Scene, configuration
+from features.steps.gateway import check, move_upstreams
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.fleet_api import caller_addresses
 from quinceferry_platform.documents import decode_configuration
@@ -24,28 +24,13 @@
 
 @given("upstream {name} is in {place}")
 def given_place(context, name, place):
-    move(context, {name: place})
+    move_upstreams(context, {name: ZONE_BY_PLACE[place]})
 
 
 @given("{name} is listed in the south, and {other} in the north")
 def given_places(context, name, other):
-    move(context, {name: "the south", other: "the north"})
-
-
-def move(context, place_by_name):
-    """Register upstreams in other zones."""
-    zone_by_name = {name: ZONE_BY_PLACE[place] for name, place in place_by_name.items()}
-
-    async def register(scene):
-        await scene.register(**{name: {"zone": zone} for name, zone in zone_by_name.items()})
-        listed = scene.applications[0].blackboard
-        await until(
-            lambda: all(
-                listed.upstreams_by_id[name].zone == zone for name, zone in zone_by_name.items()
-            )
-        )
-
-    context.gateway.acts.append(register)
+    south, north = ZONE_BY_PLACE["the south"], ZONE_BY_PLACE["the north"]
+    move_upstreams(context, {name: south, other: north})
 
 
 def homes(text):
--- a/features/steps/gateway_large_configurations.py
+++ b/features/steps/gateway_large_configurations.py
@@ -43,9 +43,7 @@
 
 def write_large(world, version, routes):
     """Let the operators write a configuration; return its size."""
-    world.document = large_document(version, routes, world.seed)
-    world.base_revision += 1
-    world.document_revision = world.revision
+    world.configure(large_document(version, routes, world.seed))
     return len(world.document)
 
 
--- a/features/steps/gateway_rate_limits.py
+++ b/features/steps/gateway_rate_limits.py
@@ -141,16 +141,21 @@
         context.permit_tasks = []
         for node in world.nodes:
             start_requesting(context, world, node)
-        await world.clock.sleep(seconds / 3)
-        await inject_fault(world)
-        await world.clock.sleep(seconds * 2 / 3)
-        for task in context.permit_tasks:
-            task.cancel()
-        await asyncio.gather(*context.permit_tasks, return_exceptions=True)
+        await run_through_fault(world, context.permit_tasks, seconds, inject_fault)
 
     context.acts.append(run)
 
 
+async def run_through_fault(world, tasks, seconds, inject_fault):
+    """Let tasks run for a time, inject a fault after a third of it, and cancel the tasks."""
+    await world.clock.sleep(seconds / 3)
+    await inject_fault(world)
+    await world.clock.sleep(seconds * 2 / 3)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def start_requesting(context, world, node):
     """Start a task in which a gateway requests permits until it stops."""
 
