Log requests that a planned stop cuts, and count what reaches a stopping gateway

gateway.stopped counted cut requests and named none, so that it could not be told whether they were accepted before the stop or long after it, nor whether callers were still directed there. request.cut names each with how long the stop had lasted when it was accepted; two counters show requests and address answers of a stopping gateway.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -211,7 +211,8 @@
 
     async def _stop(self) -> None:
         """Shut down: withdraw the registration, finish requests, return tokens and close."""
-        ends_at = self._clock.monotonic() + self.settings.stop.grace_seconds
+        began_at = self._clock.monotonic()
+        ends_at = began_at + self.settings.stop.grace_seconds
         self.blackboard.phase = Phase.DRAINING
         log.change("gateway.draining", in_progress=self.caller_api.in_progress)
         self._gossip.announce_leaving()
@@ -230,6 +231,7 @@
             await controller.stop()
         for listener in self._other_listeners:
             await listener.stop()
+        self.caller_api.log_cut_requests(began_at)
         log.change("gateway.stopped", in_progress=self.caller_api.in_progress)
         log.flush()
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -12,7 +12,7 @@
     WholeAnswer,
 )
 from quinceferry_gateway.asgi import Receive, Scope, Send
-from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.blackboard import Blackboard, Phase
 from quinceferry_gateway.caller_exchange import OVERSIZED_BODY_STATUS, CallerExchange
 from quinceferry_gateway.catalog import Call, CallerLimits, Configuration, Route, Workspace
 from quinceferry_gateway.crashes import CrashMonitor, quarantine_refusal
@@ -62,22 +62,44 @@
         self._clock = clock
         self._rng = rng
         self._is_closing = False
-        self.in_progress = 0
+        self._accepted_at_by_exchange: dict[CallerExchange, float] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._accepted_at_by_exchange)
 
     def close_connections(self) -> None:
         """Close each connection after its next answer."""
         self._is_closing = True
 
+    def log_cut_requests(self, stopping_since: float) -> None:
+        """Log the requests that the end of the process cuts.
+
+        :param stopping_since: when the planned stop began, on the monotonic clock in seconds.
+        """
+        now = self._clock.monotonic()
+        for exchange, accepted_at in self._accepted_at_by_exchange.items():
+            log.failure(
+                "request.cut",
+                request=self._dialect.request_id(exchange.scope["headers"]),
+                path=exchange.scope["path"],
+                seconds=round(now - accepted_at, 4),
+                stopping_seconds=round(max(0.0, accepted_at - stopping_since), 4),
+            )
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         exchange = CallerExchange(scope, receive, send, lambda: self._is_closing)
-        self.in_progress += 1
+        self._accepted_at_by_exchange[exchange] = self._clock.monotonic()
+        if self._blackboard.phase is Phase.DRAINING:
+            self._metrics.count_request_while_stopping()
         try:
             await self._serve(exchange)
         except CallerGoneError as error:
             log.failure("caller.gone", error=str(error))
         finally:
-            self.in_progress -= 1
+            del self._accepted_at_by_exchange[exchange]
 
     async def _serve(self, exchange: CallerExchange) -> None:
         """Read, run and answer one request, and stop it when the caller disconnects."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -38,6 +38,14 @@
         self._requests = meter.create_counter(
             "quinceferry_gateway_requests", description="Requests by what became of them"
         )
+        self._requests_while_stopping = meter.create_counter(
+            "quinceferry_gateway_requests_while_stopping",
+            description="Requests that reached this gateway after its planned stop began",
+        )
+        self._address_answers = meter.create_counter(
+            "quinceferry_gateway_address_answers",
+            description="Answers to address lookups by the phase of this gateway",
+        )
         self._store_calls = meter.create_counter(
             "quinceferry_gateway_store_calls", description="Calls to the store by step and result"
         )
@@ -105,6 +113,18 @@
         labels = {"workspace": self._label(workspace), "route": self._label(route)}
         self._requests.add(1, {**labels, "outcome": outcome})
 
+    def count_request_while_stopping(self) -> None:
+        """Count a request that arrived after the planned stop began."""
+        self._requests_while_stopping.add(1)
+
+    def count_address_answer(self, phase: str, found: bool) -> None:
+        """Count an answer to an address lookup.
+
+        :param phase: phase of this gateway.
+        :param found: whether the answer names an address.
+        """
+        self._address_answers.add(1, {"phase": phase, "found": found})
+
     def record_stream(self, workspace: str, route: Route, pace: StreamPace) -> None:
         """Record the timing of the events of a complete stream."""
         labels = {"workspace": self._label(workspace), "route": self._label(route.name)}
