Refuse requests that a stopping gateway could not finish

Callers saw streams cut in the middle: a gateway accepted them up to 7 s after SIGTERM and ended with them in progress. Cause: after the time for callers to leave, answers closed their connections, but nothing asked whether a request could end before the process does; that time began only after the registration was withdrawn, so a silent store stretched it; and the wait ended at an instant without requests in progress, when one may have been read and not begun.

A stop now has fixed times that count from the signal. Until 2.5 s (3.5 before) every request is accepted; after that, those whose deadline lies within the rest of the grace time, and the others are refused at once as not run, to be served by another gateway. The end waits for requests that were read and for buffered answers.

--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -16,6 +16,7 @@
 
 CAUSE_BY_REASON = {
     "starting": "The gateway had just started and had no configuration yet. It did not run.",
+    "stopping": "The gateway was stopping and might have ended before the request. It did not run.",
     "malformed": "The request was malformed. It did not run.",
     "oversized": "The request exceeds the limits of the configuration. It did not run.",
     "no_route": "The configuration has no route for its host and path. It did not run.",
@@ -173,6 +174,8 @@
             attempts = [record for record in request_records if record.event.startswith("attempt.")]
             waited = "after failed attempts" if attempts else "while its upstream sent nothing more"
             return f"The caller closed its connection {waited}; the run was cancelled."
+        case "request.cut":
+            return "It was in progress when the process of its stopping gateway ended."
         case "request.bug":
             return CAUSE_BY_REASON["internal"]
         case _:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -16,6 +16,7 @@
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import Placer, UpstreamStates
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
+from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.exchanges import UpstreamExchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
@@ -53,10 +54,6 @@
 INHERIT_TIMEOUT_SECONDS = 0.5
 """Longest wait for a peer that is to take over tokens; a planned stop leaves time to try several
 peers."""
-CLOSE_RESERVE_SECONDS = 0.8
-"""Time reserved at the end of a planned stop for the last settlements and for closing
-connections."""
-
 ListenerFactory = Callable[["Application"], list[HttpListener]]
 
 
@@ -211,30 +208,35 @@
 
     async def _stop(self) -> None:
         """Shut down: withdraw the registration, finish requests, return tokens and close."""
-        began_at = self._clock.monotonic()
-        ends_at = began_at + self.settings.stop.grace_seconds
+        stop = PlannedStop.starting_at(self._clock.monotonic(), self.settings.stop)
         self.blackboard.phase = Phase.DRAINING
+        self.caller_api.begin_stop(stop)
         log.change("gateway.draining", in_progress=self.caller_api.in_progress)
         self._gossip.announce_leaving()
-        await self._registration.withdraw()
-        await self._clock.sleep(self.settings.stop.leave_seconds)
+        # The store may be slow or unavailable, and callers must not wait for it.
+        withdrawal = asyncio.create_task(self._registration.withdraw())
+        await self._clock.sleep(stop.callers_left_at - self._clock.monotonic())
         self.caller_api.close_connections()
         return_task = asyncio.create_task(self._return_tokens())
-        while self.caller_api.in_progress:
-            if self._clock.monotonic() > ends_at - CLOSE_RESERVE_SECONDS:
-                break
-            await self._clock.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        await self._wait_while(lambda: self._caller_listener.open_requests, stop.work_ends_at)
         await self._caller_listener.stop()
+        # A request may have arrived just before the listener stopped, and answers may be buffered.
+        await self._wait_while(lambda: self._caller_listener.open_connections, stop.work_ends_at)
         await self.reservations.flush()
-        await return_task
+        await asyncio.gather(return_task, withdrawal)
         for controller in self._controllers:
             await controller.stop()
         for listener in self._other_listeners:
             await listener.stop()
-        self.caller_api.log_cut_requests(began_at)
+        self.caller_api.log_cut_requests(stop)
         log.change("gateway.stopped", in_progress=self.caller_api.in_progress)
         log.flush()
 
+    async def _wait_while(self, is_busy: Callable[[], int], ends_at: float) -> None:
+        """Wait while there is work, at most until a time."""
+        while is_busy() and self._clock.monotonic() < ends_at:
+            await self._clock.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+
     async def _return_tokens(self) -> None:
         """Return the tokens to the store, or pass them on to one peer if that fails.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -17,6 +17,7 @@
 from quinceferry_gateway.catalog import Call, CallerLimits, Configuration, Route, Workspace
 from quinceferry_gateway.crashes import CrashMonitor, quarantine_refusal
 from quinceferry_gateway.decisions import Demand
+from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
 from quinceferry_gateway.freshness import ConfigurationFreshness
@@ -62,6 +63,7 @@
         self._clock = clock
         self._rng = rng
         self._is_closing = False
+        self._planned_stop: PlannedStop | None = None
         self._accepted_at_by_exchange: dict[CallerExchange, float] = {}
 
     @property
@@ -69,15 +71,16 @@
         """Return the number of requests in progress."""
         return len(self._accepted_at_by_exchange)
 
+    def begin_stop(self, planned_stop: PlannedStop) -> None:
+        """Refuse requests from now on that might be cut by the end of the process."""
+        self._planned_stop = planned_stop
+
     def close_connections(self) -> None:
         """Close each connection after its next answer."""
         self._is_closing = True
 
-    def log_cut_requests(self, stopping_since: float) -> None:
-        """Log the requests that the end of the process cuts.
-
-        :param stopping_since: when the planned stop began, on the monotonic clock in seconds.
-        """
+    def log_cut_requests(self, planned_stop: PlannedStop) -> None:
+        """Log the requests that the end of the process cuts."""
         now = self._clock.monotonic()
         for exchange, accepted_at in self._accepted_at_by_exchange.items():
             log.failure(
@@ -85,7 +88,7 @@
                 request=self._dialect.request_id(exchange.scope["headers"]),
                 path=exchange.scope["path"],
                 seconds=round(now - accepted_at, 4),
-                stopping_seconds=round(max(0.0, accepted_at - stopping_since), 4),
+                stopping_seconds=round(max(0.0, accepted_at - planned_stop.began_at), 4),
             )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -166,6 +169,9 @@
         if workspace is None and configuration.workspaces_by_key and not route.anonymous:
             return self._denial(Reason.UNKNOWN_KEY, configuration)
         progress = self._new_progress(exchange, call, route, workspace, started_at)
+        stop = self._planned_stop
+        if stop is not None and not stop.accepts(progress.deadline_at, self._clock.monotonic()):
+            return Refusal(Reason.STOPPING, "may outlast this gateway")
         remaining_seconds = self._crashes.quarantine_seconds(progress)
         return quarantine_refusal(progress, remaining_seconds) if remaining_seconds else progress
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
@@ -40,6 +40,16 @@
         self._state = ServerState()
         self._server: asyncio.Server | None = None
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests in progress, including those not yet seen by the app."""
+        return len(self._state.tasks)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections, including those that still send buffered bytes."""
+        return len(self._state.connections)
+
     async def start(self) -> None:
         """Start to listen and serve.
 
@@ -51,7 +61,7 @@
         )
 
     async def stop(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Accept no more connections, close the idle ones, and the others after their answers."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._state.connections):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -54,11 +54,12 @@
     """Timing of a planned stop.
 
     ``grace_seconds`` is the time until the process is killed; ``leave_seconds`` is how long it
-    still accepts new requests, until callers have stopped using its address.
+    accepts every request, until callers have had the time to learn other addresses. Afterwards it
+    accepts those that are certainly finished before the process ends.
     """
 
     grace_seconds: float
-    leave_seconds: float = 3.5
+    leave_seconds: float = 2.5
 
 
 class DirectorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
