Close the connections of callers from the beginning of a planned stop

Callers used open connections to a stopping gateway for 3.5 s and longer: only then did answers carry Connection: close, so that most callers were still there when the gateway began to refuse. Answers now close their connections from the signal on, and a caller that opens a new one chooses among all addresses. Requests are accepted as before.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -216,7 +216,6 @@
         # The store may be slow or unavailable, and callers must not wait for it.
         withdrawal = asyncio.create_task(self._registration.withdraw())
         await self._clock.sleep(stop.callers_left_at - self._clock.monotonic())
-        self.caller_api.close_connections()
         return_task = asyncio.create_task(self._return_tokens())
         await self._wait_while(lambda: self._caller_listener.open_requests, stop.work_ends_at)
         await self._caller_listener.stop()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -62,7 +62,6 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._is_closing = False
         self._planned_stop: PlannedStop | None = None
         self._accepted_at_by_exchange: dict[CallerExchange, float] = {}
 
@@ -72,12 +71,11 @@
         return len(self._accepted_at_by_exchange)
 
     def begin_stop(self, planned_stop: PlannedStop) -> None:
-        """Refuse requests from now on that might be cut by the end of the process."""
-        self._planned_stop = planned_stop
+        """Refuse requests that the end of the process might cut, and close connections.
 
-    def close_connections(self) -> None:
-        """Close each connection after its next answer."""
-        self._is_closing = True
+        Each connection is closed after its next answer.
+        """
+        self._planned_stop = planned_stop
 
     def log_cut_requests(self, planned_stop: PlannedStop) -> None:
         """Log the requests that the end of the process cuts."""
@@ -93,7 +91,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        exchange = CallerExchange(scope, receive, send, lambda: self._is_closing)
+        exchange = CallerExchange(scope, receive, send, lambda: self._planned_stop is not None)
         self._accepted_at_by_exchange[exchange] = self._clock.monotonic()
         if self._blackboard.phase is Phase.DRAINING:
             self._metrics.count_request_while_stopping()
