Keep stopping gateways informed of others that begin to stop

Callers that asked a stopping gateway for addresses were sent to gateways that had begun to stop after it, and came late there: while several stop one after the other, the gateways next to a caller may all be stopping. Cause: peers send no digests to a member that leaves, and it serves address lookups until its end.

A stopping gateway requests replies with its own digests, six in a period, and gets them also after it was removed from the list. News of a leaving member is passed on at once with the next digest brought forward.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -41,6 +41,8 @@
 CONTENT_FANOUT = 6
 """Peers that are notified of new content. With three per gateway, one gateway in twenty receives it
 only a period later."""
+DRAINING_FANOUT = 6
+"""Peers from which a leaving gateway requests digests in each period, since it gets no others."""
 CONTENT_PAUSE_SECONDS = 0.05
 """Shortest time between two digests for new content; a delayed one is sent with the next period."""
 MAX_QUARANTINE_ENTRIES = 16
@@ -126,15 +128,18 @@
             log.failure("digest.refused", peer=str(sender), format=digest.format)
             return
         is_leaving = incarnation_checksum(peer.incarnation) in digest.leaving
+        if is_leaving and digest.reply_requested:
+            self._send_reply(peer, now)
         if not self._is_member(peer) and (is_leaving or not self._add_member(peer, now)):
             return
         self.liveness.record_seen(incarnation_checksum(peer.incarnation), now)
         self.liveness.merge(digest.ages_by_checksum, now)
-        self._mark_leaving(digest.leaving)
+        if self._mark_leaving(digest.leaving) and now - self._sent_at > CONTENT_PAUSE_SECONDS:
+            self._send_digest(FANOUT)
         if self._crashes and digest.quarantined_seconds_by_content:
             self._crashes.add_quarantined(digest.quarantined_seconds_by_content, peer.vm)
         is_outdated = self._copies and self._copies.compare(peer, digest.summaries_by_kind, now)
-        if is_outdated or digest.reply_requested:
+        if is_outdated or (digest.reply_requested and not is_leaving):
             self._send_reply(peer, now)
 
     def update_reachability(self) -> None:
@@ -170,19 +175,25 @@
         while True:
             self.update_reachability()
             if self._clock.monotonic() >= self._next_at:
-                self._send_digest(FANOUT)
+                is_draining = self._blackboard.phase is Phase.DRAINING
+                self._send_digest(DRAINING_FANOUT if is_draining else FANOUT)
                 self._probe_suspects()
             await self._clock.sleep(max(0.0, self._next_at - self._clock.monotonic()))
 
     def _send_digest(self, fanout: int) -> None:
-        """Send a digest to some peers."""
+        """Send a digest to some peers.
+
+        Peers send none to a leaving gateway, which still answers address lookups until its end, so
+        it requests replies.
+        """
         self._handle_suspension()
         now = self._clock.monotonic()
         spread = 1 + PERIOD_SPREAD * (self._random.random() - 0.5)
         self._next_at = now + PERIOD_SECONDS * spread
         self._sent_at, self._sent_copies_requested_at = now, self._oldest_requested_at()
         chosen = self._choose_peers(fanout)
-        self._port.send(self._build_digest(now), [member.peer_address for member in chosen])
+        digest = self._build_digest(now, self._blackboard.phase is Phase.DRAINING)
+        self._port.send(digest, [member.peer_address for member in chosen])
 
     def _probe_suspects(self) -> None:
         """Request digests from some suspect members directly."""
@@ -280,12 +291,13 @@
         self.liveness.track([incarnation_checksum(item.incarnation) for item in board.peers()], now)
         return True
 
-    def _mark_leaving(self, checksums: list[IncarnationChecksum]) -> None:
-        """Mark members that are about to stop."""
+    def _mark_leaving(self, checksums: list[IncarnationChecksum]) -> bool:
+        """Mark members that are about to stop, and return whether any is new."""
         if not checksums:
-            return
+            return False
         board = self._blackboard
         leaving_checksums = set(checksums)
+        count_before = len(board.leaving)
         for peer in board.peers():
             if (
                 incarnation_checksum(peer.incarnation) in leaving_checksums
@@ -293,6 +305,7 @@
             ):
                 board.leaving.add(peer.incarnation)
                 log.change("member.leaving", member=peer.incarnation)
+        return len(board.leaving) > count_before
 
     def _handle_suspension(self) -> None:
         """Age the copies and reset the liveness after a suspension of the machine."""
