Count attempts at upstreams by outcome

Gateways that could connect to no upstream refused 120 requests after 708 failed connections in eight seconds, and no metric showed it: only requests were counted, by reason upstreams_refused, as if upstreams had declined.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -159,6 +159,7 @@
     metrics.count_upstream_crash("s")
     metrics.observe_quarantine(lambda: 1)
     metrics.count_permit("granted")
+    metrics.count_attempt("s", "answered")
     metrics.count_request_while_stopping()
     metrics.count_address_answer("serving", True)
     metrics.count_upstream_pause("s")
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -9,6 +9,7 @@
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock, suspended_seconds
 from quinceferry_core.quarantine import Quarantine
+from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.cold_starts import ColdStarts
@@ -163,6 +164,7 @@
             clock,
             self._create_retry_budgets(),
             crashes,
+            AttemptLog(metrics),
         )
         self.caller_api = CallerApi(
             board,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
@@ -1,4 +1,4 @@
-"""Logs each attempt at an upstream."""
+"""Logs and counts each attempt at an upstream."""
 
 from quinceferry_gateway.answers import (
     AttemptOutcome,
@@ -9,20 +9,55 @@
 )
 from quinceferry_gateway.decisions import Placement
 from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
 
 
-def log_attempt(
+class AttemptLog:
+    """Logs and counts the outcomes of attempts.
+
+    :param metrics: counts them by service.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def record(
+        self,
+        progress: Progress,
+        placement: Placement,
+        outcome: AttemptOutcome,
+        missing_seconds: float | None,
+    ) -> None:
+        """Log the outcome of an attempt with the reasons for its placement, and count it.
+
+        :param missing_seconds: how long the upstream has been missing from the list, None if it is
+            listed.
+        """
+        self._metrics.count_attempt(progress.service, _outcome_name(outcome))
+        _log_attempt(progress, placement, outcome, missing_seconds)
+
+
+def _outcome_name(outcome: AttemptOutcome) -> str:
+    """Return the name of an outcome for metrics."""
+    match outcome:
+        case NotRun(_, sent):
+            return "not_run" if sent else "not_connected"
+        case UnknownOutcome():
+            return "unknown"
+        case WholeAnswer():
+            return "answered"
+        case StreamedAnswer():
+            return "streamed"
+
+
+def _log_attempt(
     progress: Progress,
     placement: Placement,
     outcome: AttemptOutcome,
     missing_seconds: float | None,
 ) -> None:
-    """Log the outcome of an attempt and the reasons for its placement.
-
-    :param missing_seconds: how long the upstream has been missing from the list, None if it is
-        listed.
-    """
+    """Log the outcome of an attempt."""
     fields: dict[str, object] = {
         "request": progress.call.request_id,
         "upstream": placement.upstream.id,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -38,6 +38,9 @@
         self._requests = meter.create_counter(
             "quinceferry_gateway_requests", description="Requests by what became of them"
         )
+        self._attempts = meter.create_counter(
+            "quinceferry_gateway_attempts", description="Attempts at upstreams by outcome"
+        )
         self._requests_while_stopping = meter.create_counter(
             "quinceferry_gateway_requests_while_stopping",
             description="Requests that reached this gateway after its planned stop began",
@@ -113,6 +116,10 @@
         labels = {"workspace": self._label(workspace), "route": self._label(route)}
         self._requests.add(1, {**labels, "outcome": outcome})
 
+    def count_attempt(self, service: str, outcome: str) -> None:
+        """Count an attempt at an upstream by its outcome."""
+        self._attempts.add(1, {"service": self._label(service), "outcome": outcome})
+
     def count_request_while_stopping(self) -> None:
         """Count a request that arrived after the planned stop began."""
         self._requests_while_stopping.add(1)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -13,7 +13,7 @@
     UnknownOutcome,
     WholeAnswer,
 )
-from quinceferry_gateway.attempt_log import log_attempt
+from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.crashes import CrashMonitor, quarantine_refusal
@@ -53,6 +53,7 @@
     :param send_notifier: announces prompts that keep an engine busy to peers.
     :param retry_budget: returns the retry budget of a service.
     :param crashes: records connections that upstreams closed, and content in quarantine.
+    :param attempt_log: logs and counts each attempt.
     """
 
     def __init__(
@@ -66,7 +67,9 @@
         clock: Clock,
         retry_budget: Callable[[str], RetryBudget],
         crashes: CrashMonitor,
+        attempt_log: AttemptLog,
     ) -> None:
+        self._attempt_log = attempt_log
         self._blackboard = blackboard
         self._upstream_states = upstream_states
         self._selector = selector
@@ -86,7 +89,8 @@
                 return placement
             progress.tried_upstream_ids.append(placement.upstream.id)
             outcome = await self._attempt(progress, placement)
-            log_attempt(progress, placement, outcome, self._missing_seconds(placement.upstream))
+            missing_seconds = self._missing_seconds(placement.upstream)
+            self._attempt_log.record(progress, placement, outcome, missing_seconds)
             match outcome:
                 case StreamedAnswer():
                     self._crashes.request_completed(progress)
