--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -7,11 +7,12 @@
 import socket
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 
 from quinceferry_core.clocks import SystemClock
 from quinceferry_gateway import Application, HttpClient, HttpListener, Metrics
 from quinceferry_gateway.blackboard import Phase
-from quinceferry_gateway.exceptions import ConnectionBrokenError
+from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
 from quinceferry_gateway.settings import (
     Addresses,
     BudgetSettings,
@@ -21,6 +22,7 @@
     StopSettings,
     StoreSettings,
 )
+from quinceferry_gateway.transport import CONNECT_TIMEOUT_SECONDS
 from quinceferry_platform.endpoints import listeners
 from quinceferry_platform.headers import PlatformDialect
 from quinceferry_platform.store import PlatformStore
@@ -90,6 +92,44 @@
     received_at: float = 0.0
 
 
+class PartitionedHttpClient(HttpClient):
+    """Client of one gateway that can lose its links to some addresses.
+
+    New connections to ``cut`` addresses hang, or are refused if ``refuses`` is set; open ones hang.
+    """
+
+    def __init__(self):
+        self.cut = frozenset()
+        self.refuses = False
+        self.healed = asyncio.Event()
+
+    @contextlib.asynccontextmanager
+    async def open(self, address, *args, connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS, **kwargs):
+        """Send a request and yield its answer."""
+        if address in self.cut:
+            await asyncio.sleep(0.0 if self.refuses else connect_timeout_seconds)
+            raise NotSentError("partitioned", step="connect", peer=address)
+        seconds = connect_timeout_seconds
+        opened = super().open(address, *args, connect_timeout_seconds=seconds, **kwargs)
+        async with opened as reply:
+            reply.chunks = partial(self._chunks, reply.chunks, address)
+            yield reply
+
+    async def _chunks(self, chunks, address):
+        """Yield the chunks of an answer until the address is cut."""
+        async for chunk in chunks():
+            if address in self.cut:
+                await self.healed.wait()
+            yield chunk
+
+    async def listens(self, address, timeout_seconds):
+        """Return whether a server accepts connections at an address."""
+        if address in self.cut:
+            await asyncio.sleep(0.0 if self.refuses else timeout_seconds)
+            return False
+        return await super().listens(address, timeout_seconds)
+
+
 @dataclass
 class Scene:
     """Collects the acts of a scenario and plays them in one event loop."""
@@ -117,6 +157,7 @@
         self.store = ManagedStore()
         self.http = HttpClient()
         self.applications = []
+        self.clients = []
         self.stops = []
         async with contextlib.AsyncExitStack() as stack:
             self.ending = stack
@@ -147,6 +188,7 @@
         )
         metrics = Metrics()
         store = PlatformStore(store_address, 1.0, self.http, metrics)
+        client = PartitionedHttpClient()
         application = Application(
             settings,
             store,
@@ -155,9 +197,10 @@
             PlatformDialect(),
             SystemClock(),
             metrics,
-            self.http,
+            client,
             listeners,
         )
+        self.clients.append(client)
         stop = asyncio.Event()
         self.applications.append(application)
         self.stops.append(stop)
@@ -184,6 +227,18 @@
         available = application.holder.available_by_workspace()
         return ready and (not self.document or available.get(WORKSPACE, 0) > 0)
 
+    def cut_links(self, gateway, refuses=False):
+        """Partition a gateway from all upstreams."""
+        client = self.clients[gateway]
+        client.cut = frozenset(item.address for item in self.upstreams_by_id.values())
+        client.refuses = refuses
+        client.healed.clear()
+
+    def heal_links(self, gateway):
+        """End the partition of a gateway."""
+        self.clients[gateway].cut = frozenset()
+        self.clients[gateway].healed.set()
+
     async def publish(self, document):
         """Write the operators' document; bytes are written as they are."""
         if document:
