End the wait for a connection before the time of its attempt is up

Callers of non-idempotent requests were told 504, which promises nothing, though nothing had been sent: 73 times in eight seconds at six gateways without links. Cause: a connection may take 0.7 s, and an attempt whose time or wait for a first byte ended meanwhile counted as sent. Connecting now takes at most nine tenths of either, so such an attempt ends as not sent, another upstream may be tried, and the refusal says that nothing ran.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -49,9 +49,11 @@
         upstream: Upstream,
         headers: list[tuple[bytes, bytes]],
         attempt: Attempt,
+        connect_timeout_seconds: float,
     ) -> AttemptOutcome:
         """Send the request and receive the answer; forward it at once if it is a stream.
 
+        :raises NotSentError: the connection could not be established.
         :raises ForeignAnswerError: the answer belongs to another request.
         :raises ConnectionBrokenError: the answer is incomplete, too large or not from an upstream.
         """
@@ -62,7 +64,12 @@
             )
         self._signals.request_sent(upstream)
         async with self._http.open(
-            upstream.address, call.method, call.target, headers, call.body
+            upstream.address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            connect_timeout_seconds=connect_timeout_seconds,
         ) as reply:
             head = self._dialect.decode_answer(reply.status, reply.headers)
             self._signals.answer_received(upstream, head)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -30,6 +30,7 @@
 from quinceferry_gateway.progress import Progress
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendNotifier
+from quinceferry_gateway.transport import CONNECT_TIMEOUT_SECONDS
 from quinceferry_gateway.upstream_choice import PermitDenied, UpstreamSelector
 
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.5
@@ -38,6 +39,9 @@
 abandon a stream after four times."""
 MAX_WAIT_SHARE = 0.5
 """Maximum share of the remaining time for one wait, so that the next attempt has as much left."""
+CONNECT_SHARE = 0.9
+"""Largest share of the remaining time, and of the wait for a first byte, that connecting may take.
+An attempt whose time ended while it connected would count as one that may have run."""
 MAX_PERMIT_WAIT_OBJECTIVES = 0.5
 """Longest wait for a permit, as a multiple of the route's objective; the answer can still meet the
 objective after it."""
@@ -276,11 +280,14 @@
     ) -> AttemptOutcome:
         """Send the request; give up an upstream that sends no byte in time if another can serve it.
 
+        :raises NotSentError: the connection could not be established.
         :raises ConnectionBrokenError: the upstream was given up.
         """
         events_before = progress.stream.buffer.count
         exchange = asyncio.create_task(
-            self._exchanges.exchange(progress, upstream, headers, attempt)
+            self._exchanges.exchange(
+                progress, upstream, headers, attempt, self._connect_timeout_seconds(progress)
+            )
         )
         try:
             await asyncio.wait((exchange,), timeout=self._first_byte_timeout_seconds(progress))
@@ -306,6 +313,12 @@
         timeout_seconds = FIRST_BYTE_TIMEOUT_OBJECTIVES * progress.route.objective_seconds
         return min(timeout_seconds, MAX_WAIT_SHARE * remaining)
 
+    def _connect_timeout_seconds(self, progress: Progress) -> float:
+        """Return how long to wait for a connection to an upstream."""
+        remaining = progress.deadline_at - self._clock.monotonic()
+        wait_seconds = min(remaining, self._first_byte_timeout_seconds(progress))
+        return min(CONNECT_TIMEOUT_SECONDS, CONNECT_SHARE * wait_seconds)
+
     def _can_retry_elsewhere(self, progress: Progress) -> bool:
         """Return whether another attempt elsewhere may follow the running one."""
         route = progress.route
