Forward requests to peers while a gateway reaches no upstream of their service

Callers of gateways that had lost their links to all upstreams were served 18 times of 134 at the first attempt. Cause: a gateway knew its upstreams one at a time, and its own connections were the only way to them; each request tried one after another, 0.7 s each. Evidence: 708 failed connections and 120 refusals in eight seconds at six gateways, while three served 79 requests; the failing tests.

A failed connection starts one check for all requests of the service, which connects to up to four other upstreams. If none answers, the service is unreachable here: its requests go to a peer that reaches it, which serves them like those of its own callers within the remaining attempts and time; tokens stay reserved where the caller came. Gateways say so in their digests, and are named to callers only where fewer than half reach all services. Failed links leave no suspicion on upstreams and are no evidence of a crash. Without a peer that reaches it, a request is refused at once as not run.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -160,6 +160,8 @@
     metrics.observe_quarantine(lambda: 1)
     metrics.count_permit("granted")
     metrics.count_attempt("s", "answered")
+    metrics.count_forwarded_request("sent", "answered")
+    metrics.observe_unreachable_services(lambda: 1)
     metrics.count_request_while_stopping()
     metrics.count_address_answer("serving", True)
     metrics.count_upstream_pause("s")
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -34,6 +34,7 @@
 from quinceferry_gateway.peers import PeerError
 from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.quarantine_records import QuarantineRecords
+from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
@@ -265,6 +266,9 @@
     def observe_cold_upstreams(self, cold):
         """Serve nothing."""
 
+    def observe_unreachable_services(self, unreachable):
+        """Serve nothing."""
+
     def count_upstream_pause(self, service):
         """Count nothing."""
 
@@ -317,7 +321,13 @@
         peers = Peers(world.network, address)
         self.copies = CopyReplicator(lists_by_kind, peers, clock, self.gossip.copies_updated)
         quarantine = Quarantine(crashes_to_quarantine=3, initial_seconds=600.0)
-        self.crashes = CrashMonitor(board, quarantine, Deserted(), self.port, clock, Uncounted())
+        self.reachability = ReachabilityMonitor(
+            board, self.upstream_states, Deserted(), clock, draws, Uncounted()
+        )
+        self.reachability.on_change = self.gossip.announce_reachability
+        self.crashes = CrashMonitor(
+            board, quarantine, Deserted(), self.port, clock, Uncounted(), self.reachability
+        )
         self.gossip.attach(self.copies, self.crashes)
         calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
         self.signals = UpstreamSignals(
@@ -328,7 +338,7 @@
         )
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
-        self._controllers += [self.crashes, records, calls]
+        self._controllers += [self.reachability, self.crashes, records, calls]
         world.network.nodes_by_address[address] = self
 
     async def start(self):
--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -33,6 +33,8 @@
         "requests by it. It did not run."
     ),
     "upstreams_paused": "Every usable upstream had requested a pause. It did not run.",
+    "upstreams_unreachable": "The gateway reached no upstream of its service, and no peer that does"
+    " could take it. It did not run.",
     "upstreams_refused": "Every upstream that it was sent to refused it. It did not run.",
     "outcome_unknown": "It was sent, the answer was lost, and it must not be sent again. It may"
     " have run: ask the owners of the upstream.",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -23,6 +23,7 @@
     ZONE_EVACUATED = "zone_evacuated"
     NO_HOME_UPSTREAM = "no_home_upstream"
     UPSTREAMS_REFUSED = "upstreams_refused"
+    UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     UPSTREAMS_LIMITED = "upstreams_limited"
     UPSTREAMS_PAUSED = "upstreams_paused"
     QUARANTINED = "quarantined"
@@ -47,6 +48,7 @@
     Reason.ZONE_EVACUATED: 503,
     Reason.NO_HOME_UPSTREAM: 503,
     Reason.UPSTREAMS_REFUSED: 503,
+    Reason.UPSTREAMS_UNREACHABLE: 503,
     Reason.UPSTREAMS_LIMITED: 503,
     Reason.UPSTREAMS_PAUSED: 503,
     Reason.QUARANTINED: 503,
@@ -67,6 +69,7 @@
     Reason.NO_UPSTREAM: 0.4,
     Reason.ZONE_EVACUATED: 2.0,
     Reason.UPSTREAMS_REFUSED: 0.3,
+    Reason.UPSTREAMS_UNREACHABLE: 0.5,
     Reason.TIMED_OUT_UNSENT: 0.3,
 }
 """Seconds until a retry may succeed: after a read of the store, a draw, or a few upstream answers.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -24,6 +24,7 @@
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.fleet_api import PeerApi, register_token_calls
+from quinceferry_gateway.forwarding import RequestForwarder
 from quinceferry_gateway.freshness import CONFIGURATION_KIND, ConfigurationFreshness
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.holder_role import holder_vms
@@ -34,6 +35,7 @@
 from quinceferry_gateway.peers import PeerClient, PeerError
 from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.quarantine_records import QuarantineRecords
+from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservations
 from quinceferry_gateway.retries import RetryBudget
@@ -130,7 +132,11 @@
         }
         copies = CopyReplicator(lists_by_kind, peers, clock, self._gossip.copies_updated)
         quarantine = Quarantine(settings.quarantine.crashes, settings.quarantine.hold_seconds)
-        crashes = CrashMonitor(board, quarantine, http, port, clock, metrics)
+        reachability = ReachabilityMonitor(
+            board, upstream_states, http, clock, random.Random(), metrics
+        )
+        reachability.on_change = self._gossip.announce_reachability
+        crashes = CrashMonitor(board, quarantine, http, port, clock, metrics, reachability)
         self._gossip.attach(copies, crashes)
         register_token_calls(calls, self.holder)
         self._controllers = [
@@ -144,6 +150,7 @@
             self._registration,
             self.holder,
             self.reservations,
+            reachability,
             crashes,
             QuarantineRecords(board, store, clock, crashes),
         ]
@@ -153,7 +160,8 @@
         selector = UpstreamSelector(
             board, upstream_states, placer, permits, clock, settings.gateway.region_of
         )
-        exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals)
+        exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals, reachability)
+        forwarder = RequestForwarder(board, dialect, exchanges, clock, random.Random(), metrics)
         relay = Relay(
             board,
             upstream_states,
@@ -165,6 +173,8 @@
             self._create_retry_budgets(),
             crashes,
             AttemptLog(metrics),
+            reachability,
+            forwarder,
         )
         self.caller_api = CallerApi(
             board,
@@ -182,9 +192,12 @@
         self._caller_listener = HttpListener(
             self.caller_api, settings.listen.callers, PEER_IDLE_TIMEOUT_SECONDS * 3
         )
-        peer_api = PeerApi(copies, self.holder, metrics)
+        peer_api = PeerApi(copies, self.holder, metrics, self.caller_api)
+        self._peer_listener = HttpListener(
+            peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS
+        )
         self._other_listeners = [
-            HttpListener(peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS),
+            self._peer_listener,
             HttpListener(peer_api, settings.listen.metrics, PEER_IDLE_TIMEOUT_SECONDS),
             *create_listeners(self),
         ]
@@ -219,10 +232,16 @@
         withdrawal = asyncio.create_task(self._registration.withdraw())
         await self._clock.sleep(stop.callers_left_at - self._clock.monotonic())
         return_task = asyncio.create_task(self._return_tokens())
-        await self._wait_while(lambda: self._caller_listener.open_requests, stop.work_ends_at)
-        await self._caller_listener.stop()
-        # A request may have arrived just before the listener stopped, and answers may be buffered.
-        await self._wait_while(lambda: self._caller_listener.open_connections, stop.work_ends_at)
+        request_listeners = (self._caller_listener, self._peer_listener)
+        await self._wait_while(
+            lambda: sum(item.open_requests for item in request_listeners), stop.work_ends_at
+        )
+        for listener in request_listeners:
+            await listener.stop()
+        # A request may have arrived just before its listener stopped, and answers may be buffered.
+        await self._wait_while(
+            lambda: sum(item.open_connections for item in request_listeners), stop.work_ends_at
+        )
         await self.reservations.flush()
         await asyncio.gather(return_task, withdrawal)
         for controller in self._controllers:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -39,6 +39,8 @@
     ``store_reachable`` is True if the last call to the store was answered. ``members_changed_at``
     is None until the members are read for the first time. ``unreachable`` contains the incarnations
     that no gateway has seen recently, ``leaving`` those that announced their stop.
+    This gateway reaches no upstream of ``unreachable_services``, and the incarnations in
+    ``cut_off_members`` say the same of some service.
     ``is_store_reader`` is True if this gateway reads the store for the fleet.
     ``missing_since_by_upstream`` contains upstreams that are still used though the list lacks them.
     ``configuration_read_at``, ``upstreams_read_at`` and ``members_read_at`` are the times at which
@@ -60,6 +62,8 @@
     members_changed_at: float | None = None
     unreachable: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
+    unreachable_services: frozenset[str] = frozenset()
+    cut_off_members: frozenset[str] = frozenset()
     is_store_reader: bool = False
     configuration_read_at: float | None = None
     members_read_at: float | None = None
@@ -145,6 +149,14 @@
             if member.incarnation not in self.unreachable and member.incarnation not in self.leaving
         ]
 
+    def connected_peers(self) -> list[Member]:
+        """Return the usable peers that reach upstreams of all services, as far as is known."""
+        return [
+            member
+            for member in self.usable_peers()
+            if member.incarnation not in self.cut_off_members
+        ]
+
     def usable_members(self) -> list[Member]:
         """Return the reachable members that are not leaving.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
@@ -13,6 +13,9 @@
 class CallerExchange:
     """One request on a caller's connection, and its answer.
 
+    ``forwarded_attempts`` is the number of attempts that a peer grants to a request that it has
+    forwarded, None for a request of a caller.
+
     :param is_closing: returns whether to close the connection after the answer.
     """
 
@@ -23,6 +26,7 @@
         self._receive = receive
         self._send = send
         self._is_closing = is_closing
+        self.forwarded_attempts: int | None = None
 
     async def read_body(self, limits: CallerLimits) -> bytes:
         """Read and return the whole body.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -20,6 +20,7 @@
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
+from quinceferry_gateway.forwarding import REFUSAL_HEADER
 from quinceferry_gateway.freshness import ConfigurationFreshness
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
@@ -29,6 +30,9 @@
 from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
 
 _OVERSIZED_HEADERS_STATUS = 431
+MAX_FORWARDED_IN_PROGRESS = 128
+"""Most requests of peers in progress. Their bodies are held in memory, and a peer that is refused
+asks another gateway."""
 _RETRY_AFTER_JITTER_SHARE = 0.5
 """Maximum share added to retry times at random, so that callers don't all retry at once."""
 
@@ -64,6 +68,7 @@
         self._rng = rng
         self._planned_stop: PlannedStop | None = None
         self._accepted_at_by_exchange: dict[CallerExchange, float] = {}
+        self._forwarded_in_progress = 0
 
     @property
     def in_progress(self) -> int:
@@ -90,8 +95,37 @@
             )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request."""
-        exchange = CallerExchange(scope, receive, send, lambda: self._planned_stop is not None)
+        """Serve one request of a caller."""
+        await self._serve_exchange(self._open_exchange(scope, receive, send))
+
+    async def serve_forwarded(
+        self, scope: Scope, receive: Receive, send: Send, max_attempts: int
+    ) -> None:
+        """Serve one request that a peer has forwarded.
+
+        The peer has reserved its tokens and settles them.
+
+        :param max_attempts: most times that it may be sent to an upstream.
+        """
+        exchange = self._open_exchange(scope, receive, send)
+        exchange.forwarded_attempts = max_attempts
+        if self._forwarded_in_progress >= MAX_FORWARDED_IN_PROGRESS:
+            request_id = self._dialect.request_id(scope["headers"])
+            refusal = Refusal(Reason.UPSTREAMS_UNREACHABLE, "too many forwarded requests")
+            await self._refuse(exchange, request_id, refusal, self._clock.monotonic())
+            return
+        self._forwarded_in_progress += 1
+        try:
+            await self._serve_exchange(exchange)
+        finally:
+            self._forwarded_in_progress -= 1
+
+    def _open_exchange(self, scope: Scope, receive: Receive, send: Send) -> CallerExchange:
+        """Return the exchange of a request."""
+        return CallerExchange(scope, receive, send, lambda: self._planned_stop is not None)
+
+    async def _serve_exchange(self, exchange: CallerExchange) -> None:
+        """Serve one request until it is answered or its sender has disconnected."""
         self._accepted_at_by_exchange[exchange] = self._clock.monotonic()
         if self._blackboard.phase is Phase.DRAINING:
             self._metrics.count_request_while_stopping()
@@ -125,9 +159,7 @@
                     route=admitted.route.name,
                     tokens=self._max_used_tokens(admitted),
                 )
-                self._metrics.count_request(
-                    admitted.workspace_name, admitted.route.name, "caller_left"
-                )
+                self._count_outcome(admitted, "caller_left")
         finally:
             disconnect_task.cancel()
             run_task.cancel()
@@ -199,7 +231,20 @@
         )
         demand = Demand.from_call(call, route.max_pause_seconds)
         service = self._draw_service(route)
-        return Progress(call, route, service, workspace, started_at + timeout, stream, demand)
+        max_attempts, forwarded = route.max_attempts, exchange.forwarded_attempts is not None
+        if forwarded:
+            max_attempts = min(max_attempts, exchange.forwarded_attempts)
+        return Progress(
+            call,
+            route,
+            service,
+            workspace,
+            started_at + timeout,
+            stream,
+            demand,
+            max_attempts,
+            forwarded,
+        )
 
     def _draw_service(self, route: Route) -> str:
         """Choose the service of a request at random, by the weights of its route."""
@@ -224,7 +269,12 @@
     async def _reserve(self, progress: Progress) -> Reservation | Refusal | None:
         """Reserve the request's tokens if its workspace is prepaid."""
         workspace, call = progress.workspace, progress.call
-        if workspace is None or workspace.prepaid_tokens is None or not call.max_tokens:
+        if (
+            progress.forwarded
+            or workspace is None
+            or workspace.prepaid_tokens is None
+            or not call.max_tokens
+        ):
             return None
         result = await self._reservations.reserve(call.request_id, workspace.name, call.max_tokens)
         if isinstance(result, Shortage):
@@ -279,7 +329,7 @@
                     tokens=self._max_used_tokens(progress),
                     detail=outcome.detail,
                 )
-                self._metrics.count_request(progress.workspace_name, progress.route.name, "broken")
+                self._count_outcome(progress, "broken")
                 return
             await self._refuse(exchange, request_id, outcome, started_at, progress)
             return
@@ -288,6 +338,9 @@
         else:
             await exchange.answer(outcome.head.status, outcome.head.headers, outcome.body)
         seconds = self._clock.monotonic() - started_at
+        if progress.forwarded:
+            self._metrics.count_forwarded_request("served", "answered")
+            return
         self._metrics.record_answer(progress.workspace_name, progress.route.name, seconds)
         log.success(
             "request.answered",
@@ -299,6 +352,13 @@
             seconds=round(seconds, 4),
         )
 
+    def _count_outcome(self, progress: Progress, outcome: str) -> None:
+        """Count a request by its outcome, one that a peer has forwarded apart from the others."""
+        if progress.forwarded:
+            self._metrics.count_forwarded_request("served", outcome)
+        else:
+            self._metrics.count_request(progress.workspace_name, progress.route.name, outcome)
+
     async def _refuse(
         self,
         exchange: CallerExchange,
@@ -311,7 +371,11 @@
         seconds = self._clock.monotonic() - started_at
         workspace = progress.workspace_name if progress else "none"
         route = progress.route.name if progress else "none"
-        self._metrics.count_request(workspace, route, refusal.reason.value)
+        forwarded = exchange.forwarded_attempts is not None
+        if forwarded:
+            self._metrics.count_forwarded_request("served", refusal.reason.value)
+        else:
+            self._metrics.count_request(workspace, route, refusal.reason.value)
         log.failure(
             "request.refused",
             request=request_id,
@@ -322,6 +386,7 @@
             may_have_run=bool(progress and progress.may_have_run),
             tokens=self._max_used_tokens(progress) if progress else 0,
             seconds=round(seconds, 4),
+            forwarded=forwarded,
         )
         retry_after = refusal.retry_seconds
         if retry_after is None:
@@ -329,6 +394,8 @@
         if retry_after is not None:
             retry_after *= 1 + _RETRY_AFTER_JITTER_SHARE * self._rng.random()
         headers = self._dialect.refusal_headers(request_id, retry_after)
+        if forwarded:
+            headers.append((REFUSAL_HEADER, refusal.reason.value.encode()))
         await exchange.answer(refusal.http_status, headers, b"")
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -20,6 +20,7 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
+from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.transport import HttpClient
 
 LISTEN_CHECK_TIMEOUT_SECONDS = 0.3
@@ -67,6 +68,7 @@
     ``on_quarantine_changed`` when anything does, including a digest of a peer.
 
     :param quarantine: decides on the evidence that this controller collects.
+    :param reachability: tells crashed upstreams from lost links.
     """
 
     def __init__(
@@ -77,8 +79,10 @@
         port: DatagramPort,
         clock: Clock,
         metrics: Metrics,
+        reachability: ReachabilityMonitor,
     ) -> None:
         super().__init__()
+        self._reachability = reachability
         self._blackboard = blackboard
         self._quarantine = quarantine
         self._http = http
@@ -190,9 +194,15 @@
         return lifetime in self._stopped_lifetimes
 
     async def _check_listening(self, lifetime: str, upstream: Upstream) -> None:
-        """Mark a lifetime as stopped if no process listens at the address."""
+        """Mark a lifetime as stopped if no process listens at the address.
+
+        A gateway that reaches no other upstream of the service can't tell.
+        """
         if await self._http.listens(upstream.address, LISTEN_CHECK_TIMEOUT_SECONDS):
             return
+        await self._reachability.connection_failed(upstream)
+        if self._reachability.is_cut_off(upstream):
+            return
         self._metrics.count_upstream_crash(upstream.service)
         self._stopped_lifetimes[lifetime] = None
         while len(self._stopped_lifetimes) > MAX_STOPPED_LIFETIMES:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -109,6 +109,11 @@
         self.last_slowdown = current + SLOWDOWN_SAMPLE_WEIGHT * (sample - current)
         self.slowdown_at = now
 
+    def forget_failures(self) -> None:
+        """Discard failed connections, which were not caused by the upstream."""
+        self.consecutive_failures = 0
+        self.suspect_until = 0.0
+
     def current_load(self, now: float) -> Load | None:
         """Return the last load report, None if there is none or it is too old."""
         valid = self.load is not None and now - self.load_received_at < MAX_LOAD_AGE_SECONDS
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -1,18 +1,23 @@
 """Sends requests to upstreams and forwards their answers."""
 
 import asyncio
+from collections.abc import Callable
+from typing import TypeVar
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import AttemptOutcome, NotRun, StreamedAnswer, WholeAnswer
-from quinceferry_gateway.catalog import AnswerHead, RouteKind, Upstream
+from quinceferry_gateway.catalog import AnswerHead, Call, RouteKind, Upstream
 from quinceferry_gateway.decisions import Attempt
 from quinceferry_gateway.exceptions import ConnectionBrokenError, ForeignAnswerError
-from quinceferry_gateway.interfaces import Dialect
+from quinceferry_gateway.interfaces import Dialect, Headers
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import CallerStream, Progress
+from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.transport import HttpClient, OpenReply
 
+R = TypeVar("R")
+
 MAX_EVENT_GAP_SECONDS = 2.0
 """Longest gap between events of a resumable stream before it is resumed elsewhere. Callers wait for
 at least two seconds, and preempted streams pause for a few hundred milliseconds."""
@@ -27,6 +32,7 @@
 
     :param metrics: records the timing of streams.
     :param signals: updates the state of upstreams from the headers of their answers.
+    :param reachability: learns which upstreams answer.
     """
 
     def __init__(
@@ -36,8 +42,10 @@
         clock: Clock,
         metrics: Metrics,
         signals: UpstreamSignals,
+        reachability: ReachabilityMonitor,
     ) -> None:
         self._signals = signals
+        self._reachability = reachability
         self._dialect = dialect
         self._http = http
         self._clock = clock
@@ -71,6 +79,7 @@
             call.body,
             connect_timeout_seconds=connect_timeout_seconds,
         ) as reply:
+            self._reachability.connection_succeeded(upstream)
             head = self._dialect.decode_answer(reply.status, reply.headers)
             self._signals.answer_received(upstream, head)
             if head.misdirected:
@@ -79,19 +88,53 @@
                 attempt.record_load(head.load, self._clock.monotonic())
             if head.not_run:
                 return NotRun(f"status {head.status}", True, head.misdirected)
-            if head.request_id and head.request_id != call.request_id:
-                raise ForeignAnswerError("answer to another request", peer=upstream.address)
-            if head.status < FIRST_ERROR_STATUS and not head.genuine:
-                raise ConnectionBrokenError("answer without its mark", peer=upstream.address)
+            _check_head(call, head, upstream.address)
             attempt.record_accepted()
-            if progress.route.kind is RouteKind.STREAM and head.status == OK:
-                return await self._forward_events(progress, head, reply, attempt)
-            body = await _read_body(reply, upstream.address)
+            outcome = await self._forward_answer(progress, head, reply, attempt, upstream.address)
             attempt.record_success()
-            return WholeAnswer(head, body)
+            return outcome
+
+    async def exchange_with_peer(
+        self,
+        progress: Progress,
+        address: str,
+        headers: list[tuple[bytes, bytes]],
+        decode_refusal: Callable[[Headers], R | None],
+    ) -> AttemptOutcome | R:
+        """Forward a request to another gateway, and forward the answer of its upstream.
+
+        :param decode_refusal: returns the peer's own refusal, None for an upstream's answer.
+        :raises NotSentError: the connection could not be established.
+        :raises ConnectionBrokenError: the answer is incomplete, too large or not from an upstream.
+        """
+        call = progress.call
+        async with self._http.open(address, call.method, call.target, headers, call.body) as reply:
+            refusal = decode_refusal(reply.headers)
+            if refusal is not None:
+                return refusal
+            head = self._dialect.decode_answer(reply.status, reply.headers)
+            _check_head(call, head, address)
+            return await self._forward_answer(progress, head, reply, None, address)
+
+    async def _forward_answer(
+        self,
+        progress: Progress,
+        head: AnswerHead,
+        reply: OpenReply,
+        attempt: Attempt | None,
+        address: str,
+    ) -> WholeAnswer | StreamedAnswer:
+        """Forward a stream event by event, or return a whole answer.
+
+        :param attempt: the own attempt at an upstream, None if a peer makes it.
+        :raises ConnectionBrokenError: the answer is incomplete or too large.
+        """
+        if progress.route.kind is RouteKind.STREAM and head.status == OK:
+            return await self._forward_events(progress, head, reply, attempt)
+        return WholeAnswer(head, await _read_body(reply, address))
 
     async def _forward_events(
-        self, progress: Progress, head: AnswerHead, reply: OpenReply, attempt: Attempt
+        self, progress: Progress, head: AnswerHead, reply: OpenReply, attempt: Attempt | None
     ) -> StreamedAnswer:
         """Forward a stream event by event.
 
@@ -111,14 +154,14 @@
             events = stream.buffer.feed(chunk)
             if events:
                 now = self._clock.monotonic()
-                attempt.record_first_event(now)
+                if attempt is not None:
+                    attempt.record_first_event(now)
                 stream.pace.record_event(now)
                 await self._send_events(stream, head, events)
         if stream.buffer.pending:
             raise ConnectionBrokenError("stream ended within an event", step="events")
         if not stream.head_sent:
             await self._send_events(stream, head, b"")
-        attempt.record_success()
         self._metrics.record_stream(progress.workspace_name, progress.route, stream.pace)
         return StreamedAnswer(stream.buffer.count)
 
@@ -139,6 +182,18 @@
         return None
 
 
+def _check_head(call: Call, head: AnswerHead, address: str) -> None:
+    """Check that an answer belongs to the request and comes from an upstream.
+
+    :raises ForeignAnswerError: the answer belongs to another request.
+    :raises ConnectionBrokenError: the answer is not from an upstream.
+    """
+    if head.request_id and head.request_id != call.request_id:
+        raise ForeignAnswerError("answer to another request", peer=address)
+    if head.status < FIRST_ERROR_STATUS and not head.genuine:
+        raise ConnectionBrokenError("answer without its mark", peer=address)
+
+
 async def _read_body(reply: OpenReply, address: str) -> bytes:
     """Read and return the whole body of an answer.
 
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/claims.py
@@ -0,0 +1,63 @@
+"""Which members reach no upstream of some service, as they say themselves.
+
+A member repeats its claim in its digests as long as it holds, and others pass it on with its age.
+A claim expires a few seconds after its member has stopped to repeat it.
+"""
+
+import math
+from collections.abc import Collection, Mapping
+
+from quinceferry_gateway.fleet.digests import AGE_UNIT_SECONDS, IncarnationChecksum
+
+CLAIM_TTL_SECONDS = 4.0
+"""How long a claim is valid, longer than its repetition takes to reach most of a large fleet."""
+
+
+class CutOffClaims:
+    """Latest claims by member. Times are those of the monotonic clock, in seconds."""
+
+    __slots__ = ("_claimed_at_by_checksum", "_withdrawn_at_by_checksum")
+
+    def __init__(self) -> None:
+        self._claimed_at_by_checksum: dict[IncarnationChecksum, float] = {}
+        self._withdrawn_at_by_checksum: dict[IncarnationChecksum, float] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no member makes a claim."""
+        return not self._claimed_at_by_checksum
+
+    def withdraw(self, checksum: IncarnationChecksum, now: float) -> None:
+        """Discard the claim of a member that sent a digest without it, and older copies of it."""
+        if self._claimed_at_by_checksum.pop(checksum, None) is not None:
+            self._withdrawn_at_by_checksum[checksum] = now
+
+    def merge(
+        self,
+        ages_by_checksum: Mapping[IncarnationChecksum, int],
+        members: Collection[IncarnationChecksum],
+        now: float,
+    ) -> None:
+        """Merge the claims in a digest; those of unknown members are ignored."""
+        for checksum in ages_by_checksum.keys() & set(members):
+            claimed_at = now - ages_by_checksum[checksum] * AGE_UNIT_SECONDS
+            newest_at = max(
+                self._claimed_at_by_checksum.get(checksum, -math.inf),
+                self._withdrawn_at_by_checksum.get(checksum, -math.inf),
+            )
+            if claimed_at > newest_at:
+                self._claimed_at_by_checksum[checksum] = claimed_at
+
+    def discard_expired(self, now: float) -> None:
+        """Discard claims and withdrawals that no longer count."""
+        for times in (self._claimed_at_by_checksum, self._withdrawn_at_by_checksum):
+            for checksum in [key for key, at in times.items() if now - at > CLAIM_TTL_SECONDS]:
+                del times[checksum]
+
+    def ages(self, now: float) -> dict[IncarnationChecksum, int]:
+        """Return how long ago each member made its claim, in units."""
+        self.discard_expired(now)
+        return {
+            checksum: math.ceil((now - at) / AGE_UNIT_SECONDS)
+            for checksum, at in self._claimed_at_by_checksum.items()
+        }
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
@@ -41,7 +41,8 @@
     ``ages_by_checksum`` states how long ago each member was seen, by the sender or another gateway;
     ``leaving`` lists members that are about to stop. ``reply_requested`` requests a digest in reply
     at once. ``quarantined_seconds_by_content`` lists contents that must not be run, and for how
-    long.
+    long. ``cut_off_ages_by_checksum`` states how long ago members said that they reach no upstream
+    of some service.
     """
 
     format: int
@@ -51,6 +52,7 @@
     summaries_by_kind: dict[str, CopySummary]
     reply_requested: bool = False
     quarantined_seconds_by_content: dict[str, Annotated[int, msgspec.Meta(gt=0)]] = {}
+    cut_off_ages_by_checksum: dict[IncarnationChecksum, AgeUnits] = {}
 
 
 @lru_cache(maxsize=4096)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -7,6 +7,7 @@
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.crashes import CrashMonitor
+from quinceferry_gateway.fleet.claims import CutOffClaims
 from quinceferry_gateway.fleet.copies import CopyReplicator
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fleet.digests import (
@@ -29,8 +30,9 @@
 messages."""
 FRESHNESS_PAUSE_SECONDS = 0.4
 """Shortest time after a digest until more recent copies trigger the next one."""
-LEAVING_FANOUT = 12
-"""Peers that are notified at once when this gateway is about to stop; they pass it on."""
+ANNOUNCEMENT_FANOUT = 12
+"""Peers that are notified at once when this gateway is about to stop, or loses or regains
+upstreams; they pass it on."""
 UNREACHABLE_SHARE = 0.1
 """Share of digests that are sent to unreachable members, so that the two sides of a partition
 detect its end."""
@@ -76,6 +78,7 @@
         self._total_suspended_seconds = total_suspended_seconds
         self._last_suspended_seconds = 0.0
         self.liveness = Liveness()
+        self._cut_off_claims = CutOffClaims()
         self._copies: CopyReplicator | None = None
         self._crashes: CrashMonitor | None = None
         self._remaining_incarnations: list[str] = []
@@ -116,7 +119,12 @@
 
     def announce_leaving(self) -> None:
         """Notify many peers at once that this gateway is about to stop."""
-        self._send_digest(LEAVING_FANOUT)
+        self._send_digest(ANNOUNCEMENT_FANOUT)
+
+    def announce_reachability(self) -> None:
+        """Notify many peers at once that this gateway lost or regained upstreams."""
+        self._update_cut_off_members(self._clock.monotonic())
+        self._send_digest(ANNOUNCEMENT_FANOUT)
 
     def handle_digest(self, digest: Digest, sender: object) -> None:
         """Merge a peer's digest."""
@@ -134,6 +142,7 @@
             return
         self.liveness.record_seen(incarnation_checksum(peer.incarnation), now)
         self.liveness.merge(digest.ages_by_checksum, now)
+        self._merge_cut_off_claims(peer, digest.cut_off_ages_by_checksum, now)
         if self._mark_leaving(digest.leaving) and now - self._sent_at > CONTENT_PAUSE_SECONDS:
             self._send_digest(FANOUT)
         if self._crashes and digest.quarantined_seconds_by_content:
@@ -142,6 +151,32 @@
         if is_outdated or (digest.reply_requested and not is_leaving):
             self._send_reply(peer, now)
 
+    def _merge_cut_off_claims(
+        self, peer: Member, ages_by_checksum: dict[IncarnationChecksum, int], now: float
+    ) -> None:
+        """Merge the claims in a peer's digest, whose own one is the latest."""
+        if not ages_by_checksum and self._cut_off_claims.is_empty:
+            return
+        checksum = incarnation_checksum(peer.incarnation)
+        if checksum not in ages_by_checksum:
+            self._cut_off_claims.withdraw(checksum, now)
+        others = [incarnation_checksum(item.incarnation) for item in self._blackboard.peers()]
+        self._cut_off_claims.merge(ages_by_checksum, others, now)
+        self._update_cut_off_members(now)
+
+    def _update_cut_off_members(self, now: float) -> None:
+        """Publish which members reach no upstream of some service."""
+        board = self._blackboard
+        claimed = self._cut_off_claims.ages(now).keys()
+        members = {
+            peer.incarnation
+            for peer in board.peers()
+            if claimed and incarnation_checksum(peer.incarnation) in claimed
+        }
+        if board.unreachable_services:
+            members.add(board.own.incarnation)
+        board.cut_off_members = frozenset(members)
+
     def update_reachability(self) -> None:
         """Update which members are unreachable, and whether this gateway is a designated reader."""
         self._handle_suspension()
@@ -161,6 +196,7 @@
         for incarnation in board.unreachable - unreachable:
             log.change("member.answers", member=incarnation)
         board.unreachable = unreachable
+        self._update_cut_off_members(now)
         if board.members_read_at is None:
             # Gateways that start together don't know each other yet, and would all be readers: 195
             # of them would start 341 watches in their first eight seconds.
@@ -222,6 +258,9 @@
         leaving = [incarnation_checksum(incarnation) for incarnation in board.leaving]
         if board.phase is Phase.DRAINING:
             leaving.append(incarnation_checksum(board.own.incarnation))
+        cut_off_ages = self._cut_off_claims.ages(now)
+        if board.unreachable_services:
+            cut_off_ages[incarnation_checksum(board.own.incarnation)] = 0
         summaries = self._copies.summaries(now) if self._copies else {}
         quarantined = self._quarantine_entries()
         return Digest(
@@ -232,6 +271,7 @@
             summaries,
             reply_requested,
             quarantined,
+            cut_off_ages,
         )
 
     def _quarantine_entries(self) -> dict[str, int]:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -8,8 +8,10 @@
 
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
+from quinceferry_gateway.forwarding import FORWARDED_HEADER
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import (
@@ -22,21 +24,39 @@
 )
 
 MAX_PEER_BODY_BYTES = 1_048_576
+MIN_CONNECTED_SHARE = 0.5
+"""Least share of the members that must reach all services for the others to be left out of address
+answers."""
 COPIES_PATH = "/copies/"
 _JSON = b"application/json"
 _BINARY = b"application/octet-stream"
 
 
 class PeerApi:
-    """ASGI application for calls of other gateways and of metrics scrapers."""
+    """ASGI application for calls of other gateways and of metrics scrapers.
 
-    def __init__(self, copies: CopyReplicator, holder: TokenHolder, metrics: Metrics) -> None:
+    :param caller_api: serves requests that peers forward.
+    """
+
+    def __init__(
+        self,
+        copies: CopyReplicator,
+        holder: TokenHolder,
+        metrics: Metrics,
+        caller_api: CallerApi,
+    ) -> None:
         self._copies = copies
         self._holder = holder
         self._metrics = metrics
+        self._caller_api = caller_api
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
+        attempts = dict(scope["headers"]).get(FORWARDED_HEADER)
+        if attempts is not None:
+            max_attempts = int(attempts) if attempts.isdigit() else 0
+            await self._caller_api.serve_forwarded(scope, receive, send, max_attempts)
+            return
         try:
             status, content_type, body = await self._answer(scope["path"], receive)
         except msgspec.DecodeError as error:
@@ -92,6 +112,9 @@
     serve a workspace that sends many times its usual load: 2,070 of 9,755 requests in such a zone
     exceeded their deadline.
 
+    Members that reach no upstream of some service are left out as long as half of the members are
+    left; they forward requests, but fewer would be crowded by all callers.
+
     :param zone: the caller's availability zone, empty if it is unknown.
     :param permitted_zones: zones in which requests of the caller may be received. Members of other
         zones are named only if there is none in these; None if all zones are permitted.
@@ -101,6 +124,9 @@
     members = board.usable_members()
     if permitted_zones is not None:
         members = [item for item in members if item.zone in permitted_zones] or members
+    connected = [item for item in members if item.incarnation not in board.cut_off_members]
+    if len(connected) >= MIN_CONNECTED_SHARE * len(members):
+        members = connected
     if len(members) > max_addresses:
         rng.shuffle(members)
         members.sort(key=lambda member: member.zone != zone)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/interfaces.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/interfaces.py
@@ -92,6 +92,11 @@
         :param fetch_from: address of an upstream that probably caches a prefix of the prompt.
         """
 
+    def peer_headers(
+        self, call: Call, *, remaining_seconds: float, resume_after: str
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers with which to forward a caller's request to another gateway."""
+
     def decode_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Decode the status and headers of an upstream's answer."""
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -41,6 +41,10 @@
         self._attempts = meter.create_counter(
             "quinceferry_gateway_attempts", description="Attempts at upstreams by outcome"
         )
+        self._forwarded_requests = meter.create_counter(
+            "quinceferry_gateway_forwarded_requests",
+            description="Requests forwarded to and served for other gateways by outcome",
+        )
         self._requests_while_stopping = meter.create_counter(
             "quinceferry_gateway_requests_while_stopping",
             description="Requests that reached this gateway after its planned stop began",
@@ -120,6 +124,13 @@
         """Count an attempt at an upstream by its outcome."""
         self._attempts.add(1, {"service": self._label(service), "outcome": outcome})
 
+    def count_forwarded_request(self, direction: str, outcome: str) -> None:
+        """Count a request that one gateway forwards to another.
+
+        :param direction: ``sent`` or ``served``.
+        """
+        self._forwarded_requests.add(1, {"direction": direction, "outcome": outcome})
+
     def count_request_while_stopping(self) -> None:
         """Count a request that arrived after the planned stop began."""
         self._requests_while_stopping.add(1)
@@ -245,6 +256,14 @@
             evacuated_count,
         )
 
+    def observe_unreachable_services(self, unreachable_count: Callable[[], int]) -> None:
+        """Export the number of services of which this gateway reaches no upstream."""
+        self._observe_count(
+            "quinceferry_gateway_unreachable_services",
+            "Services of which this gateway reaches no upstream",
+            unreachable_count,
+        )
+
     def _observe_count(self, name: str, description: str, count: Callable[[], int]) -> None:
         """Export a count as a gauge."""
         self._meter.create_observable_gauge(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -31,7 +31,8 @@
     ``delivered_sends`` counts the sends that reached an upstream, ``misdirected`` those of them
     that reached another upstream than the chosen one. ``may_have_run`` states whether an attempt
     reached an upstream that did not reject it, and ``retry_granted`` whether the retry budget has
-    already granted the next attempt.
+    already granted the next attempt. ``max_attempts`` are those of its route, or fewer if a peer
+    has forwarded it after some. ``tried_peers`` are the incarnations to which it was forwarded.
     """
 
     call: Call
@@ -41,6 +42,9 @@
     deadline_at: float
     stream: CallerStream
     demand: Demand
+    max_attempts: int
+    forwarded: bool = False
+    tried_peers: list[str] = field(default_factory=list)
     tried_upstream_ids: list[str] = field(default_factory=list)
     delivered_sends: int = 0
     misdirected: int = 0
@@ -50,6 +54,14 @@
     last_detail: str = ""
     _fingerprint: str = field(default="", init=False, repr=False)
 
+    @property
+    def remaining_attempts(self) -> int:
+        """Return how many more times the request may be sent.
+
+        A send that reached another upstream than the selected one does not count as an attempt.
+        """
+        return self.max_attempts - self.delivered_sends + self.misdirected
+
     @property
     def fingerprint(self) -> str:
         """Return the identifier of the request's content, computed at the first use."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -14,7 +14,7 @@
     WholeAnswer,
 )
 from quinceferry_gateway.attempt_log import AttemptLog
-from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import AnswerHead, Upstream
 from quinceferry_gateway.crashes import CrashMonitor, quarantine_refusal
 from quinceferry_gateway.decisions import Attempt, Placement, UpstreamStates
@@ -25,9 +25,11 @@
     PeerClosedError,
 )
 from quinceferry_gateway.exchanges import MAX_EVENT_GAP_SECONDS, UpstreamExchanges
+from quinceferry_gateway.forwarding import PeerUnavailable, RequestForwarder
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.progress import Progress
+from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.sends import SendNotifier
 from quinceferry_gateway.transport import CONNECT_TIMEOUT_SECONDS
@@ -48,6 +50,7 @@
 MAX_RETRY_AFTER_SECONDS = 60.0
 """Longest retry time sent to a caller when all upstreams are paused."""
 FIRST_SERVER_ERROR_STATUS = 500
+MAY_HAVE_RUN_REASONS = frozenset({Reason.TIMED_OUT, Reason.OUTCOME_UNKNOWN})
 
 
 class Relay:
@@ -58,6 +61,8 @@
     :param retry_budget: returns the retry budget of a service.
     :param crashes: records connections that upstreams closed, and content in quarantine.
     :param attempt_log: logs and counts each attempt.
+    :param reachability: determines which services this gateway reaches.
+    :param forwarder: forwards requests to peers that reach the upstreams.
     """
 
     def __init__(
@@ -72,7 +77,11 @@
         retry_budget: Callable[[str], RetryBudget],
         crashes: CrashMonitor,
         attempt_log: AttemptLog,
+        reachability: ReachabilityMonitor,
+        forwarder: RequestForwarder,
     ) -> None:
+        self._reachability = reachability
+        self._forwarder = forwarder
         self._attempt_log = attempt_log
         self._blackboard = blackboard
         self._upstream_states = upstream_states
@@ -86,36 +95,72 @@
 
     async def run(self, progress: Progress) -> WholeAnswer | StreamedAnswer | Refusal:
         """Send a request until it is answered or no attempt is left."""
-        self._retry_budget(progress.service).count_request()
+        if not progress.forwarded:
+            self._retry_budget(progress.service).count_request()
         while True:
-            placement = await self._next_placement(progress)
-            if not isinstance(placement, Placement):
-                return placement
-            progress.tried_upstream_ids.append(placement.upstream.id)
-            outcome = await self._attempt(progress, placement)
-            missing_seconds = self._missing_seconds(placement.upstream)
-            self._attempt_log.record(progress, placement, outcome, missing_seconds)
-            match outcome:
-                case StreamedAnswer():
+            match await self._next_placement(progress):
+                case Placement() as placement:
+                    answer = await self._run_attempt(progress, placement)
+                case Member() as peer:
+                    answer = await self._forward(progress, peer)
+                case final_answer:
+                    return final_answer
+            if answer is not None:
+                return answer
+
+    async def _run_attempt(
+        self, progress: Progress, placement: Placement
+    ) -> WholeAnswer | StreamedAnswer | Refusal | None:
+        """Send the request to an upstream; return the final answer, None to go on."""
+        progress.tried_upstream_ids.append(placement.upstream.id)
+        outcome = await self._attempt(progress, placement)
+        missing_seconds = self._missing_seconds(placement.upstream)
+        self._attempt_log.record(progress, placement, outcome, missing_seconds)
+        match outcome:
+            case StreamedAnswer():
+                self._crashes.request_completed(progress)
+                return outcome
+            case WholeAnswer(head, _):
+                progress.may_have_run = True
+                if head.status < FIRST_SERVER_ERROR_STATUS:
                     self._crashes.request_completed(progress)
+                if not self._should_retry_elsewhere(progress, head):
                     return outcome
-                case WholeAnswer(head, _):
-                    progress.may_have_run = True
-                    if head.status < FIRST_SERVER_ERROR_STATUS:
-                        self._crashes.request_completed(progress)
-                    if not self._should_retry_elsewhere(progress, head):
-                        return outcome
-                    progress.last_failure = outcome
-                case NotRun(detail, sent, misdirected):
-                    progress.delivered_sends += sent
-                    progress.misdirected += misdirected
-                    progress.last_detail = detail
-                case UnknownOutcome(detail):
-                    progress.delivered_sends += 1
-                    progress.may_have_run = True
-                    progress.last_detail = detail
-                    if not progress.route.retryable or not self._crashes.may_retry(progress):
-                        return self._unrepeatable_refusal(progress)
+                progress.last_failure = outcome
+            case NotRun(detail, sent, misdirected):
+                progress.delivered_sends += sent
+                progress.misdirected += misdirected
+                progress.last_detail = detail
+            case UnknownOutcome(detail):
+                progress.delivered_sends += 1
+                progress.may_have_run = True
+                progress.last_detail = detail
+                if not progress.route.retryable or not self._crashes.may_retry(progress):
+                    return self._unrepeatable_refusal(progress)
+        return None
+
+    async def _forward(
+        self, progress: Progress, peer: Member
+    ) -> WholeAnswer | StreamedAnswer | Refusal | None:
+        """Forward the request to a peer; return the final answer, None to go on."""
+        progress.retry_granted = False
+        match await self._forwarder.forward(progress, peer):
+            case PeerUnavailable(detail):
+                progress.last_detail = detail
+                return None
+            case UnknownOutcome(detail):
+                progress.delivered_sends += 1
+                progress.may_have_run = True
+                progress.last_detail = detail
+                return None if progress.route.retryable else self._unrepeatable_refusal(progress)
+            case Refusal() as refusal:
+                progress.may_have_run |= refusal.reason in MAY_HAVE_RUN_REASONS
+                if progress.may_have_run and refusal.reason not in MAY_HAVE_RUN_REASONS:
+                    return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+                return refusal
+            case WholeAnswer() | StreamedAnswer() as answer:
+                progress.may_have_run = True
+                return answer
 
     def _unrepeatable_refusal(self, progress: Progress) -> Refusal:
         """Return the refusal of a request that may have run and must not run again."""
@@ -123,12 +168,16 @@
             return self._timeout_refusal(progress)
         return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
 
-    async def _next_placement(self, progress: Progress) -> Placement | Refusal | WholeAnswer:
-        """Return the placement of the next attempt, or the final answer if there is none."""
+    async def _next_placement(
+        self, progress: Progress
+    ) -> Placement | Member | Refusal | WholeAnswer:
+        """Return where to send the request next, or the final answer if there is nowhere."""
         while True:
             answer = self._final_answer(progress)
             if answer is not None:
                 return answer
+            if self._forwarder.needs_peer(progress):
+                return self._next_peer(progress)
             placement = self._selector.select_preferred(progress)
             if placement is None and not self._selector.has_usable_upstream(progress):
                 return self._given_up_answer(progress)
@@ -142,6 +191,13 @@
                     progress.retry_granted = False
                     return chosen
 
+    def _next_peer(self, progress: Progress) -> Member | Refusal | WholeAnswer:
+        """Return the peer to which to forward the request, or the final answer if there is none."""
+        peer = self._forwarder.choose_peer(progress)
+        if peer is None or (progress.delivered_sends and not self._acquire_retry(progress)):
+            return self._given_up_answer(progress, Reason.UPSTREAMS_UNREACHABLE)
+        return peer
+
     def _final_answer(self, progress: Progress) -> Refusal | WholeAnswer | None:
         """Return the final answer if the request must not be sent any more, else None."""
         if self._clock.monotonic() >= progress.deadline_at:
@@ -150,8 +206,7 @@
         remaining_seconds = self._crashes.quarantine_seconds(progress)
         if remaining_seconds:
             return self._quarantine_refusal(progress, remaining_seconds)
-        # A send that reached another upstream than the selected one does not count as an attempt.
-        if progress.delivered_sends - progress.misdirected >= progress.route.max_attempts:
+        if progress.remaining_attempts <= 0:
             return self._given_up_answer(progress)
         return None
 
@@ -175,12 +230,19 @@
                 log.failure("retry.budget_spent", request=progress.call.request_id)
         return progress.retry_granted
 
-    def _given_up_answer(self, progress: Progress) -> Refusal | WholeAnswer:
-        """Return the final answer to a request that has no attempt left."""
+    def _given_up_answer(
+        self, progress: Progress, reason: Reason | None = None
+    ) -> Refusal | WholeAnswer:
+        """Return the final answer to a request that has no attempt left.
+
+        :param reason: why it can't be sent, if that is known already.
+        """
         if progress.last_failure is not None:
             return progress.last_failure
         if progress.may_have_run:
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
+        if reason is not None:
+            return Refusal(reason, progress.last_detail)
         pause_seconds = min(
             self._selector.remaining_pause_seconds(progress), MAX_RETRY_AFTER_SECONDS
         )
@@ -225,7 +287,7 @@
         ):
             return False
         progress.delivered_sends += 1
-        return progress.delivered_sends < progress.route.max_attempts
+        return progress.remaining_attempts > 0
 
     async def _attempt(self, progress: Progress, placement: Placement) -> AttemptOutcome:
         """Send the request to one upstream and return the outcome."""
@@ -246,6 +308,7 @@
                 return await self._exchange_with_timeout(progress, upstream, headers, attempt)
         except NotSentError as error:
             attempt.record_failure(self._clock.monotonic())
+            await self._reachability.connection_failed(upstream)
             return NotRun(str(error), sent=False)
         except ForeignAnswerError as error:
             return UnknownOutcome(str(error))
@@ -299,6 +362,7 @@
                 and self._can_retry_elsewhere(progress)
                 and self._acquire_retry(progress)
             ):
+                self._reachability.begin_check(upstream)
                 raise ConnectionBrokenError("no answer yet", step="wait", peer=upstream.address)
             return await exchange
         finally:
@@ -322,10 +386,7 @@
     def _can_retry_elsewhere(self, progress: Progress) -> bool:
         """Return whether another attempt elsewhere may follow the running one."""
         route = progress.route
-        if (
-            not route.retryable
-            or progress.delivered_sends - progress.misdirected + 1 >= route.max_attempts
-        ):
+        if not route.retryable or progress.remaining_attempts <= 1:
             return False
         return self._selector.select_unlimited(progress) is not None
 
