Add a failing test of refusals that name a time before the end of a pause

0.0049, 0.294 and 2.4949 s before the end of a pause the headers of a refusal name 0.00, 0.29 and 2.49 s, so that a caller comes back up to 5 ms early; 1.0051 and 2.5 s are named as 1.01 and 2.50. It allows no time before the end of the pause, and none more than 0.01 s after it.

--- a/features/gateway_upstream_pauses.feature
+++ b/features/gateway_upstream_pauses.feature
@@ -41,6 +41,10 @@
     Then no request may be sent at 12.9 s
     And requests may be sent at 13 s
 
+  Scenario: A refusal names a time before the end of a pause
+    When requests are refused 0.0049, 0.294, 1.0051, 2.4949 and 2.5 seconds before a pause ends
+    Then no retry time is before the end of the pause or more than 0.01 seconds after it
+
   Scenario Outline: The adapter parses the Retry-After header of an answer
     When an answer with status <status> has the Retry-After header "<header>"
     Then the pause is parsed as <pause>
--- a/features/steps/gateway_upstream_pauses.py
+++ b/features/steps/gateway_upstream_pauses.py
@@ -88,6 +88,24 @@
     assert context.pause.blocked_until <= at, context.pause.blocked_until
 
 
+@when("requests are refused {seconds} seconds before a pause ends")
+def when_refused(context, seconds):
+    context.named_by_remaining = {
+        remaining: dict(PlatformDialect().refusal_headers("r1", float(remaining)))[b"retry-after"]
+        for remaining in seconds.replace(" and ", ", ").split(", ")
+    }
+
+
+@then("no retry time is before the end of the pause or more than {limit:g} seconds after it")
+def then_named_within(context, limit):
+    wrong = {
+        remaining: named
+        for remaining, named in context.named_by_remaining.items()
+        if not float(remaining) <= float(named) <= float(remaining) + limit
+    }
+    assert context.named_by_remaining and not wrong, wrong
+
+
 @when('an answer with status {status:d} has the Retry-After header "{header}"')
 def when_decoded(context, status, header):
     headers = [(b"Retry-After", header.encode())]
