Test that a caller whose tokens are drawn too late is told to come back

A request that needs more than the holders have waits at most 0.25 s for a draw. While the store answers 0.4 s late it is refused with 429 and a retry time, and nothing runs. No test showed that over the wire.

The stand-in of the store can serve all calls late for it. So a scenario whose first request needs tokens that are not drawn yet gets this answer on a busy machine.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -234,6 +234,16 @@
     And gateway 2 is asked meanwhile to stream /draft/a for at most 1500 tokens
     Then the second caller is answered 429
 
+  Scenario: While the store answers late, a caller is told to come back for tokens
+    Given 2 gateways before the services with 3000 prepaid tokens
+    And upstream llm-1 of service llm that "streams 5 events"
+    When gateway 1 knows that all hold 742 tokens
+    And the store answers 0.4 seconds late
+    And gateway 1 is asked to stream /draft/a for at most 1600 tokens
+    Then the gateway answers 429
+    And is told when to come back
+    And 0 requests reached an upstream
+
   Scenario: While the store is away, what is held is spent and no more
     Given 1 gateway before the services with 1000 prepaid tokens
     And upstream llm-1 of service llm that "streams 5 events"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -233,6 +233,14 @@
     context.gateway.acts.append(silence)
 
 
+@when("the store answers {seconds:g} seconds late")
+def when_store_late(context, seconds):
+    async def delay(scene):
+        scene.store.faults.delay_seconds = seconds
+
+    context.gateway.acts.append(delay)
+
+
 @when("the gateway is told to stop during a stream")
 def when_stops(context):
     async def stop(scene):
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_store.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_store.py
@@ -23,12 +23,14 @@
     """What goes wrong with calls.
 
     ``status`` answers all calls with an error; ``silent`` answers none and does nothing;
+    ``delay_seconds`` is how long all calls wait before they are served;
     ``lose_writes`` counts transactions still to be carried out without an answer, and
     ``late_seconds`` is how long these wait before they are carried out.
     """
 
     status: int = 0
     silent: bool = False
+    delay_seconds: float = 0.0
     lose_writes: int = 0
     late_seconds: float = 0.0
 
@@ -72,6 +74,8 @@
         self.calls.append(path)
         if self.faults.silent:
             await asyncio.sleep(3600)
+        if self.faults.delay_seconds:
+            await asyncio.sleep(self.faults.delay_seconds)
         if self.faults.status:
             await _answer(send, self.faults.status, {})
             return
