--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -146,7 +146,7 @@
             scene.ask("POST", target, b"{}", gateway=number - 1, **counts)
         )
         context.add_cleanup(context.running.cancel)
-        await until(lambda: scene.runs == 1)
+        await until(lambda: scene.runs == 1, lambda: scene.answers)
 
     context.gateway.acts.append(begin)
 
