Let the scenario of tokens set aside begin without a draw

Change: both holders have their 742 first, the first caller asks for 1,400, and the second for 2,000 instead of 1,500. As before that is more than the 1,570 that are not set aside and less than the 2,970 that there are, so the test is as strict: a mutant that counts tokens set aside as spent fails it with 402, before and after.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -220,9 +220,10 @@
   Scenario: A caller is told to come back while tokens are set aside for running requests
     Given 2 gateways before the services with 3000 prepaid tokens
     And upstream llm-1 of service llm that "streams slowly"
-    When gateway 1 begins to stream /draft/a for at most 2000 tokens
+    When gateway 1 knows that all hold 742 tokens
+    And gateway 1 begins to stream /draft/a for at most 1400 tokens
     And 2 seconds pass at the gateway
-    And gateway 2 is asked meanwhile to stream /draft/a for at most 1500 tokens
+    And gateway 2 is asked meanwhile to stream /draft/a for at most 2000 tokens
     Then the second caller is answered 429
 
   Scenario: While the store is away, a caller is told to come back for tokens
