Add a failing test of a request whose time is up while all upstreams are paused

It is refused with 503 and told to come back after 0.3 to 0.45 s, where the first upstream takes requests again after 6 s.

--- a/features/gateway_upstream_pauses.feature
+++ b/features/gateway_upstream_pauses.feature
@@ -18,6 +18,16 @@
     And refused requests have not run and have a retry time
     And no refusal has a retry time before the end of the pause of app-2
 
+  Scenario: A request whose time is up during a pause is told to come back before its end
+    Given a fleet of 1 gateway before 2 upstreams of service app
+    And app-1 always refuses with a pause of "9" seconds
+    And app-2 always refuses with a pause of "6" seconds
+    When 6 callers send requests on /get/ for 1 seconds
+    And a request on /get/ arrives whose time is up
+    Then app-2 got at most 2 requests between 0.5 and 6 seconds after the first
+    And refused requests have not run and have a retry time
+    And no refusal has a retry time before the end of the pause of app-2
+
   Scenario: An upstream gets requests again after its pause
     Given a fleet of 1 gateway before 2 upstreams of service app
     And app-1 refuses once with a pause of "1.5" seconds
--- a/features/steps/gateway_upstream_pauses.py
+++ b/features/steps/gateway_upstream_pauses.py
@@ -20,6 +20,11 @@
     context.fleet.upstreams_by_id[name].script = script
 
 
+@when("a request on {target} arrives whose time is up")
+def when_time_is_up(context, target):
+    context.fleet.acts.append(lambda scene: scene.ask("GET", target, x_quinceferry_deadline_ms="0"))
+
+
 @then("{name} got at most {limit:d} requests between {start:g} and {end:g} seconds after the first")
 def then_got_at_most(context, name, limit, start, end):
     arrivals = seconds_after_first(context, name)
