Tell a request whose time is up during a pause to come back after its end

Callers saw: a request whose time was up before it could be sent was told to come back after 0.3 to 0.45 s, also while all upstreams had asked for a longer pause. It was refused again then.

Cause: such a refusal named the general time for its reason, without a look at the pauses. The refusals of other requests in the pause named its end.

Change: it names the end of the first pause as well, where all upstreams are paused and the request has not run. Without pauses nothing changes.

Left: the retry time sent for pauses is 60 s at most, plus up to half of it at random, also where a pause is longer.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -173,9 +173,7 @@
             return progress.last_failure
         if progress.may_have_run:
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
-        pause_seconds = min(
-            self._selector.remaining_pause_seconds(progress), MAX_RETRY_AFTER_SECONDS
-        )
+        pause_seconds = self._pause_seconds(progress)
         if pause_seconds:
             detail = progress.last_detail or "all upstreams asked for a pause"
             return Refusal(Reason.UPSTREAMS_PAUSED, detail, retry_seconds=pause_seconds)
@@ -202,11 +200,19 @@
             return Refusal(Reason.OUTCOME_UNKNOWN, progress.last_detail)
         return quarantine_refusal(progress, remaining_seconds)
 
-    @staticmethod
-    def _timeout_refusal(progress: Progress) -> Refusal:
-        """Return the refusal of a request whose deadline has passed."""
-        reason = Reason.TIMED_OUT if progress.may_have_run else Reason.TIMED_OUT_UNSENT
-        return Refusal(reason, progress.last_detail)
+    def _timeout_refusal(self, progress: Progress) -> Refusal:
+        """Return the refusal of a request whose deadline has passed.
+
+        If it has not run and all upstreams are paused, a retry can succeed only after the pause.
+        """
+        if progress.may_have_run:
+            return Refusal(Reason.TIMED_OUT, progress.last_detail)
+        pause_seconds = self._pause_seconds(progress) or None
+        return Refusal(Reason.TIMED_OUT_UNSENT, progress.last_detail, retry_seconds=pause_seconds)
+
+    def _pause_seconds(self, progress: Progress) -> float:
+        """Return the retry time while all upstreams are paused, zero if one is not."""
+        return min(self._selector.remaining_pause_seconds(progress), MAX_RETRY_AFTER_SECONDS)
 
     def _should_retry_elsewhere(self, progress: Progress, head: AnswerHead) -> bool:
         """Return whether to retry elsewhere after an upstream answered with a server error."""
