--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -146,7 +146,7 @@
             scene.ask("POST", target, b"{}", gateway=number - 1, **counts)
         )
         context.add_cleanup(context.running.cancel)
-        await until(lambda: scene.runs == 1)
+        await until(lambda: scene.runs == 1, lambda: scene.answers)
 
     context.gateway.acts.append(begin)
 
@@ -233,6 +233,14 @@
     context.gateway.acts.append(silence)
 
 
+@when("the store answers {seconds:g} seconds late")
+def when_store_late(context, seconds):
+    async def delay(scene):
+        scene.store.faults.delay_seconds = seconds
+
+    context.gateway.acts.append(delay)
+
+
 @when("the gateway is told to stop during a stream")
 def when_stops(context):
     async def stop(scene):
