Ask no further holder for tokens after the deadline of a request

A request that was accepted by a stopping gateway with two seconds left was answered 2.8 s later, after the work of the stop had ended: with holders that don't answer, twelve calls of 0.35 s follow each other whatever the deadline. The holders are now asked until the deadline only, and the request is refused as timed out and not run.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -276,8 +276,12 @@
             or not call.max_tokens
         ):
             return None
-        result = await self._reservations.reserve(call.request_id, workspace.name, call.max_tokens)
+        result = await self._reservations.reserve(
+            call.request_id, workspace.name, call.max_tokens, progress.deadline_at
+        )
         if isinstance(result, Shortage):
+            if self._clock.monotonic() >= progress.deadline_at:
+                return Refusal(Reason.TIMED_OUT_UNSENT, "; ".join(result.holder_results))
             detail = (
                 f"{call.max_tokens} tokens of {workspace.name}; {'; '.join(result.holder_results)}"
             )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -151,19 +151,27 @@
         self._unsent_settlements_by_holder: dict[str, list[Settlement]] = defaultdict(list)
         self._is_flush_scheduled = False
 
-    async def reserve(self, request_id: str, workspace: str, tokens: int) -> Reservation | Shortage:
-        """Reserve tokens at this holder, then at other holders, then newly drawn ones."""
+    async def reserve(
+        self, request_id: str, workspace: str, tokens: int, deadline_at: float = math.inf
+    ) -> Reservation | Shortage:
+        """Reserve tokens at this holder, then at other holders, then newly drawn ones.
+
+        :param deadline_at: when to ask no further holder, on the monotonic clock in seconds.
+        """
         pending = _PendingReservation(
             f"{self._blackboard.own.incarnation}/{request_id}", workspace, tokens
         )
         holders = self._holders_to_call(workspace)
         for vm in holders:
+            if self._clock.monotonic() >= deadline_at:
+                break
             await self._reserve_at(
                 pending, vm, ReserveRequest(pending.id, workspace, pending.missing)
             )
             if not pending.missing:
                 return pending.reservation()
-        if not pending.exhausted and pending.drawing_holders:
+        is_in_time = self._clock.monotonic() < deadline_at
+        if is_in_time and not pending.exhausted and pending.drawing_holders:
             # The reply to an insufficient draw may still show that the workspace is exhausted.
             draw_request = ReserveRequest(
                 f"{pending.id}/drawn", workspace, pending.missing, allow_draw=True
@@ -208,6 +216,10 @@
             *(self._send_settlements(holder) for holder in list(self._unsent_settlements_by_holder))
         )
 
+    async def finish(self) -> None:
+        """Send all queued settlements, and wait for those that are being sent."""
+        await asyncio.gather(self.flush(), *self._tasks, return_exceptions=True)
+
     def _holders_to_call(self, workspace: str) -> list[str]:
         """Return the vms of the holders to call, in order.
 
