End requests in progress with the work of a stopping gateway, and answer them

Callers whose requests were in progress when the process ended saw a closed connection, or a bare 500 of the server where the request had waited for a permit. Cause: the end of a stop was no deadline of theirs. A stop now moves the deadlines of all requests to the end of its work, so that callers are told whether they may have run, and upstreams get no more time than that.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -68,6 +68,7 @@
         self._rng = rng
         self._planned_stop: PlannedStop | None = None
         self._accepted_at_by_exchange: dict[CallerExchange, float] = {}
+        self._running_by_exchange: dict[CallerExchange, Progress] = {}
         self._forwarded_in_progress = 0
 
     @property
@@ -78,9 +79,12 @@
     def begin_stop(self, planned_stop: PlannedStop) -> None:
         """Refuse requests that the end of the process might cut, and close connections.
 
-        Each connection is closed after its next answer.
+        Each connection is closed after its next answer. Requests in progress end with the work of
+        the gateway, and their callers are told whether they may have run.
         """
         self._planned_stop = planned_stop
+        for progress in self._running_by_exchange.values():
+            progress.shorten(planned_stop.work_ends_at, self._clock.monotonic())
 
     def log_cut_requests(self, planned_stop: PlannedStop) -> None:
         """Log the requests that the end of the process cuts."""
@@ -147,6 +151,7 @@
         if isinstance(admitted, Refusal):
             await self._refuse(exchange, request_id, admitted, started_at)
             return
+        self._running_by_exchange[exchange] = admitted
         run_task = asyncio.create_task(self._run(exchange, admitted, started_at))
         disconnect_task = asyncio.create_task(exchange.wait_disconnected())
         try:
@@ -161,6 +166,7 @@
                 )
                 self._count_outcome(admitted, "caller_left")
         finally:
+            del self._running_by_exchange[exchange]
             disconnect_task.cancel()
             run_task.cancel()
             await asyncio.gather(run_task, disconnect_task, return_exceptions=True)
@@ -200,8 +206,11 @@
             return self._denial(Reason.UNKNOWN_KEY, configuration)
         progress = self._new_progress(exchange, call, route, workspace, started_at)
         stop = self._planned_stop
-        if stop is not None and not stop.accepts(progress.deadline_at, self._clock.monotonic()):
-            return Refusal(Reason.STOPPING, "may outlast this gateway")
+        if stop is not None:
+            now = self._clock.monotonic()
+            if not stop.accepts(progress.deadline_at, now):
+                return Refusal(Reason.STOPPING, "may outlast this gateway")
+            progress.shorten(stop.work_ends_at, now)
         remaining_seconds = self._crashes.quarantine_seconds(progress)
         return quarantine_refusal(progress, remaining_seconds) if remaining_seconds else progress
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
@@ -6,6 +6,7 @@
 address for peers with :data:`FORWARDED_HEADER`.
 """
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -130,14 +131,20 @@
         self, progress: Progress, peer: Member, headers: list[tuple[bytes, bytes]]
     ) -> ForwardOutcome:
         """Send a request to a peer and return the outcome."""
+        remaining = progress.deadline_at - self._clock.monotonic()
         try:
-            return await self._exchanges.exchange_with_peer(
-                progress, peer.peer_address, headers, decode_refusal
-            )
+            async with asyncio.timeout(remaining) as progress.attempt_timeout:
+                return await self._exchanges.exchange_with_peer(
+                    progress, peer.peer_address, headers, decode_refusal
+                )
         except NotSentError as error:
             return PeerUnavailable(str(error))
         except ConnectionBrokenError as error:
             return UnknownOutcome(str(error))
+        except TimeoutError:
+            return UnknownOutcome("the request's time is up")
+        finally:
+            progress.attempt_timeout = None
 
 
 def decode_refusal(headers: Headers) -> Refusal | PeerUnavailable | None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -1,5 +1,6 @@
 """Progress of a request and of the answer to its caller."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -33,6 +34,7 @@
     reached an upstream that did not reject it, and ``retry_granted`` whether the retry budget has
     already granted the next attempt. ``max_attempts`` are those of its route, or fewer if a peer
     has forwarded it after some. ``tried_peers`` are the incarnations to which it was forwarded.
+    ``attempt_timeout`` ends the attempt in progress at the deadline.
     """
 
     call: Call
@@ -45,6 +47,7 @@
     max_attempts: int
     forwarded: bool = False
     tried_peers: list[str] = field(default_factory=list)
+    attempt_timeout: asyncio.Timeout | None = None
     tried_upstream_ids: list[str] = field(default_factory=list)
     delivered_sends: int = 0
     misdirected: int = 0
@@ -54,6 +57,18 @@
     last_detail: str = ""
     _fingerprint: str = field(default="", init=False, repr=False)
 
+    def shorten(self, deadline_at: float, now: float) -> None:
+        """Move the deadline forward, also for the attempt in progress.
+
+        :param now: the present time on the clock of the deadline.
+        """
+        if deadline_at >= self.deadline_at:
+            return
+        self.deadline_at = deadline_at
+        if self.attempt_timeout is not None:
+            remaining = max(0.0, deadline_at - now)
+            self.attempt_timeout.reschedule(asyncio.get_running_loop().time() + remaining)
+
     @property
     def remaining_attempts(self) -> int:
         """Return how many more times the request may be sent.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -310,7 +310,7 @@
         )
         attempt = self._register_attempt(progress, placement)
         try:
-            async with asyncio.timeout(remaining):
+            async with asyncio.timeout(remaining) as progress.attempt_timeout:
                 return await self._exchange_with_timeout(progress, upstream, headers, attempt)
         except NotSentError as error:
             attempt.record_failure(self._clock.monotonic())
@@ -328,6 +328,7 @@
         except TimeoutError:
             return UnknownOutcome("the request's time is up")
         finally:
+            progress.attempt_timeout = None
             attempt.finish(self._clock.monotonic())
 
     def _register_attempt(self, progress: Progress, placement: Placement) -> Attempt:
