--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -34,6 +34,8 @@
 WORKSPACE = "choir"
 FIRST_PORT = 15_000
 LAST_PORT = 30_000
+GRACE_SECONDS = 6.0
+"""Grace time of the gateways of a scenario."""
 PATIENCE_SECONDS = 20.0
 """How long a condition may take; far above what it needs, so that a slow machine is no failure."""
 
@@ -167,7 +169,8 @@
                 await _enter(stack, upstream)
             await self.publish(self.document)
             await self.register()
-            tasks = [self._begin(number, store_address) for number in range(self.gateways)]
+            self.tasks = [self._begin(number, store_address) for number in range(self.gateways)]
+            tasks = self.tasks
             for task in tasks:
                 stack.push_async_callback(self._end, task)
             await until(lambda: self._all_serve(tasks))
@@ -183,7 +186,7 @@
             Addresses(*(free_address() for _ in range(5))),
             StoreSettings(store_address, timeout_seconds=1.0),
             RetrySettings(0.2, 20, 10),
-            StopSettings(6.0, leave_seconds=0.5),
+            StopSettings(GRACE_SECONDS, leave_seconds=0.5, listen_seconds=0.5),
             budgets=BudgetSettings(held_share=self.held_share),
         )
         metrics = Metrics()
--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -71,3 +71,29 @@
       | 7        | 5    | 3    | 4        |
       | 83       | 5    | 4    | 6        |
       | 195      | 5    | 5    | 6        |
+
+  Scenario: A stopping gateway resets callers that have just sent a request
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    And 16 callers that send each short request on a new connection until none is accepted
+    When the gateway is told to stop
+    And all connections of the callers are closed
+    Then the callers got a whole answer to every request that they could send
+
+  Scenario: A gateway that notices its stop late cuts a stream that it accepted
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    And upstream llm-1 of service llm that "streams slowly"
+    And a caller that receives a stream
+    When the gateway is told to stop while its event loop is blocked for 1 second
+    And 1.1 seconds later a caller asks for a stream of /draft/late
+    And the gateway ends
+    Then the caller is refused at once, told when to return, and its connection is closed
+    And the gateway has ended 6 seconds after the signal
+
+  Scenario: A request in progress at the end of a stop is answered as if the gateway had failed
+    Given a gateway before the services
+    And upstream app-1 of service app that "never answers"
+    And a caller that waits for an answer to /post/long
+    When the gateway is told to stop
+    Then the waiting caller is answered 504 before the end of the grace time
--- a/features/steps/gateway_stops.py
+++ b/features/steps/gateway_stops.py
@@ -9,7 +9,13 @@
 
 from behave import given, then, when
 
-from features.fixtures_gateway import HOST, PATIENCE_SECONDS, until
+from features.fixtures_gateway import (
+    GRACE_SECONDS,
+    HOST,
+    PATIENCE_SECONDS,
+    configuration,
+    until,
+)
 from features.steps.gateway import TOKENS, check
 from features.steps.gateway_fleet import play as play_world
 from quinceferry_gateway.addresses import host_and_port
@@ -18,6 +24,13 @@
 from quinceferry_standins.managed_upstream import REQUEST_ID
 
 CONTENT_LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+WAITING_ROUTE = {"name": "long", "prefix": "/post/", "kind": "unsafe", "service": "app"} | {
+    "host": HOST,
+    "timeout_ms": 20_000,
+    "slo_ms": 500,
+    "priority": 2,
+    "attempts": 1,
+}
 ADDRESS_LIFETIME_SECONDS = 1.0
 """How long callers keep an answer to an address lookup."""
 MAX_REFUSAL_SECONDS = 0.5
@@ -191,3 +204,91 @@
 def then_not_named(context):
     play_world(context)
     assert not context.wrongly_named, context.wrongly_named
+
+
+@given("{count:d} callers that send each short request on a new connection until none is accepted")
+def given_new_connections(context, count):
+    async def begin(scene):
+        address = scene.applications[0].settings.listen.callers
+        scene.unanswered = []
+        scene.answered_ids = []
+        context.callers = [
+            asyncio.create_task(_send_until_refused(scene, address, f"caller-{number}"))
+            for number in range(count)
+        ]
+        await until(lambda: len(scene.answered_ids) > 2 * count)
+
+    context.gateway.acts.append(begin)
+
+
+async def _send_until_refused(scene, address, name):
+    """Send each request on a connection of its own until no more are accepted."""
+    for number in itertools.count():
+        request_id = f"{name}-{number}"
+        try:
+            reader, writer = await asyncio.open_connection(*host_and_port(address))
+        except ConnectionError:
+            return
+        headers = scene.headers(**{"x-quinceferry-request-id": request_id})
+        lines = b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+        writer.write(b"GET /get/short/a HTTP/1.1\r\n" + lines + b"\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(int(CONTENT_LENGTH.search(head)[1]))
+            scene.answered_ids.append(request_id)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            scene.unanswered.append(request_id)
+        writer.close()
+
+
+@then("the callers got a whole answer to every request that they could send")
+def then_none_unanswered(context):
+    check(context)
+    assert not context.gateway.unanswered, context.gateway.unanswered
+
+
+@when("the gateway is told to stop while its event loop is blocked for {seconds:g} second")
+def when_stop_noticed_late(context, seconds):
+    def stop(scene):
+        scene.stop_requested_at = time.monotonic()
+        time.sleep(seconds)
+        scene.stops[0].set()
+
+    context.gateway.acts.append(stop)
+
+
+@when("the gateway ends")
+def when_ended(context):
+    async def wait(scene):
+        await asyncio.wait_for(asyncio.shield(scene.tasks[0]), PATIENCE_SECONDS)
+        scene.stopped_after_seconds = time.monotonic() - scene.stop_requested_at
+
+    context.gateway.acts.append(wait)
+
+
+@then("the gateway has ended {seconds:g} seconds after the signal")
+def then_ended(context, seconds):
+    assert context.gateway.stopped_after_seconds < seconds, context.gateway.stopped_after_seconds
+
+
+@given("a caller that waits for an answer to {target}")
+def given_waiting(context, target):
+    async def begin(scene):
+        deadline = {"x_quinceferry_deadline_ms": "20000"}
+        scene.waiting = asyncio.create_task(scene.ask("POST", target, b"", **deadline))
+        await until(lambda: scene.runs == 1)
+
+    context.gateway.document = configuration(routes=[WAITING_ROUTE])
+    context.gateway.acts.append(begin)
+
+
+@then("the waiting caller is answered {status:d} before the end of the grace time")
+def then_waiting_answered(context, status):
+    async def wait(scene):
+        scene.late_answer = await asyncio.wait_for(scene.waiting, PATIENCE_SECONDS)
+        scene.answered_after_seconds = time.monotonic() - scene.stop_requested_at
+
+    check(context, wait)
+    scene = context.gateway
+    assert scene.late_answer.status == status, scene.late_answer
+    assert scene.answered_after_seconds < GRACE_SECONDS, scene.answered_after_seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import cache
 
 from quinceferry_core.adapters import KvStore
@@ -54,6 +54,13 @@
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a stopping gateway checks whether its last requests are answered."""
+LINGER_SECONDS = 0.2
+"""How long requests are served on open connections after the gateway has stopped to listen."""
+TICK_INTERVAL_SECONDS = 0.2
+"""Interval of the checks whether the event loop stalls. A planned stop may count as begun earlier
+by it."""
+MAX_TICK_SECONDS = 0.4
+"""Time between two checks from which the event loop counts as stalled in between."""
 INHERIT_TIMEOUT_SECONDS = 0.5
 """Longest wait for a peer that is to take over tokens; a planned stop leaves time to try several
 peers."""
@@ -87,6 +94,7 @@
         self.settings = settings
         self.metrics = metrics
         self._clock = clock
+        self._responsive_at = clock.monotonic()
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         metrics.observe_list_age(lambda: self._age_seconds(board.upstreams_read_at))
@@ -193,11 +201,10 @@
             self.caller_api, settings.listen.callers, PEER_IDLE_TIMEOUT_SECONDS * 3
         )
         peer_api = PeerApi(copies, self.holder, metrics, self.caller_api)
-        self._peer_listener = HttpListener(
-            peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS
-        )
+        peer_listener = HttpListener(peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS)
+        self._request_listeners = [self._caller_listener, peer_listener]
         self._other_listeners = [
-            self._peer_listener,
+            peer_listener,
             HttpListener(peer_api, settings.listen.metrics, PEER_IDLE_TIMEOUT_SECONDS),
             *create_listeners(self),
         ]
@@ -205,10 +212,11 @@
     async def run(self, stop_requested: asyncio.Event) -> None:
         """Serve until a stop is requested, then shut down gracefully."""
         await self._start()
-        housekeeping = asyncio.create_task(self._run_housekeeping())
+        tasks = [asyncio.create_task(self._run_housekeeping()), asyncio.create_task(self._tick())]
         await stop_requested.wait()
         await self._stop()
-        housekeeping.cancel()
+        for task in tasks:
+            task.cancel()
 
     async def _start(self) -> None:
         """Start all listeners and controllers."""
@@ -223,40 +231,75 @@
 
     async def _stop(self) -> None:
         """Shut down: withdraw the registration, finish requests, return tokens and close."""
-        stop = PlannedStop.starting_at(self._clock.monotonic(), self.settings.stop)
+        stop = PlannedStop.starting_at(self._responsive_at, self.settings.stop)
         self.blackboard.phase = Phase.DRAINING
         self.caller_api.begin_stop(stop)
         log.change("gateway.draining", in_progress=self.caller_api.in_progress)
         self._gossip.announce_leaving()
         # The store may be slow or unavailable, and callers must not wait for it.
         withdrawal = asyncio.create_task(self._registration.withdraw())
-        await self._clock.sleep(stop.callers_left_at - self._clock.monotonic())
+        await self._clock.sleep(max(0.0, stop.callers_left_at - self._clock.monotonic()))
         return_task = asyncio.create_task(self._return_tokens())
-        request_listeners = (self._caller_listener, self._peer_listener)
-        await self._wait_while(
-            lambda: sum(item.open_requests for item in request_listeners), stop.work_ends_at
-        )
-        for listener in request_listeners:
-            await listener.stop()
-        # A request may have arrived just before its listener stopped, and answers may be buffered.
-        await self._wait_while(
-            lambda: sum(item.open_connections for item in request_listeners), stop.work_ends_at
+        await self._serve_last_requests(stop)
+        await self._finish_by(
+            stop.closed_at,
+            self.reservations.finish(),
+            return_task,
+            withdrawal,
+            self._wait_while(self._count_open_connections, stop.closed_at),
         )
-        await self.reservations.flush()
-        await asyncio.gather(return_task, withdrawal)
         for controller in self._controllers:
             await controller.stop()
         for listener in self._other_listeners:
             await listener.stop()
         self.caller_api.log_cut_requests(stop)
-        log.change("gateway.stopped", in_progress=self.caller_api.in_progress)
+        log.change(
+            "gateway.stopped",
+            in_progress=self.caller_api.in_progress,
+            connections=self._count_open_connections(),
+        )
         log.flush()
 
+    async def _serve_last_requests(self, stop: PlannedStop) -> None:
+        """Serve until no request is in progress, then close the addresses for requests.
+
+        A request may be on its way when the last one ends. So connections stay open for a moment
+        after their listeners.
+        """
+        while self._count_open_requests() or self._clock.monotonic() < stop.listens_until:
+            if self._clock.monotonic() >= stop.work_ends_at:
+                break
+            await self._clock.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        for listener in self._request_listeners:
+            listener.stop_listening()
+        await self._clock.sleep(LINGER_SECONDS)
+        for listener in self._request_listeners:
+            await listener.stop()
+
     async def _wait_while(self, is_busy: Callable[[], int], ends_at: float) -> None:
         """Wait while there is work, at most until a time."""
         while is_busy() and self._clock.monotonic() < ends_at:
             await self._clock.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
 
+    async def _finish_by(self, ends_at: float, *steps: Awaitable[None]) -> None:
+        """Finish some steps together, and cancel those that take too long."""
+        tasks = [asyncio.ensure_future(step) for step in steps]
+        timeout_seconds = max(0.0, ends_at - self._clock.monotonic())
+        _, unfinished = await asyncio.wait(tasks, timeout=timeout_seconds)
+        for task in unfinished:
+            task.cancel()
+        if unfinished:
+            log.failure("gateway.unfinished", steps=len(unfinished))
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _count_open_requests(self) -> int:
+        """Return the number of requests in progress, those of peers included."""
+        return sum(listener.open_requests for listener in self._request_listeners)
+
+    def _count_open_connections(self) -> int:
+        """Return the number of connections for requests."""
+        return sum(listener.open_connections for listener in self._request_listeners)
+
     async def _return_tokens(self) -> None:
         """Return the tokens to the store, or pass them on to one peer if that fails.
 
@@ -286,6 +329,18 @@
         peers = self.blackboard.usable_peers()
         return sorted(peers, key=lambda peer: peer.vm not in vms)
 
+    async def _tick(self) -> None:
+        """Keep the time at which the event loop was last known to handle signals at once.
+
+        After a stall this is the time before it: the signal of a stop may have arrived meanwhile.
+        """
+        ticked_at = self._clock.monotonic()
+        while self.blackboard.phase is not Phase.DRAINING:
+            now = self._clock.monotonic()
+            self._responsive_at = ticked_at if now - ticked_at > MAX_TICK_SECONDS else now
+            ticked_at = now
+            await self._clock.sleep(TICK_INTERVAL_SECONDS)
+
     async def _run_housekeeping(self) -> None:
         """Periodically apply the configured idle timeout and forget removed upstreams."""
         while True:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
@@ -1,4 +1,4 @@
-"""Which requests a stopping gateway accepts.
+"""Which requests a stopping gateway accepts, and when its steps end.
 
 Callers keep an address for some seconds, and some use it until they learn another one, so requests
 arrive until the process ends. A request that is accepted and not finished by then is cut, though
@@ -12,26 +12,37 @@
 CLOSE_RESERVE_SECONDS = 0.8
 """Time reserved at the end of a planned stop for the last settlements and for closing
 connections."""
+EXIT_RESERVE_SECONDS = 0.3
+"""Part of it that is left for the exit of the process itself."""
 
 
 @dataclass(slots=True, frozen=True)
 class PlannedStop:
     """Times of a planned stop on the monotonic clock, in seconds.
 
-    Every request is accepted until ``callers_left_at``, when callers have had the time to learn
-    other addresses. Requests in progress at ``work_ends_at`` are cut.
+    Every request is accepted until ``callers_left_at``, when most callers have learned other
+    addresses. The gateway listens until ``listens_until`` at least, since some use an address for
+    longer. Requests end at ``work_ends_at``, and everything else at ``closed_at``.
     """
 
     began_at: float
     callers_left_at: float
+    listens_until: float
     work_ends_at: float
+    closed_at: float
 
     @classmethod
     def starting_at(cls, now: float, settings: StopSettings) -> "PlannedStop":
         """Return the times of a stop that begins now."""
         ends_at = now + settings.grace_seconds
         work_ends_at = max(now, ends_at - CLOSE_RESERVE_SECONDS)
-        return cls(now, min(now + settings.leave_seconds, work_ends_at), work_ends_at)
+        return cls(
+            began_at=now,
+            callers_left_at=min(now + settings.leave_seconds, work_ends_at),
+            listens_until=min(now + settings.listen_seconds, work_ends_at),
+            work_ends_at=work_ends_at,
+            closed_at=max(now, ends_at - EXIT_RESERVE_SECONDS),
+        )
 
     def accepts(self, deadline_at: float, now: float) -> bool:
         """Return whether to accept a request with that deadline.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
@@ -60,10 +60,14 @@
             self._create_protocol, sock=_create_listening_socket(self._address)
         )
 
-    async def stop(self) -> None:
-        """Accept no more connections, close the idle ones, and the others after their answers."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; requests on open ones are still served."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Accept no more connections, close the idle ones, and the others after their answers."""
+        self.stop_listening()
         for connection in list(self._state.connections):
             connection.shutdown()
 
