Add failing tests of requests that a stopping router accepts and cuts

Callers would see: a non-idempotent request that reaches a stopping router, also through a peer, starts there and is broken off at the bound of the stop with outcome unknown, so that it may not be sent again.

Whole routers on virtual time, with a stop of 60 s: a request with a deadline of 40 s that comes after 30 s is cut.

--- /dev/null
+++ b/features/router_stops.feature
@@ -0,0 +1,23 @@
+Feature: A stopping router accepts only what it can finish
+  Requests that may end after the stop are refused as never sent; all others are served.
+
+  Scenario: A request that may end after its router's stop is accepted and cut
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r2, with 40 seconds, is sent to r2 for 2500 tokens
+    Then request "a" is refused as "router_stopping" and was not run
+    And the stop of r2 cut 0 requests
+
+  Scenario: A peer forwards a request that may end after the stop of its home
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r2, with 40 seconds, is sent to r1 for 2500 tokens
+    Then request "a" is refused as "router_stopping" and was not run
+    And the stop of r2 cut 0 requests
+
+  Scenario: Steady traffic holds a stop until its bound and is cut there
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 1 seconds pass
+    And ticketed requests of home r2, with 10 seconds each, are sent to r2 until it has stopped
+    Then every request was answered whole or refused as never sent
+    And the stop of r2 cut 0 requests
