Refuse requests that are due after the end of their router's stop as never sent

Callers saw: a request that reached a stopping router, by its ticket or through a peer, began there and was cut at the bound of the stop. A non-idempotent one ended with outcome unknown and could not be sent again. Steady requests kept the stop going until its bound and were cut there.

Cause: the pipeline accepts requests in the state STOPPING until the stop ends, and nothing compared their deadline with the bound, which only the shutdown controller knew.

Change: the bound is on the blackboard from the beginning of the stop. A request that is due later is refused as router_stopping, never sent, before tokens are reserved; others are served. The refusal goes through the run like that of a missing budget: the store keeps it for a non-idempotent request, so that a late copy with less time does not run beside one with a new ticket, and drops it for an idempotent one.

Left: a deadline bounds when a request begins. An answer that runs past it can still be cut at the bound.

--- a/features/router_stops.feature
+++ b/features/router_stops.feature
@@ -21,3 +21,33 @@
     And ticketed requests of home r2, with 10 seconds each, are sent to r2 until it has stopped
     Then every request was answered whole or refused as never sent
     And the stop of r2 cut 0 requests
+
+  Scenario: A request that fits into the stop of its router is refused
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r2, with 20 seconds, is sent to r2 for 40 tokens
+    Then request "a" is answered whole
+    And it ran 1 time and has 1 bill for what the engine used
+
+  Scenario: A refused request runs at the stopping router when a copy with less time comes late
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r2, with 40 seconds, is sent to r2 for 40 tokens
+    And a copy of request "a", with 10 seconds, comes to r2
+    Then request "a" is refused as "router_stopping" and was not run
+
+  Scenario: A refused request cannot run at another router with a new ticket
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r2, with 40 seconds, is sent to r2 for 40 tokens
+    And later ticketed request "a" of home r1 is sent to r1
+    Then request "a" is answered whole
+    And it ran 1 time and has 1 bill for what the engine used
+
+  Scenario: An idempotent request that may end after its router's stop is accepted and cut
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And request "a" is sent to r2
+    Then request "a" is refused as "router_stopping" and was not run
+    When request "a" is sent to r1
+    Then request "a" is answered whole
--- a/features/steps/router_stops.py
+++ b/features/steps/router_stops.py
@@ -1,6 +1,7 @@
 """Steps that send requests to a router while it stops."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import then, when
 from fixtures_router_scenes import add_act, send
@@ -41,6 +42,15 @@
     add_act(context, act)
 
 
+@when('a copy of request "{name:w}", with {seconds:d} seconds, comes to {router:w}')
+def send_hurried_copy(context, name, seconds, router):
+    async def act(fleet):
+        copy = replace(fleet.sent[name], deadline_seconds=float(seconds))
+        await send(fleet, router, copy)
+
+    add_act(context, act)
+
+
 @when(
     "ticketed requests of home {home:w}, with {seconds:d} seconds each, "
     "are sent to {router:w} until it has stopped"
--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -3,6 +3,7 @@
 Only the controllers documented at a field write it; all others only read it.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -21,8 +22,9 @@
 class RouterState(Enum):
     """Life-cycle state of this router.
 
-    A stopping router is not named in address answers but still accepts requests. A router that has
-    left accepts none and is about to terminate. A fenced router's incarnation has been closed.
+    A stopping router is not named in address answers but still accepts requests that are due before
+    its stop ends. A router that has left accepts none and is about to terminate. A fenced router's
+    incarnation has been closed.
     """
 
     STARTING = "starting"
@@ -75,6 +77,9 @@
     """Written by the membership controller."""
     state: RouterState = RouterState.STARTING
     """Written by the membership and shutdown controllers."""
+    stop_deadline: float = math.inf
+    """Time at which open requests are aborted, in monotonic seconds; infinite unless this router
+    stops. Written by the shutdown controller."""
     configuration: Configuration = field(default_factory=Configuration)
     """Written by the configuration controller."""
     accepted_revision: int = 0
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -19,6 +19,7 @@
     Execution,
     RequestRecorder,
     router_not_ready_refusal,
+    router_stopping_refusal,
 )
 from quinceferryd.runs import RequestRun
 from quinceferryd.scheduling import Permit, Scheduler
@@ -68,6 +69,11 @@
         if account is None:
             run.publish(router_not_ready_refusal("execute"))
             return
+        if self._is_due_after_stop(request):
+            # Refused as a run: the run store keeps the refusal of a non-idempotent request, so that
+            # a late duplicate with an earlier deadline does not run beside one with a new ticket.
+            run.publish(router_stopping_refusal())
+            return
         execution = Execution(request, account, self._token_cap(request))
         account.open_requests += 1
         try:
@@ -145,6 +151,11 @@
                     final_event = event
         return final_event
 
+    def _is_due_after_stop(self, request: CallerRequest) -> bool:
+        """Return whether a request's deadline is later than the end of this router's stop."""
+        due_at = self._clock.monotonic() + request.deadline_seconds
+        return due_at > self._blackboard.stop_deadline
+
     def _token_cap(self, request: CallerRequest) -> int:
         """Return an upper bound of the tokens that one run of a request can use.
 
--- a/packages/quinceferry-daemon/src/quinceferryd/recording.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/recording.py
@@ -48,6 +48,12 @@
     return Failed(RefusalReason.ROUTER_NOT_READY, NEVER_SENT, RETRY_SECONDS, detail, step=step)
 
 
+def router_stopping_refusal() -> Failed:
+    """Return the refusal of a request that may still run when its router's stop aborts requests."""
+    detail = "this router stops before the request is due; use another address"
+    return Failed(RefusalReason.ROUTER_STOPPING, NEVER_SENT, RETRY_SECONDS, detail, step="submit")
+
+
 @dataclass(slots=True)
 class Execution:
     """A request in progress and the account that pays for it.
--- a/packages/quinceferry-daemon/src/quinceferryd/shutdown.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shutdown.py
@@ -57,9 +57,10 @@
     """Runs the graceful stop once, and watches for drain orders that request it.
 
     ``max_drain_seconds`` limits the time until the requests have finished. The wait for expired
-    answers takes ``answer_ttl_seconds`` and ``ANSWER_PROPAGATION_SECONDS`` of it. Only requests
-    whose deadline is later than this limit can be aborted. The steps after it have
-    ``MAX_STORE_STEP_SECONDS`` each.
+    answers takes ``answer_ttl_seconds`` and ``ANSWER_PROPAGATION_SECONDS`` of it. From the
+    beginning of the stop, no request is accepted whose deadline is later than this limit. Earlier
+    requests with a later deadline, and answers that run past their deadline, can be aborted. The
+    steps after it have ``MAX_STORE_STEP_SECONDS`` each.
 
     :param blackboard: shared state.
     :param kv: the key-value service.
@@ -93,7 +94,6 @@
         self._membership = membership
         self._open_requests = open_requests
         self._return_allotments = return_allotments
-        self._deadline = float("inf")
         self.stop_requested = asyncio.Event()
         """Set when a drain order for this router is known."""
         self.current_step: StopStep | None = None
@@ -107,7 +107,7 @@
         """Stop gracefully; return when this router has left the fleet or the time limits passed."""
         if self.current_step is not None:
             return
-        self._deadline = self._clock.monotonic() + self._settings.max_drain_seconds
+        self._blackboard.stop_deadline = self._clock.monotonic() + self._settings.max_drain_seconds
         has_joined = self._membership.member is not None
         self._record_step(StopStep.ANNOUNCE)
         if has_joined:
@@ -141,7 +141,7 @@
             return
         self._blackboard.state = RouterState.STOPPING
         deadline = self._clock.monotonic() + self._answer_ttl_seconds + ANSWER_PROPAGATION_SECONDS
-        while self._clock.monotonic() < min(deadline, self._deadline):
+        while self._clock.monotonic() < min(deadline, self._blackboard.stop_deadline):
             await self._clock.sleep(CHECK_INTERVAL_SECONDS)
 
     async def _finish_requests(self) -> None:
@@ -183,7 +183,7 @@
 
     def _is_before_deadline(self) -> bool:
         """Return whether the time limit of the stop has not passed yet."""
-        return self._clock.monotonic() < self._deadline
+        return self._clock.monotonic() < self._blackboard.stop_deadline
 
     async def _run_with_timeout(self, timeout_seconds: float, awaitable: Awaitable[None]) -> None:
         """Await a step, and cancel it after a timeout; its errors are ignored."""
