Add a failing test of a stop that can't be announced

Callers and balancers would see a stopping router as ready for as long as the key-value service is away, up to the bound of the stop, 700 s by default, and keep their connections to it.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -71,6 +71,24 @@
     When 200 fleet seconds pass
     Then the stop of "vm-2" has reached "done"
 
+  Scenario: A router stays ready while the service is away and its stop is not announced
+    Given the key-value service is out
+    When router "vm-2" begins to stop and 1 fleet seconds pass
+    Then router "vm-2" is not ready for callers
+    And router "vm-2" still takes requests
+    When 99 fleet seconds pass
+    Then the stop of "vm-2" has reached "announce"
+    And router "vm-2" is not ready for callers
+
+  Scenario: The wait for answers ends early when the announcement came late
+    Given the key-value service is out
+    When router "vm-2" begins to stop and 100 fleet seconds pass
+    And the key-value service returns and 39 fleet seconds pass
+    Then the stop of "vm-2" has reached "wait_for_answers"
+    And router "vm-2" still takes requests
+    When 15 fleet seconds pass
+    Then the stop of "vm-2" has reached "done"
+
   Scenario: A request without an end does not hold the stop for ever
     Given router "vm-2" has 1 requests in progress
     When router "vm-2" begins to stop and 295 fleet seconds pass
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -8,12 +8,19 @@
 
 from quinceferry_core.membership import AbsenceProof, absence_proof
 from quinceferry_core.models import VmRecord
+from quinceferryd.blackboard import RouterState
 from quinceferryd.shutdown import DRAIN_KEY_PREFIX, StopStep
 
 ASK_SECONDS = 0.5
 REQUEST_SECONDS = 20.0
 
 
+@then('router "{vm}" is not ready for callers')
+def check_not_ready(context, vm):
+    state = context.fleet.routers_by_vm[vm].blackboard.state
+    assert state is not RouterState.SERVING, state
+
+
 @given('router "{vm}" has {count:d} requests in progress')
 def hold_requests(context, vm, count):
     context.fleet.routers_by_vm[vm].open_requests = count
