Let a stopping router be not ready from the beginning, whatever the service does

Callers and balancers saw: while the key-value service was away, a router that was told to stop answered /ready with 200 and kept connections open, up to the bound of its stop.

Cause: the state became stopping only after the announcement had been published, and the announcement is retried until the bound. The state decides what /ready answers and whether connections are closed.

Change: a serving router enters the state when its stop begins; a fenced one stays fenced. The wait for expired answers still begins after the publication, and the router serves meanwhile as before.

Left: while the service is away other routers go on naming the stopping one, and their tickets too. A request that is due after its bound is refused there again after each new ticket of that home.

--- a/packages/quinceferry-daemon/src/quinceferryd/shutdown.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/shutdown.py
@@ -1,7 +1,8 @@
 """Graceful stop of a router.
 
-The router announces its stop, so that address answers no longer name it, and serves until earlier
-answers have expired. Then it finishes its requests, returns its tokens and leaves the fleet.
+The router is not ready for new callers from the beginning. It announces its stop, so that address
+answers no longer name it, and serves until earlier answers have expired. Then it finishes its
+requests, returns its tokens and leaves the fleet.
 """
 
 import asyncio
@@ -110,6 +111,8 @@
         self._blackboard.stop_deadline = self._clock.monotonic() + self._settings.max_drain_seconds
         has_joined = self._membership.member is not None
         self._record_step(StopStep.ANNOUNCE)
+        if self._blackboard.state is RouterState.SERVING:
+            self._blackboard.state = RouterState.STOPPING
         if has_joined:
             await self._announce()
             await self._publish_step(StopStep.WAIT_FOR_ANSWERS)
@@ -139,7 +142,6 @@
         """Serve until all address answers that name this router have expired."""
         if self._blackboard.state is RouterState.FENCED:
             return
-        self._blackboard.state = RouterState.STOPPING
         deadline = self._clock.monotonic() + self._answer_ttl_seconds + ANSWER_PROPAGATION_SECONDS
         while self._clock.monotonic() < min(deadline, self._blackboard.stop_deadline):
             await self._clock.sleep(CHECK_INTERVAL_SECONDS)
