Add a failing test of a router that is told to stop while it joins

The join ends after the stop has begun and overwrites it: the router is ready, is published as serving and named to callers, until its stop ends and it is gone, with their answers valid for 30 s more. On virtual time, with a join of 5 s and a stop after 1 s, the state is serving 20 s after the stop began.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -89,6 +89,12 @@
     When 15 fleet seconds pass
     Then the stop of "vm-2" has reached "done"
 
+  Scenario: A router that is told to stop while it joins begins to serve
+    Given router "vm-4" takes 5 seconds to join the fleet
+    When router "vm-4" begins to stop and 20 fleet seconds pass
+    Then router "vm-4" is not ready for callers
+    And no router names "vm-4"
+
   Scenario: A request without an end does not hold the stop for ever
     Given router "vm-2" has 1 requests in progress
     When router "vm-2" begins to stop and 295 fleet seconds pass
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -15,6 +15,17 @@
 REQUEST_SECONDS = 20.0
 
 
+@given('router "{vm}" takes {seconds:d} seconds to join the fleet')
+def join_slowly(context, vm, seconds):
+    fleet = context.fleet
+    router = fleet.router_class(fleet, vm, len(fleet.routers_by_vm) + 1)
+    fleet.call(fleet.vm_list.add, VmRecord(router.vm, router.blackboard.identity.zone))
+    router.membership.add_join_hook(lambda: fleet.clock.sleep(seconds))
+    fleet.routers_by_vm[vm] = router
+    fleet.run(router.start())
+    fleet.advance(1)
+
+
 @then('router "{vm}" is not ready for callers')
 def check_not_ready(context, vm):
     state = context.fleet.routers_by_vm[vm].blackboard.state
