Keep a router that is told to stop while it joins from serving

Callers would see: a router that got its stop within the seconds of its join became ready, was named in address answers and accepted callers for the whole stop, then refused them while the answers still named it.

Cause: the end of a join sets the states in the record and on the blackboard to serving, also when the stop has set them to stopping meanwhile. Evidence: the listed test.

Change: a join that ends after the stop has begun changes neither state; the record stays for the steps of the stop. A fenced router doesn't join again once its stop has begun, whether or not the announcement was set in its record.

--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -103,3 +103,8 @@
     all records written before it; None until read; written by the membership controller."""
     kv: KvHealth = field(default_factory=KvHealth)
     """Written by the KV health wrapper."""
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether this router's stop has begun, in whatever state it is."""
+        return self.stop_deadline < math.inf
--- a/packages/quinceferry-daemon/src/quinceferryd/membership.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/membership.py
@@ -135,9 +135,11 @@
         await self._heartbeat.bind()
         for hook in self._join_hooks:
             await hook()
-        self._heartbeat.change_member(state=MemberState.SERVING)
+        if not self._blackboard.is_stopping:
+            self._heartbeat.change_member(state=MemberState.SERVING)
         await self._heartbeat.write()
-        self._blackboard.state = RouterState.SERVING
+        if not self._blackboard.is_stopping:
+            self._blackboard.state = RouterState.SERVING
         self.joins += 1
 
     async def update_record(self, **changes: Any) -> None:
@@ -200,8 +202,7 @@
                 await self._heartbeat.write()
             case LeaseRenewal.NO_ANSWER:
                 return
-        listed = self._is_vm_listed()
-        await self._incarnation.update(listening=self._is_listening, vm_listed=listed)
+        await self._incarnation.update(listening=self._is_listening, vm_listed=self._is_vm_listed())
 
     async def _maintain_membership(self) -> None:
         while not self._is_leaving:
@@ -255,7 +256,7 @@
         self._blackboard.state = RouterState.FENCED
         if self.on_fenced is not None:
             await self.on_fenced(self._blackboard.identity.incarnation)
-        if self.member is not None and self.member.state is MemberState.STOPPING:
+        if self._blackboard.is_stopping:
             self._is_leaving = True
             return
         self._heartbeat.clear()
