Add failing tests of requests of other homes that a stopping router relays and cuts

Callers would see: a stream relayed from another home breaks off as the router's process ends. A router relays such requests while it stops, however late they are due, and even after it has left. They are no runs of its own; its server cuts what is open when the readers' timeout and 5 s have passed, 65 s by default.

--- a/features/router_stops.feature
+++ b/features/router_stops.feature
@@ -51,3 +51,34 @@
     Then request "a" is refused as "router_stopping" and was not run
     When request "a" is sent to r1
     Then request "a" is answered whole
+
+  Scenario: A stopping router relays a request of another home that outlasts the stop
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r1, with 40 seconds, is sent to r2 for 40 tokens
+    Then request "a" is refused as "router_not_ready" and may have run
+    When the same copy of request "a" comes to r1 again
+    Then request "a" is answered whole
+    And it ran 1 time and has 1 bill for what the engine used
+
+  Scenario: A router that has left relays a request of another home and cuts it when it ends
+    Given 2 routers and a budget of 100000 tokens
+    When r2 is stopped
+    And ticketed request "a" of home r1, with 40 seconds, is sent to r2 for 40 tokens
+    Then request "a" is refused as "router_not_ready" and may have run
+    When the same copy of request "a" comes to r1 again
+    Then request "a" is answered whole
+
+  Scenario: A stopping router joins an idempotent request at its home that outlasts the stop
+    Given 2 routers and a budget of 100000 tokens
+    When request "a" is sent to r1
+    And r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed idempotent request "a" of home r1, with 40 seconds, is sent to r2
+    Then request "a" is refused as "router_not_ready" and may have run
+
+  Scenario: A stopping router does not relay a request that fits into its stop
+    Given 2 routers and a budget of 100000 tokens
+    When r2 begins a stop of at most 60 seconds, and 30 seconds pass
+    And ticketed request "a" of home r1, with 20 seconds, is sent to r2 for 40 tokens
+    Then request "a" is answered whole
+    And it ran 1 time and has 1 bill for what the engine used
--- a/features/steps/router_stops.py
+++ b/features/steps/router_stops.py
@@ -42,6 +42,19 @@
     add_act(context, act)
 
 
+@when(
+    'ticketed idempotent request "{name:w}" of home {home:w}, with {seconds:d} seconds, '
+    "is sent to {router:w}"
+)
+def send_idempotent_due(context, name, home, seconds, router):
+    async def act(fleet):
+        ticket = fleet.ticket(router, home)
+        request = fleet.request(name, ticket=ticket, deadline_seconds=float(seconds))
+        await send(fleet, router, request)
+
+    add_act(context, act)
+
+
 @when('a copy of request "{name:w}", with {seconds:d} seconds, comes to {router:w}')
 def send_hurried_copy(context, name, seconds, router):
     async def act(fleet):
