Refuse requests of other homes that a stopping router can't relay to their end

Callers saw: a request for another home that reached a router late in its stop, or after it had left, was relayed and broken off when the router's process ended.

Cause: only the runs of the router itself were held against its state and the bound of its stop, relays were not.

Change: a router that stops refuses a relay that is due after its bound, and one that has left every relay, as router_not_ready with outcome unknown, like a router that has not joined: the home may have run the request, so the caller keeps its ticket and goes to another address. The check is one for runs and relays. The refusal of circular forwards moves beside the others of forwards.

--- a/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/blackboard.py
@@ -108,3 +108,10 @@
     def is_stopping(self) -> bool:
         """Return whether this router's stop has begun, in whatever state it is."""
         return self.stop_deadline < math.inf
+
+    def serves_until(self, due_at: float) -> bool:
+        """Return whether this router's stop, if any, leaves time for a request.
+
+        :param due_at: deadline of the request, in monotonic seconds.
+        """
+        return self.state is not RouterState.LEFT and due_at <= self.stop_deadline
--- a/packages/quinceferry-daemon/src/quinceferryd/execution.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/execution.py
@@ -69,7 +69,7 @@
         if account is None:
             run.publish(router_not_ready_refusal("execute"))
             return
-        if self._is_due_after_stop(request):
+        if not self._blackboard.serves_until(self._clock.monotonic() + request.deadline_seconds):
             # Refused as a run: the run store keeps the refusal of a non-idempotent request, so that
             # a late duplicate with an earlier deadline does not run beside one with a new ticket.
             run.publish(router_stopping_refusal())
@@ -151,11 +151,6 @@
                     final_event = event
         return final_event
 
-    def _is_due_after_stop(self, request: CallerRequest) -> bool:
-        """Return whether a request's deadline is later than the end of this router's stop."""
-        due_at = self._clock.monotonic() + request.deadline_seconds
-        return due_at > self._blackboard.stop_deadline
-
     def _token_cap(self, request: CallerRequest) -> int:
         """Return an upper bound of the tokens that one run of a request can use.
 
--- a/packages/quinceferry-daemon/src/quinceferryd/forwards.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/forwards.py
@@ -28,6 +28,30 @@
     step="forward",
 )
 
+CIRCULAR_FORWARD = Failed(
+    RefusalReason.BUDGET_UNREACHABLE,
+    NotRun(NotRunProof.NEVER_SENT),
+    FORWARD_RETRY_SECONDS,
+    "this router has asked others to run the request",
+    step="forward",
+)
+"""Refusal of a forwarded request that this router has forwarded, too.
+
+Without it, two routers without tokens could wait for each other's answer.
+"""
+
+STOPPING_RELAY = Failed(
+    RefusalReason.ROUTER_NOT_READY,
+    Unknown(),
+    FORWARD_RETRY_SECONDS,
+    "this router stops before the request of another home is due; use another address",
+    step="forward",
+)
+"""Refusal of a request for another home that this router would have to break off.
+
+Its outcome is unknown, because the home may have run it already.
+"""
+
 
 async def forward(peers: PeerClient, address: str, request: CallerRequest) -> AnswerStream:
     """Send a request to a peer and yield the events of its answer.
--- a/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/pipeline.py
@@ -25,23 +25,12 @@
 from quinceferryd.crashes import CrashWatch
 from quinceferryd.execution import Executor
 from quinceferryd.fingerprints import fingerprint
-from quinceferryd.forwards import forward
+from quinceferryd.forwards import CIRCULAR_FORWARD, STOPPING_RELAY, forward
 from quinceferryd.proofs import JournalProofs
 from quinceferryd.recording import NEVER_SENT, router_not_ready_refusal
 from quinceferryd.refusals import HOME_ROUTER_RETRY_SECONDS, home_router_failure
 from quinceferryd.runs import RequestRun, RunStore
 
-_CIRCULAR_FORWARD = Failed(
-    RefusalReason.BUDGET_UNREACHABLE,
-    NEVER_SENT,
-    HOME_ROUTER_RETRY_SECONDS,
-    "this router has asked others to run the request",
-    step="forward",
-)
-"""Refusal of a forwarded request that this router has forwarded, too.
-
-Without it, two routers without tokens could wait for each other's answer.
-"""
 _ACCEPTING_STATES = (RouterState.SERVING, RouterState.STOPPING)
 
 
@@ -98,7 +87,7 @@
         key = RequestKey(request.workspace, request.request_id)
         existing = self.runs.find(key)
         if existing is not None and request.forwarded and existing.was_forwarded:
-            return _single_event(_CIRCULAR_FORWARD)
+            return _single_event(CIRCULAR_FORWARD)
         if existing is not None and self._can_replay(existing, request):
             return self._replay_existing(existing, request)
         refusal = self._ticket_refusal(request) or self._quarantine_refusal(request)
@@ -109,6 +98,8 @@
             return self._run(key, request)
         if request.forwarded:
             return self._answer_forwarded(key, request, ticket)
+        if not self._blackboard.serves_until(self._clock.monotonic() + request.deadline_seconds):
+            return _single_event(STOPPING_RELAY)
         if request.idempotent:
             return self._join_or_run(key, request, ticket)
         return self._forward_home(request, ticket)
