Add a failing test of copies that a router accepts after it has written those it holds

An owner would take a copy as held that ends with its holder's process: a stopping router writes the bills among its copies once, and goes on answering "held" until its server ends. If the owner then dies before its entry is durable, the bill is known to nobody.

--- a/features/router_stops.feature
+++ b/features/router_stops.feature
@@ -82,3 +82,9 @@
     And ticketed request "a" of home r1, with 20 seconds, is sent to r2 for 40 tokens
     Then request "a" is answered whole
     And it ran 1 time and has 1 bill for what the engine used
+
+  Scenario: A router that has written its bills promises to hold a copy and ends with it
+    Given 2 routers and a budget of 100000 tokens
+    When r2 is stopped
+    And a copy of a bill is sent to r2
+    Then the copy is not held
--- a/features/steps/router_stops.py
+++ b/features/steps/router_stops.py
@@ -4,8 +4,11 @@
 from dataclasses import replace
 
 from behave import then, when
-from fixtures_router_scenes import add_act, send
+from fixtures_router_scenes import DEAD, add_act, send
 
+from features.fixtures_routers import WORKSPACE
+from quinceferry_core.copies import EntryCopy, HoldReply, HoldRequest
+from quinceferry_core.journals import Settle
 from quinceferry_core.outcomes import NotRun
 from quinceferryd.blackboard import RouterState
 from quinceferryd.settings import ShutdownSettings
@@ -86,6 +89,26 @@
     add_act(context, act)
 
 
+@when("a copy of a bill is sent to {router:w}")
+def send_bill_copy(context, router):
+    async def act(fleet):
+        holder = fleet.applications_by_name[router]
+        copies = (EntryCopy(0, Settle(WORKSPACE, "a", 7, True, DEAD)),)
+        request = HoldRequest(holder.blackboard.identity.incarnation, DEAD, copies)
+        fleet.hold_reply = holder.copies.hold(request)
+
+    add_act(context, act)
+
+
+@then("the copy is not held")
+def check_not_held(context):
+    async def check(fleet):
+        assert [bill.request for bill in await fleet.bills()] == []
+        assert fleet.hold_reply is HoldReply.NOT_HOLDER, fleet.hold_reply
+
+    context.scene.play(check)
+
+
 @then("every request was answered whole or refused as never sent")
 def check_none_cut(context):
     async def check(fleet):
