Hold no more copies once a stopping router has written the bills among them

An owner that placed a copy at such a router took its entry as safe, answered its caller, and lost the bill if it died before the entry was durable: the copy ended with the holder's process.

Cause: the stop collects the bills of all copies once, and the store goes on accepting until the server ends.

Change: collecting the bills closes the store. It then answers not_holder, upon which the owner tries its other holders or refuses; what it holds can still be collected.

Left: in an outage the bills can't be written before the stop ends, and copies held until then end with the process.

--- a/packages/quinceferry-core/src/quinceferry_core/copies.py
+++ b/packages/quinceferry-core/src/quinceferry_core/copies.py
@@ -45,7 +45,7 @@
 
     ``held``: the copies are stored. ``sealed``: the copies were collected, so that no more are
     accepted. ``full``: the holder's memory limit for copies is reached. ``not_holder``: the process
-    is not the registered holder.
+    is not the registered holder, or has written what it held and is about to terminate.
     """
 
     HELD = "held"
--- a/packages/quinceferry-daemon/src/quinceferryd/application.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/application.py
@@ -269,7 +269,7 @@
         billed for the tokens that they used before any token is returned.
         """
         await self.pipeline.stop()
-        self.accounts.append_bills(self.copies.settlements())
+        self.accounts.append_bills(self.copies.close())
         await self.accounts.flush_and_retire()
 
     async def _close_fenced_account(self, incarnation: IncarnationId) -> None:
--- a/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/copy_store.py
@@ -58,6 +58,7 @@
         self.held_bytes = 0
         self._copies_by_owner: dict[IncarnationId, _OwnerCopies] = {}
         self._own_incarnations: set[IncarnationId] = set()
+        self._is_closed = False
 
     def add_own_incarnation(self, incarnation: IncarnationId) -> None:
         """Register an incarnation of this process, under which it accepts copies."""
@@ -72,7 +73,7 @@
 
         A delayed call removes no copy that is still needed, because durable entries stay durable.
         """
-        if request.holder not in self._own_incarnations:
+        if self._is_closed or request.holder not in self._own_incarnations:
             return HoldReply.NOT_HOLDER
         owner_copies = self._copies_by_owner.setdefault(request.owner, _OwnerCopies())
         if owner_copies.is_sealed:
@@ -96,8 +97,12 @@
         owner_copies.is_sealed = True
         return CollectReply(True, tuple(owner_copies.copies()))
 
-    def settlements(self) -> list[Settle]:
-        """Return the bills among all copies, which a stopping router writes to its own journal."""
+    def close(self) -> list[Settle]:
+        """Hold no more copies; those held can still be collected.
+
+        :return: the bills among all copies, which a stopping router writes to its own journal.
+        """
+        self._is_closed = True
         return [
             bill
             for owner_copies in self._copies_by_owner.values()
