--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -186,7 +186,7 @@
             Addresses(*(free_address() for _ in range(5))),
             StoreSettings(store_address, timeout_seconds=1.0),
             RetrySettings(0.2, 20, 10),
-            StopSettings(GRACE_SECONDS, leave_seconds=0.5, listen_seconds=0.5),
+            StopSettings(GRACE_SECONDS, leave_seconds=0.5),
             budgets=BudgetSettings(held_share=self.held_share),
         )
         metrics = Metrics()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -266,10 +266,7 @@
         A request may be on its way when the last one ends. So connections stay open for a moment
         after their listeners.
         """
-        while self._count_open_requests() or self._clock.monotonic() < stop.listens_until:
-            if self._clock.monotonic() >= stop.work_ends_at:
-                break
-            await self._clock.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        await self._wait_while(self._count_open_requests, stop.work_ends_at)
         for listener in self._request_listeners:
             listener.stop_listening()
         await self._clock.sleep(LINGER_SECONDS)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
@@ -21,13 +21,11 @@
     """Times of a planned stop on the monotonic clock, in seconds.
 
     Every request is accepted until ``callers_left_at``, when most callers have learned other
-    addresses. The gateway listens until ``listens_until`` at least, since some use an address for
-    longer. Requests end at ``work_ends_at``, and everything else at ``closed_at``.
+    addresses. Requests end at ``work_ends_at``, and everything else at ``closed_at``.
     """
 
     began_at: float
     callers_left_at: float
-    listens_until: float
     work_ends_at: float
     closed_at: float
 
@@ -39,7 +37,6 @@
         return cls(
             began_at=now,
             callers_left_at=min(now + settings.leave_seconds, work_ends_at),
-            listens_until=min(now + settings.listen_seconds, work_ends_at),
             work_ends_at=work_ends_at,
             closed_at=max(now, ends_at - EXIT_RESERVE_SECONDS),
         )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -55,13 +55,12 @@
 
     ``grace_seconds`` is the time until the process is killed; ``leave_seconds`` is how long it
     accepts every request, until callers have had the time to learn other addresses. Afterwards it
-    accepts those that are certainly finished before the process ends, and refuses the others. It
-    listens for ``listen_seconds`` at least.
+    accepts those that are certainly finished before the process ends, and refuses the others; once
+    nothing is in progress, it listens no more.
     """
 
     grace_seconds: float
     leave_seconds: float = 2.5
-    listen_seconds: float = 3.5
 
 
 class DirectorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
