Withdraw a registration whose write was under way when the gateway was stopped

Other gateways named a stopped gateway to callers for up to 12 s, the time to live of its lease. Cause: the lease was remembered only after the write of the registration was answered. SIGTERM during the write cancelled it, and nothing was revoked; a write still on its way took effect afterwards. One failed revocation left the entry, too. Evidence: the scenarios "A gateway that stops while its registration is being written stays registered", "... is on its way is registered afterwards" and "A gateway stays registered since the store fails once while it withdraws" fail on the code before, with the key of the gateway still listed half a second after the withdrawal.

The lease is remembered as soon as it is granted, and revoked whether or not the write was answered: the store refuses a later write under an ended lease. A failed revocation is repeated for two seconds. A write that failed is repeated under the same lease, so a conflict means that an earlier one took effect, and the gateway counts as registered; before, it did not know that until the first lease ended ("A gateway whose registration was not answered does not know that it is registered" fails on the code before). Two more scenarios pass before and after, and guard the change: the withdrawal is bounded, and a refused write is repeated.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -71,3 +71,41 @@
       | 7        | 5    | 3    | 4        |
       | 83       | 5    | 4    | 6        |
       | 195      | 5    | 5    | 6        |
+
+  Scenario: A gateway that stops while its registration is being written stays registered
+    Given a gateway that registers in a store
+    When the write of its registration takes effect and is not answered for 0.6 seconds
+    And the gateway withdraws its registration 0.2 seconds later
+    Then nothing is registered half a second later
+
+  Scenario: A gateway that stops while its registration is on its way is registered afterwards
+    Given a gateway that registers in a store
+    When the write of its registration arrives 0.6 seconds late
+    And the gateway withdraws its registration 0.2 seconds later
+    Then nothing is registered half a second later
+
+  Scenario: A gateway stays registered since the store fails once while it withdraws
+    Given a gateway that registers in a store
+    And it is registered
+    When the store refuses writes for 0.4 seconds
+    And the gateway withdraws its registration 0.2 seconds later
+    Then nothing is registered half a second later
+
+  Scenario: The stop of a gateway waits without end for a store that does not answer
+    Given a gateway that registers in a store
+    And it is registered
+    When the store answers nothing for 60 seconds
+    And the gateway withdraws its registration 0.2 seconds later
+    Then the withdrawal ended within 3 seconds
+
+  Scenario: A gateway whose registration failed once is never registered
+    Given a gateway that registers in a store
+    When the write of its registration is refused once
+    And 3 seconds pass at the registering gateway
+    Then its key is registered, and it knows that
+
+  Scenario: A gateway whose registration was not answered does not know that it is registered
+    Given a gateway that registers in a store
+    When the write of its registration takes effect and is not answered for 2 seconds
+    And 4 seconds pass at the registering gateway
+    Then its key is registered, and it knows that
--- /dev/null
+++ b/features/steps/gateway_stops_fleet.py
@@ -0,0 +1,184 @@
+"""Steps for what a fleet knows of gateways that stop, and what these know of it."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from quinceferry_core.exceptions import KvUnavailableError
+from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.membership import MEMBER_PREFIX, Registration
+from quinceferry_lab.virtual_time import VirtualClock, run_virtual
+from quinceferry_standins.kv import FakeKv
+
+STORE_TIMEOUT_SECONDS = 1.0
+CALM_SECONDS = 0.5
+"""Time after a withdrawal in which writes that were on their way arrive."""
+
+
+class LateWrites:
+    """A connection to the store whose next write of a key takes long to arrive or to be answered.
+
+    Writes still arrive when the caller has given up.
+    """
+
+    def __init__(self, connection, clock):
+        self._connection = connection
+        self._clock = clock
+        self.arrives_after_seconds = 0.0
+        self.answered_after_seconds = 0.0
+
+    def __getattr__(self, name):
+        return getattr(self._connection, name)
+
+    async def put_if(self, key, value, expected_version, lease=""):
+        """Write a key by compare-and-swap."""
+        task = asyncio.create_task(self._put_late(key, value, expected_version, lease))
+        # Nobody waits for the outcome of a write whose caller has given up.
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_SECONDS):
+                return await asyncio.shield(task)
+        except TimeoutError as error:
+            raise KvUnavailableError("no answer", step="put_if") from error
+
+    async def _put_late(self, key, value, expected_version, lease):
+        arrives_after, self.arrives_after_seconds = self.arrives_after_seconds, 0.0
+        answered_after, self.answered_after_seconds = self.answered_after_seconds, 0.0
+        await self._clock.sleep(arrives_after)
+        entry = await self._connection.put_if(key, value, expected_version, lease)
+        await self._clock.sleep(answered_after)
+        return entry
+
+
+class Registering:
+    """A gateway that registers in a store, in virtual time."""
+
+    def __init__(self):
+        self.clock = VirtualClock()
+        self.kv = FakeKv(self.clock, random.Random(1))
+        self.connection = self.kv.connect("a", STORE_TIMEOUT_SECONDS)
+        self.store = LateWrites(self.connection, self.clock)
+        self.board = Blackboard(Member("a-1", "a", "z", "", ""), phase=Phase.SERVING)
+        # The registration only checks whether there is one.
+        self.board.configuration = object()
+        self.board.upstreams_revision = 1
+        self.registration = Registration(self.board, self.store, self.clock)
+        self.withdrawn_after_seconds = None
+
+    async def keys(self):
+        """Return the keys of the registered members."""
+        return [entry.key for entry in await self.kv.list(MEMBER_PREFIX)]
+
+
+@given("a gateway that registers in a store")
+def given_registering(context):
+    context.acts = []
+    context.prepare = []
+
+
+@given("it is registered")
+def given_registered(context):
+    context.acts.append(lambda scene: scene.registration.registered.wait())
+
+
+@when("the write of its registration takes effect and is not answered for {seconds:g} seconds")
+def when_answered_late(context, seconds):
+    def delay(scene):
+        scene.store.answered_after_seconds = seconds
+
+    context.prepare.append(delay)
+
+
+@when("the write of its registration arrives {seconds:g} seconds late")
+def when_arrives_late(context, seconds):
+    def delay(scene):
+        scene.store.arrives_after_seconds = seconds
+
+    context.prepare.append(delay)
+
+
+@when("the write of its registration is refused once")
+def when_refused_once(context):
+    def refuse(scene):
+        scene.connection.faults.key_prefix = MEMBER_PREFIX
+        scene.connection.faults.refuse_next = 1
+
+    context.prepare.append(refuse)
+
+
+@when("the store refuses writes for {seconds:g} seconds")
+def when_refuses(context, seconds):
+    async def refuse(scene):
+        scene.connection.faults.refuse_probability = 1.0
+        asyncio.get_running_loop().call_later(seconds, scene.connection.faults.clear)
+
+    context.acts.append(refuse)
+
+
+@when("the store answers nothing for {seconds:g} seconds")
+def when_silent(context, seconds):
+    async def fall_silent(scene):
+        scene.connection.faults.outage = True
+        asyncio.get_running_loop().call_later(seconds, scene.connection.faults.clear)
+
+    context.acts.append(fall_silent)
+
+
+@when("the gateway withdraws its registration {seconds:g} seconds later")
+def when_withdraws(context, seconds):
+    async def withdraw(scene):
+        await scene.clock.sleep(seconds)
+        began_at = scene.clock.monotonic()
+        scene.board.phase = Phase.DRAINING
+        await scene.registration.withdraw()
+        scene.withdrawn_after_seconds = scene.clock.monotonic() - began_at
+
+    context.acts.append(withdraw)
+
+
+@when("{seconds:g} seconds pass at the registering gateway")
+def when_registering_passes(context, seconds):
+    context.acts.append(lambda scene: scene.clock.sleep(seconds))
+
+
+@then("nothing is registered half a second later")
+def then_nothing_registered(context):
+    async def look(scene):
+        await scene.clock.sleep(CALM_SECONDS)
+        assert not await scene.keys(), await scene.keys()
+
+    play_registration(context, look)
+
+
+@then("the withdrawal ended within {seconds:g} seconds")
+def then_withdrawn_within(context, seconds):
+    async def look(scene):
+        assert scene.withdrawn_after_seconds <= seconds, scene.withdrawn_after_seconds
+
+    play_registration(context, look)
+
+
+@then("its key is registered, and it knows that")
+def then_registered(context):
+    async def look(scene):
+        assert await scene.keys() == [MEMBER_PREFIX + "a-1"], await scene.keys()
+        assert scene.registration.registered.is_set()
+
+    play_registration(context, look)
+
+
+def play_registration(context, check):
+    """Start the registration, run the acts of the scenario and then a check."""
+
+    async def scene():
+        registering = Registering()
+        for prepare in context.prepare:
+            prepare(registering)
+        await registering.registration.start()
+        for act in context.acts:
+            await act(registering)
+        await check(registering)
+        await registering.registration.stop()
+
+    run_virtual(scene())
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -28,6 +28,11 @@
 of another call."""
 RENEWAL_RETRY_SECONDS = 1.5
 """Pause after a failed renewal, which allows four attempts within a lease."""
+WITHDRAWAL_SECONDS = 2.0
+"""Time after which no further attempt to withdraw begins. The end of a planned stop waits for the
+withdrawal, which takes one timeout of the store more at most."""
+WITHDRAWAL_RETRY_SECONDS = 0.25
+"""Pause after a failed attempt to withdraw."""
 CATALOG_CHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a starting gateway checks whether it has a configuration and upstreams."""
 LIST_READ_INTERVAL_SECONDS = 2.4
@@ -61,6 +66,7 @@
         self._store = store
         self._clock = clock
         self._lease = ""
+        self._is_written = False
         self.registered = asyncio.Event()
 
     async def start(self) -> None:
@@ -68,14 +74,28 @@
         self.spawn(self._keep_registered(), "registration")
 
     async def withdraw(self) -> None:
-        """Withdraw the registration, so that other gateways no longer name this one to callers."""
+        """Withdraw the registration, so that other gateways no longer name this one to callers.
+
+        The lease is revoked even if the write under it was not answered, since that may have taken
+        effect, or may do so later.
+        """
         await self.stop()
         if not self._lease:
             return
+        ends_at = self._clock.monotonic() + WITHDRAWAL_SECONDS
+        while not await self._revoke() and self._clock.monotonic() < ends_at:
+            await self._clock.sleep(WITHDRAWAL_RETRY_SECONDS)
+
+    async def _revoke(self) -> bool:
+        """Revoke the lease, and return whether it has ended."""
         try:
             await self._store.revoke_lease(self._lease)
+        except LeaseLostError:
+            return True
         except KvError as error:
             log.failure("registration.not_withdrawn", error=str(error))
+            return False
+        return True
 
     async def _keep_registered(self) -> None:
         """Register, renew the lease, and register again after it was lost."""
@@ -83,13 +103,10 @@
             await self._clock.sleep(CATALOG_CHECK_INTERVAL_SECONDS)
         while self._blackboard.phase is not Phase.DRAINING:
             try:
-                if not self._lease:
-                    await self._register()
-                else:
-                    await self._store.keep_alive(self._lease)
+                await self._register_or_renew()
                 record_store_answer(self._blackboard)
             except LeaseLostError:
-                self._lease = ""
+                self._lease, self._is_written = "", False
                 log.change("registration.lost")
                 continue
             except KvError as error:
@@ -98,19 +115,32 @@
                 continue
             await self._clock.sleep(RENEWAL_INTERVAL_SECONDS)
 
-    async def _register(self) -> None:
-        """Write the registration under a new lease."""
+    async def _register_or_renew(self) -> None:
+        """Renew the lease once the registration is written under it; write it otherwise.
+
+        :raises LeaseLostError: the lease has ended.
+        """
+        if self._is_written:
+            await self._store.keep_alive(self._lease)
+            return
+        if not self._lease:
+            self._lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
+        await self._write()
+
+    async def _write(self) -> None:
+        """Write the registration under the lease."""
         own = self._blackboard.own
-        lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
         key = MEMBER_PREFIX + own.incarnation
         try:
-            await self._store.put_if(key, msgspec.json.encode(own), ABSENT_VERSION, lease)
+            await self._store.put_if(key, msgspec.json.encode(own), ABSENT_VERSION, self._lease)
         except KvConflictError:
+            # Only this incarnation writes the key, and an ended lease has deleted it, so an earlier
+            # write under this lease took effect.
             log.change("registration.still_there")
-            return
-        self._lease = lease
+        else:
+            log.change("registration.written", lease=self._lease)
+        self._is_written = True
         self.registered.set()
-        log.change("registration.written", lease=lease)
 
 
 class MemberReader(Controller):
