Read the member list while a stopping gateway knows no usable member

Address lookups at stopping gateways were answered 503 for up to 4.5 s while a replacement was already registered (seen in a review of the planned stop, not measured here). Cause: peers send no digests to a stopping gateway, so it requests them from usable members. Once all that it knows are stopping, it asks nobody, and reads the member list only when that is 6 s old; a new gateway doesn't know it and sends it nothing. Evidence: the scenarios "Stopping gateways name nobody to callers after all gateways that they know stop" with 3, 7 and 83 gateways fail on the code before: a second after its registration 3 of 3 and 6 of 7 don't name the new gateway.

A gateway without a usable member reads the list within 0.1 s and again 0.5 s after each read, unless the store is unreachable. A serving gateway counts itself as usable, so only stopping ones do this. The row with one gateway and the scenario of a store that is away pass before and after, and guard the change.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -109,3 +109,21 @@
     When the write of its registration takes effect and is not answered for 2 seconds
     And 4 seconds pass at the registering gateway
     Then its key is registered, and it knows that
+
+  Scenario Outline: Stopping gateways name nobody to callers after all gateways that they know stop
+    Given <gateways> gateways that know each other, losing <lost> of 100 digests, seed <seed>
+    When all of them begin to stop, and another one starts a second later
+    Then a second after its registration all of them name it to callers
+    And they make at most <calls> calls for lists a second each
+
+    Examples:
+      | gateways | lost | seed | calls |
+      | 1        | 0    | 1    | 3     |
+      | 3        | 0    | 2    | 3     |
+      | 7        | 5    | 3    | 3     |
+      | 83       | 5    | 4    | 3     |
+
+  Scenario: Stopping gateways that know nobody read the member list of a store that is away
+    Given 7 gateways that know each other, losing 0 of 100 digests, seed 5
+    When all of them begin to stop while the store is away
+    Then they make at most 2 calls for lists a second each
--- a/features/steps/gateway_stops_fleet.py
+++ b/features/steps/gateway_stops_fleet.py
@@ -5,6 +5,9 @@
 
 from behave import given, then, when
 
+from features.fixtures_fleet import Node
+from features.steps.gateway_fleet import play as play_world
+from features.steps.gateway_stops import begin_stop, is_named
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.membership import MEMBER_PREFIX, Registration
@@ -15,6 +18,11 @@
 CALM_SECONDS = 0.5
 """Time after a withdrawal in which writes that were on their way arrive."""
 
+NAMED_WITHIN_SECONDS = 1.0
+"""Time after its registration in which a gateway must be named to callers."""
+COUNTED_SECONDS = 4.0
+"""How long calls to the store are counted."""
+
 
 class LateWrites:
     """A connection to the store whose next write of a key takes long to arrive or to be answered.
@@ -182,3 +190,51 @@
         await registering.registration.stop()
 
     run_virtual(scene())
+
+
+@when("all of them begin to stop, and another one starts a second later")
+def when_all_stop(context):
+    async def stop(world):
+        stopping = list(world.nodes)
+        for node in stopping:
+            begin_stop(world, node)
+        await world.clock.sleep(1.0)
+        context.list_calls_a_second = await list_calls_a_second(world)
+        new = Node(world, len(stopping), "first")
+        await new.start()
+        await world.clock.sleep(NAMED_WITHIN_SECONDS)
+        context.not_naming = [node.vm for node in stopping if not is_named(new, node.board)]
+        await new.stop()
+
+    context.acts.append(stop)
+
+
+@when("all of them begin to stop while the store is away")
+def when_all_stop_without_store(context):
+    async def stop(world):
+        world.away = True
+        await world.clock.sleep(1.0)
+        for node in world.nodes:
+            begin_stop(world, node)
+        context.list_calls_a_second = await list_calls_a_second(world)
+
+    context.acts.append(stop)
+
+
+async def list_calls_a_second(world):
+    """Return how often each gateway reads any list in a second, on average."""
+    before = world.calls["list"]
+    await world.clock.sleep(COUNTED_SECONDS)
+    return (world.calls["list"] - before) / COUNTED_SECONDS / len(world.nodes)
+
+
+@then("a second after its registration all of them name it to callers")
+def then_all_name_it(context):
+    play_world(context)
+    assert not context.not_naming, context.not_naming
+
+
+@then("they make at most {most:g} calls for lists a second each")
+def then_few_list_calls(context, most):
+    play_world(context)
+    assert context.list_calls_a_second <= most, context.list_calls_a_second
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -40,6 +40,11 @@
 themselves in their digests."""
 MAX_LIST_AGE_SECONDS = 6.0
 """Age of the member list at which every gateway reads it."""
+ALONE_READ_INTERVAL_SECONDS = 0.5
+"""Pause after which a stopping gateway that knows no usable member reads the list again. It would
+name nobody to callers, and new gateways don't know it and send it no digests."""
+ALONE_CHECK_SECONDS = 0.1
+"""Longest time until a gateway notices that it knows no usable member."""
 
 
 MAX_LOGGED_MEMBERS = 8
@@ -171,6 +176,7 @@
     async def start(self) -> None:
         """Start reading the list."""
         self.spawn(self._read_when_due(), "members")
+        self.spawn(self._read_while_alone(), "members while alone")
 
     def merge_registered(self, members: list[Member]) -> None:
         """Replace the list of members by the registered ones, and those still reachable.
@@ -259,6 +265,17 @@
             else:
                 await self._read(now)
 
+    async def _read_while_alone(self) -> None:
+        """Read the list again and again while no member is usable and the store is reachable."""
+        board = self._blackboard
+        await self._registered.wait()
+        while True:
+            if board.usable_members() or board.should_skip_read(board.members_read_at):
+                await self._clock.sleep(ALONE_CHECK_SECONDS)
+            else:
+                await self._read(self._clock.monotonic())
+                await self._clock.sleep(ALONE_READ_INTERVAL_SECONDS)
+
     async def _read(self, requested_at: float) -> None:
         """Read the list from the store."""
         self._schedule.read_started(requested_at)
