Refuse the tokens of a stopping gateway at a holder that returns its own

Prepaid tokens were lost when gateways stopped together in an outage of the store: they counted as spent until written off, though no caller had used them. Cause: a holder that had begun to return its tokens dropped those that a peer passed on, and the answer was 200 nevertheless, so the sender logged `allotments.passed_on` and asked nobody else.

Such a holder answers 503, and only this status counts as not taken: the sender asks the next peer. After a lost or another answer it still asks nobody, since the tokens may have been taken.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -127,3 +127,21 @@
     Given 7 gateways that know each other, losing 0 of 100 digests, seed 5
     When all of them begin to stop while the store is away
     Then they make at most 2 calls for lists a second each
+
+  Scenario Outline: Tokens are lost that a stopping gateway passes on to one that returns its own
+    Given 3 gateways before the services with 9000 prepaid tokens
+    And upstream app-1 of service app that "answers"
+    When the store is away, and gateway <closed> returns its tokens while the others don't know that
+    And gateway 1 stops
+    Then gateway <heir> has the tokens of gateway 1 and its own
+
+    Examples:
+      | closed | heir |
+      | 2      | 3    |
+      | 3      | 2    |
+
+  Scenario: A holder refuses tokens that it has taken when their message is repeated after its close
+    Given 2 token holders and a budget of 9000 tokens
+    When 4 seconds pass for the holders
+    And holder 2 takes over the tokens of holder 1, and then returns its own
+    Then holder 2 confirms the tokens of holder 1 again, and refuses those of another one
--- a/features/steps/gateway_stops_fleet.py
+++ b/features/steps/gateway_stops_fleet.py
@@ -6,11 +6,15 @@
 from behave import given, then, when
 
 from features.fixtures_fleet import Node
+from features.fixtures_gateway import WORKSPACE, until
+from features.steps.gateway import check as check_gateways
+from features.steps.gateway_budgets import play as play_holders
 from features.steps.gateway_fleet import play as play_world
 from features.steps.gateway_stops import begin_stop, is_named
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.membership import MEMBER_PREFIX, Registration
+from quinceferry_gateway.peers import InheritRequest
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
 
@@ -22,6 +26,8 @@
 """Time after its registration in which a gateway must be named to callers."""
 COUNTED_SECONDS = 4.0
 """How long calls to the store are counted."""
+PASSED_ON_WITHIN_SECONDS = 3.0
+"""Time in which a stopping gateway passes its tokens on: a few attempts at the store and peers."""
 
 
 class LateWrites:
@@ -238,3 +244,68 @@
 def then_few_list_calls(context, most):
     play_world(context)
     assert context.list_calls_a_second <= most, context.list_calls_a_second
+
+
+@when(
+    "the store is away, and gateway {number:d} returns its tokens while the others don't know that"
+)
+def when_closed_unknown(context, number):
+    async def close(scene):
+        scene.store.faults.status = 503
+        await until(lambda: not any(item.blackboard.store_reachable for item in scene.applications))
+        scene.held = [
+            item.holder.available_by_workspace().get(WORKSPACE, 0) for item in scene.applications
+        ]
+        assert all(scene.held), scene.held
+        assert not await scene.applications[number - 1].holder.return_tokens()
+
+    context.gateway.acts.append(close)
+
+
+@when("gateway {number:d} stops")
+def when_gateway_stops(context, number):
+    async def stop(scene):
+        scene.stops[number - 1].set()
+        holder = scene.applications[number - 1].holder
+        await until(lambda: not holder.available_by_workspace())
+        await asyncio.sleep(PASSED_ON_WITHIN_SECONDS)
+
+    context.gateway.acts.append(stop)
+
+
+@then("gateway {heir:d} has the tokens of gateway {number:d} and its own")
+def then_has_tokens(context, heir, number):
+    async def compare(scene):
+        available = scene.applications[heir - 1].holder.available_by_workspace()[WORKSPACE]
+        expected = scene.held[heir - 1] + scene.held[number - 1]
+        assert available == expected, (available, scene.held)
+
+    check_gateways(context, compare)
+
+
+@when("holder {heir:d} takes over the tokens of holder {number:d}, and then returns its own")
+def when_takes_over(context, heir, number):
+    async def take_over(bench):
+        bench.kv.faults.outage = True
+        bench.refresh()
+        holder = bench.holders_by_name[f"g{number}"]
+        await holder.return_tokens()
+        context.inherit_request = holder.inherit_request()
+        context.heir = bench.holders_by_name[f"g{heir}"]
+        assert context.heir.inherit(context.inherit_request)
+        await context.heir.return_tokens()
+
+    context.acts.append(take_over)
+
+
+@then(
+    "holder {heir:d} confirms the tokens of holder {number:d} again, and refuses those of another "
+    "one"
+)
+def then_confirms(context, heir, number):
+    async def repeat(bench):
+        assert context.heir.inherit(context.inherit_request)
+        other = InheritRequest("another", context.inherit_request.inheritances)
+        assert not context.heir.inherit(other)
+
+    play_holders(context, repeat)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -260,8 +260,8 @@
     async def _return_tokens(self) -> None:
         """Return the tokens to the store, or pass them on to one peer if that fails.
 
-        Another peer is tried only if the message to the previous one was not sent: tokens that two
-        peers hold would be spent twice.
+        Another peer is tried only if the previous one certainly did not take them, since the
+        message was not sent or was refused: tokens that two peers hold would be spent twice.
         """
         if await self.holder.return_tokens():
             return
@@ -271,7 +271,7 @@
                 await self._peers.inherit(peer, inherit_request, INHERIT_TIMEOUT_SECONDS)
             except PeerError as error:
                 log.failure("allotments.not_passed_on", member=peer.incarnation, error=str(error))
-                if error.sent:
+                if error.sent and not error.refused:
                     return
             else:
                 log.change("allotments.passed_on", member=peer.incarnation)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -15,6 +15,7 @@
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import (
+    REFUSED_STATUS,
     RESERVE_KIND,
     SETTLE_KIND,
     Acknowledgement,
@@ -71,7 +72,8 @@
         match path:
             case "/inherit":
                 request = msgspec.json.decode(await _read_body(receive), type=InheritRequest)
-                self._holder.inherit(request)
+                if not self._holder.inherit(request):
+                    return REFUSED_STATUS, b"text/plain", b""
                 return _json_answer(Acknowledgement())
             case "/metrics":
                 return 200, CONTENT_TYPE_LATEST.encode(), self._metrics.exposition()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -214,15 +214,21 @@
         ]
         return InheritRequest(self._own_incarnation, inheritances)
 
-    def inherit(self, request: InheritRequest) -> None:
-        """Take over the tokens of a stopping holder; a repeated call changes nothing."""
-        if self._closed or request.holder in self._inherited_holders:
-            return
+    def inherit(self, request: InheritRequest) -> bool:
+        """Take over the tokens of a stopping holder; a repeated call changes nothing.
+
+        :return: False if they are not taken, since this holder returns its own.
+        """
+        if request.holder in self._inherited_holders:
+            return True
+        if self._closed:
+            return False
         self._inherited_holders.add(request.holder)
         for item in request.inheritances:
             account = self._accounts_by_workspace.setdefault(item.workspace, Account())
             account.inherited_by_holder[request.holder] = InheritedTokens(item.unspent, item.spent)
         log.change("allotments.inherited", holder=request.holder)
+        return True
 
     def _return_all(self) -> None:
         """Remove this holder's allotments from the record in memory."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -14,6 +14,8 @@
 T = TypeVar("T")
 
 _OK_STATUS = 200
+REFUSED_STATUS = 503
+"""Status of the answer of a peer that did not carry out a call."""
 _JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
@@ -23,11 +25,18 @@
 
 
 class PeerError(PeerUnavailableError):
-    """A peer did not answer as expected; ``sent`` is True if the call may have arrived."""
+    """A peer did not answer as expected.
 
-    def __init__(self, detail: str, *, step: str, peer: str, sent: bool) -> None:
+    ``sent`` is True if the call may have arrived, ``refused`` if the peer answered that it did not
+    carry it out.
+    """
+
+    def __init__(
+        self, detail: str, *, step: str, peer: str, sent: bool, refused: bool = False
+    ) -> None:
         super().__init__(detail, step=step, peer=peer)
         self.sent = sent
+        self.refused = refused
 
 
 class ReserveRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -179,7 +188,12 @@
         except ConnectionBrokenError as error:
             raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
         if reply.status != _OK_STATUS:
-            detail = f"status {reply.status}"
-            raise PeerError(detail, step=step, peer=peer.incarnation, sent=True)
+            raise PeerError(
+                f"status {reply.status}",
+                step=step,
+                peer=peer.incarnation,
+                sent=True,
+                refused=reply.status == REFUSED_STATUS,
+            )
         self._metrics.count_peer_messages(step, "received", 1, len(reply.body))
         return reply.body
