Notify stopping gateways about upstreams after they have withdrawn

A stopping gateway sent a request to a leaving upstream 2.3 s after the announcement, where 2 s are allowed (seen in a review of the planned stop, not measured here). Cause: notices that an upstream is leaving, limited or cold go to the listed members only, and a gateway that has withdrawn its registration serves for seconds more. Evidence: four of five rows of "A stopping gateway is not told about upstreams after its withdrawal" fail on the code before; none of the stopping gateways knows what another gateway learned of an upstream.

A gateway keeps the address of a member that announced its stop when it leaves the list, and that of a sender of digests that announces its stop and is no member: gateways that started later know it only by those. Notices go to these addresses for 10 s, one for each vm, and not once another gateway is a member there. The row in which a stopping gateway notifies others passes before, too, and so do the two scenarios on the bounds; without the end of the 10 s or the check of the vm these fail (6 addresses instead of 3, 9 instead of 6).

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -145,3 +145,29 @@
     When 4 seconds pass for the holders
     And holder 2 takes over the tokens of holder 1, and then returns its own
     Then holder 2 confirms the tokens of holder 1 again, and refuses those of another one
+
+  Scenario Outline: A stopping gateway is not told about upstreams after its withdrawal
+    Given <gateways> gateways that know each other, losing 0 of 100 digests, seed <seed>
+    When <stopping> of them begin to stop, and another one does not list them any more
+    And <teller> gateway learns that an upstream is leaving, another one limited and a third one cold
+    Then a tenth of a second later the stopping gateways know that, too
+
+    Examples:
+      | gateways | seed | stopping | teller    |
+      | 3        | 6    | 1        | a serving |
+      | 7        | 7    | 3        | a serving |
+      | 7        | 8    | 3        | a stopping |
+      | 7        | 9    | 3        | a new     |
+      | 83       | 10   | 6        | a serving |
+
+  Scenario: Notices about upstreams go to gateways that stopped long ago
+    Given 7 gateways that know each other, losing 0 of 100 digests, seed 11
+    When 3 of them begin to stop, and another one does not list them any more
+    And these 3 end, and 12 seconds pass
+    Then a serving gateway sends notices about upstreams to 3 addresses
+
+  Scenario: Notices about upstreams go to gateways twice that were started again
+    Given 7 gateways that know each other, losing 0 of 100 digests, seed 12
+    When 3 of them begin to stop, and another one does not list them any more
+    And these 3 end, and start again
+    Then a serving gateway sends notices about upstreams to 6 addresses
--- a/features/steps/gateway_stops_fleet.py
+++ b/features/steps/gateway_stops_fleet.py
@@ -1,6 +1,7 @@
 """Steps for what a fleet knows of gateways that stop, and what these know of it."""
 
 import asyncio
+import functools
 import random
 
 from behave import given, then, when
@@ -13,8 +14,10 @@
 from features.steps.gateway_stops import begin_stop, is_named
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
+from quinceferry_gateway.interfaces import AnswerHead
 from quinceferry_gateway.membership import MEMBER_PREFIX, Registration
 from quinceferry_gateway.peers import InheritRequest
+from quinceferry_gateway.signals import LeavingNotice
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 from quinceferry_standins.kv import FakeKv
 
@@ -26,6 +29,12 @@
 """Time after its registration in which a gateway must be named to callers."""
 COUNTED_SECONDS = 4.0
 """How long calls to the store are counted."""
+WITHDRAWN_WITHIN_SECONDS = 6.0
+"""Time in which a gateway reads that a registration was withdrawn, or gets a copy."""
+NEW_KNOWN_WITHIN_SECONDS = 4.0
+"""Time after the registration of a gateway in which all others know it, and it knows them."""
+LIMIT_PER_SECOND = 3.0
+COLD_SECONDS = 2.5
 PASSED_ON_WITHIN_SECONDS = 3.0
 """Time in which a stopping gateway passes its tokens on: a few attempts at the store and peers."""
 
@@ -309,3 +318,107 @@
         assert not context.heir.inherit(other)
 
     play_holders(context, repeat)
+
+
+@when("{count:d} of them begin to stop, and another one does not list them any more")
+def when_withdrawn(context, count):
+    async def stop(world):
+        context.stopping = world.nodes[:count]
+        for node in context.stopping:
+            begin_stop(world, node)
+        gone = {node.board.own.incarnation for node in context.stopping}
+
+        def unaware():
+            listed = ((node, node.board.members_by_incarnation) for node in world.nodes[count:])
+            return [node for node, members in listed if not gone & members.keys()]
+
+        await world.seconds_until(lambda node: unaware(), WITHDRAWN_WITHIN_SECONDS)
+        context.serving = unaware()[0]
+
+    context.acts.append(stop)
+
+
+@when(
+    "{teller} gateway learns that an upstream is leaving, another one limited and a third one cold"
+)
+def when_learns(context, teller):
+    async def learn(world):
+        if teller == "a serving":
+            node = context.serving
+        elif teller == "a stopping":
+            node = context.stopping[0]
+        else:
+            node = Node(world, len(world.nodes), "first")
+            world.nodes.append(node)
+            await node.start()
+            await world.clock.sleep(NEW_KNOWN_WITHIN_SECONDS)
+        tell_peers(node)
+
+    context.acts.append(learn)
+
+
+def tell_peers(node):
+    """Let a gateway get answers that its peers must hear of."""
+    leaving, limited, cold = (node.board.upstreams_by_id[f"up-{number}"] for number in range(3))
+    answered = functools.partial(AnswerHead, 200, (), False, "r", True)
+    node.signals.answer_received(leaving, answered(leaving=True))
+    node.signals.answer_received(limited, answered(max_requests_per_second=LIMIT_PER_SECOND))
+    node.signals.answer_received(cold, answered(cold_seconds=COLD_SECONDS))
+
+
+@then("a tenth of a second later the stopping gateways know that, too")
+def then_know_too(context):
+    async def look(world):
+        await world.clock.sleep(0.1)
+        context.untold = [node.vm for node in context.stopping if not knows_upstreams(node)]
+
+    context.acts.append(look)
+    play_world(context)
+    assert not context.untold, context.untold
+
+
+def knows_upstreams(node):
+    """Tell whether a gateway knows what another one learned of three upstreams."""
+    leaving, limited, cold = (node.board.upstreams_by_id[f"up-{number}"] for number in range(3))
+    states = node.upstream_states
+    return (
+        states.is_leaving(leaving)
+        and states.get(limited).rate_limit.announced == LIMIT_PER_SECOND
+        and node.cold_starts.rate(cold) is not None
+    )
+
+
+@when("these {count:d} end, and {seconds:d} seconds pass")
+def when_ended(context, count, seconds):
+    async def end(world):
+        assert len(context.stopping) == count
+        for node in context.stopping:
+            await node.stop()
+        await world.clock.sleep(seconds)
+
+    context.acts.append(end)
+
+
+@when("these {count:d} end, and start again")
+def when_restarted(context, count):
+    async def restart(world):
+        assert len(context.stopping) == count
+        for number, node in enumerate(context.stopping):
+            await node.stop()
+            world.nodes[number] = Node(world, number, "second")
+            await world.nodes[number].start()
+        await world.clock.sleep(NEW_KNOWN_WITHIN_SECONDS)
+
+    context.acts.append(restart)
+
+
+@then("a serving gateway sends notices about upstreams to {count:d} addresses")
+def then_sent_to(context, count):
+    async def tell(world):
+        before = world.network.sent_by_type[LeavingNotice]
+        tell_peers(context.serving)
+        context.notices = world.network.sent_by_type[LeavingNotice] - before
+
+    context.acts.append(tell)
+    play_world(context)
+    assert context.notices == count, context.notices
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -7,6 +7,10 @@
 
 from quinceferry_gateway.catalog import Configuration, Upstream
 
+STOPPING_SECONDS = 10.0
+"""How long a gateway that withdrew its registration may still serve requests: somewhat longer than
+the grace time of a planned stop."""
+
 
 class Phase(Enum):
     """Phase of a gateway's life cycle."""
@@ -39,6 +43,8 @@
     ``store_reachable`` is True if the last call to the store was answered. ``members_changed_at``
     is None until the members are read for the first time. ``unreachable`` contains the incarnations
     that no gateway has seen recently, ``leaving`` those that announced their stop.
+    ``withdrawn_by_vm`` contains gateways that withdrew for a planned stop and may still serve, and
+    when they have ended at the latest.
     This gateway reaches no upstream of ``unreachable_services``, and the incarnations in
     ``cut_off_members`` say the same of some service.
     ``is_store_reader`` is True if this gateway reads the store for the fleet.
@@ -62,6 +68,7 @@
     members_changed_at: float | None = None
     unreachable: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
+    withdrawn_by_vm: dict[str, tuple[Member, float]] = field(default_factory=dict)
     unreachable_services: frozenset[str] = frozenset()
     cut_off_members: frozenset[str] = frozenset()
     is_store_reader: bool = False
@@ -141,6 +148,24 @@
             if key != self.own.incarnation
         ]
 
+    def record_withdrawn(self, member: Member, now: float) -> None:
+        """Record that a gateway that is no member any more may still serve; forget ended ones."""
+        kept = {vm: item for vm, item in self.withdrawn_by_vm.items() if item[1] > now}
+        self.withdrawn_by_vm = {**kept, member.vm: (member, now + STOPPING_SECONDS)}
+
+    def notice_addresses(self, now: float) -> list[str]:
+        """Return the peer addresses of all gateways that may use upstreams, except this one.
+
+        They are the other members, unreachable ones included, and those that withdrew for a planned
+        stop, as long as no other gateway has started on their vm.
+        """
+        withdrawn = [
+            member
+            for member, ends_at in self.withdrawn_by_vm.values()
+            if ends_at > now and member.vm not in self.members_by_vm
+        ]
+        return [member.peer_address for member in self.peers() + withdrawn]
+
     def usable_peers(self) -> list[Member]:
         """Return the other members that are reachable and not leaving."""
         return [
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/cold_starts.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/cold_starts.py
@@ -85,7 +85,7 @@
         now = self._clock.monotonic()
         if seconds and self._record(upstream, seconds, now, "own"):
             notice = ColdNotice(upstream.id, upstream.started_at, seconds)
-            self._port.send(notice, [peer.peer_address for peer in self._blackboard.peers()])
+            self._port.send(notice, self._blackboard.notice_addresses(now))
 
     def _handle_notice(self, notice: ColdNotice, sender: object) -> None:
         """Apply a notice from a peer; ignore one about an unknown upstream."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -138,8 +138,12 @@
         is_leaving = incarnation_checksum(peer.incarnation) in digest.leaving
         if is_leaving and digest.reply_requested:
             self._send_reply(peer, now)
-        if not self._is_member(peer) and (is_leaving or not self._add_member(peer, now)):
-            return
+        if not self._is_member(peer):
+            if is_leaving:
+                board.record_withdrawn(peer, now)
+                return
+            if not self._add_member(peer, now):
+                return
         self.liveness.record_seen(incarnation_checksum(peer.incarnation), now)
         self.liveness.merge(digest.ages_by_checksum, now)
         self._merge_cut_off_claims(peer, digest.cut_off_ages_by_checksum, now)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -245,7 +245,9 @@
         before = board.members_by_incarnation
         if by_incarnation.keys() == before.keys():
             return
-        board.members_changed_at = self._clock.monotonic()
+        board.members_changed_at = now = self._clock.monotonic()
+        for incarnation in board.leaving & before.keys() - by_incarnation.keys():
+            board.record_withdrawn(before[incarnation], now)
         _log_changes(before, by_incarnation)
         board.members_by_incarnation = by_incarnation
         board.unreachable &= by_incarnation.keys()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -127,8 +127,8 @@
         self._send_to_peers(RateLimitNotice(upstream.id, upstream.started_at, rate))
 
     def _send_to_peers(self, notice: msgspec.Struct) -> None:
-        """Send a notice to all peers, including unreachable ones."""
-        self._port.send(notice, [peer.peer_address for peer in self._blackboard.peers()])
+        """Send a notice to all gateways that may use upstreams."""
+        self._port.send(notice, self._blackboard.notice_addresses(self._clock.monotonic()))
 
     def _record_leaving(self, upstream_id: str, started_at: float, origin: str) -> bool:
         """Record and log that an upstream is leaving, and return whether this is new."""
