--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -28,6 +28,11 @@
 of another call."""
 RENEWAL_RETRY_SECONDS = 1.5
 """Pause after a failed renewal, which allows four attempts within a lease."""
+WITHDRAWAL_SECONDS = 2.0
+"""Time after which no further attempt to withdraw begins. The end of a planned stop waits for the
+withdrawal, which takes one timeout of the store more at most."""
+WITHDRAWAL_RETRY_SECONDS = 0.25
+"""Pause after a failed attempt to withdraw."""
 CATALOG_CHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a starting gateway checks whether it has a configuration and upstreams."""
 LIST_READ_INTERVAL_SECONDS = 2.4
@@ -35,6 +40,11 @@
 themselves in their digests."""
 MAX_LIST_AGE_SECONDS = 6.0
 """Age of the member list at which every gateway reads it."""
+ALONE_READ_INTERVAL_SECONDS = 0.5
+"""Pause after which a stopping gateway that knows no usable member reads the list again. It would
+name nobody to callers, and new gateways don't know it and send it no digests."""
+ALONE_CHECK_SECONDS = 0.1
+"""Longest time until a gateway notices that it knows no usable member."""
 
 
 MAX_LOGGED_MEMBERS = 8
@@ -61,6 +71,7 @@
         self._store = store
         self._clock = clock
         self._lease = ""
+        self._is_written = False
         self.registered = asyncio.Event()
 
     async def start(self) -> None:
@@ -68,14 +79,28 @@
         self.spawn(self._keep_registered(), "registration")
 
     async def withdraw(self) -> None:
-        """Withdraw the registration, so that other gateways no longer name this one to callers."""
+        """Withdraw the registration, so that other gateways no longer name this one to callers.
+
+        The lease is revoked even if the write under it was not answered, since that may have taken
+        effect, or may do so later.
+        """
         await self.stop()
         if not self._lease:
             return
+        ends_at = self._clock.monotonic() + WITHDRAWAL_SECONDS
+        while not await self._revoke() and self._clock.monotonic() < ends_at:
+            await self._clock.sleep(WITHDRAWAL_RETRY_SECONDS)
+
+    async def _revoke(self) -> bool:
+        """Revoke the lease, and return whether it has ended."""
         try:
             await self._store.revoke_lease(self._lease)
+        except LeaseLostError:
+            return True
         except KvError as error:
             log.failure("registration.not_withdrawn", error=str(error))
+            return False
+        return True
 
     async def _keep_registered(self) -> None:
         """Register, renew the lease, and register again after it was lost."""
@@ -83,13 +108,10 @@
             await self._clock.sleep(CATALOG_CHECK_INTERVAL_SECONDS)
         while self._blackboard.phase is not Phase.DRAINING:
             try:
-                if not self._lease:
-                    await self._register()
-                else:
-                    await self._store.keep_alive(self._lease)
+                await self._register_or_renew()
                 record_store_answer(self._blackboard)
             except LeaseLostError:
-                self._lease = ""
+                self._lease, self._is_written = "", False
                 log.change("registration.lost")
                 continue
             except KvError as error:
@@ -98,19 +120,32 @@
                 continue
             await self._clock.sleep(RENEWAL_INTERVAL_SECONDS)
 
-    async def _register(self) -> None:
-        """Write the registration under a new lease."""
+    async def _register_or_renew(self) -> None:
+        """Renew the lease once the registration is written under it; write it otherwise.
+
+        :raises LeaseLostError: the lease has ended.
+        """
+        if self._is_written:
+            await self._store.keep_alive(self._lease)
+            return
+        if not self._lease:
+            self._lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
+        await self._write()
+
+    async def _write(self) -> None:
+        """Write the registration under the lease."""
         own = self._blackboard.own
-        lease = await self._store.grant_lease(LEASE_TTL_SECONDS)
         key = MEMBER_PREFIX + own.incarnation
         try:
-            await self._store.put_if(key, msgspec.json.encode(own), ABSENT_VERSION, lease)
+            await self._store.put_if(key, msgspec.json.encode(own), ABSENT_VERSION, self._lease)
         except KvConflictError:
+            # Only this incarnation writes the key, and an ended lease has deleted it, so an earlier
+            # write under this lease took effect.
             log.change("registration.still_there")
-            return
-        self._lease = lease
+        else:
+            log.change("registration.written", lease=self._lease)
+        self._is_written = True
         self.registered.set()
-        log.change("registration.written", lease=lease)
 
 
 class MemberReader(Controller):
@@ -141,6 +176,7 @@
     async def start(self) -> None:
         """Start reading the list."""
         self.spawn(self._read_when_due(), "members")
+        self.spawn(self._read_while_alone(), "members while alone")
 
     def merge_registered(self, members: list[Member]) -> None:
         """Replace the list of members by the registered ones, and those still reachable.
@@ -209,7 +245,9 @@
         before = board.members_by_incarnation
         if by_incarnation.keys() == before.keys():
             return
-        board.members_changed_at = self._clock.monotonic()
+        board.members_changed_at = now = self._clock.monotonic()
+        for incarnation in board.leaving & before.keys() - by_incarnation.keys():
+            board.record_withdrawn(before[incarnation], now)
         _log_changes(before, by_incarnation)
         board.members_by_incarnation = by_incarnation
         board.unreachable &= by_incarnation.keys()
@@ -229,6 +267,17 @@
             else:
                 await self._read(now)
 
+    async def _read_while_alone(self) -> None:
+        """Read the list again and again while no member is usable and the store is reachable."""
+        board = self._blackboard
+        await self._registered.wait()
+        while True:
+            if board.usable_members() or board.should_skip_read(board.members_read_at):
+                await self._clock.sleep(ALONE_CHECK_SECONDS)
+            else:
+                await self._read(self._clock.monotonic())
+                await self._clock.sleep(ALONE_READ_INTERVAL_SECONDS)
+
     async def _read(self, requested_at: float) -> None:
         """Read the list from the store."""
         self._schedule.read_started(requested_at)
