--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -12,7 +12,7 @@
 from quinceferry_core.clocks import SystemClock
 from quinceferry_gateway import Application, HttpClient, HttpListener, Metrics
 from quinceferry_gateway.blackboard import Phase
-from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError, PeerClosedError
 from quinceferry_gateway.settings import (
     Addresses,
     BudgetSettings,
@@ -95,12 +95,14 @@
 class PartitionedHttpClient(HttpClient):
     """Client of one gateway that can lose its links to some addresses.
 
-    New connections to ``cut`` addresses hang, or are refused if ``refuses`` is set; open ones hang.
+    New connections to ``cut`` addresses hang, or are refused if ``refuses`` is set; open ones hang,
+    or are reset if ``resets`` is set.
     """
 
     def __init__(self):
         self.cut = frozenset()
         self.refuses = False
+        self.resets = False
         self.healed = asyncio.Event()
 
     @contextlib.asynccontextmanager
@@ -118,6 +120,8 @@
     async def _chunks(self, chunks, address):
         """Yield the chunks of an answer until the address is cut."""
         async for chunk in chunks():
+            if address in self.cut and self.resets:
+                raise PeerClosedError("partitioned", step="body", peer=address)
             if address in self.cut:
                 await self.healed.wait()
             yield chunk
@@ -227,11 +231,12 @@
         available = application.holder.available_by_workspace()
         return ready and (not self.document or available.get(WORKSPACE, 0) > 0)
 
-    def cut_links(self, gateway, refuses=False):
+    def cut_links(self, gateway, refuses=False, resets=False):
         """Partition a gateway from all upstreams."""
         client = self.clients[gateway]
         client.cut = frozenset(item.address for item in self.upstreams_by_id.values())
         client.refuses = refuses
+        client.resets = resets
         client.healed.clear()
 
     def heal_links(self, gateway):
