Keep the mark of forwarded requests from upstreams

Upstreams saw the header quinceferry-forwarded: from callers that sent it, and from every peer that served a forwarded request. Cause: a request's headers are sent on except those that the platform reserves, and this one is the gateway's own. Evidence: two scenarios failed; the upstream got the value 9 of a caller, and 2 of a peer. A caller gained nothing by it before either: its tokens were reserved and its attempts unchanged.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -99,7 +99,17 @@
     Then the caller at gateway 1 gets all 12 events in order, each once
     And no gateway counts a crash or holds content in quarantine
 
+  Scenario: A caller is served free of charge with the mark of forwarded requests
+    When a caller sends "quinceferry-forwarded: 9" with a request for /draft/a
+    Then no upstream sees the mark of forwarded requests, but the key's workspace
+    And the workspace was charged 120 tokens in all
+
   Scenario: A caller gets more attempts with the mark of forwarded requests
     Given from then on each upstream of service llm "fails"
     When a caller sends "quinceferry-forwarded: 9" with a request for /draft/a
     Then upstreams ran a request at most 2 times
+
+  Scenario: A peer passes the mark of forwarded requests on to upstreams
+    Given gateway 1 reaches no upstream
+    When a stream of /draft/a is asked for at gateway 1
+    Then no upstream sees the mark of forwarded requests, but the key's workspace
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -20,7 +20,7 @@
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
-from quinceferry_gateway.forwarding import REFUSAL_HEADER
+from quinceferry_gateway.forwarding import FORWARDED_HEADER, REFUSAL_HEADER
 from quinceferry_gateway.freshness import ConfigurationFreshness
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
@@ -185,9 +185,9 @@
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
-        call = self._dialect.decode_call(
-            scope["method"], target, scope["path"], scope["headers"], body
-        )
+        # The mark of a forwarded request concerns gateways only.
+        headers = [item for item in scope["headers"] if item[0] != FORWARDED_HEADER]
+        call = self._dialect.decode_call(scope["method"], target, scope["path"], headers, body)
         # The configuration may have changed while the body was being read.
         configuration = self._blackboard.configuration or configuration
         if self._freshness.is_outdated:
