Don't forward a stream again that a peer gave up

A resumable stream that broke again and again ran more often than its route allows: three times with two attempts. Cause: a peer that can't resume a stream after its attempts closes the connection, as a lost peer does; the gateway that the caller reached counted one attempt for it, and forwarded the rest to the next peer. Content that crashes its upstreams would have been passed on in the same way. Evidence: a scenario with upstreams that break each stream after two events saw three runs. A peer now ends such a stream in order, with a mark that is no whole event. The sender takes it for the end of the request, and callers see a broken stream as before, without the mark; a stream whose peer is lost still goes on through another.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -33,6 +33,12 @@
     When 1 request is sent to gateway 1 for /get/a
     Then upstreams ran a request at most 2 times
 
+  Scenario: A forwarded stream that breaks takes more attempts than its route allows
+    Given gateway 1 reaches no upstream
+    And from then on each upstream of service llm "breaks after 2 events"
+    When a stream of /draft/a is asked for at gateway 1
+    Then upstreams ran a request at most 2 times
+
   Scenario: Retries of forwarded requests are not taken from the budget
     Given gateway 1 reaches no upstream
     And from then on each upstream of service app "fails"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -20,7 +20,7 @@
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
-from quinceferry_gateway.forwarding import FORWARDED_HEADER, REFUSAL_HEADER
+from quinceferry_gateway.forwarding import FORWARDED_HEADER, GIVEN_UP_MARK, REFUSAL_HEADER
 from quinceferry_gateway.freshness import ConfigurationFreshness
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
@@ -330,6 +330,10 @@
                     detail=outcome.detail,
                 )
                 self._count_outcome(progress, "broken")
+                if progress.forwarded:
+                    # The sender must not mistake this for a lost peer, and forward it again.
+                    await exchange.send(GIVEN_UP_MARK)
+                    await exchange.finish()
                 return
             await self._refuse(exchange, request_id, outcome, started_at, progress)
             return
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
@@ -28,6 +28,9 @@
 """Marks a forwarded request; its value is the number of attempts that are left."""
 REFUSAL_HEADER = b"quinceferry-refusal"
 """Reason for which a peer refused a forwarded request."""
+GIVEN_UP_MARK = b": given up"
+"""Ends a forwarded stream that the peer can't resume within the attempts that it was granted. It is
+no whole event, so that callers never see it."""
 MAX_FORWARDS = 4
 """Most peers to which one request is forwarded in turn."""
 TIME_RESERVE_SECONDS = 0.05
@@ -137,6 +140,8 @@
         except NotSentError as error:
             return PeerUnavailable(str(error))
         except ConnectionBrokenError as error:
+            if progress.stream.buffer.pending == GIVEN_UP_MARK:
+                return Refusal(Reason.OUTCOME_UNKNOWN, "the peer gave the stream up")
             return UnknownOutcome(str(error))
 
 
