Test that a request is not forwarded again after its peer was lost

A request that may not run twice, whose peer was lost while it ran, is answered 502. Forwarded again, it would have been answered 200 after a second run, which the scenario sees when the check of the route is taken out.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -22,6 +22,15 @@
     Then all callers are answered 200
     And each request ran once
 
+  Scenario: A request that may not run twice is forwarded again after its peer was lost
+    Given gateway 1 reaches no upstream
+    And from then on each upstream of service app "answers 0.3 seconds late"
+    When gateway 1 begins to forward a request for /post/a
+    And the connection to the peer that carries it is reset
+    And the request has ended
+    Then all callers are answered 502
+    And upstreams ran 1 request in all
+
   Scenario: The attempts of the route begin anew at the peer
     Given from then on each upstream of service app "fails late"
     When gateway 1 loses its links while an upstream runs a request for /get/a
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -19,6 +19,7 @@
 ALL_BEHAVIOURS = BEHAVIOURS | {
     "streams 12 events": Streaming(EVENTS, pause_seconds=PAUSE_SECONDS),
     "fails late": Answered(500, b"failed", delay_seconds=0.3),
+    "answers 0.3 seconds late": Answered(delay_seconds=0.3),
 }
 TOKENS = {"x_quinceferry_token_count": "100,400", "x_quinceferry_prompt_prefix": "a:60,b:40"}
 """More output tokens than the streams of these scenarios use."""
@@ -128,17 +129,26 @@
 
 
 @when("gateway 1 begins to forward a stream of {target}")
-@when("gateway 1 begins a stream of {target}")
 def when_begins(context, target):
     async def begin(scene):
-        scene.streaming = asyncio.create_task(scene.ask("POST", target, b"{}", **TOKENS))
-        context.add_cleanup(scene.streaming.cancel)
+        scene.carried = asyncio.create_task(scene.ask("POST", target, b"{}", **TOKENS))
+        context.add_cleanup(scene.carried.cancel)
         await until(lambda: scene.runs == 1, lambda: scene.answers)
         await asyncio.sleep(3 * PAUSE_SECONDS)
 
     context.gateway.acts.append(begin)
 
 
+@when("gateway 1 begins to forward a request for {target}")
+def when_begins_request(context, target):
+    async def begin(scene):
+        scene.carried = asyncio.create_task(scene.ask("POST", target, b"body"))
+        context.add_cleanup(scene.carried.cancel)
+        await until(lambda: scene.runs == 1, lambda: scene.answers)
+
+    context.gateway.acts.append(begin)
+
+
 @when("the connection to the peer that carries it is reset")
 def when_hop_reset(context):
     context.gateway.acts.append(lambda scene: cut_peer(scene, carrier(scene), resets=True))
@@ -160,9 +170,10 @@
 
 
 @when("the stream has ended")
+@when("the request has ended")
 def when_ended(context):
     async def wait(scene):
-        await scene.streaming
+        await scene.carried
 
     context.gateway.acts.append(wait)
 
@@ -170,8 +181,8 @@
 @when("its caller leaves")
 def when_leaves(context):
     async def leave(scene):
-        scene.streaming.cancel()
-        await asyncio.gather(scene.streaming, return_exceptions=True)
+        scene.carried.cancel()
+        await asyncio.gather(scene.carried, return_exceptions=True)
         scene.left_at = asyncio.get_running_loop().time()
         await until(lambda: sum(item.closed_by_peer for item in scene.upstreams_by_id.values()))
         scene.closed_after_seconds = asyncio.get_running_loop().time() - scene.left_at
