Pass on that a gateway is no longer cut off

Callers were not sent to a gateway, and no request was forwarded to it, for 3.9 to 4.6 s after it had reached its upstreams again, at 83 and 195 gateways. Cause: only those who got a digest of its own learned that its claim was withdrawn; the others passed the claim on until it expired after four seconds. Digests now carry how long ago a claim was withdrawn, as long as the claim would have been valid. The later of a claim and its withdrawal counts, and ages are rounded up, so that neither gets younger on its way.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
@@ -42,7 +42,7 @@
     ``leaving`` lists members that are about to stop. ``reply_requested`` requests a digest in reply
     at once. ``quarantined_seconds_by_content`` lists contents that must not be run, and for how
     long. ``cut_off_ages_by_checksum`` states how long ago members said that they reach no upstream
-    of some service.
+    of some service, ``reconnected_ages_by_checksum`` how long ago members no longer said so.
     """
 
     format: int
@@ -53,6 +53,7 @@
     reply_requested: bool = False
     quarantined_seconds_by_content: dict[str, Annotated[int, msgspec.Meta(gt=0)]] = {}
     cut_off_ages_by_checksum: dict[IncarnationChecksum, AgeUnits] = {}
+    reconnected_ages_by_checksum: dict[IncarnationChecksum, AgeUnits] = {}
 
 
 @lru_cache(maxsize=4096)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -142,7 +142,7 @@
             return
         self.liveness.record_seen(incarnation_checksum(peer.incarnation), now)
         self.liveness.merge(digest.ages_by_checksum, now)
-        self._merge_cut_off_claims(peer, digest.cut_off_ages_by_checksum, now)
+        self._merge_cut_off_claims(digest, now)
         if self._mark_leaving(digest.leaving) and now - self._sent_at > CONTENT_PAUSE_SECONDS:
             self._send_digest(FANOUT)
         if self._crashes and digest.quarantined_seconds_by_content:
@@ -151,17 +151,19 @@
         if is_outdated or (digest.reply_requested and not is_leaving):
             self._send_reply(peer, now)
 
-    def _merge_cut_off_claims(
-        self, peer: Member, ages_by_checksum: dict[IncarnationChecksum, int], now: float
-    ) -> None:
-        """Merge the claims in a peer's digest, whose own one is the latest."""
-        if not ages_by_checksum and self._cut_off_claims.is_empty:
+    def _merge_cut_off_claims(self, digest: Digest, now: float) -> None:
+        """Merge the claims and withdrawals in a peer's digest, whose own one is the latest."""
+        ages_by_checksum = digest.cut_off_ages_by_checksum
+        withdrawal_ages_by_checksum = digest.reconnected_ages_by_checksum
+        has_any = ages_by_checksum or withdrawal_ages_by_checksum
+        if not has_any and self._cut_off_claims.is_empty:
             return
-        checksum = incarnation_checksum(peer.incarnation)
+        checksum = incarnation_checksum(digest.sender.incarnation)
         if checksum not in ages_by_checksum:
             self._cut_off_claims.withdraw(checksum, now)
         others = [incarnation_checksum(item.incarnation) for item in self._blackboard.peers()]
         self._cut_off_claims.merge(ages_by_checksum, others, now)
+        self._cut_off_claims.merge_withdrawals(withdrawal_ages_by_checksum, others, now)
         self._update_cut_off_members(now)
 
     def _update_cut_off_members(self, now: float) -> None:
@@ -272,6 +274,7 @@
             reply_requested,
             quarantined,
             cut_off_ages,
+            self._cut_off_claims.withdrawal_ages(now),
         )
 
     def _quarantine_entries(self) -> dict[str, int]:
