Send requests at once after the links have healed in the scenario on it

The scenario waited for 1.5 seconds after the links had healed, as long as an upstream is avoided after its first failure, and only one upstream had failed: it passed with failures kept. All upstreams fail now, and requests come as soon as all services are reached; with failures kept it fails. The scenario on peers that can't be connected also checks that one was found so.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -19,8 +19,10 @@
     Given gateway 1 reaches no upstream
     And gateway 1 can't connect to gateway 2
     When 8 requests are sent to gateway 1 for /post/a
+    And the gateways are asked what they count
     Then all callers are answered 200
     And each request ran once
+    And gateway 1 found a peer unavailable
 
   Scenario: A request that may not run twice is forwarded again after its peer was lost
     Given gateway 1 reaches no upstream
@@ -84,8 +86,7 @@
 
   Scenario: Requests go through peers, or avoid upstreams, after the links have healed
     Given gateway 1 reaches no upstream
-    When the links of gateway 1 heal
-    And 1.5 seconds pass after it
+    When the links of gateway 1 heal, and it reaches all services within 1.5 seconds
     And 30 requests are sent to gateway 1 for /get/a
     Then peers served none of them, and each upstream of service app at least 3
 
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -23,6 +23,8 @@
 }
 TOKENS = {"x_quinceferry_token_count": "100,400", "x_quinceferry_prompt_prefix": "a:60,b:40"}
 """More output tokens than the streams of these scenarios use."""
+FIRST_REQUESTS = 12
+"""Requests that find the links cut, enough for one to fail at each upstream."""
 RETRY_RATIO, RETRY_SLACK = 0.2, 20
 """Retries per request, and further ones, that the whole fleet may make in these scenarios."""
 FORWARDED_METRIC = re.compile(
@@ -55,7 +57,12 @@
     async def cut(scene):
         scene.cut_links(0, refuses=True)
         board = scene.applications[0].blackboard
-        await scene.ask("GET", "/get/first")
+        await asyncio.gather(
+            *(
+                scene.ask("GET", "/get/first", x_quinceferry_request_id=f"first-{number}")
+                for number in range(FIRST_REQUESTS)
+            )
+        )
         await scene.ask("POST", "/ask/first", b"{}")
         await until(
             lambda: board.unreachable_services == frozenset(scene.services_by_id.values()),
@@ -243,19 +250,17 @@
     context.gateway.acts.append(begin)
 
 
-@when("the links of gateway 1 heal")
-def when_heal(context):
-    context.gateway.acts.append(lambda scene: scene.heal_links(0))
-
-
-@when("{seconds:g} seconds pass after it")
-def when_pass(context, seconds):
-    async def wait(scene):
-        await asyncio.sleep(seconds)
+@when("the links of gateway 1 heal, and it reaches all services within {seconds:g} seconds")
+def when_heal(context, seconds):
+    async def heal(scene):
+        scene.heal_links(0)
+        board = scene.applications[0].blackboard
+        async with asyncio.timeout(seconds):
+            await until(lambda: not board.unreachable_services)
         forget_requests(scene)
-        scene.served_before = await served_by_peers(scene)
+        scene.served_before = await forwarded_requests(scene)
 
-    context.gateway.acts.append(wait)
+    context.gateway.acts.append(heal)
 
 
 @when("gateway {number:d} is about to end, which gateway 1 has not learned")
@@ -298,13 +303,13 @@
     return [reply.body.decode() for reply in replies]
 
 
-async def served_by_peers(scene, outcome=None):
-    """Return how many forwarded requests all gateways have served, by outcome if one is given."""
+async def forwarded_requests(scene, outcome=None, direction="served"):
+    """Return how many forwarded requests all gateways count, by outcome if one is given."""
     total = 0.0
     for text in await metrics(scene):
         for match in FORWARDED_METRIC.finditer(text):
             is_counted = outcome is None or f'outcome="{outcome}"' in match["labels"]
-            if 'direction="served"' in match["labels"] and is_counted:
+            if f'direction="{direction}"' in match["labels"] and is_counted:
                 total += float(match["count"])
     return total
 
@@ -379,7 +384,7 @@
 @then("peers served none of them, and each upstream of service {service} at least {count:d}")
 def then_direct(context, service, count):
     async def compare(scene):
-        served = await served_by_peers(scene) - scene.served_before
+        served = await forwarded_requests(scene) - scene.served_before
         assert served == 0, served
         runs = [
             len(upstream.seen)
@@ -394,7 +399,8 @@
 @when("the gateways are asked what they count")
 def when_counted(context):
     async def scrape(scene):
-        scene.refused_as_stopping = await served_by_peers(scene, "stopping")
+        scene.refused_as_stopping = await forwarded_requests(scene, "stopping")
+        scene.unavailable_peers = await forwarded_requests(scene, "unavailable", "sent")
         scene.crash_lines = [line for text in await metrics(scene) for line in crash_lines(text)]
 
     context.gateway.acts.append(scrape)
@@ -414,6 +420,11 @@
     assert context.gateway.refused_as_stopping > 0
 
 
+@then("gateway 1 found a peer unavailable")
+def then_unavailable(context):
+    assert context.gateway.unavailable_peers > 0
+
+
 @then("no gateway counts a crash or holds content in quarantine")
 def then_no_crash(context):
     assert not context.gateway.crash_lines, context.gateway.crash_lines
