Add a failing test of the mark of forwarded requests at the address for metrics

Only the address for peers may accept it: whoever reaches the one for metrics gets requests served for which no gateway has reserved tokens. Cause: the listener for metrics serves the whole API for peers.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -129,3 +129,7 @@
     Given gateway 1 reaches no upstream
     When a stream of /draft/a is asked for at gateway 1
     Then no upstream sees the mark of forwarded requests, but the key's workspace
+
+  Scenario: The address for metrics serves requests without their tokens
+    When a caller sends the mark of forwarded requests to the metrics address of gateway 1
+    Then the request is not served there
