Don't take the answer of an upstream for a refusal by a peer

A forwarded request that may not run twice ran at the upstream, and its caller was told that it had not run: 503 instead of the upstream's 200. Cause: the peer passed a header quinceferry-refusal of its upstream's answer on, which the sender takes for the peer's own refusal; one that says stopping makes it ask another peer. Evidence: a scenario with such upstreams failed in that way. The header is now left out of the answers of upstreams, so that it always comes from a gateway; the scenario passes.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -33,6 +33,13 @@
     Then all callers are answered 502
     And upstreams ran 1 request in all
 
+  Scenario: A request runs again because its upstream's answer is taken for a refusal by the peer
+    Given the answers of upstreams carry the header of refusals by peers
+    And gateway 1 reaches no upstream
+    When 1 request is sent to gateway 1 for /post/a
+    Then all callers are answered 200
+    And upstreams ran 1 request in all
+
   Scenario: The attempts of the route begin anew at the peer
     Given from then on each upstream of service app "fails late"
     When gateway 1 loses its links while an upstream runs a request for /get/a
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -10,9 +10,10 @@
 
 from features.fixtures_gateway import KEY, WORKSPACE, until
 from features.steps.gateway import BEHAVIOURS, check
+from quinceferry_gateway.answers import REFUSAL_HEADER
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
-from quinceferry_gateway.forwarding import FORWARDED_HEADER, REFUSAL_HEADER
-from quinceferry_standins.managed_upstream import Answered, Streaming, event_bytes
+from quinceferry_gateway.forwarding import FORWARDED_HEADER
+from quinceferry_standins.managed_upstream import Answered, ManagedUpstream, Streaming, event_bytes
 
 EVENTS = 12
 PAUSE_SECONDS = 0.05
@@ -34,6 +35,14 @@
 CRASH_METRICS = ("quinceferry_gateway_upstream_crashes_total", "quinceferry_gateway_quarantine")
 
 
+class MarkingUpstream(ManagedUpstream):
+    """Upstream whose answers carry the header with which gateways refuse forwarded requests."""
+
+    def _announcement_headers(self):
+        """Return the header with a refusal after which another gateway is asked."""
+        return [(REFUSAL_HEADER, b"stopping")]
+
+
 @dataclass(slots=True)
 class Arrivals:
     """Arrival times of the events of a stream on the event loop's clock."""
@@ -52,6 +61,13 @@
     context.gateway.acts.append(meet)
 
 
+@given("the answers of upstreams carry the header of refusals by peers")
+def given_marking(context):
+    upstreams_by_id = context.gateway.upstreams_by_id
+    for upstream_id, upstream in upstreams_by_id.items():
+        upstreams_by_id[upstream_id] = MarkingUpstream(upstream_id, upstream.script)
+
+
 @given("gateway 1 reaches no upstream")
 def given_cut(context):
     async def cut(scene):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -5,6 +5,9 @@
 
 from quinceferry_gateway.catalog import AnswerHead
 
+REFUSAL_HEADER = b"quinceferry-refusal"
+"""Reason for which a peer refused a forwarded request; only gateways may send it."""
+
 
 class Reason(Enum):
     """Reason for which the gateway refused a request."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -5,6 +5,7 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
+    REFUSAL_HEADER,
     RETRY_SECONDS_BY_REASON,
     Reason,
     Refusal,
@@ -20,7 +21,7 @@
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
-from quinceferry_gateway.forwarding import FORWARDED_HEADER, GIVEN_UP_MARK, REFUSAL_HEADER
+from quinceferry_gateway.forwarding import FORWARDED_HEADER, GIVEN_UP_MARK
 from quinceferry_gateway.freshness import ConfigurationFreshness
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -5,7 +5,13 @@
 from typing import TypeVar
 
 from quinceferry_core.clocks import Clock
-from quinceferry_gateway.answers import AttemptOutcome, NotRun, StreamedAnswer, WholeAnswer
+from quinceferry_gateway.answers import (
+    REFUSAL_HEADER,
+    AttemptOutcome,
+    NotRun,
+    StreamedAnswer,
+    WholeAnswer,
+)
 from quinceferry_gateway.catalog import AnswerHead, Call, RouteKind, Upstream
 from quinceferry_gateway.decisions import Attempt
 from quinceferry_gateway.exceptions import ConnectionBrokenError, ForeignAnswerError
@@ -80,7 +86,9 @@
             connect_timeout_seconds=connect_timeout_seconds,
         ) as reply:
             self._reachability.connection_succeeded(upstream)
-            head = self._dialect.decode_answer(reply.status, reply.headers)
+            # The sender of a forwarded request would take it for a refusal, and send it again.
+            headers = [item for item in reply.headers if item[0].lower() != REFUSAL_HEADER]
+            head = self._dialect.decode_answer(reply.status, headers)
             self._signals.answer_received(upstream, head)
             if head.misdirected:
                 attempt.record_misdirected(self._clock.monotonic())
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
@@ -11,6 +11,7 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
+    REFUSAL_HEADER,
     AttemptOutcome,
     Reason,
     Refusal,
@@ -26,8 +27,6 @@
 
 FORWARDED_HEADER = b"quinceferry-forwarded"
 """Marks a forwarded request; its value is the number of attempts that are left."""
-REFUSAL_HEADER = b"quinceferry-refusal"
-"""Reason for which a peer refused a forwarded request."""
 GIVEN_UP_MARK = b": given up"
 """Ends a forwarded stream that the peer can't resume within the attempts that it was granted. It is
 no whole event, so that callers never see it."""
