Send more requests in the scenario on peers that can't be connected

With eight requests and two peers it failed once in some 18 runs, since none had been sent to the peer that can't be connected; chance would do so once in 256. Twelve further runs alone showed both peers as connected, and one to five requests that met the cut one. Why it happened in that run is not known.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -18,7 +18,7 @@
   Scenario: A request that may not run twice is lost with a peer that can't be connected
     Given gateway 1 reaches no upstream
     And gateway 1 can't connect to gateway 2
-    When 8 requests are sent to gateway 1 for /post/a
+    When 24 requests are sent to gateway 1 for /post/a
     And the gateways are asked what they count
     Then all callers are answered 200
     And each request ran once
