--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -5,6 +5,7 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
+    REFUSAL_HEADER,
     RETRY_SECONDS_BY_REASON,
     Reason,
     Refusal,
@@ -20,7 +21,7 @@
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
-from quinceferry_gateway.forwarding import REFUSAL_HEADER
+from quinceferry_gateway.forwarding import FORWARDED_HEADER, GIVEN_UP_MARK
 from quinceferry_gateway.freshness import ConfigurationFreshness
 from quinceferry_gateway.interfaces import Dialect
 from quinceferry_gateway.logs import log
@@ -191,9 +192,9 @@
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
-        call = self._dialect.decode_call(
-            scope["method"], target, scope["path"], scope["headers"], body
-        )
+        # The mark of a forwarded request concerns gateways only.
+        headers = [item for item in scope["headers"] if item[0] != FORWARDED_HEADER]
+        call = self._dialect.decode_call(scope["method"], target, scope["path"], headers, body)
         # The configuration may have changed while the body was being read.
         configuration = self._blackboard.configuration or configuration
         if self._freshness.is_outdated:
@@ -343,6 +344,10 @@
                     detail=outcome.detail,
                 )
                 self._count_outcome(progress, "broken")
+                if progress.forwarded:
+                    # The sender must not mistake this for a lost peer, and forward it again.
+                    await exchange.send(GIVEN_UP_MARK)
+                    await exchange.finish()
                 return
             await self._refuse(exchange, request_id, outcome, started_at, progress)
             return
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
@@ -12,6 +12,7 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.answers import (
+    REFUSAL_HEADER,
     AttemptOutcome,
     Reason,
     Refusal,
@@ -27,8 +28,9 @@
 
 FORWARDED_HEADER = b"quinceferry-forwarded"
 """Marks a forwarded request; its value is the number of attempts that are left."""
-REFUSAL_HEADER = b"quinceferry-refusal"
-"""Reason for which a peer refused a forwarded request."""
+GIVEN_UP_MARK = b": given up"
+"""Ends a forwarded stream that the peer can't resume within the attempts that it was granted. It is
+no whole event, so that callers never see it."""
 MAX_FORWARDS = 4
 """Most peers to which one request is forwarded in turn."""
 TIME_RESERVE_SECONDS = 0.05
@@ -140,6 +142,8 @@
         except NotSentError as error:
             return PeerUnavailable(str(error))
         except ConnectionBrokenError as error:
+            if progress.stream.buffer.pending == GIVEN_UP_MARK:
+                return Refusal(Reason.OUTCOME_UNKNOWN, "the peer gave the stream up")
             return UnknownOutcome(str(error))
         except TimeoutError:
             return UnknownOutcome("the request's time is up")
