Serve nothing but metrics on the address for metrics

The address for metrics also took forwarded requests, whose tokens nobody reserves, and the other calls between gateways. It has an application of its own now.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -85,8 +85,8 @@
     And upstream app-1 of service app that "answers"
     And upstream llm-1 of service llm that "streams slowly"
     And a caller that receives a stream
-    When the gateway is told to stop while its event loop is blocked for 1 second
-    And 1.1 seconds later a caller asks for a stream of /draft/late
+    When the gateway is told to stop while its event loop is blocked for 1.5 seconds
+    And 1.6 seconds later a caller asks for a stream of /draft/late
     And the gateway ends
     Then the caller is refused at once, told when to return, and its connection is closed
     And the gateway has ended 6 seconds after the signal
--- a/features/steps/gateway_stops.py
+++ b/features/steps/gateway_stops.py
@@ -247,7 +247,7 @@
     assert not context.gateway.unanswered, context.gateway.unanswered
 
 
-@when("the gateway is told to stop while its event loop is blocked for {seconds:g} second")
+@when("the gateway is told to stop while its event loop is blocked for {seconds:g} seconds")
 def when_stop_noticed_late(context, seconds):
     def stop(scene):
         scene.stop_requested_at = time.monotonic()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -23,7 +23,7 @@
 from quinceferry_gateway.fleet.copies import CopyReplicator
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fleet.gossip import Gossip
-from quinceferry_gateway.fleet_api import PeerApi, register_token_calls
+from quinceferry_gateway.fleet_api import MetricsApi, PeerApi, register_token_calls
 from quinceferry_gateway.forwarding import RequestForwarder
 from quinceferry_gateway.freshness import CONFIGURATION_KIND, ConfigurationFreshness
 from quinceferry_gateway.holder import TokenHolder
@@ -200,12 +200,12 @@
         self._caller_listener = HttpListener(
             self.caller_api, settings.listen.callers, PEER_IDLE_TIMEOUT_SECONDS * 3
         )
-        peer_api = PeerApi(copies, self.holder, metrics, self.caller_api)
+        peer_api = PeerApi(copies, self.holder, self.caller_api)
         peer_listener = HttpListener(peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS)
         self._request_listeners = [self._caller_listener, peer_listener]
         self._other_listeners = [
             peer_listener,
-            HttpListener(peer_api, settings.listen.metrics, PEER_IDLE_TIMEOUT_SECONDS),
+            HttpListener(MetricsApi(metrics), settings.listen.metrics, PEER_IDLE_TIMEOUT_SECONDS),
             *create_listeners(self),
         ]
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -34,7 +34,7 @@
 
 
 class PeerApi:
-    """ASGI application for calls of other gateways and of metrics scrapers.
+    """ASGI application for calls of other gateways.
 
     :param caller_api: serves requests that peers forward.
     """
@@ -43,12 +43,10 @@
         self,
         copies: CopyReplicator,
         holder: TokenHolder,
-        metrics: Metrics,
         caller_api: CallerApi,
     ) -> None:
         self._copies = copies
         self._holder = holder
-        self._metrics = metrics
         self._caller_api = caller_api
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -75,8 +73,6 @@
                 if not self._holder.inherit(request):
                     return REFUSED_STATUS, b"text/plain", b""
                 return _json_answer(Acknowledgement())
-            case "/metrics":
-                return 200, CONTENT_TYPE_LATEST.encode(), self._metrics.exposition()
             case _ if path.startswith(COPIES_PATH):
                 copy = self._copies.encode(path.removeprefix(COPIES_PATH))
                 return (404, b"text/plain", b"") if copy is None else (200, _BINARY, copy)
@@ -84,6 +80,21 @@
                 return 404, b"text/plain", b""
 
 
+class MetricsApi:
+    """ASGI application for metrics scrapers, which may do nothing else."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        if scope["path"] != "/metrics":
+            await send_response(send, 404, b"", b"text/plain")
+            return
+        body = self._metrics.exposition()
+        await send_response(send, 200, body, CONTENT_TYPE_LATEST.encode())
+
+
 def register_token_calls(calls: DatagramCalls, holder: TokenHolder) -> None:
     """Register the calls that reserve and settle tokens at a holder."""
 
