Count the outcome of a request in one place, and look for lone stopping gateways only while stopping

Behaviour stays as it is. Refusals and other outcomes of forwarded requests were counted in two places, each with its own test for forwarded requests. A gateway built the list of usable members ten times a second for life to see whether it is empty, which it can be only while the gateway stops. Claims are compared with members only if there are any.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -64,6 +64,7 @@
 INHERIT_TIMEOUT_SECONDS = 0.5
 """Longest wait for a peer that is to take over tokens; a planned stop leaves time to try several
 peers."""
+
 ListenerFactory = Callable[["Application"], list[HttpListener]]
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
@@ -28,6 +28,11 @@
         self._is_closing = is_closing
         self.forwarded_attempts: int | None = None
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether a peer has forwarded the request."""
+        return self.forwarded_attempts is not None
+
     async def read_body(self, limits: CallerLimits) -> bytes:
         """Read and return the whole body.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -165,7 +165,7 @@
                     route=admitted.route.name,
                     tokens=self._max_used_tokens(admitted),
                 )
-                self._count_outcome(admitted, "caller_left")
+                self._count_outcome(exchange, admitted, "caller_left")
         finally:
             del self._running_by_exchange[exchange]
             disconnect_task.cancel()
@@ -241,8 +241,8 @@
         )
         demand = Demand.from_call(call, route.max_pause_seconds)
         service = self._draw_service(route)
-        max_attempts, forwarded = route.max_attempts, exchange.forwarded_attempts is not None
-        if forwarded:
+        max_attempts = route.max_attempts
+        if exchange.forwarded_attempts is not None:
             max_attempts = min(max_attempts, exchange.forwarded_attempts)
         return Progress(
             call,
@@ -253,7 +253,7 @@
             stream,
             demand,
             max_attempts,
-            forwarded,
+            exchange.is_forwarded,
         )
 
     def _draw_service(self, route: Route) -> str:
@@ -343,7 +343,7 @@
                     tokens=self._max_used_tokens(progress),
                     detail=outcome.detail,
                 )
-                self._count_outcome(progress, "broken")
+                self._count_outcome(exchange, progress, "broken")
                 if progress.forwarded:
                     # The sender must not mistake this for a lost peer, and forward it again.
                     await exchange.send(GIVEN_UP_MARK)
@@ -370,12 +370,18 @@
             seconds=round(seconds, 4),
         )
 
-    def _count_outcome(self, progress: Progress, outcome: str) -> None:
-        """Count a request by its outcome, one that a peer has forwarded apart from the others."""
-        if progress.forwarded:
+    def _count_outcome(
+        self, exchange: CallerExchange, progress: Progress | None, outcome: str
+    ) -> None:
+        """Count a request by its outcome, one that a peer has forwarded apart from the others.
+
+        :param progress: None for a request that was not admitted.
+        """
+        if exchange.is_forwarded:
             self._metrics.count_forwarded_request("served", outcome)
-        else:
-            self._metrics.count_request(progress.workspace_name, progress.route.name, outcome)
+            return
+        workspace, route = _names(progress)
+        self._metrics.count_request(workspace, route, outcome)
 
     async def _refuse(
         self,
@@ -387,13 +393,8 @@
     ) -> None:
         """Answer a request with a refusal of the gateway."""
         seconds = self._clock.monotonic() - started_at
-        workspace = progress.workspace_name if progress else "none"
-        route = progress.route.name if progress else "none"
-        forwarded = exchange.forwarded_attempts is not None
-        if forwarded:
-            self._metrics.count_forwarded_request("served", refusal.reason.value)
-        else:
-            self._metrics.count_request(workspace, route, refusal.reason.value)
+        workspace, route = _names(progress)
+        self._count_outcome(exchange, progress, refusal.reason.value)
         log.failure(
             "request.refused",
             request=request_id,
@@ -404,7 +405,7 @@
             may_have_run=bool(progress and progress.may_have_run),
             tokens=self._max_used_tokens(progress) if progress else 0,
             seconds=round(seconds, 4),
-            forwarded=forwarded,
+            forwarded=exchange.is_forwarded,
         )
         retry_after = refusal.retry_seconds
         if retry_after is None:
@@ -412,11 +413,16 @@
         if retry_after is not None:
             retry_after *= 1 + _RETRY_AFTER_JITTER_SHARE * self._rng.random()
         headers = self._dialect.refusal_headers(request_id, retry_after)
-        if forwarded:
+        if exchange.is_forwarded:
             headers.append((REFUSAL_HEADER, refusal.reason.value.encode()))
         await exchange.answer(refusal.http_status, headers, b"")
 
 
+def _names(progress: Progress | None) -> tuple[str, str]:
+    """Return the names of the workspace and the route of a request for logs and metrics."""
+    return (progress.workspace_name, progress.route.name) if progress else ("none", "none")
+
+
 def _malformed_reason(error: BadCallError) -> Reason:
     """Return the reason of refusal for a request that cannot be decoded."""
     return Reason.OVERSIZED if error.status == OVERSIZED_BODY_STATUS else Reason.MALFORMED
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -174,11 +174,13 @@
         """Publish which members reach no upstream of some service."""
         board = self._blackboard
         claimed = self._cut_off_claims.ages(now).keys()
-        members = {
-            peer.incarnation
-            for peer in board.peers()
-            if claimed and incarnation_checksum(peer.incarnation) in claimed
-        }
+        members = set()
+        if claimed:
+            members = {
+                peer.incarnation
+                for peer in board.peers()
+                if incarnation_checksum(peer.incarnation) in claimed
+            }
         if board.unreachable_services:
             members.add(board.own.incarnation)
         board.cut_off_members = frozenset(members)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -272,7 +272,8 @@
         board = self._blackboard
         await self._registered.wait()
         while True:
-            if board.usable_members() or board.should_skip_read(board.members_read_at):
+            is_alone = board.phase is Phase.DRAINING and not board.usable_peers()
+            if not is_alone or board.should_skip_read(board.members_read_at):
                 await self._clock.sleep(ALONE_CHECK_SECONDS)
             else:
                 await self._read(self._clock.monotonic())
