--- a/review/1/standins.py
+++ b/review/1/standins.py
@@ -334,7 +334,8 @@
         at = self._record.write(f"{self.id} runs {request_id} for tenant '{tenant}'")
         self.runs.append(Run(request_id, tenant, at))
         await asyncio.sleep(0.03)
-        own = {"X-Quinceferry-Request-Id": request_id, "X-Quinceferry-Server-Seal": f"s.{request_id}"}
+        own = {"X-Quinceferry-Request-Id": request_id}
+        own["X-Quinceferry-Server-Seal"] = f"seal.{request_id}"
         return encode_answer(200, own, f"result of {request_id}".encode())
 
 
