--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import signal
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -161,10 +162,12 @@
     """Play the case; return 1 if a rule was broken, 0 if not, 2 if the case could not run."""
     record = Record(Path(__file__).with_name("record.txt"))
     case = Case(folder, record)
+    # An interrupted run still ends the gateways that it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         await case.start()
         await case.play()
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         return 2
     finally:
