Log when a stop began, what it ended, and how late the event loop runs

A request that a planned stop ended early looked in the log like one whose caller's time was up, and nothing said from when a stop was counted or that the event loop had stalled before it. So the hypotheses of the streams cut at stops could not be told apart. `gateway.draining` and `gateway.stopped` have times now, `stream.broken` says whether the stop ended it, and `loop.stalled`, `quinceferry_gateway_event_loop_delay_seconds` and `quinceferry_gateway_requests_ended_by_stop_total` are new.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -235,7 +235,13 @@
         stop = PlannedStop.starting_at(self._responsive_at, self.settings.stop)
         self.blackboard.phase = Phase.DRAINING
         self.caller_api.begin_stop(stop)
-        log.change("gateway.draining", in_progress=self.caller_api.in_progress)
+        now = self._clock.monotonic()
+        log.change(
+            "gateway.draining",
+            in_progress=self.caller_api.in_progress,
+            counted_seconds=round(now - stop.began_at, 4),
+            work_ends_in_seconds=round(stop.work_ends_at - now, 4),
+        )
         self._gossip.announce_leaving()
         # The store may be slow or unavailable, and callers must not wait for it.
         withdrawal = asyncio.create_task(self._registration.withdraw())
@@ -258,6 +264,7 @@
             "gateway.stopped",
             in_progress=self.caller_api.in_progress,
             connections=self._count_open_connections(),
+            seconds=round(self._clock.monotonic() - stop.began_at, 4),
         )
         log.flush()
 
@@ -335,6 +342,10 @@
         ticked_at = self._clock.monotonic()
         while self.blackboard.phase is not Phase.DRAINING:
             now = self._clock.monotonic()
+            delay_seconds = max(0.0, now - ticked_at - TICK_INTERVAL_SECONDS)
+            self.metrics.record_loop_delay(delay_seconds)
+            if now - ticked_at > MAX_TICK_SECONDS:
+                log.failure("loop.stalled", seconds=round(delay_seconds, 4))
             self._responsive_at = ticked_at if now - ticked_at > MAX_TICK_SECONDS else now
             ticked_at = now
             await self._clock.sleep(TICK_INTERVAL_SECONDS)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -333,6 +333,8 @@
         """Send the outcome of a request to the caller."""
         request_id = progress.call.request_id
         if isinstance(outcome, Refusal):
+            if self._was_ended_by_stop(progress):
+                self._metrics.count_request_ended_by_stop()
             if progress.stream.head_sent:
                 # Returning with an unfinished body closes the connection, so the caller sees an
                 # interrupted stream.
@@ -342,6 +344,8 @@
                     workspace=progress.workspace_name,
                     tokens=self._max_used_tokens(progress),
                     detail=outcome.detail,
+                    seconds=round(self._clock.monotonic() - started_at, 4),
+                    ended_by_stop=self._was_ended_by_stop(progress),
                 )
                 self._count_outcome(exchange, progress, "broken")
                 if progress.forwarded:
@@ -370,6 +374,10 @@
             seconds=round(seconds, 4),
         )
 
+    def _was_ended_by_stop(self, progress: Progress) -> bool:
+        """Return whether the planned stop has ended the time of a request."""
+        return progress.shortened and self._clock.monotonic() >= progress.deadline_at
+
     def _count_outcome(
         self, exchange: CallerExchange, progress: Progress | None, outcome: str
     ) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -13,6 +13,7 @@
 
 LATENCY_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
 PAUSE_BOUNDS_SECONDS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
+LOOP_DELAY_BOUNDS_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 MAX_LABELS = 200
 """Maximum number of distinct label values; further ones share one label."""
 _OVERFLOW_LABEL = "others"
@@ -53,6 +54,16 @@
             "quinceferry_gateway_address_answers",
             description="Answers to address lookups by the phase of this gateway",
         )
+        self._loop_delay = meter.create_histogram(
+            "quinceferry_gateway_event_loop_delay",
+            unit="s",
+            description="How late the event loop ran a task that was due",
+            explicit_bucket_boundaries_advisory=list(LOOP_DELAY_BOUNDS_SECONDS),
+        )
+        self._requests_ended_by_stop = meter.create_counter(
+            "quinceferry_gateway_requests_ended_by_stop",
+            description="Requests that ran until the planned stop of this gateway ended them",
+        )
         self._store_calls = meter.create_counter(
             "quinceferry_gateway_store_calls", description="Calls to the store by step and result"
         )
@@ -135,6 +146,14 @@
         """Count a request that arrived after the planned stop began."""
         self._requests_while_stopping.add(1)
 
+    def count_request_ended_by_stop(self) -> None:
+        """Count a request whose time was ended by the planned stop, not by its caller."""
+        self._requests_ended_by_stop.add(1)
+
+    def record_loop_delay(self, seconds: float) -> None:
+        """Record how late the event loop ran a task that was due."""
+        self._loop_delay.record(seconds)
+
     def count_address_answer(self, phase: str, found: bool) -> None:
         """Count an answer to an address lookup.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -34,7 +34,8 @@
     reached an upstream that did not reject it, and ``retry_granted`` whether the retry budget has
     already granted the next attempt. ``max_attempts`` are those of its route, or fewer if a peer
     has forwarded it after some. ``tried_peers`` are the incarnations to which it was forwarded.
-    ``attempt_timeout`` ends the attempt in progress at the deadline.
+    ``attempt_timeout`` ends the attempt in progress at the deadline. ``shortened`` states whether a
+    planned stop has moved the deadline forward.
     """
 
     call: Call
@@ -48,6 +49,7 @@
     forwarded: bool = False
     tried_peers: list[str] = field(default_factory=list)
     attempt_timeout: asyncio.Timeout | None = None
+    shortened: bool = False
     tried_upstream_ids: list[str] = field(default_factory=list)
     delivered_sends: int = 0
     misdirected: int = 0
@@ -65,6 +67,7 @@
         if deadline_at >= self.deadline_at:
             return
         self.deadline_at = deadline_at
+        self.shortened = True
         if self.attempt_timeout is not None:
             remaining = max(0.0, deadline_at - now)
             self.attempt_timeout.reschedule(asyncio.get_running_loop().time() + remaining)
