Show that a stop that follows a stall cuts streams too early, on a real process

A gateway process relays three endless streams and is stopped by SIGSTOP for 0.9 or 1.5 s around its SIGTERM.

--- /dev/null
+++ b/features/fixtures_gateway_process.py
@@ -0,0 +1,213 @@
+"""A gateway as a process of its own, on stand-ins of the users' platform over real sockets."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from features.fixtures_gateway import HOST, KEY, PATIENCE_SECONDS, free_address, until
+from quinceferry_gateway import HttpClient, HttpListener
+from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_standins.managed_store import ManagedStore
+from quinceferry_standins.managed_upstream import ManagedUpstream, Streaming
+
+GRACE_SECONDS = 6.0
+"""Time from SIGTERM to SIGKILL."""
+LAST_SHARE_OF_GRACE = 1 / 6
+"""Last part of the grace time, in which a stop may end requests that are still in progress."""
+CALLER_SECONDS = 20.0
+"""Time that callers give their requests, more than any stop lasts."""
+EVENTS = 10_000
+EVENT_PAUSE_SECONDS = 0.05
+_LISTENERS = ("callers", "readiness", "directory", "peers", "metrics")
+
+
+def configuration():
+    """Return the operators' document: one stream that may run once, without tokens."""
+    route = {"name": "explain", "prefix": "/explain/", "kind": "stream", "service": "llm"}
+    route |= {"host": HOST, "timeout_ms": CALLER_SECONDS * 1000, "slo_ms": 500, "attempts": 1}
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": "llm", "max_conns": 100}],
+        "tenants": [{"name": "choir", "api_keys": [KEY]}],
+    }
+
+
+@dataclass
+class ReceivedStream:
+    """What a caller received; times are on the monotonic clock, ``ended_at`` is 0 until the end."""
+
+    status: int = 0
+    events: int = 0
+    ended_at: float = 0.0
+    whole: bool = False
+
+
+@dataclass
+class ProcessScene:
+    """One gateway process, its platform, and what its callers saw.
+
+    ``acts`` are played in order, each with the scene.
+    """
+
+    acts: list = field(default_factory=list)
+    streams: list = field(default_factory=list)
+    process: asyncio.subprocess.Process | None = None
+    signalled_at: float = 0.0
+    exited_at: float = 0.0
+
+    def play(self):
+        """Start everything, play all acts and end what still runs."""
+        asyncio.run(self._play())
+
+    async def _play(self):
+        self.http = HttpClient()
+        self.store = ManagedStore()
+        self.upstream = ManagedUpstream(
+            "llm-1", deque([Streaming(EVENTS, pause_seconds=EVENT_PAUSE_SECONDS)])
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            store_address = free_address()
+            for part in (HttpListener(self.store, store_address, 5.0), self.upstream):
+                await part.start()
+                stack.push_async_callback(part.stop)
+            await self._publish()
+            stack.push_async_callback(self._end)
+            await self._start(folder, store_address)
+            try:
+                for act in self.acts:
+                    await act(self)
+            finally:
+                self.log_lines = self.log.read_text().splitlines()
+
+    async def _publish(self):
+        """Write the configuration and the entry of the upstream."""
+        await self.store.put("op/config", json.dumps(configuration()).encode())
+        entry = {"service": "llm", "addr": self.upstream.address, "zone": "zone-a", "slots": 64}
+        entry |= {"state": "ready", "seq": 1, "version": "v1", "cold_left_ms": 0}
+        await self.store.put("servers/llm-1", json.dumps(entry).encode())
+
+    async def _start(self, folder, store_address):
+        """Start the gateway and wait until it is ready."""
+        self.addresses_by_name = {name: free_address() for name in _LISTENERS}
+        listen = "\n".join(f'{name} = "{item}"' for name, item in self.addresses_by_name.items())
+        settings = folder / "gateway.toml"
+        settings.write_text(
+            '[gateway]\nvm = "vm-1"\nzone = "zone-a"\nregion = "south"\n'
+            f"[listen]\n{listen}\n"
+            f'[store]\naddress = "{store_address}"\n'
+            "[retries]\nratio = 0.2\nslack = 54\nwindow_seconds = 10\n"
+            f"[stop]\ngrace_seconds = {GRACE_SECONDS}\n"
+        )
+        self.log = folder / "gateway.log"
+        with self.log.open("wb") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "quinceferry_platform",
+                "--config",
+                str(settings),
+                stdout=output,
+            )
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while True:
+                if await self._is_ready():
+                    return
+                await asyncio.sleep(0.05)
+
+    async def _is_ready(self):
+        """Tell whether the gateway accepts callers."""
+        headers = [(b"host", b"readiness")]
+        address = self.addresses_by_name["readiness"]
+        with contextlib.suppress(NotSentError, ConnectionBrokenError):
+            reply = await self.http.fetch(
+                address, b"GET", b"/v1/readyz", headers, timeout_seconds=1.0
+            )
+            return reply.status == 200
+        return False
+
+    async def _end(self):
+        """End the gateway if it still runs, and wait for it."""
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            self.send(signal.SIGCONT)
+            self.process.kill()
+        await self.process.wait()
+
+    def send(self, number):
+        """Send a signal to the gateway."""
+        if self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    def send_stop(self):
+        """Send SIGTERM, and SIGKILL after the grace time, as the platform does."""
+        self.signalled_at = time.monotonic()
+        self.send(signal.SIGTERM)
+        self.end_task = asyncio.create_task(self._end_after_grace())
+
+    async def _end_after_grace(self):
+        """Wait for the end of the gateway, and kill it after the grace time."""
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_SECONDS)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+        self.exited_at = time.monotonic()
+
+    async def stall(self, seconds):
+        """Give the gateway no processor time for a while."""
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.send(signal.SIGCONT)
+
+    async def receive_streams(self, count):
+        """Begin to receive streams, and wait until each has received events."""
+        received = [ReceivedStream() for _ in range(count)]
+        self.tasks = [
+            asyncio.create_task(self._receive(item, f"stream-{number}"))
+            for number, item in enumerate(received)
+        ]
+        self.streams += received
+        await until(lambda: all(item.events for item in received))
+
+    async def _receive(self, received, request_id):
+        """Receive one stream until it ends."""
+        headers = [
+            (b"host", HOST.encode()),
+            (b"content-length", b"2"),
+            (b"x-quinceferry-request-id", request_id.encode()),
+            (b"x-quinceferry-credential", KEY.encode()),
+            (b"x-quinceferry-deadline-ms", str(int(CALLER_SECONDS * 1000)).encode()),
+        ]
+        address = self.addresses_by_name["callers"]
+        try:
+            async with self.http.open(address, b"POST", b"/explain/a", headers, b"{}") as reply:
+                received.status = reply.status
+                async for chunk in reply.chunks():
+                    received.events += chunk.count(b"\n\n")
+                received.whole = True
+        except ConnectionBrokenError:
+            received.whole = False
+        received.ended_at = time.monotonic()
+
+    def log_events(self, name):
+        """Return the log lines of an event."""
+        lines = (json.loads(line) for line in self.log_lines)
+        return [line for line in lines if line["event"] == name]
+
+
+def process_scene(context):
+    """Return the scene of a scenario, a new one at the first use."""
+    if not hasattr(context, "process_scene"):
+        context.process_scene = ProcessScene()
+    return context.process_scene
--- /dev/null
+++ b/features/gateway_process_stops.feature
@@ -0,0 +1,25 @@
+Feature: Planned stops of a gateway process that gets little processor time
+  A process that is not scheduled does not notice when its signals arrive, and everything that it does
+  takes longer. Its callers must not pay for that before the grace time is nearly over.
+
+  Scenario Outline: A stop that follows a stall cuts streams too early
+    Given a gateway process that relays 3 endless streams
+    When the gateway process is stalled for <stall> seconds and gets SIGTERM <delay> s later
+    And the gateway process has ended, at the latest by SIGKILL after its grace time
+    Then no stream ended before the last sixth of the grace time
+
+    Examples:
+      | stall | delay |
+      | 1.5   | 0.05  |
+      | 0.9   | 0.1   |
+
+  Scenario Outline: A stop that arrives in a stall cuts streams too early
+    Given a gateway process that relays 3 endless streams
+    When the gateway process gets SIGTERM <delay> s into a stall of <stall> seconds
+    And the gateway process has ended, at the latest by SIGKILL after its grace time
+    Then no stream ended before the last sixth of the grace time
+
+    Examples:
+      | stall | delay |
+      | 1.5   | 0.1   |
+      | 1.5   | 1.4   |
