Count a planned stop from when its signal arrived, not from before a stall

Callers of a gateway that was stopped on a crowded machine lost their streams up to seconds before the grace time was over. A stop counted from when the event loop was last known to run before the signal was noticed. After a stall that was the time before it, also where the signal came after it; all requests in progress lost the length of the stall. Counting from when the loop notices the signal is no better: a late notice lets SIGKILL cut what has not been handed over.

A thread reads the wake-up descriptor of the interpreter now, so the time of the signal is known while the loop does not run. It remains uncertain only while the whole process gets no processor time. Then what must survive a kill (tokens, the registration, what is accepted late) goes by the earliest possible time, and requests in progress by the latest: a kill ends no more of them than the gateway would by itself.

The scenario of a gateway that notices its stop late passes the time of the signal to the gateway, as the watch does, with the same bounds.

--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
@@ -22,6 +23,7 @@
     StopSettings,
     StoreSettings,
 )
+from quinceferry_gateway.stop_requests import StopRequest
 from quinceferry_gateway.transport import CONNECT_TIMEOUT_SECONDS
 from quinceferry_platform.endpoints import listeners
 from quinceferry_platform.headers import PlatformDialect
@@ -208,17 +210,21 @@
             listeners,
         )
         self.clients.append(client)
-        stop = asyncio.Event()
+        stop = StopRequest()
         self.applications.append(application)
         self.stops.append(stop)
         return asyncio.create_task(application.run(stop))
 
     async def _end(self, task):
         """Stop the gateway of a task."""
-        for stop in self.stops:
-            stop.set()
+        for number in range(len(self.stops)):
+            self.request_stop(number)
         await asyncio.wait_for(task, PATIENCE_SECONDS)
 
+    def request_stop(self, gateway=0, noted_at=None):
+        """Request the stop of a gateway, now or at an earlier time on the monotonic clock."""
+        self.stops[gateway].make(time.monotonic() if noted_at is None else noted_at)
+
     def _all_serve(self, tasks):
         """Tell whether all gateways can serve; raise the error of one that ended."""
         for task in tasks:
--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -24,6 +24,8 @@
 """Last part of the grace time, in which a stop may end requests that are still in progress."""
 CALLER_SECONDS = 20.0
 """Time that callers give their requests, more than any stop lasts."""
+SLICE_SECONDS = 0.1
+"""Time in which a starved gateway gets its share of a core once."""
 EVENTS = 10_000
 EVENT_PAUSE_SECONDS = 0.05
 _LISTENERS = ("callers", "readiness", "directory", "peers", "metrics")
@@ -55,11 +57,14 @@
 class ProcessScene:
     """One gateway process, its platform, and what its callers saw.
 
-    ``acts`` are played in order, each with the scene.
+    ``acts`` are played in order, each with the scene. ``waits_ready`` tells whether they begin when
+    the gateway is ready, or as soon as its process was started.
     """
 
     acts: list = field(default_factory=list)
+    waits_ready: bool = True
     streams: list = field(default_factory=list)
+    tasks: list = field(default_factory=list)
     process: asyncio.subprocess.Process | None = None
     signalled_at: float = 0.0
     exited_at: float = 0.0
@@ -97,7 +102,7 @@
         await self.store.put("servers/llm-1", json.dumps(entry).encode())
 
     async def _start(self, folder, store_address):
-        """Start the gateway and wait until it is ready."""
+        """Start the gateway, and wait until it is ready if the scenario asks for that."""
         self.addresses_by_name = {name: free_address() for name in _LISTENERS}
         listen = "\n".join(f'{name} = "{item}"' for name, item in self.addresses_by_name.items())
         settings = folder / "gateway.toml"
@@ -118,12 +123,27 @@
                 str(settings),
                 stdout=output,
             )
+        if self.waits_ready:
+            await self.wait_ready()
+
+    async def wait_ready(self):
+        """Wait until the gateway is ready."""
         async with asyncio.timeout(PATIENCE_SECONDS):
             while True:
                 if await self._is_ready():
                     return
                 await asyncio.sleep(0.05)
 
+    async def wait_blocked(self, number):
+        """Wait until the gateway blocks a signal, which it does before anything else."""
+        status = Path(f"/proc/{self.process.pid}/status")
+
+        def is_blocked():
+            mask = next(line for line in status.read_text().splitlines() if "SigBlk" in line)
+            return int(mask.split()[1], 16) >> (number - 1) & 1
+
+        await until(is_blocked)
+
     async def _is_ready(self):
         """Tell whether the gateway accepts callers."""
         headers = [(b"host", b"readiness")]
@@ -170,10 +190,20 @@
         await asyncio.sleep(seconds)
         self.send(signal.SIGCONT)
 
+    def begin_starving(self, share):
+        """Let the gateway run for a share of each tenth of a second only, until it ends."""
+        self.starving = asyncio.create_task(self._starve(share))
+
+    async def _starve(self, share):
+        """Stop and continue the gateway in turns."""
+        while self.process.returncode is None:
+            await asyncio.sleep(share * SLICE_SECONDS)
+            await self.stall((1 - share) * SLICE_SECONDS)
+
     async def receive_streams(self, count):
         """Begin to receive streams, and wait until each has received events."""
         received = [ReceivedStream() for _ in range(count)]
-        self.tasks = [
+        self.tasks += [
             asyncio.create_task(self._receive(item, f"stream-{number}"))
             for number, item in enumerate(received)
         ]
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -246,7 +246,7 @@
     async def stop(scene):
         running = asyncio.create_task(scene.ask("POST", "/draft/a", b"{}", **TOKENS))
         await until(lambda: scene.runs == 1)
-        scene.stops[0].set()
+        scene.request_stop()
         await asyncio.sleep(0.2)
         listen = scene.applications[0].settings.listen
         scene.readiness = await scene.fetch(listen.readiness, "/v1/readyz")
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -189,7 +189,7 @@
 
 @when("the peer that carries it is told to stop")
 def when_carrier_stops(context):
-    context.gateway.acts.append(lambda scene: scene.stops[carrier(scene)].set())
+    context.gateway.acts.append(lambda scene: scene.request_stop(carrier(scene)))
 
 
 @when("the stream has ended")
@@ -284,9 +284,9 @@
     def stop(scene):
         application = scene.applications[number - 1]
         settings = application.settings.stop
-        now = asyncio.get_running_loop().time()
+        began_at = asyncio.get_running_loop().time() - settings.grace_seconds
         application.caller_api.begin_stop(
-            PlannedStop.starting_at(now - settings.grace_seconds, settings)
+            PlannedStop.starting_between(began_at, began_at, settings)
         )
 
     context.gateway.acts.append(stop)
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -1,6 +1,7 @@
 """Steps for planned stops of a gateway that runs as a process of its own."""
 
 import asyncio
+import signal
 
 from behave import given, then, when
 
@@ -19,6 +20,47 @@
     process_scene(context).acts.append(begin)
 
 
+@given("a gateway process that has just been started")
+def given_starting(context):
+    async def wait(scene):
+        await scene.wait_blocked(signal.SIGTERM)
+
+    process_scene(context).waits_ready = False
+    process_scene(context).acts.append(wait)
+
+
+@given("the gateway process gets a fifth of a core")
+def given_starved(context):
+    async def begin(scene):
+        scene.begin_starving(0.2)
+
+    process_scene(context).acts.append(begin)
+
+
+@when("the gateway process gets SIGTERM")
+def when_stopped(context):
+    async def act(scene):
+        scene.send_stop()
+
+    process_scene(context).acts.append(act)
+
+
+@when("the gateway process gets SIGHUP")
+def when_reloaded(context):
+    async def act(scene):
+        scene.send(signal.SIGHUP)
+
+    process_scene(context).acts.append(act)
+
+
+@when("the gateway process is ready")
+def when_ready(context):
+    async def wait(scene):
+        await scene.wait_ready()
+
+    process_scene(context).acts.append(wait)
+
+
 @when("the gateway process is stalled for {seconds:g} seconds and gets SIGTERM {delay:g} s later")
 def when_signalled_after_stall(context, seconds, delay):
     async def act(scene):
@@ -56,3 +98,20 @@
     earliest = (1 - LAST_SHARE_OF_GRACE) * GRACE_SECONDS
     ended_after = [round(item.ended_at - scene.signalled_at, 3) for item in scene.streams]
     assert min(ended_after) >= earliest, (ended_after, scene.log_events("gateway.draining"))
+
+
+@then("the gateway process ended by itself")
+def then_ended(context):
+    scene = process_scene(context)
+    scene.play()
+    ended_after = round(scene.exited_at - scene.signalled_at, 3)
+    stopped = scene.log_events("gateway.stopped")
+    assert scene.process.returncode == 0, (scene.process.returncode, ended_after, stopped)
+    assert stopped, scene.log_lines
+
+
+@then("the gateway process has checked its settings again")
+def then_checked(context):
+    scene = process_scene(context)
+    scene.play()
+    assert [line["changed"] for line in scene.log_events("settings.reloaded")] == [False]
--- a/features/steps/gateway_stops.py
+++ b/features/steps/gateway_stops.py
@@ -43,7 +43,7 @@
 def when_told_to_stop(context):
     def stop(scene):
         scene.stop_requested_at = time.monotonic()
-        scene.stops[0].set()
+        scene.request_stop()
 
     context.gateway.acts.append(stop)
 
@@ -252,7 +252,7 @@
     def stop(scene):
         scene.stop_requested_at = time.monotonic()
         time.sleep(seconds)
-        scene.stops[0].set()
+        scene.request_stop(noted_at=scene.stop_requested_at)
 
     context.gateway.acts.append(stop)
 
--- a/features/steps/gateway_stops_fleet.py
+++ b/features/steps/gateway_stops_fleet.py
@@ -274,7 +274,7 @@
 @when("gateway {number:d} stops")
 def when_gateway_stops(context, number):
     async def stop(scene):
-        scene.stops[number - 1].set()
+        scene.request_stop(number - 1)
         holder = scene.applications[number - 1].holder
         await until(lambda: not holder.available_by_workspace())
         await asyncio.sleep(PASSED_ON_WITHIN_SECONDS)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -30,6 +30,7 @@
 from quinceferry_gateway.holder_role import holder_vms
 from quinceferry_gateway.interfaces import CatalogSource, Dialect, SnapshotSource
 from quinceferry_gateway.logs import log
+from quinceferry_gateway.loop_monitor import LoopMonitor
 from quinceferry_gateway.membership import MemberReader, Registration
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.peers import PeerClient, PeerError
@@ -43,6 +44,7 @@
 from quinceferry_gateway.server import HttpListener
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.stop_requests import StopRequest
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
 from quinceferry_gateway.upstream_reader import UpstreamReader
@@ -56,11 +58,6 @@
 """Interval at which a stopping gateway checks whether its last requests are answered."""
 LINGER_SECONDS = 0.2
 """How long requests are served on open connections after the gateway has stopped to listen."""
-TICK_INTERVAL_SECONDS = 0.2
-"""Interval of the checks whether the event loop stalls. A planned stop may count as begun earlier
-by it."""
-MAX_TICK_SECONDS = 0.4
-"""Time between two checks from which the event loop counts as stalled in between."""
 INHERIT_TIMEOUT_SECONDS = 0.5
 """Longest wait for a peer that is to take over tokens; a planned stop leaves time to try several
 peers."""
@@ -95,7 +92,7 @@
         self.settings = settings
         self.metrics = metrics
         self._clock = clock
-        self._responsive_at = clock.monotonic()
+        self._loop_monitor = LoopMonitor(clock, metrics)
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         metrics.observe_list_age(lambda: self._age_seconds(board.upstreams_read_at))
@@ -149,6 +146,7 @@
         self._gossip.attach(copies, crashes)
         register_token_calls(calls, self.holder)
         self._controllers = [
+            self._loop_monitor,
             port,
             calls,
             configuration,
@@ -210,14 +208,13 @@
             *create_listeners(self),
         ]
 
-    async def run(self, stop_requested: asyncio.Event) -> None:
+    async def run(self, stop_request: StopRequest) -> None:
         """Serve until a stop is requested, then shut down gracefully."""
         await self._start()
-        tasks = [asyncio.create_task(self._run_housekeeping()), asyncio.create_task(self._tick())]
-        await stop_requested.wait()
-        await self._stop()
-        for task in tasks:
-            task.cancel()
+        housekeeping = asyncio.create_task(self._run_housekeeping())
+        await stop_request.wait()
+        await self._stop(self._planned_stop(stop_request))
+        housekeeping.cancel()
 
     async def _start(self) -> None:
         """Start all listeners and controllers."""
@@ -230,16 +227,23 @@
         await self._caller_listener.start()
         self.blackboard.phase = Phase.SERVING
 
-    async def _stop(self) -> None:
+    def _planned_stop(self, request: StopRequest) -> PlannedStop:
+        """Return the times of a stop that was requested."""
+        not_before = request.not_before
+        if not_before is None:
+            not_before = min(self._loop_monitor.responsive_at, request.noted_at)
+        return PlannedStop.starting_between(not_before, request.noted_at, self.settings.stop)
+
+    async def _stop(self, stop: PlannedStop) -> None:
         """Shut down: withdraw the registration, finish requests, return tokens and close."""
-        stop = PlannedStop.starting_at(self._responsive_at, self.settings.stop)
         self.blackboard.phase = Phase.DRAINING
         self.caller_api.begin_stop(stop)
         now = self._clock.monotonic()
         log.change(
             "gateway.draining",
             in_progress=self.caller_api.in_progress,
-            counted_seconds=round(now - stop.began_at, 4),
+            noticed_seconds=round(now - stop.noted_at, 4),
+            uncertain_seconds=round(stop.noted_at - stop.began_at, 4),
             work_ends_in_seconds=round(stop.work_ends_at - now, 4),
         )
         self._gossip.announce_leaving()
@@ -334,22 +338,6 @@
         peers = self.blackboard.usable_peers()
         return sorted(peers, key=lambda peer: peer.vm not in vms)
 
-    async def _tick(self) -> None:
-        """Keep the time at which the event loop was last known to handle signals at once.
-
-        After a stall this is the time before it: the signal of a stop may have arrived meanwhile.
-        """
-        ticked_at = self._clock.monotonic()
-        while self.blackboard.phase is not Phase.DRAINING:
-            now = self._clock.monotonic()
-            delay_seconds = max(0.0, now - ticked_at - TICK_INTERVAL_SECONDS)
-            self.metrics.record_loop_delay(delay_seconds)
-            if now - ticked_at > MAX_TICK_SECONDS:
-                log.failure("loop.stalled", seconds=round(delay_seconds, 4))
-            self._responsive_at = ticked_at if now - ticked_at > MAX_TICK_SECONDS else now
-            ticked_at = now
-            await self._clock.sleep(TICK_INTERVAL_SECONDS)
-
     async def _run_housekeeping(self) -> None:
         """Periodically apply the configured idle timeout and forget removed upstreams."""
         while True:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/planned_stops.py
@@ -20,25 +20,34 @@
 class PlannedStop:
     """Times of a planned stop on the monotonic clock, in seconds.
 
-    Every request is accepted until ``callers_left_at``, when most callers have learned other
-    addresses. Requests end at ``work_ends_at``, and everything else at ``closed_at``.
+    The stop was requested between ``began_at`` and ``noted_at``. Every request is accepted until
+    ``callers_left_at``, when most callers have learned other addresses. The process may be killed
+    from ``safe_until`` on, if the request was made at ``began_at``. Requests in progress run until
+    ``work_ends_at``, which rests on ``noted_at``: a kill ends no more of them than the gateway does
+    itself. Everything else ends at ``closed_at``.
     """
 
     began_at: float
+    noted_at: float
     callers_left_at: float
+    safe_until: float
     work_ends_at: float
     closed_at: float
 
     @classmethod
-    def starting_at(cls, now: float, settings: StopSettings) -> "PlannedStop":
-        """Return the times of a stop that begins now."""
-        ends_at = now + settings.grace_seconds
-        work_ends_at = max(now, ends_at - CLOSE_RESERVE_SECONDS)
+    def starting_between(
+        cls, not_before: float, noted_at: float, settings: StopSettings
+    ) -> "PlannedStop":
+        """Return the times of a stop that was requested between two times."""
+        safe_until = max(not_before, not_before + settings.grace_seconds - CLOSE_RESERVE_SECONDS)
+        ends_at = noted_at + settings.grace_seconds
         return cls(
-            began_at=now,
-            callers_left_at=min(now + settings.leave_seconds, work_ends_at),
-            work_ends_at=work_ends_at,
-            closed_at=max(now, ends_at - EXIT_RESERVE_SECONDS),
+            began_at=not_before,
+            noted_at=noted_at,
+            callers_left_at=min(not_before + settings.leave_seconds, safe_until),
+            safe_until=safe_until,
+            work_ends_at=max(noted_at, ends_at - CLOSE_RESERVE_SECONDS),
+            closed_at=max(noted_at, ends_at - EXIT_RESERVE_SECONDS),
         )
 
     def accepts(self, deadline_at: float, now: float) -> bool:
@@ -47,4 +56,4 @@
         After callers have had the time to leave, only a request that is certainly finished before
         the process ends is accepted.
         """
-        return now < self.callers_left_at or deadline_at <= self.work_ends_at
+        return now < self.callers_left_at or deadline_at <= self.safe_until
