--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -180,7 +180,8 @@
         try:
             await asyncio.wait_for(self.process.wait(), GRACE_SECONDS)
         except TimeoutError:
-            self.process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
             await self.process.wait()
         self.exited_at = time.monotonic()
 
--- a/features/gateway_process_stops.feature
+++ b/features/gateway_process_stops.feature
@@ -23,3 +23,10 @@
       | stall | delay |
       | 1.5   | 0.1   |
       | 1.5   | 1.4   |
+
+  Scenario: A starved gateway process is killed at the end of its grace time while it exits
+    Given a gateway process that relays 3 endless streams
+    And the gateway process gets 0.15 of a core
+    When the gateway process gets SIGTERM
+    And the gateway process has ended, at the latest by SIGKILL after its grace time
+    Then the gateway process ended by itself
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -29,10 +29,10 @@
     process_scene(context).acts.append(wait)
 
 
-@given("the gateway process gets a fifth of a core")
-def given_starved(context):
+@given("the gateway process gets {share:g} of a core")
+def given_starved(context, share):
     async def begin(scene):
-        scene.begin_starving(0.2)
+        scene.begin_starving(share)
 
     process_scene(context).acts.append(begin)
 
