--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -92,7 +92,7 @@
                 for act in self.acts:
                     await act(self)
             finally:
-                self.log_lines = self.log.read_text().splitlines()
+                self.read_log()
 
     async def _publish(self):
         """Write the configuration and the entry of the upstream."""
@@ -231,10 +231,13 @@
             received.whole = False
         received.ended_at = time.monotonic()
 
+    def read_log(self):
+        """Read what the gateway has logged so far."""
+        self.log_lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+
     def log_events(self, name):
-        """Return the log lines of an event."""
-        lines = (json.loads(line) for line in self.log_lines)
-        return [line for line in lines if line["event"] == name]
+        """Return the log lines of an event, as last read."""
+        return [line for line in self.log_lines if line["event"] == name]
 
 
 def process_scene(context):
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -19,7 +19,7 @@
 from quinceferry_gateway.logs import EventLog
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.settings import Settings
-from quinceferry_platform.__main__ import main
+from quinceferry_platform.command import main
 
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = {
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.fixtures_gateway import until
 from features.fixtures_gateway_process import (
     GRACE_SECONDS,
     LAST_SHARE_OF_GRACE,
@@ -112,6 +113,13 @@
 
 @then("the gateway process has checked its settings again")
 def then_checked(context):
+    def has_checked(scene):
+        scene.read_log()
+        return [line["changed"] for line in scene.log_events("settings.reloaded")] == [False]
+
+    async def wait(scene):
+        await until(lambda: has_checked(scene))
+
     scene = process_scene(context)
+    scene.acts.append(wait)
     scene.play()
-    assert [line["changed"] for line in scene.log_events("settings.reloaded")] == [False]
