Soak gateways as real processes that get little processor time

A soak stops gateways in overlapping series, kills, reloads and configures them, while callers keep their connections until these are closed, and checks what callers and upstreams saw: answers cut by a stop, requests that ran twice, refusals of what has run, tokens beyond the prepaid ones. Processes run freely, in slices of 0.15 of a core, or with stalls of 0.6 to 1.2 s.

The demo and the scenarios of stops share the process's class.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages platform features
 SEEDS ?= 20
 
-.PHONY: install test format schema demo demo-platform history model measure capacity throughput \
+.PHONY: install test format schema demo demo-platform soak history model measure capacity throughput \
 	experiment
 
 install: $(VENV)/.installed
@@ -35,6 +35,9 @@
 demo-platform: install
 	$(BIN)/python -m quinceferry_lab.platform_demo
 
+soak: install
+	$(BIN)/python -m quinceferry_lab.soak --seeds $(SEEDS)
+
 history: install
 	$(BIN)/python -m quinceferry_lab.history --seeds $(SEEDS)
 
--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -3,18 +3,16 @@
 import asyncio
 import contextlib
 import json
-import os
-import signal
-import sys
 import tempfile
 import time
 from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from features.fixtures_gateway import HOST, KEY, PATIENCE_SECONDS, free_address, until
+from features.fixtures_gateway import HOST, KEY, free_address, until
 from quinceferry_gateway import HttpClient, HttpListener
-from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_gateway.exceptions import ConnectionBrokenError
+from quinceferry_lab.gateway_processes import GatewayProcess, StopRecord
 from quinceferry_standins.managed_store import ManagedStore
 from quinceferry_standins.managed_upstream import ManagedUpstream, Streaming
 
@@ -28,7 +26,6 @@
 """Time in which a starved gateway gets its share of a core once."""
 EVENTS = 10_000
 EVENT_PAUSE_SECONDS = 0.05
-_LISTENERS = ("callers", "readiness", "directory", "peers", "metrics")
 
 
 def configuration():
@@ -65,9 +62,6 @@
     waits_ready: bool = True
     streams: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
-    process: asyncio.subprocess.Process | None = None
-    signalled_at: float = 0.0
-    exited_at: float = 0.0
 
     def play(self):
         """Start everything, play all acts and end what still runs."""
@@ -86,8 +80,8 @@
                 await part.start()
                 stack.push_async_callback(part.stop)
             await self._publish()
-            stack.push_async_callback(self._end)
             await self._start(folder, store_address)
+            stack.push_async_callback(self._end)
             try:
                 for act in self.acts:
                     await act(self)
@@ -103,40 +97,14 @@
 
     async def _start(self, folder, store_address):
         """Start the gateway, and wait until it is ready if the scenario asks for that."""
-        self.addresses_by_name = {name: free_address() for name in _LISTENERS}
-        listen = "\n".join(f'{name} = "{item}"' for name, item in self.addresses_by_name.items())
-        settings = folder / "gateway.toml"
-        settings.write_text(
-            '[gateway]\nvm = "vm-1"\nzone = "zone-a"\nregion = "south"\n'
-            f"[listen]\n{listen}\n"
-            f'[store]\naddress = "{store_address}"\n'
-            "[retries]\nratio = 0.2\nslack = 54\nwindow_seconds = 10\n"
-            f"[stop]\ngrace_seconds = {GRACE_SECONDS}\n"
-        )
-        self.log = folder / "gateway.log"
-        with self.log.open("wb") as output:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "quinceferry_platform",
-                "--config",
-                str(settings),
-                stdout=output,
-            )
+        self.gateway = GatewayProcess.create("vm-1", "zone-a", store_address, folder, GRACE_SECONDS)
+        await self.gateway.start()
         if self.waits_ready:
-            await self.wait_ready()
-
-    async def wait_ready(self):
-        """Wait until the gateway is ready."""
-        async with asyncio.timeout(PATIENCE_SECONDS):
-            while True:
-                if await self._is_ready():
-                    return
-                await asyncio.sleep(0.05)
+            await self.gateway.wait_ready(self.http)
 
     async def wait_blocked(self, number):
         """Wait until the gateway blocks a signal, which it does before anything else."""
-        status = Path(f"/proc/{self.process.pid}/status")
+        status = Path(f"/proc/{self.gateway.process.pid}/status")
 
         def is_blocked():
             mask = next(line for line in status.read_text().splitlines() if "SigBlk" in line)
@@ -144,52 +112,15 @@
 
         await until(is_blocked)
 
-    async def _is_ready(self):
-        """Tell whether the gateway accepts callers."""
-        headers = [(b"host", b"readiness")]
-        address = self.addresses_by_name["readiness"]
-        with contextlib.suppress(NotSentError, ConnectionBrokenError):
-            reply = await self.http.fetch(
-                address, b"GET", b"/v1/readyz", headers, timeout_seconds=1.0
-            )
-            return reply.status == 200
-        return False
-
     async def _end(self):
-        """End the gateway if it still runs, and wait for it."""
-        if self.process is None:
-            return
-        if self.process.returncode is None:
-            self.send(signal.SIGCONT)
-            self.process.kill()
-        await self.process.wait()
-
-    def send(self, number):
-        """Send a signal to the gateway."""
-        if self.process.returncode is None:
-            os.kill(self.process.pid, number)
+        """End the gateway if it still runs."""
+        if self.gateway.running:
+            await self.gateway.kill()
 
     def send_stop(self):
-        """Send SIGTERM, and SIGKILL after the grace time, as the platform does."""
-        self.signalled_at = time.monotonic()
-        self.send(signal.SIGTERM)
-        self.end_task = asyncio.create_task(self._end_after_grace())
-
-    async def _end_after_grace(self):
-        """Wait for the end of the gateway, and kill it after the grace time."""
-        try:
-            await asyncio.wait_for(self.process.wait(), GRACE_SECONDS)
-        except TimeoutError:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
-            await self.process.wait()
-        self.exited_at = time.monotonic()
-
-    async def stall(self, seconds):
-        """Give the gateway no processor time for a while."""
-        self.send(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self.send(signal.SIGCONT)
+        """Begin a planned stop of the gateway."""
+        self.stop = StopRecord("vm-1", time.monotonic())
+        self.end_task = asyncio.create_task(self.gateway.stop(self.stop))
 
     def begin_starving(self, share):
         """Let the gateway run for a share of each tenth of a second only, until it ends."""
@@ -197,9 +128,9 @@
 
     async def _starve(self, share):
         """Stop and continue the gateway in turns."""
-        while self.process.returncode is None:
+        while self.gateway.running:
             await asyncio.sleep(share * SLICE_SECONDS)
-            await self.stall((1 - share) * SLICE_SECONDS)
+            await self.gateway.stall((1 - share) * SLICE_SECONDS)
 
     async def receive_streams(self, count):
         """Begin to receive streams, and wait until each has received events."""
@@ -220,7 +151,7 @@
             (b"x-quinceferry-credential", KEY.encode()),
             (b"x-quinceferry-deadline-ms", str(int(CALLER_SECONDS * 1000)).encode()),
         ]
-        address = self.addresses_by_name["callers"]
+        address = self.gateway.address("callers")
         try:
             async with self.http.open(address, b"POST", b"/explain/a", headers, b"{}") as reply:
                 received.status = reply.status
@@ -233,7 +164,7 @@
 
     def read_log(self):
         """Read what the gateway has logged so far."""
-        self.log_lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        self.log_lines = [json.loads(line) for line in self.gateway.log.read_text().splitlines()]
 
     def log_events(self, name):
         """Return the log lines of an event, as last read."""
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -49,7 +49,7 @@
 @when("the gateway process gets SIGHUP")
 def when_reloaded(context):
     async def act(scene):
-        scene.send(signal.SIGHUP)
+        scene.gateway.send(signal.SIGHUP)
 
     process_scene(context).acts.append(act)
 
@@ -57,7 +57,7 @@
 @when("the gateway process is ready")
 def when_ready(context):
     async def wait(scene):
-        await scene.wait_ready()
+        await scene.gateway.wait_ready(scene.http)
 
     process_scene(context).acts.append(wait)
 
@@ -65,7 +65,7 @@
 @when("the gateway process is stalled for {seconds:g} seconds and gets SIGTERM {delay:g} s later")
 def when_signalled_after_stall(context, seconds, delay):
     async def act(scene):
-        await scene.stall(seconds)
+        await scene.gateway.stall(seconds)
         await asyncio.sleep(delay)
         scene.send_stop()
 
@@ -75,7 +75,7 @@
 @when("the gateway process gets SIGTERM {delay:g} s into a stall of {seconds:g} seconds")
 def when_signalled_in_stall(context, delay, seconds):
     async def act(scene):
-        stall = asyncio.create_task(scene.stall(seconds))
+        stall = asyncio.create_task(scene.gateway.stall(seconds))
         await asyncio.sleep(delay)
         scene.send_stop()
         await stall
@@ -97,7 +97,7 @@
     scene = process_scene(context)
     scene.play()
     earliest = (1 - LAST_SHARE_OF_GRACE) * GRACE_SECONDS
-    ended_after = [round(item.ended_at - scene.signalled_at, 3) for item in scene.streams]
+    ended_after = [round(item.ended_at - scene.stop.signalled_at, 3) for item in scene.streams]
     assert min(ended_after) >= earliest, (ended_after, scene.log_events("gateway.draining"))
 
 
@@ -105,9 +105,9 @@
 def then_ended(context):
     scene = process_scene(context)
     scene.play()
-    ended_after = round(scene.exited_at - scene.signalled_at, 3)
+    ended_after = round(scene.stop.exited_at - scene.stop.signalled_at, 3)
     stopped = scene.log_events("gateway.stopped")
-    assert scene.process.returncode == 0, (scene.process.returncode, ended_after, stopped)
+    assert scene.gateway.process.returncode == 0, (ended_after, stopped)
     assert stopped, scene.log_lines
 
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 import random
-import signal
-import socket
 import sys
 import tempfile
 from collections import Counter, deque
@@ -13,6 +11,7 @@
 
 from quinceferry_gateway import HttpClient, HttpListener
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
+from quinceferry_lab.gateway_processes import GatewayProcess, StopRecord, free_port
 from quinceferry_standins.managed_store import ManagedStore
 from quinceferry_standins.managed_upstream import (
     REQUEST_ID,
@@ -34,42 +33,9 @@
 HOST = "books.example"
 KEY = "key-of-choir"
 WORKSPACE = "choir"
-READY_SECONDS = 30.0
-STOP_SECONDS = 20.0
+GRACE_SECONDS = 8.0
 REQUEST_SECONDS = 15.0
 BUDGET_KEY = "quinceferry/budgets/0"
-_FIRST_PORT = 15_000
-_LAST_PORT = 30_000
-
-
-@dataclass(slots=True)
-class Gateway:
-    """One gateway process and its addresses."""
-
-    vm: str
-    ports: dict[str, int]
-    settings: Path
-    process: asyncio.subprocess.Process | None = None
-
-    def address(self, name: str) -> str:
-        """Return one of its addresses."""
-        return f"127.0.0.1:{self.ports[name]}"
-
-    async def start(self) -> None:
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "quinceferry_platform",
-            "--config",
-            str(self.settings),
-            stdout=asyncio.subprocess.DEVNULL,
-        )
-
-    async def end(self, number: signal.Signals) -> int:
-        """Send a signal and return the exit status."""
-        self.process.send_signal(number)
-        return await asyncio.wait_for(self.process.wait(), STOP_SECONDS)
 
 
 @dataclass(slots=True)
@@ -78,7 +44,7 @@
 
     store: ManagedStore
     upstreams: list[ManagedUpstream]
-    gateways: list[Gateway]
+    gateways: list[GatewayProcess]
     http: HttpClient
     statuses: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
@@ -207,58 +173,18 @@
     return apps + engines
 
 
-def _gateway(number: int, store_address: str, folder: Path) -> Gateway:
-    """Return a gateway with its settings file."""
-    names = ("callers", "readiness", "directory", "peers", "metrics")
-    ports = {name: _free_port() for name in names}
-    vm = f"vm-{number}"
-    settings = folder / f"{vm}.toml"
-    listen = "\n".join(f'{name} = "127.0.0.1:{port}"' for name, port in ports.items())
-    settings.write_text(
-        f'[gateway]\nvm = "{vm}"\nzone = "zone-{number}"\nregion = "south"\n'
-        f"[listen]\n{listen}\n"
-        f'[store]\naddress = "{store_address}"\n'
-        "[retries]\nratio = 0.2\nslack = 54\nwindow_seconds = 10\n"
-        "[stop]\ngrace_seconds = 8\n"
-    )
-    return Gateway(vm, ports, settings)
-
-
-def _free_port() -> int:
-    """Return a port below those that the system gives to outgoing connections."""
-    while True:
-        port = random.randrange(_FIRST_PORT, _LAST_PORT)
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)):
-                return port
-
-
-async def _ready(demo: Demo, gateway: Gateway) -> None:
-    """Wait until a gateway takes callers."""
-    async with asyncio.timeout(READY_SECONDS):
-        while True:
-            try:
-                reply = await demo.http.fetch(
-                    gateway.address("readiness"),
-                    b"GET",
-                    b"/v1/readyz",
-                    [(b"host", b"readiness")],
-                    timeout_seconds=1.0,
-                )
-            except (NotSentError, ConnectionBrokenError):
-                reply = None
-            if reply is not None and reply.status == 200:
-                return
-            await asyncio.sleep(0.1)
-
-
 async def _run(folder: Path) -> dict[str, object]:
     """Play the demo and return its audit."""
     store = ManagedStore()
-    store_address = f"127.0.0.1:{_free_port()}"
+    store_address = f"127.0.0.1:{free_port()}"
     listener = HttpListener(store, store_address, 5.0)
     await listener.start()
-    gateways = [_gateway(number, store_address, folder) for number in range(GATEWAYS)]
+    gateways = [
+        GatewayProcess.create(
+            f"vm-{number}", f"zone-{number}", store_address, folder, GRACE_SECONDS
+        )
+        for number in range(GATEWAYS)
+    ]
     demo = Demo(store, _upstreams(), gateways, HttpClient())
     await store.put("op/config", _configuration())
     for upstream in demo.upstreams:
@@ -270,17 +196,17 @@
         for gateway in gateways:
             await gateway.start()
         for gateway in gateways:
-            await _ready(demo, gateway)
+            await gateway.wait_ready(demo.http)
         await asyncio.sleep(3.0)
         await _load(demo)
         for gateway in gateways:
-            if gateway.process.returncode is None:
-                await gateway.end(signal.SIGTERM)
+            if gateway.running:
+                await gateway.stop(StopRecord(gateway.vm, 0.0))
         return demo.audit()
     finally:
         for gateway in gateways:
-            if gateway.process is not None and gateway.process.returncode is None:
-                gateway.process.kill()
+            if gateway.running:
+                await gateway.kill()
         for upstream in demo.upstreams:
             await upstream.stop()
         await listener.stop()
@@ -292,15 +218,18 @@
         for number in range(REQUESTS):
             group.create_task(demo.ask(number))
             if number == REQUESTS // 3:
-                group.create_task(_replace(demo.gateways[0], signal.SIGTERM))
+                group.create_task(_replace(demo.gateways[0], planned=True))
             if number == 2 * REQUESTS // 3:
-                group.create_task(_replace(demo.gateways[1], signal.SIGKILL))
+                group.create_task(_replace(demo.gateways[1], planned=False))
             await asyncio.sleep(1 / REQUESTS_PER_SECOND)
 
 
-async def _replace(gateway: Gateway, number: signal.Signals) -> None:
+async def _replace(gateway: GatewayProcess, planned: bool) -> None:
     """End a gateway and start it again."""
-    await gateway.end(number)
+    if planned:
+        await gateway.stop(StopRecord(gateway.vm, 0.0))
+    else:
+        await gateway.kill()
     await gateway.start()
 
 
