Require a key while the configuration lists workspaces, even if no key is left

Once operators had taken the last key away, requests with revoked keys, and with keys that no configuration ever held, were served without a workspace, and without tokens. Whether a request needs a key was inferred from there being keys.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -203,7 +203,7 @@
         if route is None:
             return self._denial(Reason.NO_ROUTE, configuration)
         workspace = configuration.workspaces_by_key.get(call.credential)
-        if workspace is None and configuration.workspaces_by_key and not route.anonymous:
+        if workspace is None and configuration.requires_keys and not route.anonymous:
             return self._denial(Reason.UNKNOWN_KEY, configuration)
         progress = self._new_progress(exchange, call, route, workspace, started_at)
         stop = self._planned_stop
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -99,13 +99,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Configuration:
-    """One version of the configuration of the operators."""
+    """One version of the configuration of the operators.
+
+    ``requires_keys`` states whether requests need a key of a workspace, except on anonymous routes.
+    It holds also while there are no keys at all.
+    """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_name: dict[str, Service]
     workspaces_by_name: dict[str, Workspace] = field(default_factory=dict)
     workspaces_by_key: dict[str, Workspace] = field(default_factory=dict)
+    requires_keys: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     def home_regions(self) -> frozenset[str]:
