Keep removed upstreams removed when a peer that was cut off still retains them

Gateways in touch with the store sent requests to upstreams that had left, up to 3.4 s after the store had said so. A gateway that was cut off from the store takes entries that are missing for ones whose leases expired in an outage, and retains them; its copy of the list passed that on, and replaced what the others knew.

A gateway knows since when its own contact with the store is unbroken, by its own reads or those of peers. Once that is longer than entries are retained, a missing entry was removed, whoever retains it, and stays so; an entry that it retains itself is kept for the same registration only. Gateways that were cut off too, or have just started, adopt the decision as before.

--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -12,6 +12,7 @@
 some leases and proves nothing.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -53,6 +54,8 @@
         self._registration_of = registration_of
         self._listed_by_id: dict[str, T] = {}
         self._last_answer_at: float | None = None
+        # Since then no two answers were so far apart that leases may have expired in between.
+        self._contact_since = -math.inf
         self._first_failure_at: float | None = None
         self._last_failure_at: float | None = None
         self._absent_by_id: dict[str, _AbsentEntry[T]] = {}
@@ -87,7 +90,7 @@
         :param retained_until: until when a removed entry is retained, since its lease may have
             expired in an outage that has just ended; a past time when there was no outage.
         """
-        self._last_answer_at = now
+        self._record_answer(now)
         removed = self._listed_by_id.pop(key, None)
         if item is not None:
             self._absent_by_id.pop(key, None)
@@ -106,7 +109,7 @@
             self._extend_grace_periods()
             self._start_grace_periods()
         self._first_failure_at = self._last_failure_at = None
-        self._last_answer_at = requested_at
+        self._record_answer(requested_at)
         self._listed_by_id = dict(listed_by_id)
         for key in listed_by_id:
             self._absent_by_id.pop(key, None)
@@ -120,6 +123,9 @@
     ) -> None:
         """Replace the state by a list and its missing entries as another process derived them.
 
+        An entry that this process knows to be removed stays removed: the other process may have
+        been partitioned from the store alone, and take that for an outage.
+
         :param absent_by_id: missing entries, each with the time until which it is retained.
         :param requested_at: when that process requested the list; earlier failed calls of this
             process no longer indicate an outage.
@@ -127,9 +133,25 @@
         self._record_answer_to_other(requested_at)
         self._listed_by_id = dict(listed_by_id)
         self._absent_by_id = {
-            key: _AbsentEntry(item, expires_at) for key, (item, expires_at) in absent_by_id.items()
+            key: _AbsentEntry(item, expires_at)
+            for key, (item, expires_at) in absent_by_id.items()
+            if self._may_be_registered(key, item, requested_at)
         }
 
+    def _may_be_registered(self, key: str, item: T, requested_at: float) -> bool:
+        """Return whether the lease of a missing entry may have expired in an outage.
+
+        If this process has been in contact with the store for as long as an entry is retained, it
+        has seen every entry whose lease expired before then, and knows that the others were
+        removed.
+
+        :param requested_at: when another process requested the list that lacks it.
+        """
+        if requested_at - self._contact_since < self._grace_seconds:
+            return True
+        absence = self._absent_by_id.get(key)
+        return absence is not None and self._is_same_registration(absence.item, item)
+
     def confirm_list(self, requested_at: float) -> None:
         """Record that another process requested the same list at that time and got an answer."""
         if self._last_answer_at is None or requested_at <= self._last_answer_at:
@@ -138,10 +160,17 @@
 
     def _record_answer_to_other(self, requested_at: float) -> None:
         """Record that the store answered another process, and clear earlier own failures."""
-        self._last_answer_at = requested_at
+        self._record_answer(requested_at)
         if self._last_failure_at is not None and self._last_failure_at <= requested_at:
             self._first_failure_at = self._last_failure_at = None
 
+    def _record_answer(self, requested_at: float) -> None:
+        """Record that the store answered this process or another one."""
+        last_answer_at = self._last_answer_at
+        if last_answer_at is None or requested_at - last_answer_at >= self._min_outage_seconds:
+            self._contact_since = requested_at
+        self._last_answer_at = requested_at
+
     @property
     def absent_by_id(self) -> dict[str, tuple[T, float]]:
         """Return the retained missing entries, each with the time until which it is retained."""
@@ -179,8 +208,11 @@
 
     def _kept_lease(self, before: T, now: T) -> bool:
         """Return whether an entry provably kept its lease from one list to the next."""
-        registration = self._registration_of(before)
-        return bool(registration) and registration == self._registration_of(now)
+        return bool(self._registration_of(before)) and self._is_same_registration(before, now)
+
+    def _is_same_registration(self, before: T, now: T) -> bool:
+        """Return whether two versions of an entry have the same registration."""
+        return self._registration_of(before) == self._registration_of(now)
 
     def _extend_grace_periods(self) -> None:
         """Extend each grace period by the outage, in which no process could register."""
