Release reserved tokens when a caller leaves while holders are asked

A workspace with many callers that leave was told 429 until the end, with tokens left that no holder could give: the task that collects a reservation was cancelled, and nobody settled the parts that holders had granted or were about to grant. Cancelling it releases both now; a release that overtakes its reservation is remembered by the holder, as before.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reservations.py
@@ -161,26 +161,34 @@
         pending = _PendingReservation(
             f"{self._blackboard.own.incarnation}/{request_id}", workspace, tokens
         )
-        holders = self._holders_to_call(workspace)
-        for vm in holders:
+        try:
+            await self._collect(pending, deadline_at)
+        except asyncio.CancelledError:
+            # The caller has left.
+            self.settle(pending.reservation(), 0)
+            raise
+        if not pending.missing:
+            return pending.reservation()
+        self.settle(pending.reservation(), 0)
+        return Shortage(pending.exhausted, tuple(pending.holder_results))
+
+    async def _collect(self, pending: "_PendingReservation", deadline_at: float) -> None:
+        """Reserve tokens at one holder after another until none are missing."""
+        for vm in self._holders_to_call(pending.workspace):
             if self._clock.monotonic() >= deadline_at:
                 break
             await self._reserve_at(
-                pending, vm, ReserveRequest(pending.id, workspace, pending.missing)
+                pending, vm, ReserveRequest(pending.id, pending.workspace, pending.missing)
             )
             if not pending.missing:
-                return pending.reservation()
+                return
         is_in_time = self._clock.monotonic() < deadline_at
         if is_in_time and not pending.exhausted and pending.drawing_holders:
             # The reply to an insufficient draw may still show that the workspace is exhausted.
             draw_request = ReserveRequest(
-                f"{pending.id}/drawn", workspace, pending.missing, allow_draw=True
+                f"{pending.id}/drawn", pending.workspace, pending.missing, allow_draw=True
             )
             await self._reserve_at(pending, pending.drawing_holders[0], draw_request)
-            if not pending.missing:
-                return pending.reservation()
-        self.settle(pending.reservation(), 0)
-        return Shortage(pending.exhausted, tuple(pending.holder_results))
 
     async def _reserve_at(
         self, pending: "_PendingReservation", vm: str, request: ReserveRequest
@@ -192,23 +200,33 @@
             pending.holder_results.append(f"{vm}: {error}")
             self._failed_at_by_vm[vm] = self._clock.monotonic()
             if error.sent:
-                self._queue_settlement(vm, Settlement(request.reservation, pending.workspace, 0))
+                self._release(vm, request)
             return
+        except asyncio.CancelledError:
+            self._release(vm, request)
+            raise
         self._failed_at_by_vm.pop(vm, None)
         now = self._clock.monotonic()
         self._available_by_holder[vm, pending.workspace] = (reply.available, now)
         pending.add_reply(vm, request.reservation, reply)
 
+    def _release(self, vm: str, request: ReserveRequest) -> None:
+        """Release what a holder may have reserved, or may still reserve when the call arrives."""
+        self._settle_at(vm, Settlement(request.reservation, request.workspace, 0))
+
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """Settle a reservation at its holders with the tokens actually used."""
         for part in reservation.parts:
             used = min(tokens, part.tokens)
             tokens -= used
-            settlement = Settlement(part.reservation, reservation.workspace, used)
-            if part.holder == self._blackboard.own.vm:
-                self._holder.settle(settlement)
-            else:
-                self._queue_settlement(part.holder, settlement)
+            self._settle_at(part.holder, Settlement(part.reservation, reservation.workspace, used))
+
+    def _settle_at(self, vm: str, settlement: Settlement) -> None:
+        """Settle a reservation at this holder at once, at another one with the next batch."""
+        if vm == self._blackboard.own.vm:
+            self._holder.settle(settlement)
+        else:
+            self._queue_settlement(vm, settlement)
 
     async def flush(self) -> None:
         """Send all queued settlements."""
