Forget requests that no window of the retry budget contains when requests are counted

A gateway whose upstreams never fail kept the time of every request for life: they were forgotten only when a retry was asked for. 100 requests a second for 120 s left 12,000 times before, at most 1,001 now.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -13,6 +13,11 @@
     And 11 seconds pass for the retry budget
     Then 4 repeats are allowed among 9 gateways
 
+  Scenario: All requests of a service whose upstreams never fail are remembered
+    Given a retry budget of ratio 0.2 and slack 45 in 10 seconds
+    When 100 requests a second are counted for 120 seconds, and none is repeated
+    Then the retry budget remembers at most 1001 requests
+
   Scenario Outline: A stream is cut at the ends of its events
     Given an event buffer
     When it is fed "<pieces>"
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -84,6 +84,18 @@
         context.retries.count_request()
 
 
+@when("{rate:d} requests a second are counted for {seconds:d} seconds, and none is repeated")
+def when_counted_long(context, rate, seconds):
+    for _ in range(rate * seconds):
+        context.clock.time += 1 / rate
+        context.retries.count_request()
+
+
+@then("the retry budget remembers at most {count:d} requests")
+def then_remembers(context, count):
+    assert context.retries.remembered <= count, context.retries.remembered
+
+
 @when("all repeats among {members:d} gateways are taken")
 def when_taken(context, members):
     while context.retries.try_acquire(members):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/retries.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/retries.py
@@ -27,7 +27,9 @@
 
     def count_request(self) -> None:
         """Count a request of a caller."""
-        self._requests.append(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._forget_before(now - self._window_seconds)
+        self._requests.append(now)
 
     def try_acquire(self, members: int) -> bool:
         """Take one retry from the budget; return whether this gateway's share had one left.
@@ -35,11 +37,20 @@
         :param members: gateways that share the budget.
         """
         now = self._clock.monotonic()
-        for times in (self._requests, self._retries):
-            while times and now - times[0] > self._window_seconds:
-                times.popleft()
+        self._forget_before(now - self._window_seconds)
         allowed = self._ratio * len(self._requests) + self._slack / max(1, members)
         if len(self._retries) + 1 > USABLE_SHARE * allowed:
             return False
         self._retries.append(now)
         return True
+
+    @property
+    def remembered(self) -> int:
+        """Return the number of requests and retries that are remembered."""
+        return len(self._requests) + len(self._retries)
+
+    def _forget_before(self, time: float) -> None:
+        """Forget requests and retries that no window contains any more."""
+        for times in (self._requests, self._retries):
+            while times and times[0] < time:
+                times.popleft()
