Charge a whole answer of an engine the most tokens that it may have used

A workspace could use more tokens than it had prepaid on routes that lead to a service with an engine and are no streams: output was charged by the events of a stream, which a whole answer doesn't have, so that each cost its prompt only. A whole answer doesn't tell how many tokens were generated; it is charged its most now, also where it may have run and nothing came back. A request that was not run is charged nothing, as before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -196,6 +196,19 @@
     When a stream of /ask/a is asked for
     Then the workspace is charged 108 tokens
 
+  Scenario Outline: A whole answer of an engine is charged its prompt only
+    Given a gateway before the services
+    And upstream llm-1 of service llm that "<behaviour>"
+    When a <kind> route to service llm is asked for a whole answer
+    Then the workspace is charged <tokens> tokens
+
+    Examples:
+      | kind   | behaviour             | tokens |
+      | safe   | answers               | 140    |
+      | unsafe | answers               | 140    |
+      | unsafe | breaks the connection | 140    |
+      | unsafe | declines              | 0      |
+
   Scenario: A declined stream is charged nothing
     Given a gateway before the services
     And upstream llm-1 of service llm that "declines"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.fixtures_gateway import WORKSPACE, Scene, configuration, until
+from features.fixtures_gateway import HOST, WORKSPACE, Scene, configuration, until
 from quinceferry_gateway.decisions.cached_prefixes import hash_prefix
 from quinceferry_gateway.rendezvous import rank_candidates
 from quinceferry_standins.managed_upstream import (
@@ -124,6 +124,14 @@
     context.gateway.acts.append(send)
 
 
+@when("a {kind} route to service llm is asked for a whole answer")
+def when_whole_answer(context, kind):
+    route = {"name": "whole", "prefix": "/whole/", "kind": kind, "service": "llm", "host": HOST}
+    route |= {"timeout_ms": 4000, "slo_ms": 500, "attempts": 1}
+    context.gateway.document = configuration(routes=[route])
+    context.gateway.acts.append(lambda scene: scene.ask("POST", "/whole/a", b"{}", **TOKENS))
+
+
 @when("a stream of {target} is asked for")
 def when_streams(context, target):
     context.gateway.acts.append(lambda scene: scene.ask("POST", target, b"{}", **TOKENS))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -15,7 +15,14 @@
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard, Phase
 from quinceferry_gateway.caller_exchange import OVERSIZED_BODY_STATUS, CallerExchange
-from quinceferry_gateway.catalog import Call, CallerLimits, Configuration, Route, Workspace
+from quinceferry_gateway.catalog import (
+    Call,
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    Workspace,
+)
 from quinceferry_gateway.crashes import CrashMonitor, quarantine_refusal
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
@@ -311,7 +318,7 @@
 
         A run is charged from its first event on. A run that the gateway cancelled before has used
         nothing; if its first event was already on the way, the margin of the budget covers the
-        prompt.
+        prompt. A whole answer does not tell how many tokens were generated.
         """
         call = progress.call
         events = progress.stream.buffer.count
@@ -319,7 +326,8 @@
             return 0
         configuration = self._blackboard.configuration
         service = configuration.services_by_name.get(progress.service) if configuration else None
-        if service is None or not service.tokens_per_event:
+        is_stream = progress.route.kind is RouteKind.STREAM
+        if not is_stream or service is None or not service.tokens_per_event:
             return call.max_tokens
         return call.prompt_tokens + min(call.max_output_tokens, events * service.tokens_per_event)
 
