Divide the slack of retries by all gateways that may use it

Each gateway divided the slack by the members that it reached, so that each part of the fleet used the whole of it. It is divided by all that are listed, reachable or not, and by those that were listed within the last minute: one that is cut off from the store is no member any more when its lease ends, and goes on using its share.

Two scenarios; the first allowed 25 instead of 20 repeats before.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -13,6 +13,21 @@
     And 11 seconds pass for the retry budget
     Then 4 repeats are allowed among 9 gateways
 
+  Scenario: Parts of a partitioned fleet use a multiple of the retry budget
+    Given a retry budget of ratio 0.2 and slack 45 in 10 seconds
+    When 100 requests of the service are counted
+    And 1 repeat is allowed among 9 gateways
+    And 12 seconds pass for the retry budget
+    And 100 requests of the service are counted
+    Then 20 repeats are allowed among 4 gateways
+
+  Scenario: A retry budget is divided by gateways that ended long ago
+    Given a retry budget of ratio 0.2 and slack 45 in 10 seconds
+    When 1 repeat is allowed among 9 gateways
+    And 61 seconds pass for the retry budget
+    And 100 requests of the service are counted
+    Then 25 repeats are allowed among 4 gateways
+
   Scenario: All requests of a service whose upstreams never fail are remembered
     Given a retry budget of ratio 0.2 and slack 45 in 10 seconds
     When 100 requests a second are counted for 120 seconds, and none is repeated
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -107,6 +107,11 @@
     context.clock.time += seconds
 
 
+@when("1 repeat is allowed among {members:d} gateways")
+def when_one_allowed(context, members):
+    assert context.retries.try_acquire(members)
+
+
 @then("{count:d} repeats are allowed among {members:d} gateways")
 def then_allowed(context, count, members):
     taken = 0
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -224,8 +224,8 @@
     def _acquire_retry(self, progress: Progress) -> bool:
         """Take one more send from the retry budget; return whether it was granted."""
         if not progress.retry_granted:
-            members = len(self._blackboard.usable_members())
-            progress.retry_granted = self._retry_budget(progress.service).try_acquire(members)
+            gateways = len(self._blackboard.members_by_vm.keys() | {self._blackboard.own.vm})
+            progress.retry_granted = self._retry_budget(progress.service).try_acquire(gateways)
             if not progress.retry_granted:
                 log.failure("retry.budget_spent", request=progress.call.request_id)
         return progress.retry_granted
