Keep descriptors for the gateway's own connections however many callers there are

A gateway to which many callers connected ran out of descriptors. It could open no connection to the store, to upstreams and to peers, used upstreams that had left, and served nobody: nothing bounded the connections of callers. Each listener has a share of the process's descriptors now. Above it, a new connection replaces the one that has been idle for longest; if all are in use, its requests are refused as not run, and still more connections are closed.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -165,6 +165,8 @@
     metrics.count_request_while_stopping()
     metrics.count_request_ended_by_stop()
     metrics.record_loop_delay(0.1)
+    metrics.count_limited_connection("callers", "idle")
+    metrics.observe_connections(lambda: {"callers": 1})
     metrics.count_address_answer("serving", True)
     metrics.count_upstream_pause("s")
     metrics.count_rate_limited_send("s")
--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -60,6 +60,8 @@
 
     acts: list = field(default_factory=list)
     waits_ready: bool = True
+    descriptors: int = 0
+    event_pause_seconds: float = EVENT_PAUSE_SECONDS
     streams: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
 
@@ -71,7 +73,7 @@
         self.http = HttpClient()
         self.store = ManagedStore()
         self.upstream = ManagedUpstream(
-            "llm-1", deque([Streaming(EVENTS, pause_seconds=EVENT_PAUSE_SECONDS)])
+            "llm-1", deque([Streaming(EVENTS, pause_seconds=self.event_pause_seconds)])
         )
         async with contextlib.AsyncExitStack() as stack:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -98,7 +100,7 @@
     async def _start(self, folder, store_address):
         """Start the gateway, and wait until it is ready if the scenario asks for that."""
         self.gateway = GatewayProcess.create("vm-1", "zone-a", store_address, folder, GRACE_SECONDS)
-        await self.gateway.start()
+        await self.gateway.start(self.descriptors)
         if self.waits_ready:
             await self.gateway.wait_ready(self.http)
 
--- a/packages/quinceferry-cli/src/quinceferry/explanations.py
+++ b/packages/quinceferry-cli/src/quinceferry/explanations.py
@@ -16,6 +16,9 @@
 
 CAUSE_BY_REASON = {
     "starting": "The gateway had just started and had no configuration yet. It did not run.",
+    "too_many_connections": (
+        "The gateway had its most connections, all of them in use. It did not run."
+    ),
     "stopping": "The gateway was stopping and might have ended before the request. It did not run.",
     "malformed": "The request was malformed. It did not run.",
     "oversized": "The request exceeds the limits of the configuration. It did not run.",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -14,6 +14,7 @@
 
     STARTING = "starting"
     STOPPING = "stopping"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     CONFIGURATION_OUTDATED = "configuration_outdated"
     MALFORMED = "malformed"
     OVERSIZED = "oversized"
@@ -39,6 +40,7 @@
 STATUS_BY_REASON = {
     Reason.STARTING: 503,
     Reason.STOPPING: 503,
+    Reason.TOO_MANY_CONNECTIONS: 503,
     Reason.CONFIGURATION_OUTDATED: 503,
     Reason.MALFORMED: 400,
     Reason.OVERSIZED: 413,
@@ -66,6 +68,7 @@
 RETRY_SECONDS_BY_REASON = {
     Reason.STARTING: 0.5,
     Reason.STOPPING: 0.05,
+    Reason.TOO_MANY_CONNECTIONS: 0.2,
     Reason.CONFIGURATION_OUTDATED: 0.5,
     Reason.BUDGET_OUT_OF_REACH: 0.7,
     Reason.BUDGET_UNTIL_STORE: 2.0,
@@ -76,7 +79,7 @@
     Reason.TIMED_OUT_UNSENT: 0.3,
 }
 """Seconds until a retry may succeed: after a read of the store, a draw, or a few upstream answers.
-Another gateway serves the caller of a stopping one at once.
+Another gateway serves the caller of a stopping or crowded one at once.
 Outages of the store last for seconds, and no tokens can be drawn meanwhile."""
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -1,10 +1,13 @@
 """Creates the components of a gateway, starts them and stops them in order."""
 
 import asyncio
+import math
 import random
+import resource
 import uuid
 from collections.abc import Awaitable, Callable
 from functools import cache
+from typing import Any
 
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock, suspended_seconds
@@ -17,6 +20,7 @@
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import Placer, UpstreamStates
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
+from quinceferry_gateway.decisions.connection_limits import ConnectionLimits
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.exchanges import UpstreamExchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
@@ -62,7 +66,10 @@
 """Longest wait for a peer that is to take over tokens; a planned stop leaves time to try several
 peers."""
 
-ListenerFactory = Callable[["Application"], list[HttpListener]]
+FULL_LOG_INTERVAL_SECONDS = 10.0
+"""Shortest time between two log lines on one listener that has its most connections."""
+
+ListenerFactory = Callable[["Application", ConnectionLimits], list[HttpListener]]
 
 
 class Application:
@@ -92,6 +99,7 @@
         self.settings = settings
         self.metrics = metrics
         self._clock = clock
+        self._full_logged_at: dict[str, float] = {}
         self._loop_monitor = LoopMonitor(clock, metrics)
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
@@ -196,17 +204,48 @@
                 board, copies, clock, freshness_settings.configuration_milliseconds / 1000
             ),
         )
-        self._caller_listener = HttpListener(
-            self.caller_api, settings.listen.callers, PEER_IDLE_TIMEOUT_SECONDS * 3
+        limits = ConnectionLimits.within(_count_descriptors(settings.limits.descriptors))
+        listen, idle_seconds = settings.listen, PEER_IDLE_TIMEOUT_SECONDS
+        self._listeners_by_name: dict[str, HttpListener] = {}
+        self._caller_listener = self.create_listener(
+            "callers", self.caller_api, listen.callers, idle_seconds * 3, limits.callers
         )
         peer_api = PeerApi(copies, self.holder, self.caller_api)
-        peer_listener = HttpListener(peer_api, settings.listen.peers, PEER_IDLE_TIMEOUT_SECONDS)
+        peer_listener = self.create_listener(
+            "peers", peer_api, listen.peers, idle_seconds, limits.peers
+        )
         self._request_listeners = [self._caller_listener, peer_listener]
-        self._other_listeners = [
-            peer_listener,
-            HttpListener(MetricsApi(metrics), settings.listen.metrics, PEER_IDLE_TIMEOUT_SECONDS),
-            *create_listeners(self),
-        ]
+        metrics_listener = self.create_listener(
+            "metrics", MetricsApi(metrics), listen.metrics, idle_seconds, limits.others
+        )
+        self._other_listeners = [peer_listener, metrics_listener, *create_listeners(self, limits)]
+        metrics.observe_connections(
+            lambda: {name: item.open_connections for name, item in self._listeners_by_name.items()}
+        )
+
+    def create_listener(
+        self, name: str, app: Any, address: str, idle_timeout_seconds: float, max_connections: int
+    ) -> HttpListener:
+        """Create a listener whose connections are limited, counted and logged.
+
+        :param name: its name in logs and metrics.
+        """
+
+        def record_limit(effect: str) -> None:
+            self.metrics.count_limited_connection(name, effect)
+            self._log_full_listener(name, max_connections)
+
+        listener = HttpListener(app, address, idle_timeout_seconds, max_connections, record_limit)
+        self._listeners_by_name[name] = listener
+        return listener
+
+    def _log_full_listener(self, name: str, max_connections: int) -> None:
+        """Log that a listener has its most connections, unless that was logged recently."""
+        now = self._clock.monotonic()
+        if now - self._full_logged_at.get(name, -math.inf) < FULL_LOG_INTERVAL_SECONDS:
+            return
+        self._full_logged_at[name] = now
+        log.failure("connections.full", listener=name, max_connections=max_connections)
 
     async def run(self, stop_request: StopRequest) -> None:
         """Serve until a stop is requested, then shut down gracefully."""
@@ -371,3 +410,12 @@
         settings.listen.peers,
         settings.listen.callers,
     )
+
+
+def _count_descriptors(configured: int) -> int:
+    """Return how many descriptors the process may have open.
+
+    :param configured: the number in the settings, 0 if there is none.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return min(allowed, configured) if configured else allowed
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
@@ -6,6 +6,7 @@
 from quinceferry_gateway.catalog import AnswerHead, CallerLimits
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
 from quinceferry_gateway.interfaces import Headers
+from quinceferry_gateway.server import EXCESS_STATE
 
 OVERSIZED_BODY_STATUS = 413
 
@@ -33,6 +34,11 @@
         """Return whether a peer has forwarded the request."""
         return self.forwarded_attempts is not None
 
+    @property
+    def is_excess(self) -> bool:
+        """Return whether the connection was accepted above the limit of connections."""
+        return EXCESS_STATE in self.scope.get("state", {})
+
     async def read_body(self, limits: CallerLimits) -> bytes:
         """Read and return the whole body.
 
@@ -80,7 +86,8 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         """Send a status line and headers, and announce the close of the connection if it is due."""
-        connection_headers = [(b"connection", b"close")] if self._is_closing() else []
+        is_closing = self._is_closing() or self.is_excess
+        connection_headers = [(b"connection", b"close")] if is_closing else []
         await self._send(
             {
                 "type": "http.response.start",
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -194,6 +194,8 @@
         ):
             return Refusal(Reason.OVERSIZED, "headers too large", _OVERSIZED_HEADERS_STATUS)
         body = await exchange.read_body(limits)
+        if exchange.is_excess:
+            return Refusal(Reason.TOO_MANY_CONNECTIONS, "no descriptors for more connections")
         if configuration is None:
             return Refusal(Reason.STARTING, "no configuration yet")
         target = scope["raw_path"]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -54,6 +54,10 @@
             "quinceferry_gateway_address_answers",
             description="Answers to address lookups by the phase of this gateway",
         )
+        self._limited_connections = meter.create_counter(
+            "quinceferry_gateway_limited_connections",
+            description="Connections closed or refused because a listener had its most",
+        )
         self._loop_delay = meter.create_histogram(
             "quinceferry_gateway_event_loop_delay",
             unit="s",
@@ -150,6 +154,26 @@
         """Count a request whose time was ended by the planned stop, not by its caller."""
         self._requests_ended_by_stop.add(1)
 
+    def count_limited_connection(self, listener: str, effect: str) -> None:
+        """Count a connection that the limit of a listener affected.
+
+        :param effect: ``idle``: closed to make room; ``refused`` or ``aborted``: a new one.
+        """
+        self._limited_connections.add(1, {"listener": listener, "effect": effect})
+
+    def observe_connections(self, count_by_listener: Callable[[], dict[str, int]]) -> None:
+        """Export the number of open connections of each listener."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            counts = count_by_listener()
+            return [Observation(count, {"listener": name}) for name, count in counts.items()]
+
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_connections",
+            callbacks=[observe],
+            description="Open connections by listener",
+        )
+
     def record_loop_delay(self, seconds: float) -> None:
         """Record how late the event loop ran a task that was due."""
         self._loop_delay.record(seconds)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -120,6 +120,16 @@
     hold_seconds: float = 600.0
 
 
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of the process.
+
+    ``descriptors`` is the number of descriptors that it may have open; 0: what the operating system
+    allows it.
+    """
+
+    descriptors: int = 0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a gateway."""
 
@@ -133,6 +143,7 @@
     cold_starts: ColdStartSettings = ColdStartSettings()
     budgets: BudgetSettings = BudgetSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    limits: LimitSettings = LimitSettings()
 
     @classmethod
     def load(cls, path: Path) -> "Settings":
@@ -197,6 +208,8 @@
             for name, value in shares_by_name.items()
             if not 0 < value < 1
         ]
+        if self.limits.descriptors < 0:
+            faults.append("limits.descriptors must not be below zero")
         if self.cold_starts.slack < 0:
             faults.append("cold_starts.slack must not be below zero")
         if self.stop.leave_seconds >= self.stop.grace_seconds:
--- a/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import socket
 import sys
@@ -81,8 +82,16 @@
         """Return one of its addresses."""
         return f"127.0.0.1:{self.ports_by_listener[listener]}"
 
-    async def start(self) -> None:
-        """Start the process."""
+    async def start(self, descriptors: int = 0) -> None:
+        """Start the process.
+
+        :param descriptors: how many descriptors it may have open, 0 for as many as this process.
+        """
+
+        def limit_descriptors() -> None:
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         with self.log.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -91,6 +100,7 @@
                 "--config",
                 str(self.settings),
                 stdout=output,
+                preexec_fn=limit_descriptors,
             )
 
     async def is_ready(self, http: HttpClient) -> bool:
