--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -85,5 +85,5 @@
       | retries.ratio          | "often" | retries.ratio          |
 
   Scenario: The template renders settings that are valid
-    Then the rendered template passes the check with bounds for cold upstreams
-    And the rendered template passes the check without bounds for cold upstreams
+    Then the rendered template passes the check with optional fields
+    And the rendered template passes the check without optional fields
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -55,11 +55,12 @@
     "bounds.drain_ms": "3000",
     "bounds.cold_excess": "1.5",
     "bounds.cold_slack": "5",
+    "limits.max_fds": "4200",
 }
 ZONES = {"hall-a": "south", "hall-b": "north"}
 """Regions by availability zone, the only table that the template repeats a section for."""
-COLD_FIELDS = frozenset({"bounds.cold_excess", "bounds.cold_slack"})
-"""Fields that deployments without cold upstreams lack."""
+OPTIONAL_FIELDS = frozenset({"bounds.cold_excess", "bounds.cold_slack", "limits.max_fds"})
+"""Fields that some deployments lack."""
 
 
 class ManualClock:
@@ -269,10 +270,10 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
 
 
-@then("the rendered template passes the check {cold} bounds for cold upstreams")
-def then_template(context, cold):
+@then("the rendered template passes the check {optional} optional fields")
+def then_template(context, optional):
     template = (ROOT / "deploy" / "gateway.toml.template").read_text()
-    left_out = COLD_FIELDS if cold == "without" else frozenset()
+    left_out = OPTIONAL_FIELDS if optional == "without" else frozenset()
     fields = {name: value for name, value in FIELDS.items() if name not in left_out}
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "gateway.toml"
@@ -283,3 +284,4 @@
     assert settings.gateway.region_by_zone == ZONES, settings.gateway
     limit = settings.cold_starts
     assert (limit.excess, limit.slack) == ((1.0, 0.0) if left_out else (1.5, 5.0)), limit
+    assert settings.limits.descriptors == (0 if left_out else 4200), settings.limits
