--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -82,8 +82,13 @@
                 await part.start()
                 stack.push_async_callback(part.stop)
             await self._publish()
-            await self._start(folder, store_address)
+            self.gateway = GatewayProcess.create(
+                "vm-1", "zone-a", store_address, folder, GRACE_SECONDS
+            )
             stack.push_async_callback(self._end)
+            await self.gateway.start(self.descriptors)
+            if self.waits_ready:
+                await self.gateway.wait_ready(self.http)
             try:
                 for act in self.acts:
                     await act(self)
@@ -97,13 +102,6 @@
         entry |= {"state": "ready", "seq": 1, "version": "v1", "cold_left_ms": 0}
         await self.store.put("servers/llm-1", json.dumps(entry).encode())
 
-    async def _start(self, folder, store_address):
-        """Start the gateway, and wait until it is ready if the scenario asks for that."""
-        self.gateway = GatewayProcess.create("vm-1", "zone-a", store_address, folder, GRACE_SECONDS)
-        await self.gateway.start(self.descriptors)
-        if self.waits_ready:
-            await self.gateway.wait_ready(self.http)
-
     async def wait_blocked(self, number):
         """Wait until the gateway blocks a signal, which it does before anything else."""
         status = Path(f"/proc/{self.gateway.process.pid}/status")
