Start nothing in a process that was told to stop while it started

The signal had arrived while the process started, between 0 and 0.9 s before it was noted. The process then began to serve, accepted a stream from a caller that had the address of its predecessor, and ran it to the latest end. A process in which the stop is requested before it serves ends at once now; its callers find no connection and go elsewhere.

--- a/features/gateway_process_stops.feature
+++ b/features/gateway_process_stops.feature
@@ -37,6 +37,12 @@
     And the gateway process has ended, at the latest by SIGKILL after its grace time
     Then the gateway process ended by itself
 
+  Scenario: A gateway process that is told to stop while it starts accepts requests
+    Given a gateway process that has just been started
+    When the gateway process gets SIGTERM
+    And the gateway process has ended, at the latest by SIGKILL after its grace time
+    Then the gateway process has never begun to serve
+
   Scenario: A gateway process whose settings file changes while it starts is ended by the signal
     Given a gateway process that has just been started
     When the gateway process gets SIGHUP
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -111,6 +111,14 @@
     assert stopped, scene.log_lines
 
 
+@then("the gateway process has never begun to serve")
+def then_never_served(context):
+    scene = process_scene(context)
+    scene.play()
+    assert not scene.log_events("gateway.starting"), scene.log_lines
+    assert scene.log_events("gateway.stopped"), scene.log_lines
+
+
 @then("the gateway process has checked its settings again")
 def then_checked(context):
     def has_checked(scene):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -211,7 +211,14 @@
         ]
 
     async def run(self, stop_request: StopRequest) -> None:
-        """Serve until a stop is requested, then shut down gracefully."""
+        """Serve until a stop is requested, then shut down gracefully.
+
+        If it is requested already, nothing is started: what is accepted now could be cut.
+        """
+        if stop_request.is_made:
+            log.change("gateway.stopped", in_progress=0, connections=0, seconds=0.0)
+            log.flush()
+            return
         await self._start()
         housekeeping = asyncio.create_task(self._run_housekeeping())
         await stop_request.wait()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/process_signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/process_signals.py
@@ -56,20 +56,25 @@
         self._handler = handler
         self._blocked_since = blocked_since
         self._read_time = read_time
-        self._pending: frozenset[int] = frozenset()
+        self._unread: frozenset[int] = frozenset()
         self._reader, self._writer = os.pipe()
         self._thread = threading.Thread(target=self._run, name="signals", daemon=True)
 
     def open(self) -> None:
-        """Install the handlers, and unblock the signals."""
+        """Install the handlers, and unblock the signals.
+
+        The handler is called at once for signals that arrived while they were blocked.
+        """
         os.set_blocking(self._writer, False)
         signal.set_wakeup_fd(self._writer, warn_on_full_buffer=False)
         for number in self._numbers:
             signal.signal(number, _ignore)
-        if self._blocked_since is not None:
-            self._pending = self._numbers & signal.sigpending()
+        pending = self._numbers & signal.sigpending() if self._blocked_since else frozenset()
+        self._unread = pending
         self._thread.start()
         signal.pthread_sigmask(signal.SIG_UNBLOCK, self._numbers)
+        for number in pending:
+            self._handler(SignalArrival(number, self._read_time(), self._blocked_since))
 
     def close(self) -> None:
         """Restore the default handlers and end the thread."""
@@ -94,11 +99,12 @@
         """Call the handler in the event loop, unless that is closed."""
         if number not in self._numbers:
             return
-        blocked_since = self._blocked_since if number in self._pending else None
-        self._pending -= {number}
-        arrival = SignalArrival(number, noted_at, blocked_since)
+        if number in self._unread:
+            # The handler has been called for it when the watch was opened.
+            self._unread -= {number}
+            return
         with contextlib.suppress(RuntimeError):
-            self._loop.call_soon_threadsafe(self._handler, arrival)
+            self._loop.call_soon_threadsafe(self._handler, SignalArrival(number, noted_at))
 
 
 def _ignore(number: int, frame: object) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stop_requests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stop_requests.py
@@ -23,6 +23,11 @@
         self.not_before = not_before
         self._made.set()
 
+    @property
+    def is_made(self) -> bool:
+        """Return whether the stop is requested."""
+        return self._made.is_set()
+
     async def wait(self) -> None:
         """Wait until the stop is requested."""
         await self._made.wait()
