Send the signals of a scenario to the main thread only

Alone, the scenario has no other thread. A gateway blocks its signals before it has any thread, so that all its threads inherit that.

--- a/features/steps/process_signals.py
+++ b/features/steps/process_signals.py
@@ -1,7 +1,6 @@
 """Steps for signals, and the times of stops that they request."""
 
 import asyncio
-import os
 import signal
 import threading
 import time
@@ -34,7 +33,8 @@
 
 
 def _send():
-    os.kill(os.getpid(), NUMBER)
+    # Threads of earlier features don't block the signal, and would end the process by it.
+    signal.pthread_kill(threading.main_thread().ident, NUMBER)
 
 
 @given("a signal watch")
