End gateway processes in one way, and state the last part of the grace time once

Three places asked whether a gateway process runs before they killed it, each in its own words, and the scenarios of stops repeated a constant of the soak's checks. Killing a process that has ended, or was never started, does nothing now.

--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -18,8 +18,6 @@
 
 GRACE_SECONDS = 6.0
 """Time from SIGTERM to SIGKILL."""
-LAST_SHARE_OF_GRACE = 1 / 6
-"""Last part of the grace time, in which a stop may end requests that are still in progress."""
 CALLER_SECONDS = 20.0
 """Time that callers give their requests, more than any stop lasts."""
 SLICE_SECONDS = 0.1
@@ -85,7 +83,7 @@
             self.gateway = GatewayProcess.create(
                 "vm-1", "zone-a", store_address, folder, GRACE_SECONDS
             )
-            stack.push_async_callback(self._end)
+            stack.push_async_callback(self.gateway.kill)
             await self.gateway.start(self.descriptors)
             if self.waits_ready:
                 await self.gateway.wait_ready(self.http)
@@ -112,11 +110,6 @@
 
         await until(is_blocked)
 
-    async def _end(self):
-        """End the gateway if it still runs."""
-        if self.gateway.running:
-            await self.gateway.kill()
-
     def send_stop(self):
         """Begin a planned stop of the gateway."""
         self.stop = StopRecord("vm-1", time.monotonic())
--- a/features/steps/gateway_process_stops.py
+++ b/features/steps/gateway_process_stops.py
@@ -8,9 +8,9 @@
 from features.fixtures_gateway import until
 from features.fixtures_gateway_process import (
     GRACE_SECONDS,
-    LAST_SHARE_OF_GRACE,
     process_scene,
 )
+from quinceferry_lab.soak_checks import LAST_SHARE_OF_GRACE
 
 
 @given("a gateway process that relays {count:d} endless streams")
--- a/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
@@ -153,9 +153,10 @@
         record.exited_at = time.monotonic()
 
     async def kill(self) -> None:
-        """Send SIGKILL and wait for the end."""
+        """Send SIGKILL if the process runs, and wait for its end."""
         self.send(signal.SIGKILL)
-        await self.process.wait()
+        if self.process is not None:
+            await self.process.wait()
 
 
 def free_port() -> int:
--- a/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
@@ -205,8 +205,7 @@
         return demo.audit()
     finally:
         for gateway in gateways:
-            if gateway.running:
-                await gateway.kill()
+            await gateway.kill()
         for upstream in demo.upstreams:
             await upstream.stop()
         await listener.stop()
--- a/packages/quinceferry-lab/src/quinceferry_lab/soak.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/soak.py
@@ -240,18 +240,12 @@
             )
             for number in range(gateways)
         ]
-        stack.push_async_callback(_end_all, processes)
+        for process in processes:
+            stack.push_async_callback(process.kill)
         soak = Soak(rng, processes, store, upstreams, starvation, seconds, prepaid_tokens)
         return await soak.run()
 
 
-async def _end_all(processes: list[GatewayProcess]) -> None:
-    """End all processes that still run."""
-    for process in processes:
-        if process.running:
-            await process.kill()
-
-
 def summarize(soaked: Soaked, faults: list[str]) -> dict[str, object]:
     """Return the figures of a soak."""
     whole = [item for item in soaked.tries if item.whole]
