Log from which list each change of the upstreams comes

upstream.added, upstream.draining, upstream.removed and upstream.kept name the origin: the store, the vm of a peer, or the expiry of a missing entry; upstream.kept also names the seconds that remain. The new scenario failed before (no such field).

--- a/features/gateway_catalog.feature
+++ b/features/gateway_catalog.feature
@@ -41,3 +41,11 @@
   Scenario: An older list changes nothing
     When a list from before holds a only
     Then the gateway may use a and b
+
+  Scenario: The log tells where each change of the upstreams comes from
+    Given its log is kept
+    When the store is away for 4 seconds, leases end, and only a is back
+    And the list holds a only
+    And 3 seconds pass
+    Then the log has upstream.kept with origin store, and 2 to 2.5 seconds that remain
+    And the log has upstream.removed with origin expiry
--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -189,3 +189,22 @@
     _, _, exposition = play(context)
     line = next(line for line in exposition.splitlines() if line.startswith(LIST_AGE))
     assert least <= float(line.split()[-1]) <= most, line
+
+
+@then("the log has {event} with origin {origin}, and {least:g} to {most:g} seconds that remain")
+def then_logged_remaining(context, event, origin, least, most):
+    play(context)
+    line = logged(context, event)
+    assert line["origin"] == origin and least <= line["seconds"] <= most, line
+
+
+@then("the log has upstream.removed with origin {origin}")
+def then_logged(context, origin):
+    line = logged(context, "upstream.removed")
+    assert line["origin"] == origin, line
+
+
+def logged(context, event):
+    """Return the only line of an event."""
+    [line] = [line for line in context.lines if line["event"] == event]
+    return line
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -35,6 +35,11 @@
 within about two seconds, and one that has left must get no requests three seconds after the
 recovery."""
 
+STORE = "store"
+"""Origin of changes that this gateway read from the store itself."""
+EXPIRY = "expiry"
+"""Origin of removals because the time of a missing upstream is over."""
+
 
 class AbsentUpstream(msgspec.Struct, frozen=True):
     """An upstream that is used although the list lacks it, and for how many seconds more."""
@@ -136,7 +141,7 @@
             for item in copy.absent
         }
         self._absences.adopt(listed_by_id, absent_by_id, requested_at)
-        self._publish(copy.revision, requested_at, now)
+        self._publish(copy.revision, requested_at, now, origin)
         self._on_list(copy.listed, requested_at)
 
     async def _follow(self) -> None:
@@ -152,7 +157,7 @@
                 continue
             next_expiry = None if self._absences.is_failing else self._absences.next_expiry
             if next_expiry is not None and next_expiry <= now:
-                self._publish(board.upstreams_revision, board.upstreams_read_at, now)
+                self._publish(board.upstreams_revision, board.upstreams_read_at, now, EXPIRY)
             remaining_seconds = (
                 pause if next_expiry is None else max(MIN_PAUSE_SECONDS, next_expiry - now)
             )
@@ -178,43 +183,60 @@
             return
         now = self._clock.monotonic()
         self._absences.apply_list(listed.by_id, requested_at, now)
-        self._publish(listed.revision, requested_at, now)
+        self._publish(listed.revision, requested_at, now, STORE)
         self._on_list(listed.by_id.values(), requested_at)
 
-    def _publish(self, revision: int, requested_at: float | None, now: float) -> None:
-        """Write the upstreams that may be used to the blackboard."""
+    def _publish(self, revision: int, requested_at: float | None, now: float, origin: str) -> None:
+        """Write the upstreams that may be used to the blackboard.
+
+        :param origin: where the change comes from, for the log: ``STORE``, the vm of a peer, or
+            ``EXPIRY``.
+        """
         board = self._blackboard
         retained = self._absences.retained(now)
         listed = self._absences.listed_by_id
         self._content = _checksum(listed.values(), retained)
-        self._record_absences(retained, now)
+        self._record_absences(retained, now, origin)
         by_id = {**listed, **retained}
-        self._log_changes(board.upstreams_by_id, by_id)
+        self._log_changes(board.upstreams_by_id, by_id, origin)
         board.upstreams_revision = revision
         board.upstreams_read_at = requested_at
         board.upstreams_by_id = by_id
 
-    def _record_absences(self, retained: dict[str, Upstream], now: float) -> None:
+    def _record_absences(self, retained: dict[str, Upstream], now: float, origin: str) -> None:
         """Record since when upstreams are used although the list lacks them, and log new ones."""
         since = self._blackboard.missing_since_by_upstream
+        absent_by_id = self._absences.absent_by_id
         for upstream_id in retained.keys() - since.keys():
-            log.change("upstream.kept", upstream=upstream_id)
+            _, ends_at = absent_by_id[upstream_id]
+            log.change(
+                "upstream.kept",
+                upstream=upstream_id,
+                origin=origin,
+                seconds=round(ends_at - now, 3),
+            )
         self._blackboard.missing_since_by_upstream = {
             upstream_id: since.get(upstream_id, now) for upstream_id in retained
         }
 
-    def _log_changes(self, before: dict[str, Upstream], now: dict[str, Upstream]) -> None:
+    def _log_changes(
+        self, before: dict[str, Upstream], now: dict[str, Upstream], origin: str
+    ) -> None:
         """Log upstreams that were added or removed, or that started draining."""
         for upstream_id, item in now.items():
             previous = before.get(upstream_id)
             if previous is None:
                 log.change(
-                    "upstream.added", upstream=upstream_id, service=item.service, addr=item.address
+                    "upstream.added",
+                    upstream=upstream_id,
+                    service=item.service,
+                    addr=item.address,
+                    origin=origin,
                 )
             elif item.draining and not previous.draining:
-                log.change("upstream.draining", upstream=upstream_id)
+                log.change("upstream.draining", upstream=upstream_id, origin=origin)
         for upstream_id in before.keys() - now.keys():
-            log.change("upstream.removed", upstream=upstream_id)
+            log.change("upstream.removed", upstream=upstream_id, origin=origin)
 
 
 def _checksum(listed: Iterable[Upstream], retained: Iterable[str]) -> int:
