Share since when the store is known to answer, and end retention by it

Gateways in touch sent requests to an upstream 3.4 s after it had left; two seconds are allowed. They had just started, beside a cut of others: the upstream was missing from the first list that they read, and they used it all the same.

A missing entry of a peer's copy was adopted as long as the own contact with the store was younger than the grace period, since a gateway could not tell a partition of the peer from an outage that ended before its own start. The same holds for a gateway whose own cut ended first, and for one whose contact has a gap of 2.4 s. Each peer that returned began the period anew.

Whether the store was available is the same for all, so an answer to any gateway proves it. Copies of the list now name the time since when the store is known to answer; spans of several gateways add up, and close a gap that one of them saw. Retained entries end with the grace period after the last gap that is left, whoever retained them. The time counts from the arrival of a copy: from its request, each transfer would lengthen the contact, and copies that go in a circle would close a true gap.

--- /dev/null
+++ b/features/gateway_leaving_orders.feature
@@ -0,0 +1,29 @@
+Feature: Upstreams that leave while cuts, outages and starts of gateways overlap
+  A gateway that was cut off from the store retains upstreams that left meanwhile, and passes that on.
+  What the others know of the store decides whether it may.
+
+  # Guards against upstreams that a gateway adopts from one that was cut off because its own contact
+  # with the store is young, though other gateways were in contact all the time.
+  Scenario Outline: A gateway that has just started uses an upstream that left before its start
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the first 4 are cut off from second 10 to 13
+    And gateways 4 to <last> end at second 11.2 and start again at 11.7
+    When u-1 leaves at second 11.1, and all is played to second 20
+    Then gateways in touch used no upstream that had left
+    And gateways used every upstream that stays
+
+    Examples:
+      | last | seed |
+      | 5    | 2    |
+      | 5    | 12   |
+      | 6    | 6    |
+      | 6    | 8    |
+
+  # Guards against grace periods that begin again with each gateway that returns.
+  Scenario: A gateway that is back in touch uses an upstream again by the copy of one cut off later
+    Given 7 gateways with 20 upstreams, seed 39
+    And the first 4 are cut off from second 10 to 13
+    And the last 3 are cut off from second 12.2 to 15.2
+    When u-1 leaves at second 13.4, and all is played to second 22
+    Then gateways in touch used no upstream that had left
+    And gateways used every upstream that stays
--- /dev/null
+++ b/features/steps/gateway_leaving_orders.py
@@ -0,0 +1,112 @@
+"""Steps for upstreams that leave while cuts, outages and starts of gateways overlap."""
+
+from functools import partial
+
+from behave import given, then, when
+
+from features.fixtures_copy_orders import OrderedFleet
+from quinceferry_lab.virtual_time import run_virtual
+
+EPISODE_SECONDS = 11.0
+FIRST_EPISODE_AT = 6.0
+
+
+@given("{gateways:d} gateways with {upstreams:d} upstreams, seed {seed:d}")
+def given_fleet(context, gateways, upstreams, seed):
+    context.fleet = OrderedFleet(gateways, upstreams, seed)
+
+
+@given("the first {count:d} are cut off from second {begin:g} to {end:g}")
+def given_first_cut(context, count, begin, end):
+    fleet = context.fleet
+    fleet.at(begin, partial(fleet.cut_off, range(count), end - begin))
+
+
+@given("the last {count:d} are cut off from second {begin:g} to {end:g}")
+def given_last_cut(context, count, begin, end):
+    fleet = context.fleet
+    numbers = range(fleet.count - count, fleet.count)
+    fleet.at(begin, partial(fleet.cut_off, numbers, end - begin))
+
+
+@given("gateways {first:d} and {last:d} end at second {begin:g} and start again at {end:g}")
+@given("gateways {first:d} to {last:d} end at second {begin:g} and start again at {end:g}")
+def given_restarts(context, first, last, begin, end):
+    fleet = context.fleet
+    fleet.at(begin, partial(fleet.restart, range(first, last + 1), end - begin))
+
+
+@given("the store is away from second {begin:g} to {end:g}")
+def given_outage(context, begin, end):
+    fleet = context.fleet
+    fleet.at(begin, partial(fleet.store.outage, end - begin, fleet.random))
+
+
+@given("{episodes:d} episodes of {kinds} that overlap, while upstreams leave")
+def given_episodes(context, episodes, kinds):
+    fleet = context.fleet
+    for number in range(episodes):
+        draw_episode(fleet, FIRST_EPISODE_AT + number * EPISODE_SECONDS, "outages" in kinds)
+    context.seconds = FIRST_EPISODE_AT + episodes * EPISODE_SECONDS
+
+
+def draw_episode(fleet, began_at, has_outages):
+    """Draw cuts, an outage, restarts and leaving upstreams that overlap."""
+    draws, count = fleet.random, fleet.count
+    for _ in range(draws.randint(1, 2)):
+        numbers = draws.sample(range(count), draws.randint(1, max(1, count * 2 // 3)))
+        cut_off = partial(fleet.cut_off, numbers, draws.uniform(1.0, 4.5))
+        fleet.at(began_at + draws.uniform(0.0, 3.0), cut_off)
+    if draws.random() < 0.5:
+        numbers = draws.sample(range(count), max(1, count // 3))
+        fleet.at(began_at + draws.uniform(0.0, 4.0), partial(fleet.restart, numbers, 0.5))
+    if has_outages and draws.random() < 0.4:
+        outage = partial(fleet.store.outage, draws.uniform(1.0, 5.0), draws)
+        fleet.at(began_at + draws.uniform(1.0, 2.0), outage)
+    for _ in range(2):
+        fleet.at(began_at + draws.uniform(0.0, 6.0), partial(leave_any, fleet))
+
+
+async def leave_any(fleet):
+    """Let an upstream leave once the store is there, with or without draining first."""
+    while fleet.store.away:
+        await fleet.clock.sleep(0.1)
+    staying = sorted(fleet.store.registrations_by_id.keys() - fleet.store.left_at_by_id.keys())
+    if len(staying) > 1:
+        leave = fleet.drain if fleet.random.random() < 0.5 else fleet.leave
+        await leave(fleet.random.choice(staying))
+
+
+@when("{name} leaves at second {at:g}, and all is played to second {seconds:g}")
+def when_leaves(context, name, at, seconds):
+    context.fleet.at(at, partial(context.fleet.leave, name))
+    run_virtual(context.fleet.play(seconds))
+
+
+@when("{name} drains at second {at:g}, and all is played to second {seconds:g}")
+def when_drains(context, name, at, seconds):
+    context.fleet.at(at, partial(context.fleet.drain, name))
+    run_virtual(context.fleet.play(seconds))
+
+
+@when("all is played")
+def when_played(context):
+    run_virtual(context.fleet.play(context.seconds))
+
+
+@then("gateways in touch used no upstream that had left")
+def then_not_late(context):
+    used = context.fleet.used_late
+    assert not used, (len(used), used[:5])
+
+
+@then("no gateway used an upstream again that it had removed after it left")
+def then_not_again(context):
+    used = context.fleet.used_again
+    assert not used, (len(used), used[:5])
+
+
+@then("gateways used every upstream that stays")
+def then_used(context):
+    not_used = context.fleet.not_used
+    assert not not_used, (len(not_used), not_used[:5])
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -10,13 +10,18 @@
 process that is back has a new registration. An entry that kept its registration proves that the
 store was available, so that the missing entries have been removed. A shorter outage expires only
 some leases and proves nothing.
+
+What other processes know decides as well. An answer to one of them shows that the store was
+available then, so a gap in the contact of this process with the store may be none. An entry can be
+retained only for as long after the end of the last gap as live processes need to register again.
 """
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from quinceferry_core.contacts import ContactHistory
+
 T = TypeVar("T")
 
 
@@ -50,12 +55,10 @@
         self._lease_seconds = lease_seconds
         # The last renewal may be as old as one interval when an outage begins.
         self._min_outage_seconds = lease_seconds - renewal_seconds
+        self._contacts = ContactHistory(self._min_outage_seconds)
         self._grace_seconds = grace_seconds
         self._registration_of = registration_of
         self._listed_by_id: dict[str, T] = {}
-        self._last_answer_at: float | None = None
-        # Since then no two answers were so far apart that leases may have expired in between.
-        self._contact_since = -math.inf
         self._first_failure_at: float | None = None
         self._last_failure_at: float | None = None
         self._absent_by_id: dict[str, _AbsentEntry[T]] = {}
@@ -90,7 +93,7 @@
         :param retained_until: until when a removed entry is retained, since its lease may have
             expired in an outage that has just ended; a past time when there was no outage.
         """
-        self._record_answer(now)
+        self._contacts.record(now, now)
         removed = self._listed_by_id.pop(key, None)
         if item is not None:
             self._absent_by_id.pop(key, None)
@@ -109,10 +112,11 @@
             self._extend_grace_periods()
             self._start_grace_periods()
         self._first_failure_at = self._last_failure_at = None
-        self._record_answer(requested_at)
+        self._contacts.record(requested_at, requested_at)
         self._listed_by_id = dict(listed_by_id)
         for key in listed_by_id:
             self._absent_by_id.pop(key, None)
+        self._limit_grace_periods()
         return self.retained(now)
 
     def adopt(
@@ -120,56 +124,44 @@
         listed_by_id: Mapping[str, T],
         absent_by_id: Mapping[str, tuple[T, float]],
         requested_at: float,
+        contact_since: float,
     ) -> None:
         """Replace the state by a list and its missing entries as another process derived them.
 
-        An entry that this process knows to be removed stays removed: the other process may have
-        been partitioned from the store alone, and take that for an outage.
+        The other process may have been partitioned from the store alone, and take that for an
+        outage. So its missing entries are retained only if no contact that either process knows
+        of rules that out.
 
         :param absent_by_id: missing entries, each with the time until which it is retained.
         :param requested_at: when that process requested the list; earlier failed calls of this
             process no longer indicate an outage.
+        :param contact_since: since when that process knows that the store has answered.
         """
-        self._record_answer_to_other(requested_at)
+        self._record_answers_to_other(contact_since, requested_at)
         self._listed_by_id = dict(listed_by_id)
         self._absent_by_id = {
-            key: _AbsentEntry(item, expires_at)
-            for key, (item, expires_at) in absent_by_id.items()
-            if self._may_be_registered(key, item, requested_at)
+            key: _AbsentEntry(item, expires_at) for key, (item, expires_at) in absent_by_id.items()
         }
-
-    def _may_be_registered(self, key: str, item: T, requested_at: float) -> bool:
-        """Return whether the lease of a missing entry may have expired in an outage.
-
-        If this process has been in contact with the store for as long as an entry is retained, it
-        has seen every entry whose lease expired before then, and knows that the others were
-        removed.
-
-        :param requested_at: when another process requested the list that lacks it.
-        """
-        if requested_at - self._contact_since < self._grace_seconds:
-            return True
-        absence = self._absent_by_id.get(key)
-        return absence is not None and self._is_same_registration(absence.item, item)
+        self._limit_grace_periods()
 
     def confirm_list(self, requested_at: float) -> None:
         """Record that another process requested the same list at that time and got an answer."""
-        if self._last_answer_at is None or requested_at <= self._last_answer_at:
+        latest = self._contacts.latest
+        if latest is None or requested_at <= latest.until:
             return
-        self._record_answer_to_other(requested_at)
+        self._record_answers_to_other(requested_at, requested_at)
 
-    def _record_answer_to_other(self, requested_at: float) -> None:
+    def _record_answers_to_other(self, since: float, until: float) -> None:
         """Record that the store answered another process, and clear earlier own failures."""
-        self._record_answer(requested_at)
-        if self._last_failure_at is not None and self._last_failure_at <= requested_at:
+        self._contacts.record(since, until)
+        if self._last_failure_at is not None and self._last_failure_at <= until:
             self._first_failure_at = self._last_failure_at = None
 
-    def _record_answer(self, requested_at: float) -> None:
-        """Record that the store answered this process or another one."""
-        last_answer_at = self._last_answer_at
-        if last_answer_at is None or requested_at - last_answer_at >= self._min_outage_seconds:
-            self._contact_since = requested_at
-        self._last_answer_at = max(requested_at, last_answer_at or requested_at)
+    @property
+    def contact_since(self) -> float | None:
+        """Return since when the store is known to have answered, None before the first answer."""
+        latest = self._contacts.latest
+        return None if latest is None else latest.since
 
     @property
     def absent_by_id(self) -> dict[str, tuple[T, float]]:
@@ -194,9 +186,10 @@
         # store may have failed. When they counted as an outage, 177 requests went to upstreams that
         # had left (161 of them failed) in six simulated days with seven gateways partitioned for
         # 4 to 7 s; with this rule none does.
-        if self._last_answer_at is None or self._last_failure_at is None:
+        latest = self._contacts.latest
+        if latest is None or self._last_failure_at is None:
             return False
-        if now - self._last_answer_at < self._min_outage_seconds:
+        if now - latest.until < self._min_outage_seconds:
             return False
         if self._last_failure_at - self._first_failure_at < self._lease_seconds:
             return True
@@ -208,16 +201,23 @@
 
     def _kept_lease(self, before: T, now: T) -> bool:
         """Return whether an entry provably kept its lease from one list to the next."""
-        return bool(self._registration_of(before)) and self._is_same_registration(before, now)
-
-    def _is_same_registration(self, before: T, now: T) -> bool:
-        """Return whether two versions of an entry have the same registration."""
-        return self._registration_of(before) == self._registration_of(now)
+        registration = self._registration_of(before)
+        return bool(registration) and registration == self._registration_of(now)
 
     def _extend_grace_periods(self) -> None:
         """Extend each grace period by the outage, in which no process could register."""
+        seconds = self._last_failure_at - self._contacts.latest.until
+        for absence in self._absent_by_id.values():
+            absence.expires_at += seconds
+
+    def _limit_grace_periods(self) -> None:
+        """End each grace period in time after the end of the last outage that is possible.
+
+        Contact that has lasted longer than that proves that all missing entries were removed.
+        """
+        latest_end = self._contacts.latest.since + self._grace_seconds
         for absence in self._absent_by_id.values():
-            absence.expires_at += self._last_failure_at - self._last_answer_at
+            absence.expires_at = min(absence.expires_at, latest_end)
 
     def _start_grace_periods(self) -> None:
         """Start the grace period of every entry of the latest list.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -49,12 +49,16 @@
 
 
 class UpstreamsCopy(msgspec.Struct, frozen=True):
-    """The list of upstreams as one gateway sends it to another."""
+    """The list of upstreams as one gateway sends it to another.
+
+    ``contact_seconds`` is for how long the store is known to have answered when the list was read.
+    """
 
     revision: int
     age_seconds: float
     listed: list[Upstream]
     absent: list[AbsentUpstream]
+    contact_seconds: float = 0.0
 
 
 class UpstreamReader(Controller):
@@ -121,8 +125,11 @@
             if ends_at > now
         ]
         listed = list(self._absences.listed_by_id.values())
-        age = now - board.upstreams_read_at
-        copy = UpstreamsCopy(board.upstreams_revision, age, listed, absent)
+        read_at = board.upstreams_read_at
+        contact_seconds = max(0.0, read_at - self._absences.contact_since)
+        copy = UpstreamsCopy(
+            board.upstreams_revision, now - read_at, listed, absent, contact_seconds
+        )
         return pack(msgspec.msgpack.encode(copy))
 
     def adopt(self, body: bytes, origin: str, now: float) -> None:
@@ -132,18 +139,30 @@
         :raises msgspec.DecodeError: the copy is malformed.
         """
         copy = msgspec.msgpack.decode(unpack(body), type=UpstreamsCopy)
-        if copy.age_seconds < 0 or copy.revision <= self._blackboard.upstreams_revision:
+        if min(copy.age_seconds, copy.contact_seconds) < 0:
+            return
+        if copy.revision <= self._blackboard.upstreams_revision:
             return
         requested_at = now - copy.age_seconds
+        contact_since = self._contact_since(copy, requested_at)
         listed_by_id = {item.id: item for item in copy.listed}
         absent_by_id = {
             item.upstream.id: (item.upstream, now + min(item.seconds, ABSENCE_GRACE_SECONDS))
             for item in copy.absent
         }
-        self._absences.adopt(listed_by_id, absent_by_id, requested_at)
+        self._absences.adopt(listed_by_id, absent_by_id, requested_at, contact_since)
         self._publish(copy.revision, requested_at, now, origin)
         self._on_list(copy.listed, requested_at)
 
+    def _contact_since(self, copy: UpstreamsCopy, requested_at: float) -> float:
+        """Return since when the sender of a copy knows that the store has answered.
+
+        It counts from when the copy has arrived. Otherwise the time of each transfer would make the
+        contact longer, and copies that go in a circle would make it seem unbroken in an outage.
+        """
+        arrived_at = self._clock.monotonic()
+        return min(requested_at, arrived_at - copy.age_seconds - copy.contact_seconds)
+
     async def _follow(self) -> None:
         """Read the list when it is due, and remove missing entries whose time has expired."""
         board = self._blackboard
@@ -214,6 +233,7 @@
                 upstream=upstream_id,
                 origin=origin,
                 seconds=round(ends_at - now, 3),
+                contact_seconds=round(now - self._absences.contact_since, 3),
             )
         self._blackboard.missing_since_by_upstream = {
             upstream_id: since.get(upstream_id, now) for upstream_id in retained
