Expire missing upstreams that were adopted while the reader of the list sleeps

A gateway used an upstream that had left for up to 0.6 s longer than it is retained. The time of missing entries was looked at before each pause of the reader of the list only; a copy adopted during a pause brought entries with less time than that.

The pause ends when a copy is adopted, so that the next one ends with the first entry.

--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -27,3 +27,18 @@
     When u-1 leaves at second 13.4, and all is played to second 22
     Then gateways in touch used no upstream that had left
     And gateways used every upstream that stays
+
+  # Guards against missing entries that expire only when the reader of the list wakes up.
+  Scenario Outline: The time of a missing upstream ends while the reader of the list sleeps
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the first 4 are cut off from second 10 to 13
+    And gateways 4 to <last> end at second 11.2 and start again at 11.7
+    When u-1 leaves at second 11.1, and all is played to second 20
+    Then gateways in touch used no upstream that had left
+    And gateways used every upstream that stays
+
+    Examples:
+      | last | seed |
+      | 5    | 8    |
+      | 6    | 3    |
+      | 6    | 4    |
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -4,9 +4,11 @@
 on missing entries, and read the store only when the copies grow old.
 """
 
+import asyncio
 import random
 import zlib
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 
 import msgspec
 
@@ -89,6 +91,7 @@
             INTERVAL_SHARE * bound_seconds, MAX_AGE_SHARE * bound_seconds, random_source
         )
         self._content = 0
+        self._adopted = asyncio.Event()
         self._absences: AbsenceTracker[Upstream] = AbsenceTracker(
             lease_seconds=HEARTBEATS_PER_LEASE * heartbeat_seconds,
             renewal_seconds=heartbeat_seconds,
@@ -152,6 +155,7 @@
         }
         self._absences.adopt(listed_by_id, absent_by_id, requested_at, contact_since)
         self._publish(copy.revision, requested_at, now, origin)
+        self._adopted.set()
         self._on_list(copy.listed, requested_at)
 
     def _contact_since(self, copy: UpstreamsCopy, requested_at: float) -> float:
@@ -180,7 +184,14 @@
             remaining_seconds = (
                 pause if next_expiry is None else max(MIN_PAUSE_SECONDS, next_expiry - now)
             )
-            await self._clock.sleep(min(pause, remaining_seconds))
+            await self._pause(min(pause, remaining_seconds))
+
+    async def _pause(self, seconds: float) -> None:
+        """Sleep, at most until a copy is adopted, whose missing entries may expire sooner."""
+        self._adopted.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._adopted.wait()
 
     async def _read(self, requested_at: float) -> None:
         """Read the list."""
