Spread the ages at which gateways read by a whole maximum age after their first read only

With all readers cut off, the one gateway left used an upstream for 2.075 s after it had left; two seconds are allowed.

The first read of a process draws a wide jitter, since gateways that started together do not receive each other's digests yet. It stayed in force until the second own read, which is minutes later where copies arrive: so a copy could grow to 1.2 of the bound, where 0.7 is promised. All three lists are concerned. The checks between add nothing: a pause ends when the read is due, and only a gateway that becomes a designated reader notices it up to 0.6 s late, within its bound.

The wide jitter holds for the copy of the first read; a more recent one shows that digests arrive.

Measured: of 200 gateways that lived on copies, the oldest read at 2.4 s before, at 1.38 s since, where 1.4 s is allowed; the scenario failed before. The spread after a common start is as before.

--- /dev/null
+++ b/features/gateway_read_schedule.feature
@@ -0,0 +1,15 @@
+Feature: When a gateway reads a list of the store
+  A gateway that is no designated reader reads a list when its copy grows old, and the copies of a fleet
+  that starts together do so at different ages.
+
+  # Guards against an upstream that is used late because a copy may reach 1.2 of the bound.
+  Scenario: A gateway that has lived on copies since its first read reads too late
+    Given 200 gateways that read a list with a bound of 2 seconds at second 0
+    When each gets a copy that was requested at second 10, and no more
+    Then all of them read the list 1.2 to 1.4 seconds after that
+
+  Scenario: Gateways that started together read again at the same time
+    Given 200 gateways that read a list with a bound of 2 seconds at second 0
+    When they get no copies
+    Then all of them read the list 1.2 to 2.4 seconds after that
+    And at most 40 of them do so within any 0.1 seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
@@ -63,8 +63,10 @@
         self._interval_seconds = interval_seconds
         self._max_age_seconds = max_age_seconds
         self._random = random_source
+        self._first_started_at: float | None = None
         self._last_started_at: float | None = None
         self._retry_at = 0.0
+        self._first_jitter_seconds = 0.0
         self._jitter_seconds = 0.0
 
     def due_at(self, is_reader: bool, requested_at: float | None) -> float:
@@ -75,16 +77,18 @@
         """
         if requested_at is None or self._last_started_at is None and is_reader:
             return self._retry_at
-        due_at = requested_at + self._max_age_seconds + self._jitter_seconds
+        due_at = requested_at + self._max_age_seconds + self._jitter_of(requested_at)
         if is_reader:
             due_at = min(due_at, self._last_started_at + self._interval_seconds)
         return max(due_at, self._retry_at)
 
     def read_started(self, now: float) -> None:
         """Record that a read starts."""
-        share = FIRST_JITTER_SHARE if self._last_started_at is None else JITTER_SHARE
+        if self._first_started_at is None:
+            self._first_started_at = now
+            self._first_jitter_seconds = self._draw_jitter(FIRST_JITTER_SHARE)
         self._last_started_at = now
-        self._jitter_seconds = self._draw_jitter(share)
+        self._jitter_seconds = self._draw_jitter(JITTER_SHARE)
 
     def read_failed(self, is_reader: bool, requested_at: float | None, now: float) -> None:
         """Record that a read failed, and draw the pause before the next one.
@@ -108,6 +112,14 @@
         """Delay the next read by at least so many seconds."""
         self._retry_at = now + seconds
 
+    def _jitter_of(self, requested_at: float) -> float:
+        """Return how far the age of a copy may exceed the maximum.
+
+        A copy more recent than the first read shows that the digests of others arrive.
+        """
+        is_first = self._first_started_at is not None and requested_at <= self._first_started_at
+        return self._first_jitter_seconds if is_first else self._jitter_seconds
+
     def _draw_jitter(self, share: float) -> float:
-        """Return how far the age of the copy may exceed the maximum."""
+        """Return a random share of the maximum age."""
         return self._random.random() * share * self._max_age_seconds
