End retention by a gateway's own failed calls, whatever peers retain

A gateway that was back from a cut, and had let the time of a missing upstream end, used the upstream again by the copy of a gateway that came back later: 3.8 s after it had left.

An adopted entry could outlast the grace period after the receiver's own last failed call. A designated reader calls the store four times a second, so that this call dates the end of an outage to 0.4 s: what it has shown holds for entries of peers too. Gateways that call seldom can't tell, and follow those.

--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -42,3 +42,12 @@
       | 5    | 8    |
       | 6    | 3    |
       | 6    | 4    |
+
+  # Guards against copies that undo what the failed calls of a gateway have shown it.
+  Scenario: A gateway adopts a later end of retention than its own calls have shown
+    Given 3 gateways with 20 upstreams, seed 21
+    And the first 1 are cut off from second 10 to 11.2
+    And the last 2 are cut off from second 9.6 to 13.7
+    When u-1 leaves at second 10.5, and all is played to second 20
+    Then gateways in touch used no upstream that had left
+    And gateways used every upstream that stays
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -16,6 +16,7 @@
 retained only for as long after the end of the last gap as live processes need to register again.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -41,6 +42,8 @@
     :param lease_seconds: lifetime of a lease without renewal.
     :param renewal_seconds: interval of lease renewals.
     :param grace_seconds: how long a missing entry is retained after the store recovers.
+    :param max_delay_seconds: how long after the last failed call the store is assumed to recover at
+        most, if the next call is answered.
     :param registration_of: returns a value that changes when an entry is registered again after
         its lease expired; zero when it is not known.
     """
@@ -50,6 +53,7 @@
         lease_seconds: float,
         renewal_seconds: float,
         grace_seconds: float,
+        max_delay_seconds: float,
         registration_of: Callable[[T], int],
     ) -> None:
         self._lease_seconds = lease_seconds
@@ -57,6 +61,9 @@
         self._min_outage_seconds = lease_seconds - renewal_seconds
         self._contacts = ContactHistory(self._min_outage_seconds)
         self._grace_seconds = grace_seconds
+        self._max_delay_seconds = max_delay_seconds
+        # When the store recovered before the latest span of contact, as own calls have shown.
+        self._recovered_at = math.inf
         self._registration_of = registration_of
         self._listed_by_id: dict[str, T] = {}
         self._first_failure_at: float | None = None
@@ -93,7 +100,7 @@
         :param retained_until: until when a removed entry is retained, since its lease may have
             expired in an outage that has just ended; a past time when there was no outage.
         """
-        self._contacts.record(now, now)
+        self._record_contact(now, now)
         removed = self._listed_by_id.pop(key, None)
         if item is not None:
             self._absent_by_id.pop(key, None)
@@ -102,17 +109,27 @@
             self._absent_by_id[key] = _AbsentEntry(removed, retained_until)
 
     def apply_list(
-        self, listed_by_id: Mapping[str, T], requested_at: float, now: float
+        self,
+        listed_by_id: Mapping[str, T],
+        requested_at: float,
+        now: float,
+        calls_often: bool = True,
     ) -> dict[str, T]:
         """Apply a complete list and return the missing entries that are retained.
 
         :param requested_at: when the list was requested.
+        :param calls_often: whether this process calls the store often enough in an outage that its
+            last failed call shows when the outage ended, whatever others conclude.
         """
+        recovered_at = math.inf
         if self._leases_may_have_expired(listed_by_id, now):
+            recovered_at = min(requested_at, self._last_failure_at + self._max_delay_seconds)
             self._extend_grace_periods()
-            self._start_grace_periods()
+            self._start_grace_periods(recovered_at)
         self._first_failure_at = self._last_failure_at = None
-        self._contacts.record(requested_at, requested_at)
+        self._record_contact(requested_at, requested_at)
+        if calls_often:
+            self._recovered_at = min(self._recovered_at, recovered_at)
         self._listed_by_id = dict(listed_by_id)
         for key in listed_by_id:
             self._absent_by_id.pop(key, None)
@@ -153,10 +170,17 @@
 
     def _record_answers_to_other(self, since: float, until: float) -> None:
         """Record that the store answered another process, and clear earlier own failures."""
-        self._contacts.record(since, until)
+        self._record_contact(since, until)
         if self._last_failure_at is not None and self._last_failure_at <= until:
             self._first_failure_at = self._last_failure_at = None
 
+    def _record_contact(self, since: float, until: float) -> None:
+        """Record that the store answered this process or another one."""
+        before = self.contact_since
+        self._contacts.record(since, until)
+        if before is None or self.contact_since > before:
+            self._recovered_at = math.inf
+
     @property
     def contact_since(self) -> float | None:
         """Return since when the store is known to have answered, None before the first answer."""
@@ -215,15 +239,15 @@
 
         Contact that has lasted longer than that proves that all missing entries were removed.
         """
-        latest_end = self._contacts.latest.since + self._grace_seconds
+        latest_end = min(self.contact_since, self._recovered_at) + self._grace_seconds
         for absence in self._absent_by_id.values():
             absence.expires_at = min(absence.expires_at, latest_end)
 
-    def _start_grace_periods(self) -> None:
+    def _start_grace_periods(self, recovered_at: float) -> None:
         """Start the grace period of every entry of the latest list.
 
         Each entry has its own period, so that a later failure does not restart it.
         """
-        expires_at = self._last_failure_at + self._grace_seconds
+        expires_at = recovered_at + self._grace_seconds
         for key, item in self._listed_by_id.items():
             self._absent_by_id[key] = _AbsentEntry(item, expires_at)
--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -49,6 +49,7 @@
             lease_seconds=ttl_seconds,
             renewal_seconds=heartbeat_seconds,
             grace_seconds=ttl_seconds,
+            max_delay_seconds=0.0,
             registration_of=lambda entry: entry.version,
         )
         self._own_member: Member | None = None
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -41,6 +41,9 @@
 """Origin of changes that this gateway read from the store itself."""
 EXPIRY = "expiry"
 """Origin of removals because the time of a missing upstream is over."""
+MAX_RECOVERY_DELAY_SECONDS = 0.4
+"""How long after the last failed call the store is assumed to recover at most, so that with the
+grace period no upstream that has left is used three seconds after the recovery."""
 
 
 class AbsentUpstream(msgspec.Struct, frozen=True):
@@ -96,6 +99,7 @@
             lease_seconds=HEARTBEATS_PER_LEASE * heartbeat_seconds,
             renewal_seconds=heartbeat_seconds,
             grace_seconds=ABSENCE_GRACE_SECONDS,
+            max_delay_seconds=MAX_RECOVERY_DELAY_SECONDS,
             registration_of=lambda upstream: upstream.registration,
         )
 
@@ -212,7 +216,9 @@
         if listed.revision < self._blackboard.upstreams_revision:
             return
         now = self._clock.monotonic()
-        self._absences.apply_list(listed.by_id, requested_at, now)
+        self._absences.apply_list(
+            listed.by_id, requested_at, now, calls_often=self._blackboard.is_store_reader
+        )
         self._publish(listed.revision, requested_at, now, STORE)
         self._on_list(listed.by_id.values(), requested_at)
 
