Tell in digests since when the store is known to answer

Gateways that had just started, or whose list agreed with that of their peers, did not learn that the store had been available all the time: they used an upstream that had left once more, for up to 3.5 s after it left, by the copy of a gateway that was back from a cut. A gateway that lived on confirmations of its list took the time between two of them, 2.8 s, for an outage.

The span of contact went with copies only, and a copy is fetched only if it is newer and differs. The summary of the upstreams in each digest carries it too, rounded down so that it does not get longer on its way. Whether leases may have expired is judged by the contact since the last list, and evidence of contact alone does not clear failed calls.

--- a/features/fixtures_copy_orders.py
+++ b/features/fixtures_copy_orders.py
@@ -156,6 +156,8 @@
         own, theirs = self.reader.summary(now), other.reader.summary(now)
         if theirs is None:
             return
+        if theirs.contact:
+            self.reader.record_contact(*theirs.contact_span(now))
         if own is not None and own.content == theirs.content:
             self.reader.confirm(theirs.revision, now - age_seconds(theirs.age))
         elif own is None or own.revision < theirs.revision:
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -319,7 +319,9 @@
         self.gossip = Gossip(board, members, self.port, clock, draws, lambda: 0.0)
         lists_by_kind = {"configuration": configuration, "upstreams": upstreams, "members": members}
         peers = Peers(world.network, address)
-        self.copies = CopyReplicator(lists_by_kind, peers, clock, self.gossip.copies_updated)
+        self.copies = CopyReplicator(
+            lists_by_kind, peers, clock, self.gossip.copies_updated, upstreams.record_contact
+        )
         quarantine = Quarantine(crashes_to_quarantine=3, initial_seconds=600.0)
         self.reachability = ReachabilityMonitor(
             board, self.upstream_states, Deserted(), clock, draws, Uncounted()
--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -51,3 +51,25 @@
     When u-1 leaves at second 10.5, and all is played to second 20
     Then gateways in touch used no upstream that had left
     And gateways used every upstream that stays
+
+  # Guards against evidence of the store's availability that only differing copies carry.
+  Scenario Outline: Gateways whose lists agree don't tell each other since when the store answers
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the first 4 are cut off from second 10 to 13
+    And gateways 4 to 5 end at second 11.2 and start again at 11.7
+    When u-1 leaves at second 11.1, and all is played to second 20
+    Then no gateway used an upstream again that it had removed after it left
+    And gateways used every upstream that stays
+
+    Examples:
+      | seed |
+      | 1    |
+      | 4    |
+      | 5    |
+
+  # Guards against an outage that is hidden by contact that gets longer with each hop.
+  Scenario: Contact that is passed on in a circle grows into the outage before it
+    Given contact with the store from second 10.012 to 20.034
+    When its summary passes through 100 gateways, 1 ms each
+    Then the last one knows of no answer before second 10.012
+    And the last one knows of contact for at least 4 seconds
--- a/features/steps/gateway_leaving_orders.py
+++ b/features/steps/gateway_leaving_orders.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.fixtures_copy_orders import OrderedFleet
+from quinceferry_gateway.fleet.digests import summarize_copy
 from quinceferry_lab.virtual_time import run_virtual
 
 EPISODE_SECONDS = 11.0
@@ -110,3 +111,29 @@
 def then_used(context):
     not_used = context.fleet.not_used
     assert not not_used, (len(not_used), not_used[:5])
+
+
+@given("contact with the store from second {since:g} to {until:g}")
+def given_contact(context, since, until):
+    context.span = since, until
+
+
+@when("its summary passes through {hops:d} gateways, {milliseconds:g} ms each")
+def when_passed(context, hops, milliseconds):
+    now = context.span[1]
+    for _ in range(hops):
+        since, until = context.span
+        summary = summarize_copy(1, 0, until, now, since)
+        now += milliseconds / 1000
+        context.span = summary.contact_span(now)
+
+
+@then("the last one knows of no answer before second {since:g}")
+def then_no_answer(context, since):
+    assert context.span[0] >= since, context.span
+
+
+@then("the last one knows of contact for at least {seconds:g} seconds")
+def then_contact(context, seconds):
+    since, until = context.span
+    assert until - since >= seconds, context.span
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -66,6 +66,7 @@
         self._recovered_at = math.inf
         self._registration_of = registration_of
         self._listed_by_id: dict[str, T] = {}
+        self._listed_at: float | None = None
         self._first_failure_at: float | None = None
         self._last_failure_at: float | None = None
         self._absent_by_id: dict[str, _AbsentEntry[T]] = {}
@@ -100,7 +101,7 @@
         :param retained_until: until when a removed entry is retained, since its lease may have
             expired in an outage that has just ended; a past time when there was no outage.
         """
-        self._record_contact(now, now)
+        self._record_list(now, now)
         removed = self._listed_by_id.pop(key, None)
         if item is not None:
             self._absent_by_id.pop(key, None)
@@ -122,18 +123,18 @@
             last failed call shows when the outage ended, whatever others conclude.
         """
         recovered_at = math.inf
-        if self._leases_may_have_expired(listed_by_id, now):
-            recovered_at = min(requested_at, self._last_failure_at + self._max_delay_seconds)
+        self.record_contact(requested_at, requested_at)
+        if self._leases_may_have_expired(listed_by_id, requested_at):
+            recovered_at = min(self.contact_since, self._last_failure_at + self._max_delay_seconds)
             self._extend_grace_periods()
             self._start_grace_periods(recovered_at)
         self._first_failure_at = self._last_failure_at = None
-        self._record_contact(requested_at, requested_at)
+        self._listed_at = requested_at
         if calls_often:
             self._recovered_at = min(self._recovered_at, recovered_at)
         self._listed_by_id = dict(listed_by_id)
         for key in listed_by_id:
             self._absent_by_id.pop(key, None)
-        self._limit_grace_periods()
         return self.retained(now)
 
     def adopt(
@@ -154,7 +155,7 @@
             process no longer indicate an outage.
         :param contact_since: since when that process knows that the store has answered.
         """
-        self._record_answers_to_other(contact_since, requested_at)
+        self._record_list(contact_since, requested_at)
         self._listed_by_id = dict(listed_by_id)
         self._absent_by_id = {
             key: _AbsentEntry(item, expires_at) for key, (item, expires_at) in absent_by_id.items()
@@ -163,23 +164,23 @@
 
     def confirm_list(self, requested_at: float) -> None:
         """Record that another process requested the same list at that time and got an answer."""
-        latest = self._contacts.latest
-        if latest is None or requested_at <= latest.until:
-            return
-        self._record_answers_to_other(requested_at, requested_at)
-
-    def _record_answers_to_other(self, since: float, until: float) -> None:
-        """Record that the store answered another process, and clear earlier own failures."""
-        self._record_contact(since, until)
-        if self._last_failure_at is not None and self._last_failure_at <= until:
-            self._first_failure_at = self._last_failure_at = None
+        if self._listed_at is not None and requested_at > self._listed_at:
+            self._record_list(requested_at, requested_at)
 
-    def _record_contact(self, since: float, until: float) -> None:
-        """Record that the store answered this process or another one."""
+    def record_contact(self, since: float, until: float) -> None:
+        """Record that the store answered this process or another one in a span of time."""
         before = self.contact_since
         self._contacts.record(since, until)
         if before is None or self.contact_since > before:
             self._recovered_at = math.inf
+        self._limit_grace_periods()
+
+    def _record_list(self, since: float, requested_at: float) -> None:
+        """Record a list that was requested at a time, and clear earlier failures."""
+        self.record_contact(since, requested_at)
+        self._listed_at = requested_at
+        if self._last_failure_at is not None and self._last_failure_at <= requested_at:
+            self._first_failure_at = self._last_failure_at = None
 
     @property
     def contact_since(self) -> float | None:
@@ -204,24 +205,26 @@
         }
         return {key: absence.item for key, absence in self._absent_by_id.items()}
 
-    def _leases_may_have_expired(self, listed_by_id: Mapping[str, T], now: float) -> bool:
-        """Return whether leases may have expired in an outage since the last answer."""
+    def _leases_may_have_expired(self, listed_by_id: Mapping[str, T], requested_at: float) -> bool:
+        """Return whether leases may have expired in an outage since the last list."""
         # Failed calls alone do not prove an outage, since only the path from this process to the
         # store may have failed. When they counted as an outage, 177 requests went to upstreams that
         # had left (161 of them failed) in six simulated days with seven gateways partitioned for
         # 4 to 7 s; with this rule none does.
-        latest = self._contacts.latest
-        if latest is None or self._last_failure_at is None:
+        if self._listed_at is None or self._last_failure_at is None:
             return False
-        if now - latest.until < self._min_outage_seconds:
+        if self._contacts.includes(self._listed_at):
             return False
         if self._last_failure_at - self._first_failure_at < self._lease_seconds:
             return True
-        return not any(
+        kept_any = any(
             self._kept_lease(item, listed_by_id[key])
             for key, item in self._listed_by_id.items()
             if key in listed_by_id
         )
+        if kept_any:
+            self.record_contact(self._listed_at, requested_at)
+        return not kept_any
 
     def _kept_lease(self, before: T, now: T) -> bool:
         """Return whether an entry provably kept its lease from one list to the next."""
@@ -230,7 +233,7 @@
 
     def _extend_grace_periods(self) -> None:
         """Extend each grace period by the outage, in which no process could register."""
-        seconds = self._last_failure_at - self._contacts.latest.until
+        seconds = self._last_failure_at - self._listed_at
         for absence in self._absent_by_id.values():
             absence.expires_at += seconds
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -137,7 +137,9 @@
             "upstreams": upstreams,
             "members": members,
         }
-        copies = CopyReplicator(lists_by_kind, peers, clock, self._gossip.copies_updated)
+        copies = CopyReplicator(
+            lists_by_kind, peers, clock, self._gossip.copies_updated, upstreams.record_contact
+        )
         quarantine = Quarantine(settings.quarantine.crashes, settings.quarantine.hold_seconds)
         reachability = ReachabilityMonitor(
             board, upstream_states, http, clock, random.Random(), metrics
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -67,6 +67,7 @@
     :param lists_by_kind: the lists that are replicated.
     :param on_update: called after copies may have become more recent, with whether one has new
         content.
+    :param on_contact: receives a span of time in which the store answered other gateways.
     """
 
     def __init__(
@@ -75,12 +76,14 @@
         peers: PeerClient,
         clock: Clock,
         on_update: Callable[[bool], None],
+        on_contact: Callable[[float, float], None] = lambda since, until: None,
     ) -> None:
         super().__init__()
         self._lists_by_kind = lists_by_kind
         self._peers = peers
         self._clock = clock
         self._on_update = on_update
+        self._on_contact = on_contact
         self._fetched_at_by_kind: dict[str, float] = {}
         self._fetching: set[str] = set()
         self._newer_by_kind: defaultdict[str, dict[int, _NewerCopy]] = defaultdict(dict)
@@ -99,6 +102,8 @@
         peer_is_outdated = False
         for kind, replicated in self._lists_by_kind.items():
             own_summary, peer_summary = replicated.summary(now), peer_summaries.get(kind)
+            if peer_summary is not None and peer_summary.contact:
+                self._on_contact(*peer_summary.contact_span(now))
             if peer_summary is None:
                 peer_is_outdated = peer_is_outdated or own_summary is not None
             elif own_summary is not None and own_summary.content == peer_summary.content:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/digests.py
@@ -27,12 +27,19 @@
     """Which copy of a list a gateway has.
 
     ``revision`` is the store's revision when the list was read, ``content`` a checksum, and ``age``
-    the time since the read was requested, by whichever gateway.
+    the time since the read was requested, by whichever gateway. ``contact`` is for how long before
+    that the store is known to have answered again and again.
     """
 
     revision: Revision
     content: int
     age: AgeUnits
+    contact: AgeUnits = 0
+
+    def contact_span(self, now: float) -> tuple[float, float]:
+        """Return from when to when the store is known to have answered."""
+        until = now - age_seconds(self.age)
+        return until - age_seconds(self.contact), until
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
@@ -73,12 +80,23 @@
 
 
 def summarize_copy(
-    revision: int, content: int, read_at: float | None, now: float
+    revision: int,
+    content: int,
+    read_at: float | None,
+    now: float,
+    contact_since: float | None = None,
 ) -> CopySummary | None:
     """Return the summary of a gateway's copy of a list, None without a copy.
 
     :param read_at: when the read of the copy was requested.
+    :param contact_since: since when the store is known to have answered.
     """
     if read_at is None:
         return None
-    return CopySummary(max(1, revision), content, age_units(now - read_at))
+    age = age_units(now - read_at)
+    contact = 0
+    if contact_since is not None:
+        # Rounded down: a contact that gets longer with each hop would hide an outage.
+        units = math.floor((now - contact_since) / AGE_UNIT_SECONDS) - age
+        contact = min(MAX_AGE_UNITS, max(0, units))
+    return CopySummary(max(1, revision), content, age, contact)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -94,7 +94,7 @@
             INTERVAL_SHARE * bound_seconds, MAX_AGE_SHARE * bound_seconds, random_source
         )
         self._content = 0
-        self._adopted = asyncio.Event()
+        self._wake = asyncio.Event()
         self._absences: AbsenceTracker[Upstream] = AbsenceTracker(
             lease_seconds=HEARTBEATS_PER_LEASE * heartbeat_seconds,
             renewal_seconds=heartbeat_seconds,
@@ -110,7 +110,20 @@
     def summary(self, now: float) -> CopySummary | None:
         """Return which copy this gateway has, None without one."""
         board = self._blackboard
-        return summarize_copy(board.upstreams_revision, self._content, board.upstreams_read_at, now)
+        return summarize_copy(
+            board.upstreams_revision,
+            self._content,
+            board.upstreams_read_at,
+            now,
+            self._absences.contact_since,
+        )
+
+    def record_contact(self, since: float, until: float) -> None:
+        """Record that the store answered another gateway in a span of time."""
+        expiry = self._absences.next_expiry
+        self._absences.record_contact(since, until)
+        if self._absences.next_expiry != expiry:
+            self._wake.set()
 
     def confirm(self, revision: int, requested_at: float) -> None:
         """Record that the store had the same list at that time and revision."""
@@ -159,7 +172,7 @@
         }
         self._absences.adopt(listed_by_id, absent_by_id, requested_at, contact_since)
         self._publish(copy.revision, requested_at, now, origin)
-        self._adopted.set()
+        self._wake.set()
         self._on_list(copy.listed, requested_at)
 
     def _contact_since(self, copy: UpstreamsCopy, requested_at: float) -> float:
@@ -191,11 +204,11 @@
             await self._pause(min(pause, remaining_seconds))
 
     async def _pause(self, seconds: float) -> None:
-        """Sleep, at most until a copy is adopted, whose missing entries may expire sooner."""
-        self._adopted.clear()
+        """Sleep, at most until missing entries may expire sooner than before."""
+        self._wake.clear()
         with suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await self._adopted.wait()
+                await self._wake.wait()
 
     async def _read(self, requested_at: float) -> None:
         """Read the list."""
