Remember which entries were removed while the store answered

After an outage of the store, gateways sent requests to an upstream again that they had removed seven seconds before, by the copies of gateways that had been cut off since before the removal. A gateway that has seen a removal is bound by it in a disturbance of the store too.

What a gateway knew of removals was the absence from its last list. An outage ends the contact that made this a proof, and the entries of a peer were adopted as ones whose leases had expired.

An entry that is missing from the next list while the contact is unbroken is remembered as removed, under its registration, and no copy brings it back; the list does, if the upstream registers again. 1,024 entries are remembered.

--- a/features/fixtures_copy_orders.py
+++ b/features/fixtures_copy_orders.py
@@ -103,6 +103,7 @@
         self.began_at = fleet.clock.monotonic()
         self.running = False
         self.removed = set()
+        self.removed_in_touch = set()
         self.known = set()
         own = Member(f"vm-{number}-{self.began_at}", f"vm-{number}", "z", "", "")
         self.board = Blackboard(own, is_store_reader=number < READERS)
@@ -181,6 +182,7 @@
         self.gateways = []
         self.events = []
         self.used_late, self.used_again, self.not_used = [], [], []
+        self.used_against_knowledge = []
         self._comparisons = set()
 
     def at(self, seconds, act):
@@ -259,7 +261,12 @@
                 self.used_late.append((*label, name, round(late_seconds, 1)))
             if name in gateway.removed:
                 self.used_again.append((*label, name, round(late_seconds, 1)))
-        gateway.removed |= (gateway.known & left.keys()) - used
+            if name in gateway.removed_in_touch:
+                self.used_against_knowledge.append((*label, name, round(late_seconds, 1)))
+        gone = (gateway.known & left.keys()) - used
+        gateway.removed |= gone
+        if gateway.in_touch(now):
+            gateway.removed_in_touch |= gone
         gateway.known |= used
         for name in gateway.known - used - left.keys():
             self.not_used.append((*label, name))
--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -73,3 +73,18 @@
     When its summary passes through 100 gateways, 1 ms each
     Then the last one knows of no answer before second 10.012
     And the last one knows of contact for at least 4 seconds
+
+  # Guards against the loss of what a gateway knows, by an outage that its peers were cut off before.
+  Scenario Outline: An upstream whose removal a gateway has seen is used again after an outage
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the first 4 are cut off from second 10 to 17.1
+    And the store is away from second 13 to 17
+    When u-1 leaves at second 11.2, and all is played to second 24
+    Then gateways in touch used no upstream that had left
+    And no gateway used an upstream again that it had removed while it was in touch
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/steps/gateway_leaving_orders.py
+++ b/features/steps/gateway_leaving_orders.py
@@ -107,6 +107,12 @@
     assert not used, (len(used), used[:5])
 
 
+@then("no gateway used an upstream again that it had removed while it was in touch")
+def then_not_against_knowledge(context):
+    used = context.fleet.used_against_knowledge
+    assert not used, (len(used), used[:5])
+
+
 @then("gateways used every upstream that stays")
 def then_used(context):
     not_used = context.fleet.not_used
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -25,6 +25,9 @@
 
 T = TypeVar("T")
 
+MAX_REMOVED = 1_024
+"""Most removed entries that are remembered; the earliest is forgotten first."""
+
 
 @dataclass(slots=True)
 class _AbsentEntry(Generic[T]):
@@ -70,6 +73,7 @@
         self._first_failure_at: float | None = None
         self._last_failure_at: float | None = None
         self._absent_by_id: dict[str, _AbsentEntry[T]] = {}
+        self._removed_registrations_by_id: dict[str, int] = {}
 
     @property
     def next_expiry(self) -> float | None:
@@ -101,13 +105,16 @@
         :param retained_until: until when a removed entry is retained, since its lease may have
             expired in an outage that has just ended; a past time when there was no outage.
         """
-        self._record_list(now, now)
+        self.record_contact(now, now)
+        self._listed_at = now
         removed = self._listed_by_id.pop(key, None)
         if item is not None:
             self._absent_by_id.pop(key, None)
             self._listed_by_id[key] = item
         elif removed is not None and retained_until > now:
             self._absent_by_id[key] = _AbsentEntry(removed, retained_until)
+        elif removed is not None:
+            self._record_removed(key, removed)
 
     def apply_list(
         self,
@@ -129,10 +136,9 @@
             self._extend_grace_periods()
             self._start_grace_periods(recovered_at)
         self._first_failure_at = self._last_failure_at = None
-        self._listed_at = requested_at
         if calls_often:
             self._recovered_at = min(self._recovered_at, recovered_at)
-        self._listed_by_id = dict(listed_by_id)
+        self._replace_listed(listed_by_id, requested_at)
         for key in listed_by_id:
             self._absent_by_id.pop(key, None)
         return self.retained(now)
@@ -148,24 +154,29 @@
 
         The other process may have been partitioned from the store alone, and take that for an
         outage. So its missing entries are retained only if no contact that either process knows
-        of rules that out.
+        of rules that out, and if this process does not know that they were removed.
 
         :param absent_by_id: missing entries, each with the time until which it is retained.
         :param requested_at: when that process requested the list; earlier failed calls of this
             process no longer indicate an outage.
         :param contact_since: since when that process knows that the store has answered.
         """
-        self._record_list(contact_since, requested_at)
-        self._listed_by_id = dict(listed_by_id)
+        self.record_contact(contact_since, requested_at)
+        self._clear_failures(requested_at)
+        self._replace_listed(listed_by_id, requested_at)
         self._absent_by_id = {
-            key: _AbsentEntry(item, expires_at) for key, (item, expires_at) in absent_by_id.items()
+            key: _AbsentEntry(item, expires_at)
+            for key, (item, expires_at) in absent_by_id.items()
+            if not self._is_removed(key, item)
         }
         self._limit_grace_periods()
 
     def confirm_list(self, requested_at: float) -> None:
         """Record that another process requested the same list at that time and got an answer."""
         if self._listed_at is not None and requested_at > self._listed_at:
-            self._record_list(requested_at, requested_at)
+            self.record_contact(requested_at, requested_at)
+            self._clear_failures(requested_at)
+            self._listed_at = requested_at
 
     def record_contact(self, since: float, until: float) -> None:
         """Record that the store answered this process or another one in a span of time."""
@@ -175,10 +186,28 @@
             self._recovered_at = math.inf
         self._limit_grace_periods()
 
-    def _record_list(self, since: float, requested_at: float) -> None:
-        """Record a list that was requested at a time, and clear earlier failures."""
-        self.record_contact(since, requested_at)
+    def _replace_listed(self, listed_by_id: Mapping[str, T], requested_at: float) -> None:
+        """Replace the list, and remember what was removed from it while the store answered."""
+        if self._listed_at is not None and self._contacts.includes(self._listed_at):
+            for key in self._listed_by_id.keys() - listed_by_id.keys():
+                self._record_removed(key, self._listed_by_id[key])
+        self._listed_by_id = dict(listed_by_id)
         self._listed_at = requested_at
+
+    def _record_removed(self, key: str, item: T) -> None:
+        """Remember that an entry was removed, and not by the end of its lease in an outage."""
+        self._removed_registrations_by_id.pop(key, None)
+        self._removed_registrations_by_id[key] = self._registration_of(item)
+        while len(self._removed_registrations_by_id) > MAX_REMOVED:
+            del self._removed_registrations_by_id[next(iter(self._removed_registrations_by_id))]
+
+    def _is_removed(self, key: str, item: T) -> bool:
+        """Return whether an entry is known to be removed, under the registration that it has."""
+        registration = self._removed_registrations_by_id.get(key)
+        return registration is not None and registration == self._registration_of(item)
+
+    def _clear_failures(self, requested_at: float) -> None:
+        """Forget failed calls before a time at which another process got an answer."""
         if self._last_failure_at is not None and self._last_failure_at <= requested_at:
             self._first_failure_at = self._last_failure_at = None
 
