Do not retain missing entries of upstreams that drain

After an outage of the store, gateways sent requests again to an upstream that they knew to be draining, by the copies of gateways that were cut off before it said so, up to five seconds after it did.

A retained entry is as old as the last list of the gateway that retains it. Where that list was read before the upstream drained, the entry calls it ready, and adopting the copy replaced what the receiver knew.

A lifetime that drains does not become ready again. So an entry that drains is gone as soon as it is missing, and its registration is remembered as that of a removed one.

--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -88,3 +88,18 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Guards against a retained entry that is older than the mark that its upstream drains.
+  Scenario Outline: An upstream that a gateway knows to be draining is used again after an outage
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the first 4 are cut off from second 10 to 17.1
+    And the store is away from second 13 to 17
+    When u-1 drains at second 12.2, and all is played to second 24
+    Then gateways in touch used no upstream that had left
+    And no gateway used an upstream again that it had removed while it was in touch
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 4    |
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -49,6 +49,8 @@
         most, if the next call is answered.
     :param registration_of: returns a value that changes when an entry is registered again after
         its lease expired; zero when it is not known.
+    :param is_leaving: returns whether an entry states that its process is about to leave. Such an
+        entry is not retained once it is missing, not even as a peer knows it from before.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         grace_seconds: float,
         max_delay_seconds: float,
         registration_of: Callable[[T], int],
+        is_leaving: Callable[[T], bool] = lambda item: False,
     ) -> None:
         self._lease_seconds = lease_seconds
         # The last renewal may be as old as one interval when an outage begins.
@@ -68,6 +71,7 @@
         # When the store recovered before the latest span of contact, as own calls have shown.
         self._recovered_at = math.inf
         self._registration_of = registration_of
+        self._is_leaving = is_leaving
         self._listed_by_id: dict[str, T] = {}
         self._listed_at: float | None = None
         self._first_failure_at: float | None = None
@@ -191,11 +195,14 @@
         if self._listed_at is not None and self._contacts.includes(self._listed_at):
             for key in self._listed_by_id.keys() - listed_by_id.keys():
                 self._record_removed(key, self._listed_by_id[key])
+        for key, item in listed_by_id.items():
+            if self._is_leaving(item):
+                self._record_removed(key, item)
         self._listed_by_id = dict(listed_by_id)
         self._listed_at = requested_at
 
     def _record_removed(self, key: str, item: T) -> None:
-        """Remember that an entry was removed, and not by the end of its lease in an outage."""
+        """Remember that an entry must not be retained when it is missing."""
         self._removed_registrations_by_id.pop(key, None)
         self._removed_registrations_by_id[key] = self._registration_of(item)
         while len(self._removed_registrations_by_id) > MAX_REMOVED:
@@ -282,4 +289,5 @@
         """
         expires_at = recovered_at + self._grace_seconds
         for key, item in self._listed_by_id.items():
-            self._absent_by_id[key] = _AbsentEntry(item, expires_at)
+            if not self._is_removed(key, item):
+                self._absent_by_id[key] = _AbsentEntry(item, expires_at)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -101,6 +101,7 @@
             grace_seconds=ABSENCE_GRACE_SECONDS,
             max_delay_seconds=MAX_RECOVERY_DELAY_SECONDS,
             registration_of=lambda upstream: upstream.registration,
+            is_leaving=lambda upstream: upstream.draining,
         )
 
     async def start(self) -> None:
