Go on retaining missing entries when a peer's list is adopted that retains none

After an outage of the store, gateways dropped live upstreams until they had registered again, so that callers got refusals: they adopted the list of a gateway that had just started, and had nothing to retain.

An adopted copy replaced what the receiver retained. That a gateway retains nothing proves no removal: its contact does, or its list does by naming the entry.

The receiver goes on retaining what its contact and that of the sender allow, each entry for the longer of both times.

--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -103,3 +103,18 @@
       | 1    |
       | 2    |
       | 4    |
+
+  # Guards against live upstreams that are dropped because a peer has nothing to retain.
+  Scenario Outline: A gateway adopts the list of one that has just started after an outage
+    Given 7 gateways with 20 upstreams, seed <seed>
+    And the store is away from second 10 to 16
+    And gateways 3 to 4 end at second 15.5 and start again at 16
+    When u-1 leaves at second 22, and all is played to second 25
+    Then gateways in touch used no upstream that had left
+    And gateways used every upstream that stays
+
+    Examples:
+      | seed |
+      | 8    |
+      | 12   |
+      | 15   |
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -154,8 +154,9 @@
         requested_at: float,
         contact_since: float,
     ) -> None:
-        """Replace the state by a list and its missing entries as another process derived them.
+        """Replace the list by one of another process, and retain what both of them retain.
 
+        A process that has just started retains nothing, and this is no proof of removals.
         The other process may have been partitioned from the store alone, and take that for an
         outage. So its missing entries are retained only if no contact that either process knows
         of rules that out, and if this process does not know that they were removed.
@@ -168,11 +169,12 @@
         self.record_contact(contact_since, requested_at)
         self._clear_failures(requested_at)
         self._replace_listed(listed_by_id, requested_at)
-        self._absent_by_id = {
-            key: _AbsentEntry(item, expires_at)
-            for key, (item, expires_at) in absent_by_id.items()
-            if not self._is_removed(key, item)
-        }
+        for key, (item, expires_at) in absent_by_id.items():
+            known = self._absent_by_id.get(key)
+            if not self._is_removed(key, item) and (known is None or known.expires_at < expires_at):
+                self._absent_by_id[key] = _AbsentEntry(item, expires_at)
+        for key in listed_by_id:
+            self._absent_by_id.pop(key, None)
         self._limit_grace_periods()
 
     def confirm_list(self, requested_at: float) -> None:
