--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -118,3 +118,36 @@
       | 8    |
       | 12   |
       | 15   |
+
+  Scenario Outline: Cuts and starts of gateways overlap at random
+    Given <gateways> gateways with 20 upstreams, seed <seed>
+    And 8 episodes of cuts and starts that overlap, while upstreams leave
+    When all is played
+    Then gateways in touch used no upstream that had left
+    And no gateway used an upstream again that it had removed while it was in touch
+    And gateways used every upstream that stays
+
+    Examples:
+      | gateways | seed |
+      | 3        | 124  |
+      | 7        | 106  |
+      | 7        | 158  |
+      | 9        | 152  |
+      | 30       | 5    |
+      | 83       | 6    |
+
+  Scenario Outline: Cuts, outages and starts of gateways overlap at random
+    Given <gateways> gateways with 20 upstreams, seed <seed>
+    And 8 episodes of cuts, outages and starts that overlap, while upstreams leave
+    When all is played
+    Then gateways in touch used no upstream that had left
+    And no gateway used an upstream again that it had removed while it was in touch
+
+    Examples:
+      | gateways | seed |
+      | 3        | 118  |
+      | 7        | 116  |
+      | 7        | 142  |
+      | 9        | 107  |
+      | 9        | 151  |
+      | 30       | 5    |
