Remove a router that leaves soon after another one alone was cut off

A router that was back from a partition of its own kept another one in view that had left after that, for up to one lease time: it named and asked a router that was gone.

The grace period of changes counted from the last time at which calls to the store began to succeed, whether the store was away or the path to it. For the first list this was told apart already, by entries that kept their registration; changes that the watch brought afterwards were not.

What the list has proven holds for the changes after it, until a call fails again.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -101,6 +101,15 @@
     And router "vm-1" is reconnected and 4 fleet seconds pass
     Then router "vm-1" sees 2 members
 
+  # Guards against a partition of one router that it takes for an outage in which leases expired.
+  Scenario: A router that leaves soon after another one alone was cut off stays in view of that one
+    Given a fleet of 3 member routers
+    And 5 fleet seconds pass
+    When router "vm-1" is cut off for 20 fleet seconds
+    And router "vm-1" is reconnected and 3 fleet seconds pass
+    And router "vm-3" ends, its record is removed and 3 fleet seconds pass
+    Then router "vm-1" sees 2 members
+
   Scenario: A router that starts in an outage does not serve
     Given a fleet whose key-value service is out
     And 1 member router is added
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -8,6 +8,7 @@
 
 from quinceferry_core.exceptions import KvConflictError
 from quinceferry_core.membership import (
+    MEMBER_PREFIX,
     AbsenceProof,
     IncarnationRecord,
     absence_proof,
@@ -109,6 +110,17 @@
     context.fleet.advance(seconds)
 
 
+@when('router "{vm}" ends, its record is removed and {seconds:d} fleet seconds pass')
+def remove_router(context, vm, seconds):
+    fleet = context.fleet
+    router = fleet.routers_by_vm[vm]
+    fleet.run(router.kill())
+    key = f"{MEMBER_PREFIX}{router.incarnation}"
+    entry = fleet.run(fleet.kv.get(key))
+    fleet.run(fleet.kv.delete_if(key, entry.version))
+    fleet.advance(seconds)
+
+
 @when("the key-value service is out for {seconds:d} fleet seconds")
 def cut_off_everyone(context, seconds):
     context.fleet.kv.faults.outage = True
--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -76,6 +76,7 @@
         self._listed_at: float | None = None
         self._first_failure_at: float | None = None
         self._last_failure_at: float | None = None
+        self._is_partition_proven = False
         self._absent_by_id: dict[str, _AbsentEntry[T]] = {}
         self._removed_registrations_by_id: dict[str, int] = {}
 
@@ -92,6 +93,14 @@
         """
         return self._last_failure_at is not None
 
+    @property
+    def is_partition_proven(self) -> bool:
+        """Return whether the last failed calls are known not to be due to an outage of the store.
+
+        Leases that expire soon after it are those of processes that have terminated.
+        """
+        return self._is_partition_proven
+
     def record_failure(self, recovered_after: float) -> None:
         """Record a failed call to the store.
 
@@ -101,6 +110,7 @@
         if self._first_failure_at is None:
             self._first_failure_at = recovered_after
         self._last_failure_at = recovered_after
+        self._is_partition_proven = False
 
     def apply_change(self, key: str, item: T | None, now: float, retained_until: float) -> None:
         """Apply a change of one entry that the store reported.
@@ -262,6 +272,7 @@
         )
         if kept_any:
             self.record_contact(self._listed_at, requested_at)
+        self._is_partition_proven = kept_any
         return not kept_any
 
     def _kept_lease(self, before: T, now: T) -> bool:
