--- a/packages/quinceferry-daemon/src/quinceferryd/members.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/members.py
@@ -143,8 +143,8 @@
     def _grace_end(self, now: float) -> float:
         """Return until when a member is kept if its record is removed now.
 
-        Within one lease time after an outage, it may have lost its lease and still renew it. After a
-        partition of this router alone it has left.
+        Within one lease time after an outage, it may have lost its lease and still renew it. After
+        a partition of this router alone it has left.
         """
         health = self._blackboard.kv
         if health.available and self._absences.is_partition_proven:
