--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -164,12 +164,12 @@
         requested_at: float,
         contact_since: float,
     ) -> None:
-        """Replace the list by one of another process, and retain what both of them retain.
+        """Replace the list by one of another process, and retain what either of them retains.
 
-        A process that has just started retains nothing, and this is no proof of removals.
         The other process may have been partitioned from the store alone, and take that for an
         outage. So its missing entries are retained only if no contact that either process knows
-        of rules that out, and if this process does not know that they were removed.
+        of rules that out, and if this process does not know that they were removed. That it
+        retains none proves no removal, since it may have just started.
 
         :param absent_by_id: missing entries, each with the time until which it is retained.
         :param requested_at: when that process requested the list; earlier failed calls of this
@@ -254,7 +254,10 @@
         return {key: absence.item for key, absence in self._absent_by_id.items()}
 
     def _leases_may_have_expired(self, listed_by_id: Mapping[str, T], requested_at: float) -> bool:
-        """Return whether leases may have expired in an outage since the last list."""
+        """Return whether leases may have expired in an outage since the last list.
+
+        An entry that kept its lease is recorded as contact in all that time.
+        """
         # Failed calls alone do not prove an outage, since only the path from this process to the
         # store may have failed. When they counted as an outage, 177 requests went to upstreams that
         # had left (161 of them failed) in six simulated days with seven gateways partitioned for
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -36,7 +36,6 @@
 """How long a missing upstream may be used after the store has recovered. Live ones register again
 within about two seconds, and one that has left must get no requests three seconds after the
 recovery."""
-
 STORE = "store"
 """Origin of changes that this gateway read from the store itself."""
 EXPIRY = "expiry"
