--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -150,4 +150,5 @@
       | 7        | 142  |
       | 9        | 107  |
       | 9        | 151  |
+      | 9        | 250  |
       | 30       | 5    |
--- a/features/gateway_read_schedule.feature
+++ b/features/gateway_read_schedule.feature
@@ -13,3 +13,16 @@
     When they get no copies
     Then all of them read the list 1.2 to 2.4 seconds after that
     And at most 40 of them do so within any 0.1 seconds
+
+  # Guards against a list that is read late because of a failed call before an answer to a peer.
+  Scenario: A gateway whose call failed waits though a copy shows that the store answers again
+    Given 200 gateways that read a list with a bound of 2 seconds at second 0
+    When the next call of each fails at second 8
+    And each gets a copy that was requested at second 8.1, and no more
+    Then all of them read the list 1.2 to 1.4 seconds after that
+
+  Scenario: Gateways whose calls fail in an outage call seldom
+    Given 200 gateways that read a list with a bound of 2 seconds at second 0
+    When the next call of each fails at second 8
+    And each has a copy that was requested at second 6
+    Then all of them read the list 4 to 7 seconds after that
--- a/features/steps/gateway_read_schedule.py
+++ b/features/steps/gateway_read_schedule.py
@@ -18,6 +18,14 @@
     context.requested_at = 0.0
 
 
+@when("the next call of each fails at second {at:g}")
+def when_failed(context, at):
+    for schedule in context.schedules:
+        schedule.read_started(at)
+        schedule.read_failed(False, 0.0, at)
+
+
+@when("each has a copy that was requested at second {at:g}")
 @when("each gets a copy that was requested at second {at:g}, and no more")
 def when_copied(context, at):
     context.requested_at = at
