State once how answers to others, listed entries and evictions are recorded

Adopting and confirming a list repeated two calls that belong together, and applying and adopting one repeated the loop that ends the retention of listed entries. The eviction of the oldest entry stood in three modules; evict_oldest serves them all. The read schedule derives the first read from the last one, and needs no None for it.

--- a/packages/quinceferry-core/src/quinceferry_core/absences.py
+++ b/packages/quinceferry-core/src/quinceferry_core/absences.py
@@ -22,6 +22,7 @@
 from typing import Generic, TypeVar
 
 from quinceferry_core.contacts import ContactHistory
+from quinceferry_core.eviction import evict_oldest
 
 T = TypeVar("T")
 
@@ -153,8 +154,6 @@
         if calls_often:
             self._recovered_at = min(self._recovered_at, recovered_at)
         self._replace_listed(listed_by_id, requested_at)
-        for key in listed_by_id:
-            self._absent_by_id.pop(key, None)
         return self.retained(now)
 
     def adopt(
@@ -176,22 +175,20 @@
             process no longer indicate an outage.
         :param contact_since: since when that process knows that the store has answered.
         """
-        self.record_contact(contact_since, requested_at)
-        self._clear_failures(requested_at)
+        self._record_answers_to_other(contact_since, requested_at)
         self._replace_listed(listed_by_id, requested_at)
         for key, (item, expires_at) in absent_by_id.items():
+            if key in listed_by_id or self._is_removed(key, item):
+                continue
             known = self._absent_by_id.get(key)
-            if not self._is_removed(key, item) and (known is None or known.expires_at < expires_at):
+            if known is None or known.expires_at < expires_at:
                 self._absent_by_id[key] = _AbsentEntry(item, expires_at)
-        for key in listed_by_id:
-            self._absent_by_id.pop(key, None)
         self._limit_grace_periods()
 
     def confirm_list(self, requested_at: float) -> None:
         """Record that another process requested the same list at that time and got an answer."""
         if self._listed_at is not None and requested_at > self._listed_at:
-            self.record_contact(requested_at, requested_at)
-            self._clear_failures(requested_at)
+            self._record_answers_to_other(requested_at, requested_at)
             self._listed_at = requested_at
 
     def record_contact(self, since: float, until: float) -> None:
@@ -202,6 +199,12 @@
             self._recovered_at = math.inf
         self._limit_grace_periods()
 
+    def _record_answers_to_other(self, since: float, until: float) -> None:
+        """Record that the store answered another process, and clear earlier own failures."""
+        self.record_contact(since, until)
+        if self._last_failure_at is not None and self._last_failure_at <= until:
+            self._first_failure_at = self._last_failure_at = None
+
     def _replace_listed(self, listed_by_id: Mapping[str, T], requested_at: float) -> None:
         """Replace the list, and remember what was removed from it while the store answered."""
         if self._listed_at is not None and self._contacts.includes(self._listed_at):
@@ -210,6 +213,8 @@
         for key, item in listed_by_id.items():
             if self._is_leaving(item):
                 self._record_removed(key, item)
+        for key in listed_by_id:
+            self._absent_by_id.pop(key, None)
         self._listed_by_id = dict(listed_by_id)
         self._listed_at = requested_at
 
@@ -217,19 +222,13 @@
         """Remember that an entry must not be retained when it is missing."""
         self._removed_registrations_by_id.pop(key, None)
         self._removed_registrations_by_id[key] = self._registration_of(item)
-        while len(self._removed_registrations_by_id) > MAX_REMOVED:
-            del self._removed_registrations_by_id[next(iter(self._removed_registrations_by_id))]
+        evict_oldest(self._removed_registrations_by_id, MAX_REMOVED)
 
     def _is_removed(self, key: str, item: T) -> bool:
         """Return whether an entry is known to be removed, under the registration that it has."""
         registration = self._removed_registrations_by_id.get(key)
         return registration is not None and registration == self._registration_of(item)
 
-    def _clear_failures(self, requested_at: float) -> None:
-        """Forget failed calls before a time at which another process got an answer."""
-        if self._last_failure_at is not None and self._last_failure_at <= requested_at:
-            self._first_failure_at = self._last_failure_at = None
-
     @property
     def contact_since(self) -> float | None:
         """Return since when the store is known to have answered, None before the first answer."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_core.eviction import evict_oldest
 from quinceferry_core.quarantine import EVIDENCE_DELAY_SECONDS, Quarantine, RunStage
 from quinceferry_gateway.answers import Reason, Refusal
 from quinceferry_gateway.blackboard import Blackboard
@@ -205,8 +206,7 @@
             return
         self._metrics.count_upstream_crash(upstream.service)
         self._stopped_lifetimes[lifetime] = None
-        while len(self._stopped_lifetimes) > MAX_STOPPED_LIFETIMES:
-            del self._stopped_lifetimes[next(iter(self._stopped_lifetimes))]
+        evict_oldest(self._stopped_lifetimes, MAX_STOPPED_LIFETIMES)
 
     def _handle_crash_report(self, report: CrashReport, sender: object) -> None:
         """Add the evidence of a peer."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Collection
 
+from quinceferry_core.eviction import evict_oldest
 from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Load, Upstream
 from quinceferry_gateway.decisions.cached_prefixes import CachedPrefixes
@@ -256,8 +257,7 @@
         if lifetime in self._leaving_lifetimes:
             return False
         self._leaving_lifetimes[lifetime] = None
-        while len(self._leaving_lifetimes) > MAX_LEAVING_LIFETIMES:
-            del self._leaving_lifetimes[next(iter(self._leaving_lifetimes))]
+        evict_oldest(self._leaving_lifetimes, MAX_LEAVING_LIFETIMES)
         return True
 
     def is_leaving(self, upstream: Upstream) -> bool:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
@@ -7,6 +7,7 @@
 can't be reached.
 """
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -63,7 +64,7 @@
         self._interval_seconds = interval_seconds
         self._max_age_seconds = max_age_seconds
         self._random = random_source
-        self._first_started_at: float | None = None
+        self._first_started_at = -math.inf
         self._last_started_at: float | None = None
         self._retry_at = 0.0
         self._first_jitter_seconds = 0.0
@@ -84,7 +85,7 @@
 
     def read_started(self, now: float) -> None:
         """Record that a read starts."""
-        if self._first_started_at is None:
+        if self._last_started_at is None:
             self._first_started_at = now
             self._first_jitter_seconds = self._draw_jitter(FIRST_JITTER_SHARE)
         self._last_started_at = now
@@ -117,7 +118,7 @@
 
         A copy more recent than the first read shows that the digests of others arrive.
         """
-        is_first = self._first_started_at is not None and requested_at <= self._first_started_at
+        is_first = requested_at <= self._first_started_at
         return self._first_jitter_seconds if is_first else self._jitter_seconds
 
     def _draw_jitter(self, share: float) -> float:
