Compare copies in one place for both models of the list of upstreams

The model of overlapping cuts repeated the comparison, the bounds and the steps of the model of copies, and its own wait for the store and its check of samples stood twice and four times. Both models call take_summary, and take their bounds from the fixtures.

--- a/features/fixtures_copy_orders.py
+++ b/features/fixtures_copy_orders.py
@@ -35,6 +35,19 @@
 NEVER = float("-inf")
 
 
+def take_summary(reader, theirs, now):
+    """Take what the summary of a peer says, and return whether the peer has a newer copy."""
+    own = reader.summary(now)
+    if theirs is None:
+        return False
+    if theirs.contact:
+        reader.record_contact(*theirs.contact_span(now))
+    if own is not None and own.content == theirs.content:
+        reader.confirm(theirs.revision, now - age_seconds(theirs.age))
+        return False
+    return own is None or own.revision < theirs.revision
+
+
 @dataclass(slots=True)
 class OrderedStore:
     """Store that lists upstreams; ``draining`` ones stay listed until they are removed.
@@ -86,6 +99,11 @@
             self.acknowledged.add(name)
         self.left_at_by_id.setdefault(name, now)
 
+    async def wait_available(self):
+        """Wait until the store answers."""
+        while self.away:
+            await self.clock.sleep(STEP_SECONDS)
+
     async def outage(self, seconds, source):
         """Answer nobody for a while; leases that end meanwhile are registered again soon after."""
         self.away = True
@@ -166,14 +184,7 @@
         """Confirm or adopt the copy of another gateway; a transfer takes time."""
         clock = self.fleet.clock
         now = clock.monotonic()
-        own, theirs = self.reader.summary(now), other.reader.summary(now)
-        if theirs is None:
-            return
-        if theirs.contact:
-            self.reader.record_contact(*theirs.contact_span(now))
-        if own is not None and own.content == theirs.content:
-            self.reader.confirm(theirs.revision, now - age_seconds(theirs.age))
-        elif own is None or own.revision < theirs.revision:
+        if take_summary(self.reader, other.reader.summary(now), now):
             await clock.sleep(MAX_TRANSFER_SECONDS / 2 * self.fleet.random.random())
             body = other.reader.encode(clock.monotonic())
             await clock.sleep(MAX_TRANSFER_SECONDS / 2 * self.fleet.random.random())
@@ -227,8 +238,7 @@
         """Let an upstream drain, and leave after a while."""
         self.store.drain(name)
         await self.clock.sleep(BOUND_SECONDS / 2)
-        while self.store.away:
-            await self.clock.sleep(STEP_SECONDS)
+        await self.store.wait_available()
         self.store.leave(name)
 
     async def play(self, seconds):
--- a/features/steps/gateway_catalog.py
+++ b/features/steps/gateway_catalog.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from features.fixtures_copy_orders import BOUND_SECONDS, HEARTBEAT_SECONDS
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream, UpstreamList
@@ -11,9 +12,6 @@
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
-HEARTBEAT_SECONDS = 1.2
-BOUND_SECONDS = 2.0
-"""Time until an upstream that leaves may get no more requests."""
 LIST_AGE = "quinceferry_gateway_upstream_list_age_seconds"
 
 
--- a/features/steps/gateway_leaving_copies.py
+++ b/features/steps/gateway_leaving_copies.py
@@ -4,20 +4,21 @@
 
 from behave import given, then, when
 
-from features.steps.gateway_catalog import BOUND_SECONDS, HEARTBEAT_SECONDS
+from features.fixtures_copy_orders import (
+    BOUND_SECONDS,
+    CONTACT_SECONDS,
+    HEARTBEAT_SECONDS,
+    PERIOD_SECONDS,
+    READERS,
+    STEP_SECONDS,
+    take_summary,
+)
 from quinceferry_core.exceptions import KvUnavailableError
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream, UpstreamList
-from quinceferry_gateway.fleet.digests import age_seconds
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
-CONTACT_SECONDS = 3.0
-"""Time after a cut from which a gateway counts as in touch again."""
-STEP_SECONDS = 0.1
-PERIOD_SECONDS = 0.2
-"""Time in which each gateway compares its copy with that of another one."""
-READERS = 3
 PERIOD_OF_CUTS_SECONDS = 7.0
 LEAVING_INTERVAL_SECONDS = 0.4
 
@@ -65,14 +66,7 @@
 
     def compare(self, other, now):
         """Adopt the copy of another gateway if it is newer, or confirm that it is the same."""
-        own, theirs = self.reader.summary(now), other.reader.summary(now)
-        if theirs is None:
-            return
-        if theirs.contact:
-            self.reader.record_contact(*theirs.contact_span(now))
-        if own is not None and own.content == theirs.content:
-            self.reader.confirm(theirs.revision, now - age_seconds(theirs.age))
-        elif own is None or own.revision < theirs.revision:
+        if take_summary(self.reader, other.reader.summary(now), now):
             self.reader.adopt(other.reader.encode(now), other.board.own.vm, now)
 
 
--- a/features/steps/gateway_leaving_orders.py
+++ b/features/steps/gateway_leaving_orders.py
@@ -70,8 +70,7 @@
 
 async def leave_any(fleet):
     """Let an upstream leave once the store is there, with or without draining first."""
-    while fleet.store.away:
-        await fleet.clock.sleep(0.1)
+    await fleet.store.wait_available()
     staying = sorted(fleet.store.registrations_by_id.keys() - fleet.store.left_at_by_id.keys())
     if len(staying) > 1:
         leave = fleet.drain if fleet.random.random() < 0.5 else fleet.leave
@@ -95,28 +94,29 @@
     run_virtual(context.fleet.play(context.seconds))
 
 
+def expect_none(samples):
+    """Assert that there are no samples, and show the first ones."""
+    assert not samples, (len(samples), samples[:5])
+
+
 @then("gateways in touch used no upstream that had left")
 def then_not_late(context):
-    used = context.fleet.used_late
-    assert not used, (len(used), used[:5])
+    expect_none(context.fleet.used_late)
 
 
 @then("no gateway used an upstream again that it had removed after it left")
 def then_not_again(context):
-    used = context.fleet.used_again
-    assert not used, (len(used), used[:5])
+    expect_none(context.fleet.used_again)
 
 
 @then("no gateway used an upstream again that it had removed while it was in touch")
 def then_not_against_knowledge(context):
-    used = context.fleet.used_against_knowledge
-    assert not used, (len(used), used[:5])
+    expect_none(context.fleet.used_against_knowledge)
 
 
 @then("gateways used every upstream that stays")
 def then_used(context):
-    not_used = context.fleet.not_used
-    assert not not_used, (len(not_used), not_used[:5])
+    expect_none(context.fleet.not_used)
 
 
 @given("contact with the store from second {since:g} to {until:g}")
