Decode the operators' configuration entry by entry where it has malformed parts

What callers saw: once a version that took keys away also held one malformed entry, such as a tenant with "api_keys": "one", all gateways stayed with the version before. Requests with revoked keys ran for as long as the operators did not correct the document, and after a restart of all gateways nobody was served.

Cause: a document was decoded as a whole, and what could not be decoded counted as not written at all.

Change: entries are decoded one by one if the document as a whole does not match its schema. A malformed part is left out or takes its default, whichever admits less; a route, or a workspace, one of whose restrictions is malformed answers 503, as a route that was left out would pass its requests to a shorter prefix, and a workspace without its budget would be unlimited. Log line configuration.entry_malformed, at most eight for each version and never with a key; gauge quinceferry_gateway_malformed_entries.

--- a/features/steps/gateway_homes.py
+++ b/features/steps/gateway_homes.py
@@ -9,7 +9,7 @@
 from features.steps.gateway import check, move_upstreams
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.fleet_api import caller_addresses
-from quinceferry_platform.documents import decode_configuration
+from quinceferry_platform.configurations import decode_configuration
 from quinceferry_platform.endpoints import permitted_zones
 
 REGION_BY_ZONE = {"zone-a": "north", "zone-b": "north", "zone-s": "south"}
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -17,6 +17,7 @@
     TOO_MANY_CONNECTIONS = "too_many_connections"
     CONFIGURATION_OUTDATED = "configuration_outdated"
     MALFORMED = "malformed"
+    ENTRY_MALFORMED = "entry_malformed"
     OVERSIZED = "oversized"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
@@ -43,6 +44,7 @@
     Reason.TOO_MANY_CONNECTIONS: 503,
     Reason.CONFIGURATION_OUTDATED: 503,
     Reason.MALFORMED: 400,
+    Reason.ENTRY_MALFORMED: 503,
     Reason.OVERSIZED: 413,
     Reason.NO_ROUTE: 404,
     Reason.UNKNOWN_KEY: 401,
@@ -70,6 +72,7 @@
     Reason.STOPPING: 0.05,
     Reason.TOO_MANY_CONNECTIONS: 0.2,
     Reason.CONFIGURATION_OUTDATED: 0.5,
+    Reason.ENTRY_MALFORMED: 2.0,
     Reason.BUDGET_OUT_OF_REACH: 0.7,
     Reason.BUDGET_UNTIL_STORE: 2.0,
     Reason.NO_UPSTREAM: 0.4,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -1,11 +1,12 @@
 """Shared state that the controllers of a gateway read and write."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
 import msgspec
 
-from quinceferry_gateway.catalog import Configuration, Upstream
+from quinceferry_gateway.catalog import Configuration, EntryKind, Upstream
 
 STOPPING_SECONDS = 10.0
 """How long a gateway that withdrew its registration may still serve requests: somewhat longer than
@@ -102,6 +103,12 @@
         remaining = {item.service for item in upstreams if item.zone not in self.evacuated_zones}
         return sorted({item.service for item in upstreams} - remaining)
 
+    def malformed_entries_by_kind(self) -> dict[str, int]:
+        """Return how many entries of the configuration in force are malformed, by their kind."""
+        entries = self.configuration.malformed_entries if self.configuration else ()
+        counts = Counter(entry.kind for entry in entries)
+        return {kind.value: counts[kind] for kind in EntryKind}
+
     @property
     def reaches_majority(self) -> bool:
         """Return whether this gateway reaches more than half of the known members.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -208,13 +208,10 @@
         configuration = self._blackboard.configuration or configuration
         if self._freshness.is_outdated:
             return Refusal(Reason.CONFIGURATION_OUTDATED, f"version {configuration.version}")
-        route = configuration.route(call.host, call.path)
-        if route is None:
-            return self._denial(Reason.NO_ROUTE, configuration)
-        workspace = configuration.workspaces_by_key.get(call.credential)
-        if workspace is None and configuration.requires_keys and not route.anonymous:
-            return self._denial(Reason.UNKNOWN_KEY, configuration)
-        progress = self._new_progress(exchange, call, route, workspace, started_at)
+        access = self._authorize(call, configuration)
+        if isinstance(access, Refusal):
+            return access
+        progress = self._new_progress(exchange, call, *access, started_at)
         stop = self._planned_stop
         if stop is not None:
             now = self._clock.monotonic()
@@ -224,6 +221,22 @@
         remaining_seconds = self._crashes.quarantine_seconds(progress)
         return quarantine_refusal(progress, remaining_seconds) if remaining_seconds else progress
 
+    def _authorize(
+        self, call: Call, configuration: Configuration
+    ) -> tuple[Route, Workspace | None] | Refusal:
+        """Return the route and workspace of a request, or why it must not run."""
+        route = configuration.route(call.host, call.path)
+        if route is None:
+            return self._denial(Reason.NO_ROUTE, configuration)
+        if route.malformed:
+            return Refusal(Reason.ENTRY_MALFORMED, f"route {route.name}")
+        workspace = configuration.workspaces_by_key.get(call.credential)
+        if workspace is None and configuration.requires_keys and not route.anonymous:
+            return self._denial(Reason.UNKNOWN_KEY, configuration)
+        if workspace is not None and workspace.malformed:
+            return Refusal(Reason.ENTRY_MALFORMED, f"workspace {workspace.name}")
+        return route, workspace
+
     def _denial(self, reason: Reason, configuration: Configuration) -> Refusal:
         """Return the refusal of a request that the configuration does not allow."""
         if self._freshness.may_be_outdated:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -26,6 +26,7 @@
 
     ``max_pause_seconds`` is the longest pause between events of a stream that callers accept, zero
     if not configured. Requests may run in ``home_regions`` only, anywhere if there are none.
+    Requests of a ``malformed`` route are refused: it is unknown where they may run.
     """
 
     name: str
@@ -41,6 +42,7 @@
     resumable: bool = False
     max_pause_seconds: float = 0.0
     home_regions: frozenset[str] = frozenset()
+    malformed: bool = False
 
     @property
     def retryable(self) -> bool:
@@ -69,13 +71,15 @@
 class Workspace:
     """A customer; ``prepaid_tokens`` is None if its tokens are not limited.
 
-    Its requests may run in ``home_regions`` only, anywhere if there are none.
+    Its requests may run in ``home_regions`` only, anywhere if there are none. Those of a
+    ``malformed`` workspace are refused: its limits are unknown.
     """
 
     name: str
     prepaid_tokens: int | None = None
     priority: int | None = None
     home_regions: frozenset[str] = frozenset()
+    malformed: bool = False
 
 
 def permitted_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
@@ -97,12 +101,31 @@
     idle_seconds: float = 15.0
 
 
+class EntryKind(Enum):
+    """Kind of an entry of the operators' document."""
+
+    ROUTE = "route"
+    SERVICE = "service"
+    WORKSPACE = "workspace"
+    LIMITS = "limits"
+
+
+@dataclass(slots=True, frozen=True)
+class MalformedEntry:
+    """A part of the operators' document that is not in force, at a path such as ``$.routes[3]``."""
+
+    kind: EntryKind
+    path: str
+    detail: str
+
+
 @dataclass(slots=True, frozen=True)
 class Configuration:
     """One version of the configuration of the operators.
 
     ``requires_keys`` states whether requests need a key of a workspace, except on anonymous routes.
-    It holds also while there are no keys at all.
+    It holds also while there are no keys at all. ``malformed_entries`` are not in force; all other
+    parts of the document are.
     """
 
     version: int
@@ -112,6 +135,7 @@
     workspaces_by_key: dict[str, Workspace] = field(default_factory=dict)
     requires_keys: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
+    malformed_entries: tuple[MalformedEntry, ...] = ()
 
     def home_regions(self) -> frozenset[str]:
         """Return all home regions of routes and workspaces."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -46,6 +46,8 @@
 
 MAX_LOGGED_REGIONS = 8
 """Most unknown regions that a log line names; the count includes all."""
+MAX_LOGGED_ENTRIES = 8
+"""Most malformed entries of one version that are logged; the metrics count all."""
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True):
@@ -164,6 +166,7 @@
             revision=revision,
             origin=origin,
         )
+        _log_malformed_entries(configuration)
         unknown_regions = configuration.home_regions() - self._known_regions
         if unknown_regions and self._known_regions:
             log.failure(
@@ -289,6 +292,20 @@
         return False
 
 
+def _log_malformed_entries(configuration: Configuration) -> None:
+    """Log the first malformed entries of a version, and how many it has."""
+    entries = configuration.malformed_entries
+    for entry in entries[:MAX_LOGGED_ENTRIES]:
+        log.failure(
+            "configuration.entry_malformed",
+            version=configuration.version,
+            kind=entry.kind.value,
+            path=entry.path,
+            detail=entry.detail,
+            count=len(entries),
+        )
+
+
 def _checksum(document: bytes, evacuated_zones: frozenset[str]) -> int:
     """Return a checksum of the records of the operators."""
     return zlib.crc32(" ".join(sorted(evacuated_zones)).encode(), zlib.crc32(document))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms, served as text on the metrics address."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -299,6 +299,18 @@
             evacuated_count,
         )
 
+    def observe_malformed_entries(self, count_by_kind: Callable[[], Mapping[str, int]]) -> None:
+        """Export the number of malformed entries of the configuration in force, by their kind."""
+        self._meter.create_observable_gauge(
+            "quinceferry_gateway_malformed_entries",
+            callbacks=[
+                lambda _: [
+                    Observation(count, {"kind": kind}) for kind, count in count_by_kind().items()
+                ]
+            ],
+            description="Entries of the configuration that are not in force, since malformed",
+        )
+
     def observe_unreachable_services(self, unreachable_count: Callable[[], int]) -> None:
         """Export the number of services of which this gateway reaches no upstream."""
         self._observe_count(
