Admit to neither of two workspaces that list the same key

What callers saw: a key that two workspaces listed used the tokens of the later one, two workspaces of one name that of the later entry, with the keys of both; of two routes with one host and prefix the first got all requests.

Change: entries that contradict each other are malformed: routes and workspaces answer 503, services are left out, such keys are unknown. Entries that are listed twice and agree are in force.

--- a/features/gateway_malformed_configurations.feature
+++ b/features/gateway_malformed_configurations.feature
@@ -98,3 +98,20 @@
     When the operators publish version 2 with 20 malformed tenants
     And the operators publish version 3 with tenants[0].priority = 3
     Then the gateway counts 0 malformed entries of kind "workspace"
+
+  # Guards against a key that admits to one of two workspaces, by their order in the document.
+  Scenario Outline: Of entries that contradict each other the later one counts
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators publish version 2 with <path> = <value>
+    And 1 request after another reads /get/a
+    Then the gateway answers <status>
+    And <runs> requests reached an upstream
+
+    Examples:
+      | path       | value                                                              | status | runs |
+      | tenants[1] | {"name": "b", "api_keys": ["key-of-choir"]}                        | 401    | 0    |
+      | tenants[1] | {"name": "choir", "api_keys": ["other"], "prepaid": 7}             | 503    | 0    |
+      | tenants[1] | {"name": "choir", "api_keys": ["key-of-choir"], "prepaid": 1000000} | 200    | 1    |
+      | routes[5]  | {"name": "twice", "host": "books.example", "prefix": "/get/", "kind": "safe", "timeout_ms": 4000, "service": "llm"} | 503 | 0 |
+      | services[2] | {"name": "app", "engine": {"stride": 9}}                          | 200    | 1    |
