Count the configuration in force as the newest while the store's document cannot be decoded

What callers saw: from a document on that is not JSON, callers without a valid key, or on no route, got 503 and a time to come back instead of 401 and 404, for as long as the operators did not correct it.

Cause: the gateway took the revision of such a document for one that it had not read. Its copy of the configuration grew old, and a denial is held back while a newer configuration may exist. Nothing newer existed: no gateway can decode the document.

Change: a document that the store holds and that cannot be decoded confirms the configuration in force, at its revision. A copy of a peer that cannot be decoded still does not. Without a configuration in force nothing changes: the gateway is not ready, and adopts the one of a peer. Gauge quinceferry_gateway_rejected_documents.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -172,6 +172,7 @@
     metrics.count_rate_limited_send("s")
     metrics.observe_rate_limits(lambda: 1)
     metrics.observe_evacuated_zones(lambda: 1)
+    metrics.observe_rejected_documents(lambda: 0)
     metrics.observe_malformed_entries(lambda: {"route": 1})
     metrics.observe_cold_upstreams(lambda: 1)
     route = Route("r", "h", "/", RouteKind.STREAM, (), 1.0, 0.1, 0, 1, max_pause_seconds=0.1)
--- a/features/gateway_malformed_configurations.feature
+++ b/features/gateway_malformed_configurations.feature
@@ -115,3 +115,29 @@
       | tenants[1] | {"name": "choir", "api_keys": ["key-of-choir"], "prepaid": 1000000} | 200    | 1    |
       | routes[5]  | {"name": "twice", "host": "books.example", "prefix": "/get/", "kind": "safe", "timeout_ms": 4000, "service": "llm"} | 503 | 0 |
       | services[2] | {"name": "app", "engine": {"stride": 9}}                          | 200    | 1    |
+
+  # Guards against denials that are held back for as long as the newest document can't be read.
+  Scenario Outline: Callers without a key are told to come back, since no document can be read
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators' document becomes "<document>"
+    And 3 seconds pass at the gateway
+    And <request>
+    Then the gateway answers <status>
+    And 0 requests reached an upstream
+
+    Examples:
+      | document             | request                                                     | status |
+      | not json             | a request carries header x-quinceferry-credential "unknown" | 401    |
+      | {}                   | a request carries header x-quinceferry-credential "unknown" | 401    |
+      | {'version': 'two'}   | 1 request after another reads /nowhere/a                    | 404    |
+
+  Scenario: A document that can be read again is in force at once
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators' document becomes "not json"
+    And 3 seconds pass at the gateway
+    And the operators publish version 3 without keys, and with limits = null
+    And a request carries header x-quinceferry-credential "key-of-choir"
+    Then the gateway answers 401
+    And 0 requests reached an upstream
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -99,6 +99,7 @@
         metrics.observe_list_age(lambda: self._age_seconds(board.upstreams_read_at))
         metrics.observe_configuration_age(lambda: self._age_seconds(board.configuration_read_at))
         metrics.observe_evacuated_zones(lambda: len(board.evacuated_zones))
+        metrics.observe_rejected_documents(lambda: int(board.is_document_rejected))
         metrics.observe_malformed_entries(board.malformed_entries_by_kind)
         rng = random.Random()
         port = DatagramPort(settings.listen.peers, metrics)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -39,8 +39,10 @@
 class Blackboard:
     """State of a gateway: its own phase, and its view of the store, upstreams and members.
 
-    ``document`` and ``revision`` are the configuration as stored, and its store revision. The
-    operators request that upstreams in ``evacuated_zones`` get no requests.
+    ``document`` and ``revision`` are the configuration as stored, and its store revision.
+    ``is_document_rejected`` states that this gateway has read a newer one that cannot be decoded,
+    so that an older one is in force. The operators request that upstreams in ``evacuated_zones``
+    get no requests.
     ``store_reachable`` is True if the last call to the store was answered. ``members_changed_at``
     is None until the members are read for the first time. ``unreachable`` contains the incarnations
     that no gateway has seen recently, ``leaving`` those that announced their stop.
@@ -60,6 +62,7 @@
     configuration: Configuration | None = None
     document: bytes = b""
     revision: int = 0
+    is_document_rejected: bool = False
     evacuated_zones: frozenset[str] = frozenset()
     upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
     upstreams_revision: int = 0
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -32,7 +32,7 @@
 """Interval of reads while the store has no configuration; operators write the first one before
 traffic begins."""
 UNREADABLE_RETRY_INTERVAL_SECONDS = 5.0
-"""Interval of reads after a configuration that cannot be decoded; only operators can correct it."""
+"""Interval of reads while the only document cannot be decoded; only operators can correct it."""
 MAX_WATCH_SECONDS = 1.0
 """Longest wait of one watch, so that a dead connection delays a change by at most a second."""
 MAX_WATCH_AFTER_CHANGE_SECONDS = 0.25
@@ -89,7 +89,7 @@
         self._clock = clock
         self._schedule = ReadSchedule(0.0, MAX_AGE_SHARE * bound_seconds, rng)
         self._watch_seconds = min(MAX_WATCH_SECONDS, INTERVAL_SHARE * bound_seconds)
-        self._rejected_document: bytes = b""
+        self._rejected_document: bytes | None = None
         self._has_last_watch_changed = False
         self._records_checksum = 0
         self._packed_document = b""
@@ -102,8 +102,8 @@
         """Apply records of the operators if they are newer than those in force.
 
         :param origin: store or peer that they came from, for the log.
-        :return: False if the configuration cannot be decoded. The revision must not be adopted
-            then: peers would no longer send a copy of it.
+        :return: False if the configuration cannot be decoded. The revision is not adopted then:
+            peers would no longer send a copy of it.
         """
         board = self._blackboard
         if records.revision >= board.revision:
@@ -212,6 +212,7 @@
             return
         document, zones = unpack(copy.document), frozenset(copy.evacuated_zones)
         if self.apply_newer(OperatorRecords(copy.revision, document, zones), origin):
+            board.is_document_rejected = False
             self.confirm(copy.revision, now - copy.age_seconds)
 
     async def _read_and_watch(self) -> None:
@@ -251,9 +252,10 @@
         return pause
 
     async def _watch(self, requested_at: float) -> bool:
-        """Wait for a change and apply it; return whether the store has a usable configuration."""
+        """Wait for a change and apply it; return whether a configuration is in force."""
         board = self._blackboard
-        known = OperatorRecords(board.revision, board.document, board.evacuated_zones)
+        document = self._rejected_document if board.is_document_rejected else board.document
+        known = OperatorRecords(board.revision, document, board.evacuated_zones)
         wait_seconds = self._next_watch_seconds()
         self._schedule.read_started(requested_at)
         changes = await self._source.operator_changes(known.revision, wait_seconds)
@@ -273,7 +275,7 @@
         )
 
     async def _read(self) -> bool:
-        """Read and apply the newest records; return whether they have a usable configuration."""
+        """Read and apply the newest records; return whether a configuration is in force."""
         requested_at = self._clock.monotonic()
         self._schedule.read_started(requested_at)
         records = await self._source.operator_records()
@@ -284,12 +286,20 @@
         return self._apply_from_store(records, requested_at)
 
     def _apply_from_store(self, records: OperatorRecords, requested_at: float) -> bool:
-        """Apply the newest records of the store; return whether they could be decoded."""
-        if self.apply_newer(records, "store"):
-            self.confirm(records.revision, requested_at)
-            return True
-        self._schedule.delay(UNREADABLE_RETRY_INTERVAL_SECONDS, self._clock.monotonic())
-        return False
+        """Apply the newest records of the store; return whether a configuration is in force.
+
+        If what the operators wrote cannot be decoded, no gateway has a newer configuration than the
+        one in force.
+        """
+        board = self._blackboard
+        board.is_document_rejected = not self.apply_newer(records, "store")
+        if board.configuration is None:
+            self._schedule.delay(UNREADABLE_RETRY_INTERVAL_SECONDS, self._clock.monotonic())
+            return False
+        if board.is_document_rejected:
+            self._records_checksum = _checksum(board.document, board.evacuated_zones)
+        self.confirm(records.revision, requested_at)
+        return True
 
 
 def _log_malformed_entries(configuration: Configuration) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -299,6 +299,14 @@
             evacuated_count,
         )
 
+    def observe_rejected_documents(self, rejected_count: Callable[[], int]) -> None:
+        """Export whether the newest document that this gateway has read cannot be decoded."""
+        self._observe_count(
+            "quinceferry_gateway_rejected_documents",
+            "Whether the newest configuration read can't be decoded, so an older one is in force",
+            rejected_count,
+        )
+
     def observe_malformed_entries(self, count_by_kind: Callable[[], Mapping[str, int]]) -> None:
         """Export the number of malformed entries of the configuration in force, by their kind."""
         self._meter.create_observable_gauge(
