Read a list when its copy grows old, though an own call failed before the copy

What callers saw: a gateway back from a cut used an upstream that had left 0.2 s beyond the bound.

Cause: after a failed call a gateway that is no designated reader pauses for 2 to 5 s. The pause went on although copies of peers showed that the store had answered since, so the gateway did not read when its copy exceeded the maximum age.

Change: a copy that was requested after the gateway's last call ends the pause. In an outage no copy is that recent, so the rate of calls is the same.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
@@ -81,6 +81,9 @@
         due_at = requested_at + self._max_age_seconds + self._jitter_of(requested_at)
         if is_reader:
             due_at = min(due_at, self._last_started_at + self._interval_seconds)
+        if self._last_started_at is not None and requested_at > self._last_started_at:
+            # The store has answered another gateway since the last call of this one.
+            return due_at
         return max(due_at, self._retry_at)
 
     def read_started(self, now: float) -> None:
