Count the time of a missing upstream from when a peer encoded its copy

What callers saw: after an outage of the store, gateways that got the list through several others dropped live upstreams before their time, and refused requests.

Cause: the remaining time in a copy counted from the request for it, though the peer encoded it up to a transfer later. Each hop took half a transfer off.

Change: it counts from half-way between request and arrival, so that neither direction adds up.

Evidence: the scenario of ten gateways failed before (1.5 s instead of 2.0 s) and passes.

--- a/features/gateway_leaving_orders.feature
+++ b/features/gateway_leaving_orders.feature
@@ -74,6 +74,12 @@
     Then the last one knows of no answer before second 10.012
     And the last one knows of contact for at least 4 seconds
 
+  # Guards against live upstreams that are dropped early by gateways many hops from the reader.
+  Scenario: The time for which a missing upstream is retained gets shorter with each hop
+    Given an upstream that is retained for 2 seconds though it is missing
+    When the copy of the list passes through 10 gateways, 0.1 seconds each
+    Then the last one retains it to 2 seconds after the first copy was encoded, give or take 0.02
+
   # Guards against the loss of what a gateway knows, by an outage that its peers were cut off before.
   Scenario Outline: An upstream whose removal a gateway has seen is used again after an outage
     Given 7 gateways with 20 upstreams, seed <seed>
--- a/features/steps/gateway_leaving_orders.py
+++ b/features/steps/gateway_leaving_orders.py
@@ -1,12 +1,18 @@
 """Steps for upstreams that leave while cuts, outages and starts of gateways overlap."""
 
+import random
 from functools import partial
 
+import msgspec
 from behave import given, then, when
 
 from features.fixtures_copy_orders import OrderedFleet
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.fleet.digests import summarize_copy
-from quinceferry_lab.virtual_time import run_virtual
+from quinceferry_gateway.fleet.packing import pack, unpack
+from quinceferry_gateway.upstream_reader import AbsentUpstream, UpstreamReader, UpstreamsCopy
+from quinceferry_lab.virtual_time import VirtualClock, run_virtual
 
 EPISODE_SECONDS = 11.0
 FIRST_EPISODE_AT = 6.0
@@ -143,3 +149,41 @@
 def then_contact(context, seconds):
     since, until = context.span
     assert until - since >= seconds, context.span
+
+
+@given("an upstream that is retained for {seconds:g} seconds though it is missing")
+def given_retained(context, seconds):
+    listed, missing = (Upstream(name, "app", "127.0.0.1:1", "z", 1, False) for name in ("a", "b"))
+    context.copy = UpstreamsCopy(5, 0.0, [listed], [AbsentUpstream(missing, seconds)])
+
+
+@when("the copy of the list passes through {count:d} gateways, {seconds:g} seconds each")
+def when_copy_passed(context, count, seconds):
+    run_virtual(_pass_copy(context, count, seconds / 2))
+
+
+async def _pass_copy(context, count, half_seconds):
+    """Pass a copy through gateways; each is encoded half a transfer after it is requested."""
+    clock = VirtualClock()
+    context.encoded_at = clock.monotonic() + half_seconds
+    body, reader = pack(msgspec.msgpack.encode(context.copy)), None
+    for number in range(count):
+        requested_at = clock.monotonic()
+        await clock.sleep(half_seconds)
+        if reader is not None:
+            body = reader.encode(clock.monotonic())
+        await clock.sleep(half_seconds)
+        board = Blackboard(Member(f"vm-{number}-a", f"vm-{number}", "z", "", ""))
+        reader = UpstreamReader(board, None, clock, 1.2, random.Random(number), 2.0)
+        reader.adopt(body, "peer", requested_at)
+    copy = msgspec.msgpack.decode(unpack(reader.encode(clock.monotonic())), type=UpstreamsCopy)
+    context.retained_until = clock.monotonic() + copy.absent[0].seconds
+
+
+@then(
+    "the last one retains it to {seconds:g} seconds after the first copy was encoded, give or take "
+    "{error:g}"
+)
+def then_retained_until(context, seconds, error):
+    retained_seconds = context.retained_until - context.encoded_at
+    assert abs(retained_seconds - seconds) <= error, retained_seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -166,8 +166,11 @@
         requested_at = now - copy.age_seconds
         contact_since = self._contact_since(copy, requested_at)
         listed_by_id = {item.id: item for item in copy.listed}
+        # The peer encoded it between request and arrival. Counted from the request, the time would
+        # get shorter with each hop, and from the arrival longer.
+        encoded_at = (now + self._clock.monotonic()) / 2
         absent_by_id = {
-            item.upstream.id: (item.upstream, now + min(item.seconds, ABSENCE_GRACE_SECONDS))
+            item.upstream.id: (item.upstream, encoded_at + min(item.seconds, ABSENCE_GRACE_SECONDS))
             for item in copy.absent
         }
         self._absences.adopt(listed_by_id, absent_by_id, requested_at, contact_since)
