Pause for less time after a failed call in a small fleet

What callers saw: with all designated readers still cut off for 1.1 s after an outage of the store, two of nine gateways used an upstream for up to 0.6 s beyond the bound after it had left.

Cause: a gateway that is no designated reader pauses for 2 to 5 s after a failed call. That keeps 190 gateways at 55 calls a second; six gateways make 1.7, so that seconds pass until one of them notices that the store answers.

Change: the pause is proportional to the size of the fleet below 40 gateways, and never shorter than that of a designated reader. With nine gateways it is 0.5 to 1.1 s. The models of copies tell their gateways how many they are.

Tried and left: telling in digests when a call last failed.

--- a/features/fixtures_copy_orders.py
+++ b/features/fixtures_copy_orders.py
@@ -136,7 +136,12 @@
         self.removed_in_touch = set()
         self.known = set()
         own = Member(f"vm-{number}-{self.began_at}", f"vm-{number}", "z", "", "")
-        self.board = Blackboard(own, is_store_reader=number < READERS)
+        members = [Member(f"vm-{n}", f"vm-{n}", "z", "", "") for n in range(fleet.count)]
+        self.board = Blackboard(
+            own,
+            is_store_reader=number < READERS,
+            members_by_incarnation={item.incarnation: item for item in members},
+        )
         draws = random.Random(fleet.random.random())
         self.reader = UpstreamReader(
             self.board, self, fleet.clock, HEARTBEAT_SECONDS, draws, BOUND_SECONDS
--- a/features/gateway_read_schedule.feature
+++ b/features/gateway_read_schedule.feature
@@ -26,3 +26,10 @@
     When the next call of each fails at second 8
     And each has a copy that was requested at second 6
     Then all of them read the list 4 to 7 seconds after that
+
+  # Guards against a small fleet that calls seldom while its designated readers are partitioned.
+  Scenario: Gateways of a small fleet pause after a failed call for as long as those of a large one
+    Given 9 gateways that read a list with a bound of 2 seconds at second 0
+    When the next call of each fails at second 8
+    And each has a copy that was requested at second 6
+    Then all of them read the list 2.25 to 3.2 seconds after that
--- a/features/steps/gateway_leaving_copies.py
+++ b/features/steps/gateway_leaving_copies.py
@@ -50,12 +50,16 @@
 class FleetGateway:
     """One gateway with its copy; ``cut_at`` is when its last cut ended."""
 
-    def __init__(self, number, store, clock, rng):
+    def __init__(self, number, count, store, clock, rng):
         self.store = store
         self.cut = False
         self.cut_at = float("-inf")
-        self.board = Blackboard(Member(f"vm-{number}-a", f"vm-{number}", "z", "", ""))
-        self.board.is_store_reader = number < READERS
+        members = [Member(f"vm-{index}-a", f"vm-{index}", "z", "", "") for index in range(count)]
+        self.board = Blackboard(
+            members[number],
+            is_store_reader=number < READERS,
+            members_by_incarnation={item.incarnation: item for item in members},
+        )
         self.reader = UpstreamReader(self.board, self, clock, HEARTBEAT_SECONDS, rng, BOUND_SECONDS)
 
     async def upstreams(self):
@@ -78,7 +82,7 @@
         self.clock = VirtualClock()
         self.store = FleetStore(upstreams)
         self.gateways = [
-            FleetGateway(number, self.store, self.clock, random.Random(self.rng.random()))
+            FleetGateway(number, gateways, self.store, self.clock, random.Random(self.rng.random()))
             for number in range(gateways)
         ]
         self.all_ids = set(self.store.registrations_by_id)
--- a/features/steps/gateway_read_schedule.py
+++ b/features/steps/gateway_read_schedule.py
@@ -22,7 +22,7 @@
 def when_failed(context, at):
     for schedule in context.schedules:
         schedule.read_started(at)
-        schedule.read_failed(False, 0.0, at)
+        schedule.read_failed(False, 0.0, at, len(context.schedules))
 
 
 @when("each has a copy that was requested at second {at:g}")
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -240,7 +240,9 @@
                 has_configuration = False
                 record_store_failure(board, error)
                 read_at, now = board.configuration_read_at, self._clock.monotonic()
-                self._schedule.read_failed(board.is_store_reader, read_at, now)
+                self._schedule.read_failed(
+                    board.is_store_reader, read_at, now, len(board.members_by_vm)
+                )
 
     def _pause_seconds(self, now: float) -> float:
         """Return the time until the next read, zero if it is due."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
@@ -38,9 +38,12 @@
 """Pause of a designated reader after a failed call, short so that it detects when the store
 recovers."""
 NON_READER_RETRY_SECONDS = (2.0, 5.0)
-"""Bounds of the pause of other gateways after a failed call. In an outage, 190 gateways then make
-55 calls a second, and if only a hundred of them can reach the store, they detect this within 0.1 s.
-"""
+"""Bounds of the pause of other gateways after a failed call in a large fleet. In an outage, 190
+gateways then make 55 calls a second, and if only a hundred of them can reach the store, they detect
+this within 0.1 s."""
+FLEET_SIZE_OF_LONGEST_PAUSE = 40
+"""Number of gateways from which on the pause is not shorter. The fewer they are, the more depends
+on each call if the designated readers are partitioned."""
 SKIPPED_READ_SECONDS = 0.5
 """Interval at which to check again a list that is not read because another list can't be read
 either."""
@@ -94,16 +97,20 @@
         self._last_started_at = now
         self._jitter_seconds = self._draw_jitter(JITTER_SHARE)
 
-    def read_failed(self, is_reader: bool, requested_at: float | None, now: float) -> None:
+    def read_failed(
+        self, is_reader: bool, requested_at: float | None, now: float, fleet_size: int
+    ) -> None:
         """Record that a read failed, and draw the pause before the next one.
 
         A gateway without a copy pauses as a designated reader does. With the longer pause, none of
         the gateways that were stopped together serves for four seconds after their restart.
         """
-        urgent = is_reader or requested_at is None
-        self.delay(
-            RETRY_SECONDS if urgent else self._random.uniform(*NON_READER_RETRY_SECONDS), now
-        )
+        seconds = RETRY_SECONDS
+        if not is_reader and requested_at is not None:
+            share = min(1.0, fleet_size / FLEET_SIZE_OF_LONGEST_PAUSE)
+            drawn_seconds = self._random.uniform(*NON_READER_RETRY_SECONDS)
+            seconds = max(RETRY_SECONDS, share * drawn_seconds)
+        self.delay(seconds, now)
 
     def pause_seconds(self, is_reader: bool, requested_at: float | None, now: float) -> float:
         """Return the time until the next check of the schedule; zero when a read is due."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -287,7 +287,9 @@
         except KvError as error:
             board, now = self._blackboard, self._clock.monotonic()
             record_store_failure(board, error)
-            self._schedule.read_failed(board.is_store_reader, board.members_read_at, now)
+            self._schedule.read_failed(
+                board.is_store_reader, board.members_read_at, now, len(board.members_by_vm)
+            )
             return
         record_store_answer(self._blackboard)
         if snapshot.revision >= self._revision:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -222,7 +222,9 @@
             self._absences.record_failure(requested_at)
             board, now = self._blackboard, self._clock.monotonic()
             record_store_failure(board, error)
-            self._schedule.read_failed(board.is_store_reader, board.upstreams_read_at, now)
+            self._schedule.read_failed(
+                board.is_store_reader, board.upstreams_read_at, now, len(board.members_by_vm)
+            )
         else:
             record_store_answer(self._blackboard)
             self._apply_list(listed, requested_at)
