Serve routes without an objective

What callers saw: every request on a route without slo_ms, or with 0, got 503 (upstreams_refused: ConnectTimeout).

Cause: a missing objective is kept as zero seconds, and the time to connect to an upstream is a multiple of it.

Change: such a route is expected to be answered within its timeout.

Two scenarios failed before and pass.

--- a/features/gateway_malformed_configurations.feature
+++ b/features/gateway_malformed_configurations.feature
@@ -141,3 +141,17 @@
     And a request carries header x-quinceferry-credential "key-of-choir"
     Then the gateway answers 401
     And 0 requests reached an upstream
+
+  # Guards against a missing objective that counts as one of zero seconds, so that no connection is in time.
+  Scenario Outline: A route without an objective connects to no upstream
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    And its configuration has <path> = <value>
+    When 1 request after another reads /get/a
+    Then the gateway answers 200
+    And 1 request reached an upstream
+
+    Examples:
+      | path             | value  |
+      | routes[0].slo_ms | 0      |
+      | routes[0].slo_ms | "soon" |
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -24,8 +24,9 @@
 class Route:
     """Where requests of a host and path prefix are sent, and how long they may take.
 
-    ``max_pause_seconds`` is the longest pause between events of a stream that callers accept, zero
-    if not configured. Requests may run in ``home_regions`` only, anywhere if there are none.
+    ``objective_seconds`` is the time within which callers expect an answer, and
+    ``max_pause_seconds`` the longest pause between events of a stream that they accept; zero if not
+    configured. Requests may run in ``home_regions`` only, anywhere if there are none.
     Requests of a ``malformed`` route are refused: it is unknown where they may run.
     """
 
@@ -44,6 +45,11 @@
     home_regions: frozenset[str] = frozenset()
     malformed: bool = False
 
+    @property
+    def expected_seconds(self) -> float:
+        """Return the time within which an answer is expected, at most the timeout."""
+        return self.objective_seconds or self.timeout_seconds
+
     @property
     def retryable(self) -> bool:
         """Return whether a request may be sent again after it may have run."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -213,7 +213,7 @@
     def _max_permit_wait_seconds(self, progress: Progress) -> float:
         """Return the longest time that a request may wait for a permit."""
         remaining = progress.deadline_at - self._clock.monotonic()
-        wait = MAX_PERMIT_WAIT_OBJECTIVES * progress.route.objective_seconds
+        wait = MAX_PERMIT_WAIT_OBJECTIVES * progress.route.expected_seconds
         return max(0.0, min(wait, MAX_WAIT_SHARE * remaining))
 
     def _missing_seconds(self, upstream: Upstream) -> float | None:
@@ -381,7 +381,7 @@
         if progress.stream.head_sent:
             return MAX_EVENT_GAP_SECONDS
         remaining = progress.deadline_at - self._clock.monotonic()
-        timeout_seconds = FIRST_BYTE_TIMEOUT_OBJECTIVES * progress.route.objective_seconds
+        timeout_seconds = FIRST_BYTE_TIMEOUT_OBJECTIVES * progress.route.expected_seconds
         return min(timeout_seconds, MAX_WAIT_SHARE * remaining)
 
     def _connect_timeout_seconds(self, progress: Progress) -> float:
