--- a/features/gateway_keys.feature
+++ b/features/gateway_keys.feature
@@ -41,3 +41,17 @@
     And a request carries header x-quinceferry-credential "any"
     Then the gateway answers 200
     And 1 request reached an upstream
+
+  # Guards against keys that never match, since a document is UTF-8 and the header was read as Latin-1.
+  Scenario Outline: A key outside ASCII is unknown though the configuration lists it
+    Given a gateway before the services
+    And upstream app-1 of service app that "answers"
+    When the operators publish version 2 with workspaces [{"name": "choir", "api_keys": ["<listed>"]}]
+    And a request carries the key <sent> in UTF-8
+    Then the gateway answers <status>
+
+    Examples:
+      | listed        | sent          | status |
+      | avain-kööri   | avain-kööri   | 200    |
+      | ключ          | ключ          | 200    |
+      | avain-kööri   | avain-koori   | 401    |
