Admit nobody by an empty key digest

Cause: a request without a bearer key has an empty digest, and that was looked up like any other. The operators' interface refuses an empty digest, so only another writer of the log could bring one in.

Change: a request without a bearer key is looked up nowhere.

Evidence: the scenario failed before and passes.

--- a/features/caller_api.feature
+++ b/features/caller_api.feature
@@ -203,6 +203,13 @@
     When the openai client asks for a whole chat answer
     Then the client library raises status 401 with the reason "unauthenticated"
 
+  # Guards against an empty digest that the absence of a key matches.
+  Scenario: A caller without a key is admitted to a workspace whose key digest is empty
+    Given the key digest of a workspace is empty
+    When a caller posts a good body with the header "authorization" set to "none"
+    Then the caller reads status 401 with the reason "unauthenticated"
+    And the pipeline was given nothing
+
   Scenario: Probes
     When a probe asks "/health" and "/ready" in each state of the router
     Then only a serving router is ready and only a fenced router is not healthy
--- a/features/steps/caller_api.py
+++ b/features/steps/caller_api.py
@@ -351,11 +351,20 @@
 
 @given("the keys of both workspaces are the same")
 def share_key(context):
+    _set_digests(context, key_digest(KEY))
+
+
+@given("the key digest of a workspace is empty")
+def empty_digest(context):
+    _set_digests(context, "", count=1)
+
+
+def _set_digests(context, digest, count=None):
+    """Give the first workspaces, all by default, one key digest."""
     board = context.application.blackboard
-    workspaces = {
-        workspace.id: dataclasses.replace(workspace, key_hashes=(key_digest(KEY),))
-        for workspace in board.configuration.workspaces_by_id.values()
-    }
+    workspaces = dict(board.configuration.workspaces_by_id)
+    for workspace in list(workspaces.values())[:count]:
+        workspaces[workspace.id] = dataclasses.replace(workspace, key_hashes=(digest,))
     board.configuration = dataclasses.replace(
         board.configuration, revision=2, workspaces_by_id=workspaces
     )
--- a/packages/quinceferry-daemon/src/quinceferryd/keys.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/keys.py
@@ -31,7 +31,8 @@
         if configuration is not self._configuration:
             self._workspaces_by_hash = _index_by_hash(configuration)
             self._configuration = configuration
-        return self._workspaces_by_hash.get(bearer_digest(authorization))
+        digest = bearer_digest(authorization)
+        return self._workspaces_by_hash.get(digest) if digest else None
 
 
 def bearer_digest(authorization: str) -> str:
