Refuse requests to model engines that state no token counts for a prepaid workspace

What callers saw: who left X-Quinceferry-Token-Count out was served by a model engine for nothing.

Cause: whether a request uses tokens was inferred from it stating any.

Change: where the service generates tokens and the workspace is prepaid, a request without counts is malformed: 400.

Evidence: two of three scenarios failed before (200 in place of 400); all pass.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -283,6 +283,21 @@
     And 1 request after another is posted to /post/a
     Then the gateway answers 404
 
+  # Guards against prepaid tokens that a caller uses for nothing by leaving out how many it needs.
+  Scenario Outline: A request that states no token counts is served without any tokens
+    Given 1 gateway before the services with 400 prepaid tokens
+    And upstream llm-1 of service llm that "streams 5 events"
+    And upstream app-1 of service app that "answers"
+    When <target> is asked for without token counts
+    Then the gateway answers <status>
+    And <runs> requests reached an upstream
+
+    Examples:
+      | target   | status | runs |
+      | /draft/a | 400    | 0    |
+      | /ask/a   | 400    | 0    |
+      | /post/a  | 200    | 1    |
+
   Scenario: A configuration that can't be read leaves the last good one in force
     Given a gateway before the services
     And upstream app-1 of service app that "answers"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -137,6 +137,11 @@
     context.gateway.acts.append(lambda scene: scene.ask("POST", target, b"{}", **TOKENS))
 
 
+@when("{target} is asked for without token counts")
+def when_asked_without_counts(context, target):
+    context.gateway.acts.append(lambda scene: scene.ask("POST", target, b"{}"))
+
+
 @when("gateway {number:d} is asked to stream {target} for at most {tokens:d} tokens")
 def when_streams_at(context, target, tokens, number):
     counts = {"x_quinceferry_token_count": f"{tokens},0"}
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -299,14 +299,17 @@
         await self._answer(exchange, progress, outcome, started_at)
 
     async def _reserve(self, progress: Progress) -> Reservation | Refusal | None:
-        """Reserve the request's tokens if its workspace is prepaid."""
+        """Reserve the request's tokens if its workspace is prepaid.
+
+        A request to a model engine that states no token counts is malformed: nobody could tell
+        whether the workspace can pay for it.
+        """
         workspace, call = progress.workspace, progress.call
-        if (
-            progress.forwarded
-            or workspace is None
-            or workspace.prepaid_tokens is None
-            or not call.max_tokens
-        ):
+        if progress.forwarded or workspace is None or workspace.prepaid_tokens is None:
+            return None
+        if not call.max_tokens:
+            if self._tokens_per_event(progress):
+                return Refusal(Reason.MALFORMED, "no token counts for a prepaid workspace")
             return None
         result = await self._reservations.reserve(
             call.request_id, workspace.name, call.max_tokens, progress.deadline_at
@@ -339,12 +342,16 @@
         events = progress.stream.buffer.count
         if not progress.may_have_run and not events:
             return 0
+        tokens_per_event = self._tokens_per_event(progress)
+        if progress.route.kind is not RouteKind.STREAM or not tokens_per_event:
+            return call.max_tokens
+        return call.prompt_tokens + min(call.max_output_tokens, events * tokens_per_event)
+
+    def _tokens_per_event(self, progress: Progress) -> int:
+        """Return the most output tokens of one event, zero if the service generates none."""
         configuration = self._blackboard.configuration
         service = configuration.services_by_name.get(progress.service) if configuration else None
-        is_stream = progress.route.kind is RouteKind.STREAM
-        if not is_stream or service is None or not service.tokens_per_event:
-            return call.max_tokens
-        return call.prompt_tokens + min(call.max_output_tokens, events * service.tokens_per_event)
+        return service.tokens_per_event if service else 0
 
     async def _answer(
         self,
