State no prepaid workspace in the request that finds the links cut

The step "gateway 1 reaches no upstream" sent a stream without token counts for a prepaid workspace, which is malformed now: 400, and the gateway never tried its links. It uses a workspace without a budget, so that the charges that the scenarios check are still those of their own requests.

--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -26,6 +26,8 @@
 """More output tokens than the streams of these scenarios use."""
 FIRST_REQUESTS = 12
 """Requests that find the links cut, enough for one to fail at each upstream."""
+UNLIMITED_KEY = "key-of-unlimited"
+"""Key of a workspace whose requests use no prepaid tokens."""
 RETRY_RATIO, RETRY_SLACK = 0.2, 20
 """Retries per request, and further ones, that the whole fleet may make in these scenarios."""
 FORWARDED_METRIC = re.compile(
@@ -70,6 +72,9 @@
 
 @given("gateway 1 reaches no upstream")
 def given_cut(context):
+    workspaces = context.gateway.document["tenants"]
+    workspaces.append({"name": "unlimited", "api_keys": [UNLIMITED_KEY]})
+
     async def cut(scene):
         scene.cut_links(0, refuses=True)
         board = scene.applications[0].blackboard
@@ -79,7 +84,7 @@
                 for number in range(FIRST_REQUESTS)
             )
         )
-        await scene.ask("POST", "/ask/first", b"{}")
+        await scene.ask("POST", "/ask/first", b"{}", x_quinceferry_credential=UNLIMITED_KEY)
         await until(
             lambda: board.unreachable_services == frozenset(scene.services_by_id.values()),
             lambda: board.unreachable_services,
