--- a/features/gateway_malformed_configurations.feature
+++ b/features/gateway_malformed_configurations.feature
@@ -155,3 +155,10 @@
       | path             | value  |
       | routes[0].slo_ms | 0      |
       | routes[0].slo_ms | "soon" |
+
+  Scenario: Values that are replaced at random admit no key that is not listed for one workspace
+    Given a configuration of 6 routes and 5 workspaces
+    When values of it are replaced at random, 400 times
+    Then each document is decoded, or refused as a whole without a whole number as its version
+    And each valid key is a text that one workspace alone lists
+    And all entries without a replaced value are decoded as before
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/read_schedule.py
@@ -104,6 +104,8 @@
 
         A gateway without a copy pauses as a designated reader does. With the longer pause, none of
         the gateways that were stopped together serves for four seconds after their restart.
+
+        :param fleet_size: number of gateways, this one included.
         """
         seconds = RETRY_SECONDS
         if not is_reader and requested_at is not None:
