--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -266,12 +266,11 @@
 
     async def register_one(self, upstream_id, **changes):
         """Write the entry of an upstream."""
-        address = self.upstreams_by_id[upstream_id].address
-        entry = {"service": self.services_by_id[upstream_id], "addr": address}
-        entry |= {"zone": "zone-a", "slots": 4, "state": "ready", "seq": 1}
-        entry |= {"version": "v1", "cold_left_ms": 0}
-        entry |= changes
-        await self.store.put(f"servers/{upstream_id}", json.dumps(entry).encode())
+        await self.store.register_upstream(
+            self.upstreams_by_id[upstream_id],
+            self.services_by_id[upstream_id],
+            **{"slots": 4} | changes,
+        )
 
     def headers(self, **changes):
         """Return a caller's headers; a value of None leaves one out."""
--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -96,9 +96,7 @@
     async def _publish(self):
         """Write the configuration and the entry of the upstream."""
         await self.store.put("op/config", json.dumps(configuration()).encode())
-        entry = {"service": "llm", "addr": self.upstream.address, "zone": "zone-a", "slots": 64}
-        entry |= {"state": "ready", "seq": 1, "version": "v1", "cold_left_ms": 0}
-        await self.store.put("servers/llm-1", json.dumps(entry).encode())
+        await self.store.register_upstream(self.upstream, "llm")
 
     async def wait_blocked(self, number):
         """Wait until the gateway blocks a signal, which it does before anything else."""
--- a/features/steps/gateway_process_configurations.py
+++ b/features/steps/gateway_process_configurations.py
@@ -58,9 +58,7 @@
                 await part.start()
                 stack.push_async_callback(part.stop)
             await self.publish(self.document(1))
-            entry = {"service": "app", "addr": upstream.address, "zone": "zone-0", "slots": 64}
-            entry |= {"state": "ready", "seq": 1, "version": "v1", "cold_left_ms": 0}
-            await self.store.put("servers/app-1", json.dumps(entry).encode())
+            await self.store.register_upstream(upstream, "app", zone="zone-0")
             self.gateways = [
                 GatewayProcess.create(
                     f"vm-{number}", f"zone-{number}", store_address, folder, GRACE_SECONDS
--- a/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/platform_demo.py
@@ -189,9 +189,7 @@
     await store.put("op/config", _configuration())
     for upstream in demo.upstreams:
         await upstream.start()
-        entry = {"service": upstream.id.partition("-")[0], "addr": upstream.address, "slots": 8}
-        entry |= {"zone": "zone-a", "state": "ready", "seq": 1, "version": "v1", "cold_left_ms": 0}
-        await store.put(f"servers/{upstream.id}", json.dumps(entry).encode())
+        await store.register_upstream(upstream, upstream.id.partition("-")[0], slots=8)
     try:
         for gateway in gateways:
             await gateway.start()
--- a/packages/quinceferry-lab/src/quinceferry_lab/soak.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/soak.py
@@ -230,10 +230,8 @@
         for upstream in upstreams:
             await upstream.start()
             stack.push_async_callback(upstream.stop)
-            entry = {"service": upstream.id.partition("-")[0], "addr": upstream.address}
-            entry |= {"slots": 64, "zone": "zone-0", "state": "ready", "seq": 1, "version": "v1"}
-            entry |= {"cold_left_ms": 0}
-            await store.put(f"servers/{upstream.id}", json.dumps(entry).encode())
+            service = upstream.id.partition("-")[0]
+            await store.register_upstream(upstream, service, zone="zone-0")
         processes = [
             GatewayProcess.create(
                 f"vm-{number}", f"zone-{number % ZONES}", store_address, folder, GRACE_SECONDS
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_store.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_store.py
@@ -9,6 +9,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from quinceferry_standins.managed_upstream import ManagedUpstream
+
 PAGE_ITEMS = 50
 """Items of one page of a range; the platform's pages are larger, small ones test the paging."""
 
@@ -91,6 +93,17 @@
         self._write(key, base64.b64encode(value).decode(), 0)
         await self._notify()
 
+    async def register_upstream(
+        self, upstream: ManagedUpstream, service: str, **changes: Any
+    ) -> None:
+        """Write the entry of an upstream, as it does itself on the platform.
+
+        :param changes: fields of the entry that differ from those of a ready upstream.
+        """
+        entry = {"service": service, "addr": upstream.address, "zone": "zone-a", "slots": 64}
+        entry |= {"version": "v1", "state": "ready", "seq": 1, "cold_left_ms": 0}
+        await self.put(f"servers/{upstream.id}", json.dumps(entry | changes).encode())
+
     async def remove(self, key: str) -> None:
         """Remove a key."""
         self._remove(key)
