--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -47,7 +47,7 @@
 
     @property
     def expected_seconds(self) -> float:
-        """Return the time within which an answer is expected, at most the timeout."""
+        """Return the time to an expected answer: the objective, or else the timeout."""
         return self.objective_seconds or self.timeout_seconds
 
     @property
