Show in tests that budgets run dry after all holders were killed

Eight holders whose budget lasts for 16 more seconds are killed: 12 s after their return no request gets tokens. Of a budget that nobody uses 35% is lost with each kill; a tenth of that is allowed.

--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -43,6 +43,30 @@
       | 16      | a cut of 5 holders while the others start again  |
       | 24      | another kill of all a second before              |
 
+  Scenario Outline: Budgets run dry since killed holders took their tokens with them
+    Given 8 token holders and a budget of 4400000 tokens
+    When they spend 100000 tokens a second for <seconds> seconds
+    And <trouble> happens to them
+    And all holders are killed <kills> times and others start on their vms 1.2 seconds later
+    And they are asked for 100000 tokens a second for 12 seconds
+    Then more than a quarter of the requests of the next 4 seconds get their tokens
+
+    Examples:
+      | seconds | trouble                | kills |
+      | 20      | an outage of 8 seconds | 1     |
+      | 6       | nothing                | 4     |
+
+  Scenario Outline: Killed holders take tokens of a budget that nobody uses with them
+    Given <holders> token holders and a budget of 900000 tokens
+    When 30 seconds pass for the holders
+    And all holders are killed 1 times and others start on their vms 1.2 seconds later
+    Then no more than 31500 tokens are lost
+
+    Examples:
+      | holders |
+      | 1       |
+      | 9       |
+
   Scenario Outline: Tokens last for a second outage that is as long as the first one
     Given 5 token holders and a budget of <budget> tokens
     When they spend 100000 tokens a second for 6 seconds
--- a/features/steps/gateway_token_losses.py
+++ b/features/steps/gateway_token_losses.py
@@ -5,6 +5,10 @@
 from features.steps.gateway_budgets import play
 from quinceferry_gateway.decisions.outages import OutageHistory
 
+BETWEEN_KILLS_SECONDS = 2.8
+CLOSED_WITHIN_SECONDS = 3.0
+"""Time in which holders that start find out what their predecessors may have spent."""
+
 
 @when("all holders are killed and others start on their vms")
 def when_all_killed(context):
@@ -20,6 +24,38 @@
     context.acts.append(kill_all)
 
 
+@when(
+    "all holders are killed {kills:d} times and others start on their vms {seconds:g} seconds later"
+)
+def when_killed_for(context, kills, seconds):
+    async def kill_all(bench):
+        for number in range(kills):
+            if number:
+                await bench.spend(context.rate, BETWEEN_KILLS_SECONDS)
+            vms = [board.own.vm for board in bench.boards_by_name.values()]
+            for name in list(bench.holders_by_name):
+                await bench.kill(name)
+            await bench.clock.sleep(seconds)
+            for vm in vms:
+                bench.next_name += 1
+                await bench.add(f"{vm}-{bench.next_name}", vm)
+            bench.refresh()
+
+    context.acts.append(kill_all)
+
+
+@then("no more than {tokens:d} tokens are lost")
+def then_lost(context, tokens):
+    async def check(bench):
+        await bench.clock.sleep(CLOSED_WITHIN_SECONDS)
+        budget = await bench.record()
+        dead = budget.allotments_by_holder.keys() - bench.holders_by_name.keys()
+        lost = budget.spent + sum(budget.allotments_by_holder[name].outstanding for name in dead)
+        assert lost <= tokens, (lost, budget)
+
+    play(context, check)
+
+
 @when("they are cut off from the store")
 def when_all_cut(context):
     async def cut(bench):
