--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -45,16 +45,17 @@
 
   Scenario Outline: Budgets run dry since killed holders took their tokens with them
     Given 8 token holders and a budget of 4400000 tokens
-    When they spend 100000 tokens a second for <seconds> seconds
+    When they spend 100000 tokens a second for 4 seconds
     And <trouble> happens to them
+    And they spend 100000 tokens a second for <seconds> seconds
     And all holders are killed <kills> times and others start on their vms 1.2 seconds later
     And they are asked for 100000 tokens a second for 12 seconds
     Then more than a quarter of the requests of the next 4 seconds get their tokens
 
     Examples:
       | seconds | trouble                | kills |
-      | 20      | an outage of 8 seconds | 1     |
-      | 6       | nothing                | 4     |
+      | 13      | an outage of 8 seconds | 1     |
+      | 2       | nothing                | 4     |
 
   Scenario Outline: Killed holders take tokens of a budget that nobody uses with them
     Given <holders> token holders and a budget of 900000 tokens
