--- a/packages/quinceferry-core/src/quinceferry_core/clocks.py
+++ b/packages/quinceferry-core/src/quinceferry_core/clocks.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from functools import cache
 from pathlib import Path
 from typing import Protocol
 
@@ -56,13 +57,18 @@
     wall_seconds: float
 
 
-def machine_time() -> MachineTime:
-    """Return the current time on the clocks of this machine."""
+@cache
+def boot_id() -> str:
+    """Return the identifier of the boot of this machine, empty if it is unknown."""
     try:
-        boot_id = BOOT_ID_FILE.read_text().strip()
+        return BOOT_ID_FILE.read_text().strip()
     except OSError:
-        boot_id = ""
-    return MachineTime(boot_id, time.clock_gettime(time.CLOCK_BOOTTIME), time.time())
+        return ""
+
+
+def machine_time() -> MachineTime:
+    """Return the current time on the clocks of this machine."""
+    return MachineTime(boot_id(), time.clock_gettime(time.CLOCK_BOOTTIME), time.time())
 
 
 def suspended_seconds() -> float:
