--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -86,7 +86,8 @@
 class Answer:
     """What a caller got; ``whole`` is False when the answer broke off.
 
-    ``received_at`` is the event loop time at which the response head was received.
+    ``received_at`` is the event loop time at which the response head was received, ``seconds`` the
+    time that took.
     """
 
     status: int
@@ -94,6 +95,7 @@
     body: bytes = b""
     whole: bool = True
     received_at: float = 0.0
+    seconds: float = 0.0
 
 
 class PartitionedHttpClient(HttpClient):
@@ -286,10 +288,12 @@
         """Send a request and keep its answer."""
         address = self.applications[gateway].settings.listen.callers
         headers = [*self.headers(**changes), (b"content-length", str(len(body)).encode())]
+        sent_at = asyncio.get_running_loop().time()
         opened = self.http.open(address, method.encode(), target.encode(), headers, body)
         async with asyncio.timeout(PATIENCE_SECONDS), opened as reply:
             received_at = asyncio.get_running_loop().time()
             answer = Answer(reply.status, dict(reply.headers), received_at=received_at)
+            answer.seconds = received_at - sent_at
             try:
                 async for chunk in reply.chunks():
                     answer.body += chunk
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -260,6 +260,19 @@
     And is told when to come back
     And 0 requests reached an upstream
 
+  Scenario Outline: An event without end is read until the caller's time is up
+    Given 1 gateway before the services with 3000 prepaid tokens
+    And upstream llm-1 of service llm that "<sends>"
+    When gateway 1 knows that all hold 1485 tokens
+    And gateway 1 is asked to stream /draft/a for at most 500 tokens
+    Then the gateway answers 502
+    And the answer took less than 3 seconds
+
+    Examples:
+      | sends                             |
+      | sends an event without end        |
+      | sends an event without end slowly |
+
   Scenario: While the store is away, what is held is spent and no more
     Given 1 gateway before the services with 1000 prepaid tokens
     And upstream llm-1 of service llm that "streams 5 events"
--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -45,6 +45,17 @@
       | id: 1;da/ta: a;/;id: 7;data: b;;    | id: 1;data: a;;id: 7;data: b;; | 7 | 2 |
       | data: a                             |                      |      | 0     |
 
+  Scenario Outline: An event that never ends is kept and searched again and again
+    Given an event buffer
+    When it is fed chunks of <size> bytes without the end of an event
+    Then it has refused the event after 65536 bytes
+
+    Examples:
+      | size  |
+      | 1     |
+      | 1000  |
+      | 60000 |
+
   Scenario: Prompts that share their parts go to one upstream
     Given a router before 5 upstreams
     When 50 prompts with the shared part "ledger" are routed
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -12,6 +12,7 @@
     Answered,
     Broken,
     Declined,
+    EndlessEvent,
     Hanging,
     Streaming,
     event_bytes,
@@ -34,6 +35,8 @@
     "breaks after 2 events": Streaming(5, 2, "reset"),
     "breaks within event 3": Streaming(5, 2, "partial"),
     "falls silent after 2 events": Streaming(5, 2, "silent"),
+    "sends an event without end": EndlessEvent(),
+    "sends an event without end slowly": EndlessEvent(chunk_bytes=1_000, pause_seconds=0.02),
     "streams slowly": Streaming(400, pause_seconds=0.05),
     "streams 40 events in 2 seconds": Streaming(40, pause_seconds=0.05),
 }
@@ -431,3 +434,9 @@
         assert line.endswith(f" {count}.0"), line
 
     check(context, scrape)
+
+
+@then("the answer took less than {seconds:d} seconds")
+def then_took(context, seconds):
+    answer = context.gateway.answers[-1]
+    assert answer.seconds < seconds, answer
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -16,11 +16,13 @@
 from quinceferry_gateway.catalog import Call, Load, PromptPart, Upstream
 from quinceferry_gateway.decisions import Demand, Placer, UpstreamStates
 from quinceferry_gateway.events import EventBuffer
+from quinceferry_gateway.exceptions import ConnectionBrokenError
 from quinceferry_gateway.logs import EventLog
 from quinceferry_gateway.retries import RetryBudget
 from quinceferry_gateway.settings import Settings
 from quinceferry_platform.command import main
 
+MAX_FED_BYTES = 1_000_000
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = {
     "gateway": {"vm": "a", "zone": "z", "region": "r"},
@@ -140,6 +142,25 @@
     assert (context.buffer.last_id, context.buffer.count) == (last, count)
 
 
+@when("it is fed chunks of {size:d} bytes without the end of an event")
+def when_fed_endlessly(context, size):
+    context.fed_bytes = 0
+    context.error = None
+    while context.error is None and context.fed_bytes < MAX_FED_BYTES:
+        try:
+            assert not context.buffer.feed(b"x" * size)
+        except ConnectionBrokenError as error:
+            context.error = error
+        context.fed_bytes += size
+    context.chunk_bytes = size
+
+
+@then("it has refused the event after {limit:d} bytes")
+def then_refused(context, limit):
+    assert context.error is not None
+    assert limit < context.fed_bytes <= limit + context.chunk_bytes, context.fed_bytes
+
+
 @given("a router before {count:d} upstreams")
 def given_router(context, count):
     context.upstream_states = UpstreamStates()
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -58,12 +58,20 @@
     body: bytes = b""
 
 
+@dataclass(slots=True, frozen=True)
+class EndlessEvent:
+    """Sends an event that never ends, until the connection is closed."""
+
+    chunk_bytes: int = 16_384
+    pause_seconds: float = 0.0
+
+
 @dataclass(slots=True, frozen=True)
 class Hanging:
     """Runs the request and never answers."""
 
 
-Behaviour = Answered | Declined | Streaming | Broken | Hanging
+Behaviour = Answered | Declined | Streaming | Broken | EndlessEvent | Hanging
 
 
 @dataclass(slots=True, frozen=True)
@@ -211,6 +219,8 @@
                         h11.Data(data=body),
                     )
                 _reset(writer)
+            case EndlessEvent():
+                await _stream_without_end(behaviour, self._own_headers(seen), connection, writer)
             case Hanging():
                 await asyncio.sleep(3600)
 
@@ -285,6 +295,19 @@
             _reset(writer)
 
 
+async def _stream_without_end(
+    behaviour: EndlessEvent,
+    headers: list[tuple[bytes, bytes]],
+    connection: h11.Connection,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Send an event until the connection is closed."""
+    await _send(connection, writer, _stream_head(headers), h11.Data(data=b"data: "))
+    while not writer.is_closing():
+        await _send(connection, writer, h11.Data(data=b"x" * behaviour.chunk_bytes))
+        await asyncio.sleep(behaviour.pause_seconds)
+
+
 def _stream_head(headers: list[tuple[bytes, bytes]]) -> h11.Response:
     """Return the head of a stream of events."""
     headers = [*headers, (b"content-type", b"text/event-stream")]
