Extend no limit that a write leaves out, and prove it from when a successor listens

Two ways to overspend, found by reading the change again; callers would have got tokens twice. A successor's process may begin before its predecessor has ended, and so proved too much. The proof counts from when the successor listens on the addresses of its predecessor; the limit is binding for 4 s, as the start lies within it now.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -227,7 +227,7 @@
     And upstream llm-1 of service llm that "streams 5 events"
     When gateway 1 knows that all hold 198 tokens
     And the store goes silent
-    And 4 seconds pass at the gateway
+    And 5 seconds pass at the gateway
     And gateway 1 is asked to stream /draft/a for at most 500 tokens
     Then the gateway answers 200
 
@@ -278,7 +278,7 @@
     And upstream llm-1 of service llm that "streams 5 events"
     When gateway 1 knows that all hold 495 tokens
     And the store goes silent
-    And 4 seconds pass at the gateway
+    And 5 seconds pass at the gateway
     And gateway 1 is asked to stream /draft/a for at most 400 tokens
     And gateway 1 is asked to stream /draft/a for at most 400 tokens
     Then the gateway answers in turn 200, 429
--- a/features/gateway_budgets.feature
+++ b/features/gateway_budgets.feature
@@ -108,7 +108,7 @@
     Examples:
       | seconds | tokens |
       | 0       | 311    |
-      | 4       | 3118   |
+      | 5       | 3118   |
 
   Scenario: A holder without tokens notices what others have given back
     Given 2 token holders and a budget of 9000 tokens
@@ -209,6 +209,17 @@
       | restarts, outages and stops            | 37   |
       | restarts, cuts, lost answers and stops | 38   |
 
+  Scenario: A workspace that is taken out and put back gets tokens that were spent
+    Given 3 token holders and a budget of 900000 tokens
+    When 4 seconds pass for the holders
+    And the store goes away
+    And 4 seconds pass for the holders
+    And the holders spend all that they hold
+    And the store is back, and the configuration without the workspace, for 3 seconds
+    And all holders are killed 1 times and others start on their vms 1.2 seconds later
+    And 3 seconds pass for the holders
+    Then no write has counted less than what the holders that it removed had used
+
   Scenario: A holder that stops while the store is away strands nothing
     Given 3 token holders and a budget of 9000 tokens
     When 4 seconds pass for the holders
--- a/features/steps/gateway_budgets.py
+++ b/features/steps/gateway_budgets.py
@@ -12,6 +12,7 @@
     WorkspaceBudget,
     update_allotment,
 )
+from quinceferry_gateway.catalog import Configuration, Workspace
 from quinceferry_gateway.peers import ReserveRequest, Settlement
 from quinceferry_lab.virtual_time import run_virtual
 
@@ -22,6 +23,8 @@
 CALM_SECONDS = 6.0
 """Time without faults in which all holders write the record."""
 MIN_USED_TOKENS = 100_000
+MIN_HELD_TOKENS = 50_000
+OTHER = "orchestra"
 
 
 @given("{count:d} token holders and a budget of {prepaid:d} tokens")
@@ -119,6 +122,30 @@
     context.acts.append(stop)
 
 
+@when("the holders spend all that they hold")
+def when_spend_all(context):
+    async def spend(bench):
+        for name, holder in bench.holders_by_name.items():
+            reserved = holder.reserve("all", WORKSPACE, bench.prepaid).reserved
+            assert reserved > MIN_HELD_TOKENS, reserved
+            holder.settle(Settlement("all", WORKSPACE, reserved))
+            bench.count_used(name, reserved)
+
+    context.acts.append(spend)
+
+
+@when("the store is back, and the configuration without the workspace, for {seconds:d} seconds")
+def when_back_without(context, seconds):
+    async def back(bench):
+        for board in bench.boards_by_name.values():
+            board.configuration = Configuration(2, {}, {}, {OTHER: Workspace(OTHER, 9_000)})
+        bench.kv.faults.outage = False
+        bench.refresh()
+        await bench.clock.sleep(seconds)
+
+    context.acts.append(back)
+
+
 @when("the store is back for {seconds:d} seconds")
 def when_back(context, seconds):
     async def back(bench):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -7,7 +7,7 @@
 from functools import cache
 
 from quinceferry_core.adapters import KvStore
-from quinceferry_core.clocks import Clock, MachineTime, machine_time, suspended_seconds
+from quinceferry_core.clocks import Clock, machine_time, suspended_seconds
 from quinceferry_core.quarantine import Quarantine
 from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
@@ -76,7 +76,6 @@
     :param dialect: translates the headers of the platform.
     :param create_listeners: creates additional listeners, for calls whose format the platform
         defines.
-    :param started_at: when the process began, now if it is None.
     """
 
     def __init__(
@@ -90,7 +89,6 @@
         metrics: Metrics,
         http: HttpClient,
         create_listeners: ListenerFactory,
-        started_at: MachineTime | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
@@ -114,7 +112,6 @@
             settings.budgets,
             rng,
             machine_time,
-            started_at or machine_time(),
             metrics,
         )
         self.reservations = Reservations(board, self.holder, peers, clock, settings.budgets)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/spending_limits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/spending_limits.py
@@ -8,8 +8,9 @@
 
 The successor on the same vm proves that its predecessor had not come to that. Each write carries
 the time at which it was begun, on the clocks of the machine, and the limit binds for a fixed time
-from then on. If the successor's process began within that time, its predecessor had terminated
-while the limit was binding, and whatever exceeds it is unspent.
+from then on. If the successor listened on the addresses of its predecessor within that time, this
+one had terminated while the limit was binding, and whatever exceeds it is unspent. The start of the
+successor's process shows less: both may run for a moment.
 """
 
 from quinceferry_core.clocks import MachineTime
@@ -66,8 +67,8 @@
 
     :param sent: time that the last write of its predecessor carries, None without one.
     :param seconds: how long the limits were binding from then on.
-    :param successor: when the process of the successor began. It listens on the addresses of its
-        predecessor, which has therefore terminated.
+    :param successor: when the successor listened on the addresses of its predecessor, which had
+        therefore terminated.
     """
     if sent is None:
         return "no time in the record"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -76,7 +76,6 @@
     :param settings: how many gateways hold tokens, and how many tokens they hold.
     :param rng: adds jitter to the times of draws.
     :param machine_time: returns the time on the clocks of this machine.
-    :param started_at: when this process began, on those clocks.
     :param metrics: counts the tokens of predecessors.
     """
 
@@ -88,7 +87,6 @@
         settings: BudgetSettings,
         rng: random.Random,
         machine_time: Callable[[], MachineTime],
-        started_at: MachineTime,
         metrics: Metrics,
     ) -> None:
         super().__init__()
@@ -112,11 +110,12 @@
         self._write_offs = WriteOffs(blackboard, metrics)
         self._machine_time = machine_time
         self._limit_period = LimitPeriod(settings.limit_seconds)
-        self._predecessors = Predecessors(blackboard, started_at, metrics)
+        self._predecessors = Predecessors(blackboard, metrics)
 
     async def start(self) -> None:
-        """Start drawing."""
+        """Start drawing; this gateway listens on its addresses already."""
         self._role.record_start()
+        self._predecessors.record_start(self._machine_time())
         self.spawn(self._keep_allotments(), "allotments")
 
     def available_by_workspace(self) -> dict[str, int]:
@@ -470,6 +469,7 @@
             allotments_by_workspace[name] = self._targets.update(
                 name, account, holder_count, requested_tokens
             )
+        self._shared_budgets.remove_limits(self._own_incarnation, allotments_by_workspace)
         self._record_write()
         return allotments_by_workspace
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/predecessors.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/predecessors.py
@@ -11,22 +11,26 @@
 class Predecessors:
     """Returns the tokens that terminated holders on this vm cannot have spent.
 
-    Only the successor on the vm does this: it listens on the addresses of its predecessors, and its
-    clocks are theirs. A predecessor is decided on once, when the record contains its last write.
+    Only the successor on the vm does this: its clocks are those of its predecessors, which had
+    terminated when it began to listen on their addresses. A predecessor is decided on once, when
+    the record contains its last write.
 
-    :param started_at: when the process of this holder began.
     :param metrics: counts the tokens that are returned and those that are lost.
     """
 
-    __slots__ = ("_blackboard", "_closed", "_metrics", "_reasons_by_holder", "_started_at")
+    __slots__ = ("_blackboard", "_closed", "_listens_since", "_metrics", "_reasons_by_holder")
 
-    def __init__(self, blackboard: Blackboard, started_at: MachineTime, metrics: Metrics) -> None:
+    def __init__(self, blackboard: Blackboard, metrics: Metrics) -> None:
         self._blackboard = blackboard
-        self._started_at = started_at
+        self._listens_since: MachineTime | None = None
         self._metrics = metrics
         self._closed: dict[str, dict[str, int]] = {}
         self._reasons_by_holder: dict[str, str] = {}
 
+    def record_start(self, now: MachineTime) -> None:
+        """Record that this gateway listens on its addresses since now."""
+        self._listens_since = now
+
     def are_undecided(self, budgets: SharedBudgets) -> bool:
         """Return whether the record has a predecessor that may have unspent tokens."""
         return bool(self._undecided(budgets))
@@ -37,7 +41,7 @@
         self._reasons_by_holder.clear()
         for holder in self._undecided(budgets):
             write = budgets.last_write(holder)
-            reason = missing_proof(write.begun_at, write.limit_seconds, self._started_at)
+            reason = missing_proof(write.begun_at, write.limit_seconds, self._listens_since)
             if reason:
                 self._reasons_by_holder[holder] = reason
             else:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/shared_budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/shared_budgets.py
@@ -1,5 +1,7 @@
 """Reads the budget record from the store and writes it by compare-and-swap."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from quinceferry_core.adapters import ABSENT_VERSION, KvEntry, KvStore
@@ -79,6 +81,15 @@
         for holder in self._record.writes_by_holder.keys() - self.holders():
             del self._record.writes_by_holder[holder]
 
+    def remove_limits(self, holder: str, updated_workspaces: Collection[str]) -> None:
+        """Remove the spending limits of a holder in all workspaces that this write does not update.
+
+        The time of the write would otherwise extend limits that the holder has exceeded meanwhile.
+        """
+        for workspace, budget in self._record.budgets_by_workspace.items():
+            if workspace not in updated_workspaces and holder in budget.allotments_by_holder:
+                budget.allotments_by_holder[holder].limit = None
+
     def close(self, holder: str) -> dict[str, int]:
         """Remove a terminated holder whose limits were binding to the end.
 
