--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -190,10 +190,13 @@
         return max(0, min(self.equal_share, self.headroom))
 
 
+SPENDABLE_MARGIN = 1.5
+"""How many times the tokens that the first seconds of an outage take on average may be spent in
+them; large requests come unevenly."""
 IDLE_SPENDABLE_SHARE = 0.1
 """Share of the target that the holders of a workspace without spending may spend before they write
 again. A request that needs more draws while the store answers."""
-WRITE_INTERVAL_SECONDS = 1.5
+WRITE_INTERVAL_SECONDS = 1.0
 """Time after which a holder writes the record again, so that its spending limits stay binding."""
 
 
@@ -216,7 +219,8 @@
     ``surplus_share`` times its equal share.
 
     Spending limits are binding for ``limit_seconds`` after a write, and let all holders together
-    spend ``spendable_share`` of the target at least while the workspace is used.
+    spend up to ``spendable_share`` of the target while the workspace is used, as far as it may need
+    that until they end.
     """
 
     held_share: float
@@ -260,10 +264,10 @@
             return int(IDLE_SPENDABLE_SHARE * target_tokens)
         lasting_seconds = max(0, remaining) / tokens_per_second
         bridged_seconds = self.limit_seconds + WRITE_INTERVAL_SECONDS
-        scale = min(1.0, lasting_seconds / self.ample_seconds)
-        bridged_tokens = scale * bridged_seconds * tokens_per_second
-        min_tokens = self.spendable_share * target_tokens
-        return int(min(target_tokens, max(min_tokens, bridged_tokens)))
+        bridged_tokens = bridged_seconds * tokens_per_second
+        most_tokens = min(self.spendable_share * target_tokens, SPENDABLE_MARGIN * bridged_tokens)
+        least_tokens = min(1.0, lasting_seconds / self.ample_seconds) * bridged_tokens
+        return int(min(target_tokens, max(most_tokens, least_tokens)))
 
     def allowance(
         self, target_tokens: int, spendable_tokens: int, holders: int, idle_elsewhere: int
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -103,9 +103,9 @@
 
     ``limit_seconds`` is how long a holder keeps to the spending limits of the record after it has
     written it. It must exceed the time from the last write of a killed gateway until its successor
-    listens: two seconds between writes, and the time that a restart takes. What limits
-    allow is lost with a killed holder. It lasts for this time, and is ``spendable_share`` of what
-    the holders keep at least while the workspace is used.
+    listens: about a second between writes, and the time that a restart takes. What limits
+    allow is lost with a killed holder. It lasts for this time, and is up to ``spendable_share`` of
+    what the holders keep.
     """
 
     held_share: float = 0.35
@@ -113,7 +113,7 @@
     max_holders: int = 12
     few_holders: int = 5
     margin_share: float = 0.01
-    limit_seconds: float = 4.0
+    limit_seconds: float = 3.5
     spendable_share: float = 0.5
 
 
