Limit spending in large fleets by what is held only

Suspected cause, not traced: a few holders serve all gateways, and a limit for seconds of spending is below one large request, so that requests ask several holders and wait for draws. Change: a limit of a large fleet is all that is held, as before there were limits. Killed holders lose there what they lost before.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -144,5 +144,13 @@
         rate = self._rates.tokens_per_second(workspace)
         target = self._policy.target_tokens(remaining, rate, self._outages.longest_seconds)
         spendable = self._policy.spendable_tokens(remaining, rate, target)
+        if self._is_large_fleet():
+            # A few holders serve the requests of all gateways, and a limit that lasts for seconds
+            # is below one large request of most workspaces.
+            spendable = target
         idle_elsewhere = idle_tokens(budget, members - {self._blackboard.own.incarnation})
         return self._policy.allowance(target, spendable, holder_count, idle_elsewhere)
+
+    def _is_large_fleet(self) -> bool:
+        """Return whether only a few gateways hold tokens."""
+        return len(self._blackboard.usable_members()) > self._settings.max_holders
