State once which fleets are large, and drop a reason that cannot occur

The size above which only a few gateways hold tokens was compared in three places, one of them new; is_large_fleet says it for all that depends on it. The limit of a large fleet is no longer computed and then replaced. A predecessor is decided on only if the record has its last write, so a proof without one cannot be asked for.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/allotment_targets.py
@@ -11,6 +11,7 @@
     update_allotment,
 )
 from quinceferry_gateway.decisions.outages import OutageHistory
+from quinceferry_gateway.holder_role import is_large_fleet
 from quinceferry_gateway.settings import BudgetSettings
 from quinceferry_gateway.shared_budgets import SharedBudgets
 from quinceferry_gateway.spending import SpendingRates
@@ -143,14 +144,11 @@
         remaining = remaining_tokens(budget, self.drawable_tokens(workspace), members)
         rate = self._rates.tokens_per_second(workspace)
         target = self._policy.target_tokens(remaining, rate, self._outages.longest_seconds)
-        spendable = self._policy.spendable_tokens(remaining, rate, target)
-        if self._is_large_fleet():
+        if is_large_fleet(self._blackboard, self._settings):
             # A few holders serve the requests of all gateways, and a limit that lasts for seconds
             # is below one large request of most workspaces.
             spendable = target
+        else:
+            spendable = self._policy.spendable_tokens(remaining, rate, target)
         idle_elsewhere = idle_tokens(budget, members - {self._blackboard.own.incarnation})
         return self._policy.allowance(target, spendable, holder_count, idle_elsewhere)
-
-    def _is_large_fleet(self) -> bool:
-        """Return whether only a few gateways hold tokens."""
-        return len(self._blackboard.usable_members()) > self._settings.max_holders
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -279,9 +279,9 @@
         :param holders: number of holders.
         :param idle_elsewhere: idle tokens of all other live holders.
         """
-        share = max(1, holders)
+        count = max(1, holders)
         headroom = target_tokens - idle_elsewhere
-        return Allowance(target_tokens // share, headroom, spendable_tokens // share)
+        return Allowance(target_tokens // count, headroom, spendable_tokens // count)
 
     def is_write_due(
         self, account: Account, unreported: int, allowance: Allowance, undrawn: int
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/spending_limits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/spending_limits.py
@@ -62,16 +62,14 @@
         return now.boot_seconds - self._sent.boot_seconds if self._sent else float("inf")
 
 
-def missing_proof(sent: MachineTime | None, seconds: float, successor: MachineTime) -> str:
+def missing_proof(sent: MachineTime, seconds: float, successor: MachineTime) -> str:
     """Return why a successor cannot prove that a limit was binding to the end, empty if it can.
 
-    :param sent: time that the last write of its predecessor carries, None without one.
+    :param sent: time that the last write of its predecessor carries.
     :param seconds: how long the limits were binding from then on.
     :param successor: when the successor listened on the addresses of its predecessor, which had
         therefore terminated.
     """
-    if sent is None:
-        return "no time in the record"
     if not sent.boot_id or sent.boot_id != successor.boot_id:
         return "the machine has booted"
     elapsed_seconds = successor.boot_seconds - sent.boot_seconds
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder_role.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder_role.py
@@ -29,6 +29,11 @@
 same moment. Without it, five of twenty writes conflict."""
 
 
+def is_large_fleet(board: Blackboard, settings: BudgetSettings) -> bool:
+    """Return whether only a few of the gateways hold tokens."""
+    return len(board.usable_members()) > settings.max_holders
+
+
 def holder_vms(board: Blackboard, settings: BudgetSettings) -> list[str]:
     """Return the vms whose gateways hold tokens: all of a small fleet, a few of a large one.
 
@@ -70,9 +75,8 @@
         """
         if self._blackboard.members_changed_at is None:
             return False
-        is_small_fleet = len(self._blackboard.usable_members()) <= self._settings.max_holders
         if (
-            is_small_fleet
+            not is_large_fleet(self._blackboard, self._settings)
             and not self._are_members_stable()
             and not self._are_members_unchanged_for(SMALL_FLEET_STABLE_SECONDS)
         ):
@@ -92,8 +96,7 @@
         """
         if not self.is_candidate:
             return 0
-        is_large_fleet = len(self._blackboard.usable_members()) > self._settings.max_holders
-        if is_large_fleet:
+        if is_large_fleet(self._blackboard, self._settings):
             is_fleet_known = record_exists or self._are_members_stable()
             return self._settings.few_holders if is_fleet_known and self._is_first_draw_due() else 0
         if self._are_members_stable():
