Log the software version of upstreams, and which request a stream resumes

Callers received streams with events of two software versions. No log line could tell a continuation at another version within one answer from one that a caller asked for elsewhere, nor either from an upstream that was replaced at its address: the version in the upstream's entry was not decoded, and the caller's reference to its first request was passed through unread.

upstream.added and attempt.* now have the version, and attempt.* the request that is resumed. No decision depends on either yet. features platform_wire, gateway and docs pass.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
@@ -62,8 +62,11 @@
         "request": progress.call.request_id,
         "upstream": placement.upstream.id,
         "address": placement.upstream.address,
+        "version": placement.upstream.software_version,
         "attempt": len(progress.tried_upstream_ids),
     }
+    if progress.call.resumed_request_id:
+        fields["resumes"] = progress.call.resumed_request_id
     if placement.uncached_tokens:
         fields["unread"] = placement.uncached_tokens
         fields["backlog_seconds"] = round(placement.backlog_seconds, 3)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -198,7 +198,7 @@
     in one lifetime does not apply to the next. ``registration`` is the revision of the store at
     which its entry was created: it changes when the lease of the entry expired and the upstream
     registered again. ``cold_seconds`` is how much longer it stays cold, infinite if its entry has
-    an invalid time.
+    an invalid time. ``software_version`` is that of its program, not of its models.
     """
 
     id: str
@@ -210,6 +210,7 @@
     started_at: float = 0.0
     registration: int = 0
     cold_seconds: float = 0.0
+    software_version: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -233,7 +234,8 @@
     """One request of a caller, with its body and headers undecoded.
 
     ``headers`` are those that are forwarded to an upstream. ``resume_after`` identifies the last
-    event that the caller already has.
+    event that the caller already has, and ``resumed_request_id`` its request that received the
+    first event of the stream; both are empty for a new request.
     """
 
     request_id: str
@@ -249,6 +251,7 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: str = ""
+    resumed_request_id: str = ""
 
     @property
     def max_tokens(self) -> int:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -286,6 +286,7 @@
                     upstream=upstream_id,
                     service=item.service,
                     addr=item.address,
+                    version=item.software_version,
                     origin=origin,
                 )
             elif item.draining and not previous.draining:
