--- /dev/null
+++ b/features/gateway_stream_versions.feature
@@ -0,0 +1,38 @@
+Feature: Streams across software versions of upstreams
+  What two versions of an upstream's software write does not fit together, so a stream that breaks may
+  go on only at the version that began it: within one answer, and when its caller resumes it at any gateway.
+
+  Scenario: A broken stream goes on at an upstream of another version
+    Given a fleet with 1 gateways, and upstreams of version v1 (3) and version v2 (3) whose first streams break
+    When gateway 1 gets 12 streams
+    Then all of them are whole, and each has events of one version
+
+  Scenario: A broken stream whose version has no other upstream ends at another version
+    Given a fleet with 1 gateways, and upstreams of version v1 (1) and version v2 (1) whose first streams break
+    When gateway 1 gets 2 streams
+    Then both are broken at once, and each has events of one version
+
+  Scenario: A stream that its caller resumes at another gateway goes on at another version
+    Given a fleet with 3 gateways, and upstreams of version v1 (3) and version v2 (3)
+    When callers receive 24 streams, and resume each at another gateway
+    Then all of them are whole, and each has events of one version
+
+  Scenario: A stream that its caller resumes twice goes on at another version
+    Given a fleet with 3 gateways, and upstreams of version v1 (3) and version v2 (3)
+    When callers receive 24 streams, and resume each at two other gateways in turn
+    Then all of them are whole, and each has events of one version
+
+  Scenario: A stream that nobody knows any more is resumed at any version
+    Given a fleet with 2 gateways, and upstreams of version v1 (3) and version v2 (3)
+    When a caller resumes a stream that no gateway knows
+    Then it is refused at once with 503, and reaches no upstream
+
+  Scenario: A stream whose version has left is resumed at another one
+    Given a fleet with 2 gateways, and upstreams of version v1 (1) and version v2 (1)
+    When a caller receives a stream, its upstream leaves, and the caller resumes it at another gateway
+    Then it is refused at once with 503, and reaches no upstream
+
+  Scenario: A stream whose route has moved to another service is resumed there
+    Given a fleet with 2 gateways, and 2 upstreams of each of two services
+    When a caller receives a stream, its route moves to the other service, and the caller resumes it
+    Then it is refused at once with 503, and reaches no upstream
