Let streams go on only at the software version that began them

Callers received streams whose events came from two software versions of an upstream, within one answer or after they had resumed a stream elsewhere; upstreams don't check that, and what two versions write does not fit together.

Cause: a continuation was placed like a new request. The version of an upstream was not read, so that any upstream of the service was a candidate after a break; and a gateway at which a caller resumed a stream knew nothing of the gateway and the upstream that had begun it. An upstream replaced at its address is not the cause: it answers 421.

Service and version are now kept with the request from the first event on, and just before that event is sent on three peers, which the request's identifier selects, are told in one datagram each. A gateway that is asked to go on takes the origin from its own records or from the first of eight peers that knows it. An unknown origin, a version without upstreams, and a service that left the route are refused at once with 503; a broken answer without another upstream of its version ends at once. A stopping gateway passes its records on. Both sides of a forwarded stream state the origin to each other.

Why it holds: an origin never changes and is looked up, never guessed from a list that may be stale, so a gateway out of touch refuses where it can't know.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -162,6 +162,8 @@
     metrics.count_permit("granted")
     metrics.count_attempt("s", "answered")
     metrics.count_forwarded_request("sent", "answered")
+    metrics.count_stream_origin_lookup("own")
+    metrics.observe_stream_origins(lambda: 1)
     metrics.observe_unreachable_services(lambda: 1)
     metrics.count_request_while_stopping()
     metrics.count_request_ended_by_stop()
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -36,6 +36,7 @@
 from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
 
@@ -275,6 +276,12 @@
     def count_permit(self, result):
         """Count nothing."""
 
+    def count_stream_origin_lookup(self, found):
+        """Count nothing."""
+
+    def observe_stream_origins(self, count):
+        """Serve nothing."""
+
 
 class Deserted:
     """Connections to addresses at which nobody listens."""
@@ -338,6 +345,7 @@
         self.permits = SendPermits(
             board, self.upstream_states, self.cold_starts, calls, clock, Uncounted()
         )
+        self.origins = StreamOrigins(board, self.port, calls, clock, Uncounted())
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
         self._controllers += [self.reachability, self.crashes, records, calls]
--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -36,3 +36,15 @@
     Given a fleet with 2 gateways, and 2 upstreams of each of two services
     When a caller receives a stream, its route moves to the other service, and the caller resumes it
     Then it is refused at once with 503, and reaches no upstream
+
+  Scenario: A stream that went through a peer is resumed at another version
+    Given a fleet with 3 gateways, and upstreams of version v1 (3) and version v2 (3)
+    And gateway 1 of the fleet reaches no upstream
+    When callers receive 24 streams, and resume each at another gateway
+    Then all of them are whole, and each has events of one version
+
+  Scenario: A stream that a peer can't finish goes on at another version through another peer
+    Given a fleet with 3 gateways, and upstreams of version v1 (3) and version v2 (3) whose first streams break
+    And gateway 1 of the fleet reaches no upstream
+    When gateway 1 gets 12 streams
+    Then each of them has events of one version
--- a/features/steps/gateway_stream_versions.py
+++ b/features/steps/gateway_stream_versions.py
@@ -11,6 +11,8 @@
 EVENTS = 6
 EVENTS_BEFORE_BREAK = 2
 MAX_ATTEMPTS = 4
+PROBES = 30
+"""Requests after which a gateway must know that it reaches no upstream."""
 AT_ONCE_SECONDS = 1.5
 """Far below the time limits of a scenario's requests, and above what a slow machine takes."""
 WHOLE = Streaming(EVENTS)
@@ -69,6 +71,21 @@
     add_versions(context, gateways, [("v1", count), ("v1", count)], services=("llm", "other"))
 
 
+@given("gateway 1 of the fleet reaches no upstream")
+def given_cut(context):
+    async def cut(scene):
+        scene.cut_links(0, refuses=True)
+        board = scene.applications[0].blackboard
+        for number in range(PROBES):
+            if "llm" in board.unreachable_services:
+                break
+            await ask(scene, f"probe{number}")
+        assert "llm" in board.unreachable_services
+        scene.answers.clear()
+
+    context.scene.acts.append(cut)
+
+
 async def ask(scene, request_id, gateway=0, **headers):
     """Send a request for a stream and return its answer, with the time until it ended."""
     sent_at = asyncio.get_running_loop().time()
@@ -218,6 +235,13 @@
     assert not mixed_streams(context), mixed_streams(context)
 
 
+@then("each of them has events of one version")
+def then_unmixed(context):
+    context.scene.play()
+    assert not mixed_streams(context), mixed_streams(context)
+    assert any(item.whole for item in context.scene.answers), context.scene.answers
+
+
 @then("both are broken at once, and each has events of one version")
 def then_broken(context):
     context.scene.play()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -27,6 +27,8 @@
     NO_UPSTREAM = "no_upstream"
     ZONE_EVACUATED = "zone_evacuated"
     NO_HOME_UPSTREAM = "no_home_upstream"
+    NO_COMPATIBLE_UPSTREAM = "no_compatible_upstream"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     UPSTREAMS_REFUSED = "upstreams_refused"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     UPSTREAMS_LIMITED = "upstreams_limited"
@@ -54,6 +56,8 @@
     Reason.NO_UPSTREAM: 503,
     Reason.ZONE_EVACUATED: 503,
     Reason.NO_HOME_UPSTREAM: 503,
+    Reason.NO_COMPATIBLE_UPSTREAM: 503,
+    Reason.STREAM_ORIGIN_UNKNOWN: 503,
     Reason.UPSTREAMS_REFUSED: 503,
     Reason.UPSTREAMS_UNREACHABLE: 503,
     Reason.UPSTREAMS_LIMITED: 503,
@@ -77,6 +81,8 @@
     Reason.BUDGET_UNTIL_STORE: 2.0,
     Reason.NO_UPSTREAM: 0.4,
     Reason.ZONE_EVACUATED: 2.0,
+    Reason.NO_COMPATIBLE_UPSTREAM: 1.0,
+    Reason.STREAM_ORIGIN_UNKNOWN: 0.3,
     Reason.UPSTREAMS_REFUSED: 0.3,
     Reason.UPSTREAMS_UNREACHABLE: 0.5,
     Reason.TIMED_OUT_UNSENT: 0.3,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -46,6 +46,7 @@
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.stop_requests import StopRequest
+from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
 from quinceferry_gateway.upstream_reader import UpstreamReader
@@ -180,7 +181,9 @@
         selector = UpstreamSelector(
             board, upstream_states, placer, permits, clock, settings.gateway.region_of
         )
-        exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals, reachability)
+        self._origins = origins = StreamOrigins(board, port, calls, clock, metrics)
+        self._controllers.append(origins)
+        exchanges = UpstreamExchanges(dialect, http, clock, metrics, signals, reachability, origins)
         forwarder = RequestForwarder(board, dialect, exchanges, clock, random.Random(), metrics)
         relay = Relay(
             board,
@@ -208,6 +211,7 @@
             ConfigurationFreshness(
                 board, copies, clock, freshness_settings.configuration_milliseconds / 1000
             ),
+            origins,
         )
         self.listeners = Listeners(settings.limits.descriptors, clock, metrics)
         create = self.listeners.create
@@ -272,11 +276,13 @@
         withdrawal = asyncio.create_task(self._registration.withdraw())
         await self._clock.sleep(max(0.0, stop.callers_left_at - self._clock.monotonic()))
         return_task = asyncio.create_task(self._return_tokens())
+        origins_task = asyncio.create_task(self._origins.hand_over())
         await self._serve_last_requests(stop)
         await self._finish_by(
             stop.closed_at,
             self.reservations.finish(),
             return_task,
+            origins_task,
             withdrawal,
             self._wait_while(self._count_open_connections, stop.closed_at),
         )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/callers.py
@@ -36,6 +36,7 @@
 from quinceferry_gateway.progress import CallerStream, Progress
 from quinceferry_gateway.relay import Relay
 from quinceferry_gateway.reservations import Reservation, Reservations, Shortage
+from quinceferry_gateway.stream_origins import StreamOrigins, decode_origin, without_origin
 
 _OVERSIZED_HEADERS_STATUS = 431
 MAX_FORWARDED_IN_PROGRESS = 128
@@ -51,6 +52,7 @@
     :param rng: draws the service of a split route and adds jitter to retry times.
     :param crashes: records which content is in quarantine.
     :param freshness: determines whether the configuration is recent enough.
+    :param origins: finds out where a stream began that a caller resumes.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         rng: random.Random,
         crashes: CrashMonitor,
         freshness: ConfigurationFreshness,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins = origins
         self._crashes = crashes
         self._freshness = freshness
         self._blackboard = blackboard
@@ -203,6 +207,7 @@
             target += b"?" + scope["query_string"]
         # The mark of a forwarded request concerns gateways only.
         headers = [item for item in scope["headers"] if item[0] != FORWARDED_HEADER]
+        headers = without_origin(headers)
         call = self._dialect.decode_call(scope["method"], target, scope["path"], headers, body)
         # The configuration may have changed while the body was being read.
         configuration = self._blackboard.configuration or configuration
@@ -260,6 +265,7 @@
             exchange.send,
             EventBuffer(call.resume_after),
             StreamPace(started_at),
+            origin=decode_origin(exchange.scope["headers"]) if exchange.is_forwarded else None,
         )
         demand = Demand.from_call(call, route.max_pause_seconds)
         service = self._draw_service(route)
@@ -285,7 +291,7 @@
 
     async def _run(self, exchange: CallerExchange, progress: Progress, started_at: float) -> None:
         """Reserve tokens, run the request, settle the tokens and answer."""
-        reservation = await self._reserve(progress)
+        reservation = await self._origins.resolve(progress) or await self._reserve(progress)
         if isinstance(reservation, Refusal):
             await self._refuse(
                 exchange, progress.call.request_id, reservation, started_at, progress
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -213,6 +213,25 @@
     software_version: str = ""
 
 
+@dataclass(slots=True, frozen=True)
+class StreamOrigin:
+    """The service and the software version of the upstream that sent a stream's first event."""
+
+    service: str
+    software_version: str
+
+    def admits(self, upstream: Upstream) -> bool:
+        """Return whether the stream may go on at an upstream."""
+        return (upstream.service, upstream.software_version) == (
+            self.service,
+            self.software_version,
+        )
+
+
+UNKNOWN_ORIGIN = StreamOrigin("", "")
+"""Origin of a stream from a gateway that does not state it; it admits no upstream."""
+
+
 @dataclass(slots=True, frozen=True)
 class UpstreamList:
     """All registered upstreams, read at one revision of the store."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TypeVar
 
 from quinceferry_core.clocks import Clock
@@ -12,7 +13,14 @@
     StreamedAnswer,
     WholeAnswer,
 )
-from quinceferry_gateway.catalog import AnswerHead, Call, RouteKind, Upstream
+from quinceferry_gateway.catalog import (
+    UNKNOWN_ORIGIN,
+    AnswerHead,
+    Call,
+    RouteKind,
+    StreamOrigin,
+    Upstream,
+)
 from quinceferry_gateway.decisions import Attempt
 from quinceferry_gateway.exceptions import ConnectionBrokenError, ForeignAnswerError
 from quinceferry_gateway.interfaces import Dialect, Headers
@@ -20,6 +28,12 @@
 from quinceferry_gateway.progress import CallerStream, Progress
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.stream_origins import (
+    StreamOrigins,
+    decode_origin,
+    encode_origin,
+    without_origin,
+)
 from quinceferry_gateway.transport import HttpClient, OpenReply
 
 R = TypeVar("R")
@@ -39,6 +53,7 @@
     :param metrics: records the timing of streams.
     :param signals: updates the state of upstreams from the headers of their answers.
     :param reachability: learns which upstreams answer.
+    :param origins: records which software version began a stream.
     """
 
     def __init__(
@@ -49,7 +64,9 @@
         metrics: Metrics,
         signals: UpstreamSignals,
         reachability: ReachabilityMonitor,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins = origins
         self._signals = signals
         self._reachability = reachability
         self._dialect = dialect
@@ -88,7 +105,7 @@
             self._reachability.connection_succeeded(upstream)
             # The sender of a forwarded request would take it for a refusal, and send it again.
             headers = [item for item in reply.headers if item[0].lower() != REFUSAL_HEADER]
-            head = self._dialect.decode_answer(reply.status, headers)
+            head = self._dialect.decode_answer(reply.status, without_origin(headers))
             self._signals.answer_received(upstream, head)
             if head.misdirected:
                 attempt.record_misdirected(self._clock.monotonic())
@@ -98,7 +115,10 @@
                 return NotRun(f"status {head.status}", True, head.misdirected)
             _check_head(call, head, upstream.address)
             attempt.record_accepted()
-            outcome = await self._forward_answer(progress, head, reply, attempt, upstream.address)
+            origin = StreamOrigin(upstream.service, upstream.software_version)
+            outcome = await self._forward_answer(
+                progress, head, reply, attempt, upstream.address, origin
+            )
             attempt.record_success()
             return outcome
 
@@ -120,9 +140,10 @@
             refusal = decode_refusal(reply.headers)
             if refusal is not None:
                 return refusal
-            head = self._dialect.decode_answer(reply.status, reply.headers)
+            origin = decode_origin(reply.headers) or UNKNOWN_ORIGIN
+            head = self._dialect.decode_answer(reply.status, without_origin(reply.headers))
             _check_head(call, head, address)
-            return await self._forward_answer(progress, head, reply, None, address)
+            return await self._forward_answer(progress, head, reply, None, address, origin)
 
     async def _forward_answer(
         self,
@@ -131,18 +152,25 @@
         reply: OpenReply,
         attempt: Attempt | None,
         address: str,
+        origin: StreamOrigin,
     ) -> WholeAnswer | StreamedAnswer:
         """Forward a stream event by event, or return a whole answer.
 
         :param attempt: the own attempt at an upstream, None if a peer makes it.
+        :param origin: the origin of a stream that begins with this answer.
         :raises ConnectionBrokenError: the answer is incomplete or too large.
         """
         if progress.route.kind is RouteKind.STREAM and head.status == OK:
-            return await self._forward_events(progress, head, reply, attempt)
+            return await self._forward_events(progress, head, reply, attempt, origin)
         return WholeAnswer(head, await _read_body(reply, address))
 
     async def _forward_events(
-        self, progress: Progress, head: AnswerHead, reply: OpenReply, attempt: Attempt | None
+        self,
+        progress: Progress,
+        head: AnswerHead,
+        reply: OpenReply,
+        attempt: Attempt | None,
+        origin: StreamOrigin,
     ) -> StreamedAnswer:
         """Forward a stream event by event.
 
@@ -165,6 +193,8 @@
                 if attempt is not None:
                     attempt.record_first_event(now)
                 stream.pace.record_event(now)
+                if not stream.head_sent:
+                    head = self._begin_stream(progress, head, origin)
                 await self._send_events(stream, head, events)
         if stream.buffer.pending:
             raise ConnectionBrokenError("stream ended within an event", step="events")
@@ -173,6 +203,20 @@
         self._metrics.record_stream(progress.workspace_name, progress.route, stream.pace)
         return StreamedAnswer(stream.buffer.count)
 
+    def _begin_stream(
+        self, progress: Progress, head: AnswerHead, origin: StreamOrigin
+    ) -> AnswerHead:
+        """Bind a stream to its origin, and return the head of the answer that is sent on."""
+        stream = progress.stream
+        if stream.origin is None:
+            stream.origin = origin
+        if stream.origin is UNKNOWN_ORIGIN:
+            return head
+        self._origins.record(progress, stream.origin)
+        if not progress.forwarded:
+            return head
+        return replace(head, headers=(*head.headers, encode_origin(stream.origin)))
+
     @staticmethod
     async def _send_events(stream: CallerStream, head: AnswerHead, events: bytes) -> None:
         """Send events to the caller, preceded by the response head if none was sent before."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/forwarding.py
@@ -25,6 +25,7 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
+from quinceferry_gateway.stream_origins import encode_origin
 
 FORWARDED_HEADER = b"quinceferry-forwarded"
 """Marks a forwarded request; its value is the number of attempts that are left."""
@@ -42,6 +43,7 @@
     {
         Reason.NO_UPSTREAM,
         Reason.NO_HOME_UPSTREAM,
+        Reason.NO_COMPATIBLE_UPSTREAM,
         Reason.ZONE_EVACUATED,
         Reason.UPSTREAMS_REFUSED,
         Reason.UPSTREAMS_LIMITED,
@@ -118,6 +120,8 @@
             resume_after=progress.stream.buffer.last_id,
         )
         headers.append((FORWARDED_HEADER, str(progress.remaining_attempts).encode()))
+        if progress.stream.origin is not None:
+            headers.append(encode_origin(progress.stream.origin))
         outcome = await self._exchange(progress, peer, headers)
         name = _outcome_name(outcome)
         self._metrics.count_forwarded_request("sent", name)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -46,6 +46,10 @@
             "quinceferry_gateway_forwarded_requests",
             description="Requests forwarded to and served for other gateways by outcome",
         )
+        self._stream_origin_lookups = meter.create_counter(
+            "quinceferry_gateway_stream_origin_lookups",
+            description="Lookups of where a resumed stream began by who knew it",
+        )
         self._requests_while_stopping = meter.create_counter(
             "quinceferry_gateway_requests_while_stopping",
             description="Requests that reached this gateway after its planned stop began",
@@ -150,6 +154,13 @@
         """
         self._forwarded_requests.add(1, {"direction": direction, "outcome": outcome})
 
+    def count_stream_origin_lookup(self, found: str) -> None:
+        """Count a lookup of where a resumed stream began.
+
+        :param found: ``own``, ``peer`` or ``unknown``.
+        """
+        self._stream_origin_lookups.add(1, {"found": found})
+
     def count_request_while_stopping(self) -> None:
         """Count a request that arrived after the planned stop began."""
         self._requests_while_stopping.add(1)
@@ -283,6 +294,14 @@
             quarantined_count,
         )
 
+    def observe_stream_origins(self, record_count: Callable[[], int]) -> None:
+        """Export the number of streams whose origin this gateway keeps."""
+        self._observe_count(
+            "quinceferry_gateway_stream_origins",
+            "Streams whose origin is kept here for callers that resume them",
+            record_count,
+        )
+
     def observe_rate_limits(self, rate_limited_count: Callable[[], int]) -> None:
         """Export the number of upstreams that limit their request rate."""
         self._observe_count(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from quinceferry_gateway.answers import WholeAnswer
-from quinceferry_gateway.catalog import AnswerHead, Call, Route, Workspace
+from quinceferry_gateway.catalog import AnswerHead, Call, Route, StreamOrigin, Workspace
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
 from quinceferry_gateway.fingerprints import request_fingerprint
@@ -16,13 +16,18 @@
 
 @dataclass(slots=True)
 class CallerStream:
-    """The answer to the caller, as far as it has been sent."""
+    """The answer to the caller, as far as it has been sent.
+
+    ``origin`` is None until the first event of the stream is known to have an origin: from an
+    upstream, or from a record if the caller resumes the stream.
+    """
 
     send_head: SendHead
     send_events: SendBytes
     buffer: EventBuffer
     pace: StreamPace
     head_sent: bool = False
+    origin: StreamOrigin | None = None
 
 
 @dataclass(slots=True)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -247,6 +247,8 @@
         if pause_seconds:
             detail = progress.last_detail or "all upstreams asked for a pause"
             return Refusal(Reason.UPSTREAMS_PAUSED, detail, retry_seconds=pause_seconds)
+        if self._selector.lacks_compatible_upstream(progress):
+            return Refusal(Reason.NO_COMPATIBLE_UPSTREAM, f"stream of {progress.stream.origin}")
         if self._selector.is_away_from_home(progress):
             return Refusal(Reason.NO_HOME_UPSTREAM, progress.last_detail)
         if self._selector.is_evacuated(progress):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -77,6 +77,12 @@
         }
         return regions is not None and bool(upstream_regions) and not upstream_regions & regions
 
+    def lacks_compatible_upstream(self, progress: Progress) -> bool:
+        """Return whether the stream has begun at a version that no listed upstream has."""
+        origin = progress.stream.origin
+        upstreams = self._blackboard.upstreams_by_id.values()
+        return origin is not None and not any(origin.admits(item) for item in upstreams)
+
     async def acquire(
         self, progress: Progress, placement: Placement | None, max_wait_seconds: float
     ) -> Placement | PermitDenied | None:
@@ -136,13 +142,18 @@
         return self._placer.place(progress.demand, candidates, progress.tried_upstream_ids, now)
 
     def _candidates(self, progress: Progress) -> list[Upstream]:
-        """Return the upstreams of the request's service that are in permitted zones."""
+        """Return the upstreams of the request's service that are in permitted zones.
+
+        A stream that has begun goes on at the software version that began it.
+        """
         board = self._blackboard
         regions = permitted_regions(progress.route, progress.workspace)
+        origin = progress.stream.origin
         return [
             item
             for item in board.upstreams_by_id.values()
             if item.service == progress.service
+            and (origin is None or origin.admits(item))
             and item.zone not in board.evacuated_zones
             and (regions is None or self._region_of(item.zone) in regions)
         ]
