Log the prompt parts of requests at crashed upstreams

Upstreams ended one after the other while callers sent requests with one prompt part in common. The log lines of the crashes name the content of each request, which differs every time, so they could not tell a common part from upstreams that end by themselves. upstream.crashed now lists the parts but the last one, as names that may stand in keys of records.

--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -220,6 +220,7 @@
     """One request with the content that crashes upstreams, as far as a crash watch looks at it."""
 
     fingerprint = "content-of-one-caller"
+    traits = ()
     call = SimpleNamespace(request_id="r")
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -174,6 +174,7 @@
             request=progress.call.request_id,
             content=progress.fingerprint,
             stage=stage.name.lower(),
+            traits=progress.traits,
         )
         self._send_to_peers(report)
         self._record_crash(report, "own", by_own_evidence=True)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fingerprints.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fingerprints.py
@@ -1,6 +1,7 @@
-"""Identifiers for the content of requests that don't reveal it."""
+"""Identifiers for the content of requests and for what they share, which don't reveal it."""
 
 import hashlib
+import re
 
 from quinceferry_gateway.catalog import Call
 
@@ -8,6 +9,11 @@
 """Size of a fingerprint, large enough that no two contents that a fleet receives in a year collide.
 """
 
+MAX_TRAITS = 16
+"""Most traits of one request."""
+_NAME_PATTERN = re.compile("[0-9A-Za-z_-]{1,64}")
+"""Names that are used as they are in the keys of records."""
+
 
 def request_fingerprint(call: Call, workspace: str) -> str:
     """Return an identifier that all requests with the same content share.
@@ -22,3 +28,24 @@
         digest.update(len(part).to_bytes(8))
         digest.update(part)
     return digest.hexdigest()
+
+
+def request_traits(call: Call, service: str) -> tuple[str, ...]:
+    """Return the names of what a request may share with others, general ones first.
+
+    These are the parts of its prompt but the last one, which belongs to the request itself. They
+    are named apart by service, since another model may bear what crashes the upstreams of one.
+    Workspaces are not told apart: a part means the same tokens in each, and a part that sound
+    requests of any workspace have is cleared by their answers.
+    """
+    return tuple(
+        f"part-{_short_name(part.id)}@{_short_name(service)}"
+        for part in call.prompt_parts[:-1][:MAX_TRAITS]
+    )
+
+
+def _short_name(text: str) -> str:
+    """Return a name itself if it can be part of a key, or else its hash."""
+    if _NAME_PATTERN.fullmatch(text):
+        return text
+    return hashlib.blake2b(text.encode("utf-8", "surrogatepass"), digest_size=16).hexdigest()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/progress.py
@@ -8,7 +8,7 @@
 from quinceferry_gateway.catalog import AnswerHead, Call, Route, StreamOrigin, Workspace
 from quinceferry_gateway.decisions import Demand
 from quinceferry_gateway.events import EventBuffer, StreamPace
-from quinceferry_gateway.fingerprints import request_fingerprint
+from quinceferry_gateway.fingerprints import request_fingerprint, request_traits
 
 SendHead = Callable[[AnswerHead], Awaitable[None]]
 SendBytes = Callable[[bytes], Awaitable[None]]
@@ -63,6 +63,7 @@
     last_failure: WholeAnswer | None = None
     last_detail: str = ""
     _fingerprint: str = field(default="", init=False, repr=False)
+    _traits: tuple[str, ...] | None = field(default=None, init=False, repr=False)
 
     def shorten(self, deadline_at: float, now: float) -> None:
         """Move the deadline forward, also for the attempt in progress.
@@ -93,6 +94,13 @@
             self._fingerprint = request_fingerprint(self.call, workspace)
         return self._fingerprint
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Return what the request may share with others, computed at the first use."""
+        if self._traits is None:
+            self._traits = request_traits(self.call, self.service)
+        return self._traits
+
     @property
     def workspace_name(self) -> str:
         """Return the name of the workspace for logs and metrics."""
