--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -13,6 +13,7 @@
 REQUEST_ID = b"x-quinceferry-request-id"
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+PROMPT_PARTS = b"x-quinceferry-prompt-prefix"
 _READ_BYTES = 65_536
 READ_SECONDS = 0.4
 """Time left to the reader before a reset, which discards what has not been read."""
@@ -88,10 +89,12 @@
 class ManagedUpstream:
     """One upstream; it plays its script, then answers with the last entry again and again.
 
-    It crashes when it begins a request with the fatal body: all its connections end, and it listens
-    no more. ``rate_limit`` is the rate limit header of its answers, omitted when empty;
-    ``arrived_at`` holds the arrival times of its requests on the event loop's clock. ``leaving``
-    adds the leaving header to all its answers.
+    It crashes when it begins a request with the fatal body, or with a fatal part in its prompt: all
+    its connections end, and it listens no more. It sends ``events_before_crash`` events before.
+    ``crashed_at`` is when it crashed on the event loop's clock, None until then. ``rate_limit`` is
+    the rate limit header of its answers, omitted when empty; ``arrived_at`` holds the arrival times
+    of its requests on the event loop's clock. ``leaving`` adds the leaving header to all its
+    answers.
     """
 
     id: str
@@ -100,6 +103,9 @@
     arrived_at: list[float] = field(default_factory=list)
     closed_by_peer: int = 0
     fatal_body: bytes = b""
+    fatal_parts: frozenset[bytes] = frozenset()
+    events_before_crash: int = 0
+    crashed_at: float | None = None
     rate_limit: str = ""
     leaving: bool = False
     _server: asyncio.Server | None = None
@@ -127,8 +133,10 @@
         """Tell whether it listens no more."""
         return not self._server.is_serving()
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Stop listening and end all other connections."""
+        if self.crashed_at is None:
+            self.crashed_at = asyncio.get_running_loop().time()
         self._server.close()
         for task in self._tasks - {asyncio.current_task()}:
             task.cancel()
@@ -156,10 +164,12 @@
         behaviour = self.script.popleft() if len(self.script) > 1 else self.script[0]
         if seen.headers.get(b"x-quinceferry-expect-instance", b"").decode() != self.id:
             behaviour = Declined(421)
-        if self.fatal_body and seen.body == self.fatal_body and not isinstance(behaviour, Declined):
+        if self.is_fatal(seen) and not isinstance(behaviour, Declined):
             await _send(connection, writer, _stream_head(self._own_headers(seen)))
+            for number in range(1, self.events_before_crash + 1):
+                await _send(connection, writer, h11.Data(data=event_bytes(number)))
             await asyncio.sleep(READ_SECONDS)
-            self._crash()
+            self.crash()
             writer.transport.abort()
             return
         play = asyncio.create_task(self._play(behaviour, seen, connection, writer))
@@ -174,6 +184,13 @@
             await asyncio.gather(play, gone, return_exceptions=True)
         writer.close()
 
+    def is_fatal(self, seen: Seen) -> bool:
+        """Tell whether a request crashes the upstream that begins to answer it."""
+        entries = seen.headers.get(PROMPT_PARTS, b"").split(b",")
+        parts = {entry.partition(b":")[0] for entry in entries}
+        is_fatal_body = bool(self.fatal_body) and seen.body == self.fatal_body
+        return is_fatal_body or bool(parts & self.fatal_parts)
+
     def _own_headers(self, seen: Seen, request_id: str = "") -> list[tuple[bytes, bytes]]:
         """Return the headers that the upstream adds to its answers."""
         named = request_id.encode() or seen.headers.get(REQUEST_ID, b"")
