Show in a test that prompts that begin alike crash all engines of a router

quinceferryd knows the content of a whole prompt only: 20 prompts with the same beginning, which crashes engines, ended all of twelve stand-in engines.

--- a/features/steps/engine_crashes.py
+++ b/features/steps/engine_crashes.py
@@ -10,6 +10,10 @@
 from quinceferry_core.outcomes import Failed, Finished, NotRun, NotRunProof, RefusalReason
 from quinceferry_lab.virtual_time import run_virtual
 
+COMMON_TEXT = "the policy of all requests " * 20
+"""Beginning of sound and fatal prompts, longer than a block of a prefix."""
+FATAL_TEXT = COMMON_TEXT + "the document that crashes engines " * 20
+
 
 def run_started(router, work):
     """Run some work while a router runs."""
@@ -30,11 +34,17 @@
     crash_engines_under(context.router, prompt)
 
 
+@given("every engine crashes under prompts that begin with a fatal text")
+def crash_under_beginning(context):
+    context.fatal = FATAL_TEXT
+    crash_engines_under(context.router, FATAL_TEXT)
+
+
 def crash_engines_under(router, prompt):
-    """Have each engine of a router's site crash when it has begun a run of a prompt."""
+    """Have each engine of a router's site crash when it has begun a run of such a prompt."""
 
     def draw(dispatch):
-        if dispatch.request.prompt == prompt:
+        if dispatch.request.prompt.startswith(prompt):
             loop = asyncio.get_running_loop()
             loop.call_later(0.04, router.site.engines_by_id[dispatch.upstream.id].crash)
 
@@ -56,6 +66,27 @@
     run_started(context.router, work)
 
 
+@when("callers send {times:d} prompts that begin with it, all different, and others between them")
+def send_different(context, times):
+    async def work():
+        context.answers = []
+        for number in range(times):
+            for other in range(2):
+                sound = request(f"s{number}-{other}", prompt=f"{COMMON_TEXT} {number} {other}")
+                await context.router.answer(sound)
+            fatal = request(f"r{number}", prompt=f"{FATAL_TEXT} and {number}")
+            context.answers.append(await context.router.answer(fatal))
+        context.crashed = [item for item in context.site.engines_by_id.values() if item.down]
+        context.other = await context.router.answer(request("other", prompt="hello"))
+
+    run_started(context.router, work)
+
+
+@then("at most {count:d} engines have crashed")
+def then_few_crashed(context, count):
+    assert len(context.crashed) <= count, len(context.crashed)
+
+
 @then("{count:d} engines have crashed")
 def then_engines_crashed(context, count):
     assert len(context.crashed) == count, [item.last for item in context.answers]
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -148,6 +148,14 @@
     And the last request failed with quarantined and did not run
     And the prompt "hello" is answered
 
+  Scenario: Prompts that begin alike crash engines one after the other
+    Given a router with 12 stand-in engines
+    And every engine crashes under prompts that begin with a fatal text
+    When callers send 20 prompts that begin with it, all different, and others between them
+    Then at most 5 engines have crashed
+    And the last request failed with quarantined and did not run
+    And the prompt "hello" is answered
+
   Scenario: Other routers refuse what one has found to crash engines
     Given a router with 8 stand-in engines
     And every engine crashes under the prompt "boom"
