--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -235,7 +235,8 @@
 
     def _handle_crash_report(self, report: CrashReport, sender: object) -> None:
         """Add the evidence of a peer."""
-        if max(map(len, (report.content, report.lifetime, *report.traits))) > MAX_ID_CHARACTERS:
+        names = (report.content, report.lifetime, report.service, *report.traits)
+        if max(map(len, names)) > MAX_ID_CHARACTERS:
             log.failure("crash.malformed", peer=str(sender))
             return
         self._record_crash(report, str(sender))
