--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/origin_records.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/origin_records.py
@@ -14,8 +14,8 @@
 from quinceferry_gateway.rendezvous import rank_candidates
 
 HOLDERS = 3
-"""Gateways that keep the record of a stream, besides the one that serves it. When more than half
-of a fleet is killed at once, the records of four streams in five remain."""
+"""Gateways that keep the record of a stream, besides the one that serves it. Most records then
+remain when more than half of a fleet is killed at once."""
 ASKED_HOLDERS = 8
 """Gateways that are asked for a record. The lists of members of two gateways may differ, so that
 the holders come later in the ranking of one than of the other."""
