Keep the records of crashes apart from the decision on them

Its records of crashed upstreams are a module of their own, traits that are there at too few events are left out before their contents are compared, and a stream of unknown origin is recognised by value.

--- a/features/steps/common_causes.py
+++ b/features/steps/common_causes.py
@@ -7,7 +7,8 @@
 
 from behave import given, then, when
 
-from quinceferry_core.common_causes import CommonCauses, RequestAtCrash
+from quinceferry_core.common_causes import CommonCauses
+from quinceferry_core.crash_records import RequestAtCrash
 from quinceferry_core.quarantine import EVIDENCE_DELAY_SECONDS, RunStage
 
 REQUIRED = 3
--- a/packages/quinceferry-core/src/quinceferry_core/common_causes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/common_causes.py
@@ -12,8 +12,9 @@
 
 from collections import deque
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from quinceferry_core.crash_records import Crash, RequestAtCrash
 from quinceferry_core.eviction import evict_oldest
 from quinceferry_core.quarantine import (
     EVIDENCE_DELAY_SECONDS,
@@ -21,8 +22,6 @@
     EXTRA_BYSTANDER_CRASHES,
     MAX_CRASHES,
     RECENT_CRASH_SECONDS,
-    RunStage,
-    suspicion,
 )
 
 SAME_EVENT_SECONDS = 0.15
@@ -42,9 +41,7 @@
 MIN_OUTCOMES = 3
 """Least number of outcomes that tell this share."""
 MAX_OUTCOMES = 512
-MAX_TRAITS_PER_CRASH = 2_048
-MAX_CONTENTS_PER_TRAIT = 8
-"""Limits of the retained state."""
+"""Most outcomes that are kept; the oldest are dropped first."""
 _ROUNDING_SECONDS = 1e-6
 """Tolerance for the end of a sleep."""
 
@@ -52,70 +49,7 @@
 """Returns the number of events after which a trait counts as a cause."""
 
 
-@dataclass(slots=True, frozen=True)
-class RequestAtCrash:
-    """A request that an upstream had when it crashed; its traits come general ones first."""
-
-    content: str
-    stage: RunStage
-    traits: tuple[str, ...]
-
-
-@dataclass(slots=True)
-class _Presence:
-    """The requests with one trait at one crash.
-
-    ``depth`` is the position of the trait among those of its requests, general ones first.
-    """
-
-    depth: int
-    suspicion: int = 0
-    contents: set[str] = field(default_factory=set)
-
-    def add(self, content: str, request_suspicion: int) -> None:
-        """Add a request; the most suspicious one counts."""
-        self.suspicion = max(self.suspicion, request_suspicion)
-        if len(self.contents) < MAX_CONTENTS_PER_TRAIT:
-            self.contents.add(content)
-
-
-@dataclass(slots=True)
-class _Crash:
-    """The crash of an upstream, and the traits of the requests that it had."""
-
-    crashed_at: float
-    service: str
-    max_suspicion: int = 0
-    presence_by_trait: dict[str, _Presence] = field(default_factory=dict)
-
-    def add(self, request: RequestAtCrash) -> None:
-        """Add a request that the upstream had."""
-        request_suspicion = suspicion(request.stage)
-        self.max_suspicion = max(self.max_suspicion, request_suspicion)
-        for depth, trait in enumerate(request.traits):
-            presence = self.presence_by_trait.get(trait)
-            if presence is None:
-                if len(self.presence_by_trait) >= MAX_TRAITS_PER_CRASH:
-                    return
-                presence = self.presence_by_trait[trait] = _Presence(depth)
-            presence.add(request.content, request_suspicion)
-
-    def is_explained_by(self, traits: Collection[str]) -> bool:
-        """Return whether one of some traits is the likely cause."""
-        return any(self.is_likely_cause(trait) for trait in traits)
-
-    def is_likely_cause(self, trait: str) -> bool:
-        """Return whether no request without the trait is a more likely cause."""
-        presence = self.presence_by_trait.get(trait)
-        return self.is_possible_cause(trait) and presence.suspicion >= self.max_suspicion
-
-    def is_possible_cause(self, trait: str) -> bool:
-        """Return whether a request with the trait can have caused the crash."""
-        presence = self.presence_by_trait.get(trait)
-        return presence is not None and presence.suspicion > suspicion(RunStage.PRODUCING)
-
-
-_Event = list[_Crash]
+_Event = list[Crash]
 """Crashes at the same time."""
 
 
@@ -138,7 +72,7 @@
     __slots__ = ("_crashes_by_lifetime", "_outcomes")
 
     def __init__(self) -> None:
-        self._crashes_by_lifetime: dict[str, _Crash] = {}
+        self._crashes_by_lifetime: dict[str, Crash] = {}
         self._outcomes: deque[_Outcome] = deque(maxlen=MAX_OUTCOMES)
 
     @property
@@ -154,7 +88,7 @@
         :param lifetime: identifies one lifetime of one upstream of the service.
         """
         self._remove_expired(now)
-        crash = self._crashes_by_lifetime.setdefault(lifetime, _Crash(now, service))
+        crash = self._crashes_by_lifetime.setdefault(lifetime, Crash(now, service))
         evict_oldest(self._crashes_by_lifetime, MAX_CRASHES)
         crash.add(request)
 
@@ -220,13 +154,13 @@
         As for content, a trait that is present again and again without one answer is no bystander,
         even if another request was a more likely cause each time.
         """
-        likely = _events_with(trait, events)
         possible = [
             event for event in events if any(crash.is_possible_cause(trait) for crash in event)
         ]
         contents = _contents(trait, possible)
-        if len(contents) < min(MIN_CONTENTS, minimum):
+        if len(possible) < minimum or len(contents) < min(MIN_CONTENTS, minimum):
             return False
+        likely = _events_with(trait, possible)
         if minimum == 1:
             return bool(likely)
         chance = self._interrupted_share(trait, possible)
--- a/packages/quinceferry-daemon/src/quinceferryd/crashes.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/crashes.py
@@ -10,7 +10,8 @@
 import structlog
 
 from quinceferry_core.clocks import Clock
-from quinceferry_core.common_causes import CommonCauses, RequestAtCrash
+from quinceferry_core.common_causes import CommonCauses
+from quinceferry_core.crash_records import RequestAtCrash
 from quinceferry_core.membership import QuarantinedContent
 from quinceferry_core.models import CallerRequest, UpstreamId
 from quinceferry_core.outcomes import Failed
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
-from quinceferry_core.common_causes import CommonCauses, RequestAtCrash
+from quinceferry_core.common_causes import CommonCauses
+from quinceferry_core.crash_records import RequestAtCrash
 from quinceferry_core.eviction import evict_oldest
 from quinceferry_core.quarantine import EVIDENCE_DELAY_SECONDS, Quarantine, RunStage
 from quinceferry_gateway.answers import Reason, Refusal
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -216,7 +216,7 @@
         stream = progress.stream
         if stream.origin is None:
             stream.origin = origin
-        if stream.origin is UNKNOWN_ORIGIN:
+        if stream.origin == UNKNOWN_ORIGIN:
             return head
         self._origins.record(progress, stream.origin)
         if not progress.forwarded:
