Show in a test that a stream of a split route is resumed at the other service

The claim that a resumed stream keeps its service had no run with a route that leads to two services.

--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -37,6 +37,12 @@
     When a caller receives a stream, its route moves to the other service, and the caller resumes it
     Then it is refused at once with 503, and reaches no upstream
 
+  Scenario: A stream of a route to two services is resumed at the other one
+    Given a fleet with 2 gateways, and 2 upstreams of each of two services
+    And the route leads to both services alike
+    When callers receive 24 streams of it, and resume each at the other gateway
+    Then all of them are whole, and each has events of one service
+
   Scenario: A stream that went through a peer is resumed at another version
     Given a fleet with 3 gateways, and upstreams of version v1 (3) and version v2 (3)
     And gateway 1 of the fleet reaches no upstream
--- a/features/steps/gateway_stream_versions.py
+++ b/features/steps/gateway_stream_versions.py
@@ -235,6 +235,39 @@
     assert not mixed_streams(context), mixed_streams(context)
 
 
+@given("the route leads to both services alike")
+def given_split(context):
+    for route in context.scene.document["routes"]:
+        if route["name"] == "draft":
+            del route["service"]
+            route["split"] = [{"service": name, "weight": 50} for name in ("llm", "other")]
+
+
+@when("callers receive {count:d} streams of it, and resume each at the other gateway")
+def when_resumed_at_other(context, count):
+    async def act(scene):
+        for number in range(count):
+            await ask(scene, f"s{number}", number % 2)
+            await resume(scene, f"s{number}", f"s{number}-again", (number + 1) % 2)
+
+    context.scene.acts.append(act)
+
+
+@then("all of them are whole, and each has events of one service")
+def then_one_service(context):
+    context.scene.play()
+    answers = context.scene.answers
+    assert all(item.status == 200 and item.whole for item in answers), answers
+    services_by_stream = defaultdict(set)
+    for name, upstream in context.scene.upstreams_by_id.items():
+        for seen in upstream.seen:
+            stream_id = seen.body.decode().split("-")[0]
+            services_by_stream[stream_id].add(context.scene.services_by_id[name])
+    assert set.union(*services_by_stream.values()) == {"llm", "other"}, services_by_stream
+    mixed = [key for key, services in services_by_stream.items() if len(services) > 1]
+    assert not mixed, mixed
+
+
 @then("each of them has events of one version")
 def then_unmixed(context):
     context.scene.play()
