--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
@@ -202,7 +202,7 @@
             )
             origin = msgspec.msgpack.decode(reply, type=OriginReply).origin
         except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
-            log.failure("origin.not_asked", peer=peer.incarnation, error=str(error))
+            log.failure("origin.unanswered", peer=peer.incarnation, error=str(error))
             return None
         return None if origin is None else StreamOrigin(*origin)
 
