Build the notice of a stream's origin in one place, and group runs of streams by one function

record and hand_over made the same message from the same record, and two checks of the streams' steps grouped runs by version and by service in loops of their own. A docstring referred to a constant that is gone.

--- a/features/steps/gateway_stream_versions.py
+++ b/features/steps/gateway_stream_versions.py
@@ -212,19 +212,23 @@
     ]
 
 
-def versions_by_stream(context):
-    """Return the versions of the upstreams that have run each stream."""
-    versions = defaultdict(set)
-    for name, upstream in context.scene.upstreams_by_id.items():
+def groups_by_stream(scene, group_by_upstream):
+    """Return the groups, such as versions, of the upstreams that have run each stream."""
+    groups = defaultdict(set)
+    for name, upstream in scene.upstreams_by_id.items():
         for seen in upstream.seen:
-            stream_id = seen.body.decode().split("-")[0]
-            versions[stream_id].add(context.version_by_upstream[name])
-    return versions
+            groups[seen.body.decode().split("-")[0]].add(group_by_upstream[name])
+    return groups
+
+
+def mixed(groups):
+    """Return the streams that upstreams of several groups have run."""
+    return [key for key, names in groups.items() if len(names) > 1]
 
 
 def mixed_streams(context):
     """Return the streams that upstreams of several versions have run."""
-    return [key for key, versions in versions_by_stream(context).items() if len(versions) > 1]
+    return mixed(groups_by_stream(context.scene, context.version_by_upstream))
 
 
 @then("all of them are whole, and each has events of one version")
@@ -258,14 +262,9 @@
     context.scene.play()
     answers = context.scene.answers
     assert all(item.status == 200 and item.whole for item in answers), answers
-    services_by_stream = defaultdict(set)
-    for name, upstream in context.scene.upstreams_by_id.items():
-        for seen in upstream.seen:
-            stream_id = seen.body.decode().split("-")[0]
-            services_by_stream[stream_id].add(context.scene.services_by_id[name])
-    assert set.union(*services_by_stream.values()) == {"llm", "other"}, services_by_stream
-    mixed = [key for key, services in services_by_stream.items() if len(services) > 1]
-    assert not mixed, mixed
+    services = groups_by_stream(context.scene, context.scene.services_by_id)
+    assert set.union(*services.values()) == {"llm", "other"}, services
+    assert not mixed(services), mixed(services)
 
 
 @then("each of them has events of one version")
--- a/packages/quinceferry-core/src/quinceferry_core/common_causes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/common_causes.py
@@ -39,7 +39,7 @@
 """The same after EXTRA_BYSTANDER_CRASHES more events: a wrong conclusion then costs less than the
 next crashes."""
 MIN_OUTCOMES = 3
-"""Least number of outcomes that tell this share."""
+"""Least number of outcomes that tell the share of interrupted requests."""
 MAX_OUTCOMES = 512
 """Most outcomes that are kept; the oldest are dropped first."""
 _ROUNDING_SECONDS = 1e-6
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
@@ -56,6 +56,12 @@
     software_version: str
     seconds: float
 
+    @classmethod
+    def from_record(cls, key: str, record: OriginRecord, now: float) -> "OriginNotice":
+        """Return the notice of a record."""
+        origin = record.origin
+        return cls(key, origin.service, origin.software_version, record.expires_at - now)
+
 
 class OriginNotices(msgspec.Struct, frozen=True, array_like=True, tag="origins"):
     """Tells holders the origins of streams."""
@@ -110,9 +116,10 @@
         now = self._clock.monotonic()
         key = stream_key(progress.call.resumed_request_id or progress.call.request_id)
         seconds = progress.route.timeout_seconds + CALLER_PAUSE_SECONDS
-        self._records.put(key, OriginRecord(origin, now + seconds), now)
+        record = OriginRecord(origin, now + seconds)
+        self._records.put(key, record, now)
         address_by_vm = self._usable_addresses()
-        notice = OriginNotice(key, origin.service, origin.software_version, seconds)
+        notice = OriginNotice.from_record(key, record, now)
         holders = record_holders(key, address_by_vm)
         self._port.send(OriginNotices([notice]), [address_by_vm[vm] for vm in holders])
 
@@ -145,8 +152,7 @@
         for number, (key, record) in enumerate(self._records.unexpired(now)):
             if number % HAND_OVER_BATCH == 0:
                 await asyncio.sleep(0)
-            origin, seconds = record.origin, record.expires_at - now
-            notice = OriginNotice(key, origin.service, origin.software_version, seconds)
+            notice = OriginNotice.from_record(key, record, now)
             for vm in holders_without(key, self._blackboard.own.vm, address_by_vm):
                 notices_by_vm[vm].append(notice)
         for vm, notices in notices_by_vm.items():
