--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,14 @@
-"""Answers whose bodies never end, in chunks of one byte, from servers in trouble.
+"""One part of a prompt ends each upstream that begins to answer on it; no two requests are alike.
 
-With TROUBLE=0 the same servers answer as the others do.
+With TROUBLE=0 the upstreams bear that part.
 """
 
 import asyncio
+import contextlib
 import json
+import os
 import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -14,118 +17,141 @@
 sys.path.insert(0, str(FOLDER.parent))
 import fleet_2 as fleet  # noqa: E402
 
-GATEWAYS = 3
-SECONDS = 60.0
-REQUESTS_PER_SECOND = 4.3  # At each gateway: 39 a second at nine machines.
-ROUTE_TIMEOUT_SECONDS = 0.8
-ROUTE_SLACK_SECONDS = 0.5  # Of the rule.
-CALLER_SECONDS = 1.5
-MIN_UNANSWERED = 8  # Fewer show nothing.
-SPOILED_SHARE = 0.05
-SPOILING_ENGINES = 2  # Of five; 'garble' spoils answers of half of the servers.
-PATHS = {"/stream/opinion/x": (8.0, 0.26), "/stream/check/x": (4.0, 0.31), "/stream/notes/x": (15.0, 0.15)}
-"""Path of each kind of stream with its time limit in seconds and its share of the requests; the
-rest are requests to the application."""
-
-
-def route(prefix: str, kind: str, timeout_ms: int, slo_ms: int, service: str, **more: object) -> dict:
-    """Return a route of the configuration."""
-    named = {"name": prefix.strip("/"), "host": "demo.example", "prefix": prefix, "kind": kind}
-    return {**named, "timeout_ms": timeout_ms, "slo_ms": slo_ms, "service": service, **more}
-
-
-STREAM = {"gap_target_ms": 500}
+GATEWAYS = 5
+UPSTREAMS = 5
+REQUESTS_PER_SECOND = 3.0  # Sound ones at each gateway: 28 a second at nine machines.
+FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "0.5"))  # In all.
+BACK_SECONDS = 3.0
+CALM_SECONDS = 6.0
+TROUBLE_SECONDS = 32.0
+CONTACT_SECONDS = 3.0  # contact_ms of the site.
+JUDGED_AFTER_CRASH = 5
+GRACE_SECONDS = 8.0  # grace_s of the site.
+MIN_REQUESTS = 20  # Of the rule, of each kind.
+CALLER_SECONDS = 8.0
+FATAL_PART = "dead"
+ENGINE = {"service": "llm", "slots": 128, "events": 20, "event_seconds": 0.05}
 CONFIGURATION = {
     "version": 1,
     "routes": [
-        route("/stream/opinion/", "stream", 8000, 800, "llm", attempts=2, resumable=True, **STREAM),
-        route("/stream/check/", "stream", 4000, 1500, "llm", attempts=1, **STREAM),
-        route("/stream/notes/", "stream", 15000, 2000, "llm", attempts=2, resumable=True, **STREAM),
-        route("/app/", "unsafe", 800, 300, "app", attempts=1),
-    ],
-    "services": [
-        {"name": "llm", "health_path": "/healthz", "max_conns": 630, "engine": {"slots": 128, "stride": 3}},
-        {"name": "app", "health_path": "/healthz", "max_conns": 110},
+        {
+            "name": "opinion",
+            "host": "demo.example",
+            "prefix": "/stream/",
+            "kind": "stream",
+            "timeout_ms": 8000,
+            "slo_ms": 800,
+            "service": "llm",
+            "attempts": 2,
+            "resumable": True,
+            "gap_target_ms": 500,
+        }
     ],
+    "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 630, "engine": {"slots": 128, "stride": 3}}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "idle_timeout_ms": 15000},
 }
 
 
-async def call(outcomes: list, gateway: fleet.Child, number: int, rng: random.Random) -> None:
-    """Send one request of the mix."""
-    draw = rng.random()
-    for path, (seconds, share) in PATHS.items():
-        draw -= share
-        if draw < 0:
-            parts = f"{rng.randrange(60):x}:600,{number + 256:x}:500"
-            headers = {"X-Quinceferry-Prompt-Prefix": parts, "X-Quinceferry-Token-Count": "1100,60"}
-            outcomes.append(await fleet.send(gateway, path, f"r{number}", seconds, headers))
-            return
-    outcomes.append(await fleet.send(gateway, "/app/x", f"r{number}", CALLER_SECONDS))
+async def keep_running(processes: fleet.Fleet, upstream: fleet.Child, fields: dict) -> None:
+    """Start an upstream again some seconds after it has ended, each time that it does."""
+    port = int(upstream.addresses["requests"].rpartition(":")[2])
+    while True:
+        await upstream.process.wait()
+        await asyncio.sleep(BACK_SECONDS)
+        upstream = await processes.start_upstream(port=port, **fields)
+
+
+async def send_requests(gateways: list, outcomes: list, calls: list, fatal_from: float) -> None:
+    """Send sound requests to all gateways, and fatal ones to any of them from a time on."""
+    rng, fatal_at = random.Random(8), fatal_from
 
+    async def send(gateway: fleet.Child, request_id: str, part: str) -> None:
+        # The first part is shared by all, the last one belongs to the request itself.
+        parts = f"a1:300,{part}:400,{request_id.encode().hex()}:500"
+        headers = {"X-Quinceferry-Token-Count": "1200,60", "X-Quinceferry-Prompt-Prefix": parts}
+        outcomes.append(
+            await fleet.send(gateway, "/stream/x", request_id, CALLER_SECONDS, headers)
+        )
 
-async def ask_ready(gateway: fleet.Child, missed: list) -> None:
-    """Ask once a second whether a gateway is ready, as the platform does."""
     while True:
-        began_at = time.time()
-        try:
-            is_ready = await fleet.is_ready(gateway)
-        except (TimeoutError, OSError, EOFError):
-            is_ready = False
-        if not is_ready:
-            missed.append(f"{gateway.name} did not answer /v1/readyz within a second at {began_at:.1f}")
-        await asyncio.sleep(max(0.0, 1.0 - (time.time() - began_at)))
+        for gateway in gateways:
+            part = f"{rng.randrange(16, 79):x}"
+            calls.append(asyncio.create_task(send(gateway, f"sound-{len(calls)}", part)))
+        if time.time() >= fatal_at:
+            fatal_at += 1 / FATAL_PER_SECOND
+            request_id = f"fatal-{len(calls)}"
+            calls.append(asyncio.create_task(send(rng.choice(gateways), request_id, FATAL_PART)))
+        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+
+
+def begun_share(outcomes: list) -> float:
+    """Return the share of requests that begun at the first attempt."""
+    return sum(item.status == 200 and bool(item.events) for item in outcomes) / max(1, len(outcomes))
+
+
+async def stop_all(gateways: list) -> int:
+    """Send SIGTERM to all gateways; return how many have ended within the grace time."""
+    for gateway in gateways:
+        gateway.send(signal.SIGTERM)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(GRACE_SECONDS):
+            await asyncio.gather(*(gateway.process.wait() for gateway in gateways))
+    return sum(gateway.process.returncode is not None for gateway in gateways)
 
 
 async def case(is_troubled: bool) -> bool:
-    """Run the case; return whether CONFIG was broken."""
-    rng = random.Random(4)
-    outcomes, missed = [], []
+    """Run the case; return whether LOST was broken."""
+    outcomes, calls = [], []
+    fatal_part = FATAL_PART if is_troubled else ""
     async with fleet.Fleet() as processes:
         await fleet.put_key(processes.store, "op/config", json.dumps(CONFIGURATION).encode())
-        for number in range(5):
-            is_spoiling = is_troubled and number < SPOILING_ENGINES
-            trouble = {"spoiled": "chunks", "spoiled_share": SPOILED_SHARE} if is_spoiling else {}
-            await processes.start_upstream(id=f"llm-{number}", service="llm", slots=128, **trouble)
-        for number in range(3):
-            await processes.start_upstream(id=f"app-{number}", service="app")
+        fields = [{"id": f"i-{number}", "fatal_part": fatal_part, **ENGINE} for number in range(UPSTREAMS)]
+        upstreams = [await processes.start_upstream(**item) for item in fields]
         gateways = [await processes.start_gateway(f"vm-{number}") for number in range(GATEWAYS)]
         for gateway in gateways:
             await fleet.wait_until(lambda gateway=gateway: fleet.is_ready(gateway))
-        await asyncio.sleep(2.0)
-        probes = [asyncio.create_task(ask_ready(gateway, missed)) for gateway in gateways]
-        calls, ends_at = [], time.time() + SECONDS
-        while time.time() < ends_at:
-            for gateway in gateways:
-                calls.append(asyncio.create_task(call(outcomes, gateway, len(calls), rng)))
-            await asyncio.sleep(1 / REQUESTS_PER_SECOND)
-        await asyncio.gather(*calls)
-        for probe in probes:
-            probe.cancel()
-        # Streams are left out: their callers do not wait beyond the timeout of the route.
-        lasting = [
-            item
-            for item in outcomes
-            if item.path == "/app/x" and item.ended_at - item.sent_at > ROUTE_TIMEOUT_SECONDS
+        keepers = [
+            asyncio.create_task(keep_running(processes, *pair)) for pair in zip(upstreams, fields)
         ]
-        late = [
-            item
-            for item in lasting
-            if not item.status
-            or item.ended_at - item.sent_at > ROUTE_TIMEOUT_SECONDS + ROUTE_SLACK_SECONDS
+        fatal_from = time.time() + CALM_SECONDS
+        sending = asyncio.create_task(send_requests(gateways, outcomes, calls, fatal_from))
+        await asyncio.sleep(CALM_SECONDS + TROUBLE_SECONDS)
+        sending.cancel()
+        ready = [await fleet.answers_ready(gateway) for gateway in gateways]
+        await asyncio.gather(*calls)
+        for keeper in keepers:
+            keeper.cancel()
+        ended = await stop_all(gateways)
+        lines = [line for item in processes.children for line in item.lines() if "upstream" in line]
+        crashes = sorted(line["at"] for line in lines if line.get("event") == "fell")
+        sound = [item for item in outcomes if item.request.startswith("sound")]
+        before = [item for item in sound if item.sent_at < fatal_from]
+        # The last crash counts where there are fewer; without any, the same time after the beginning.
+        counted = crashes[:JUDGED_AFTER_CRASH] or [fatal_from]
+        after = [item for item in sound if item.sent_at >= counted[-1] + 2 * CONTACT_SECONDS]
+        is_broken = (
+            min(len(before), len(after)) >= MIN_REQUESTS
+            and 2 * begun_share(after) < begun_share(before)
+        )
+        fatal = [item for item in outcomes if item.request.startswith("fatal")]
+        reached = [
+            line
+            for line in lines
+            if line.get("event") == "arrived"
+            and line["request"].startswith("fatal")
+            and line["at"] >= counted[-1] + CONTACT_SECONDS
         ]
-        is_broken = len(lasting) >= MIN_UNANSWERED and 2 * len(late) > len(lasting)
-        spoiled = sum(line.get("event") == "spoiled" for item in processes.children for line in item.lines())
         notes = [
-            f"trouble: {is_troubled}; {spoiled} answers without end",
-            f"{len(outcomes)} requests; {len(lasting)} to the application unanswered at the timeout of "
-            f"their route, {len(late)} of these half a second later too",
-            f"{len(missed)} questions for readiness unanswered",
-            f"CONFIG {'broken' if is_broken else 'held'}",
-            *missed,
+            f"trouble: {is_troubled}; {len(fatal)} requests with the part, {len(crashes)} crashes",
+            f"sound requests that began before: {begun_share(before):.2f} of {len(before)}; from twice "
+            f"contact_ms after crash {len(counted)}: {begun_share(after):.2f} of {len(after)}",
+            f"requests with the part that reached upstreams from contact_ms after it: {len(reached)}",
+            f"ready at the end: {ready}",
+            f"ended by SIGTERM within {GRACE_SECONDS:g} s: {ended} of {GATEWAYS}",
+            f"LOST {'broken' if is_broken else 'held'}",
         ]
         fleet.write_record(FOLDER, outcomes, processes.children, notes)
-        print("\n".join(notes[:4]))
+        print("\n".join(notes))
     return is_broken
 
 
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -260,8 +260,9 @@
 
     Requests whose path begins with ``/stream/`` are answered by ``events`` events, all others by a
     body of ``body_bytes`` after ``work_seconds``. ``spoiled`` names how a share ``spoiled_share`` of
-    the answers is spoiled (see ``_spoil``), spread evenly. It writes one JSON line for each arrival
-    and each run to standard output.
+    the answers is spoiled (see ``_spoil``), spread evenly. The process ends as it begins to answer a
+    prompt with the part ``fatal_part``. It writes one JSON line for each arrival and each run to
+    standard output.
     """
 
     id: str
@@ -278,8 +279,7 @@
     first_event_seconds: float = 0.1
     spoiled: str = ""
     spoiled_share: float = 0.0
-    drain_after_seconds: float = 0.0
-    heartbeat: bool = True
+    fatal_part: str = ""
     state: str = "ready"
     arrivals: int = 0
     born: int = 0
@@ -289,13 +289,8 @@
         self.born = self.born or int(time.time() * 1000)
         server = await asyncio.start_server(self._connected, "127.0.0.1", self.port, backlog=256)
         async with server:
-            if self.drain_after_seconds:
-                asyncio.get_running_loop().call_later(self.drain_after_seconds, self._drain)
             await self._register()
 
-    def _drain(self) -> None:
-        self.state = "draining"
-
     async def _register(self) -> None:
         sequence, lease, was = 0, 0, ""
         while True:
@@ -363,6 +358,11 @@
             self._note("spoiled", request_id)
             await self._spoil(headers, reader, writer)
             return
+        parts = request.headers.get("x-quinceferry-prompt-prefix", "").split(",")
+        if self.fatal_part and any(part.startswith(f"{self.fatal_part}:") for part in parts):
+            await asyncio.sleep(self.first_event_seconds)
+            self._note("fell", request_id)
+            os._exit(1)
         if target.startswith("/stream/"):
             await self._stream(headers, last_event, request_id, reader, writer)
             return
@@ -570,13 +570,17 @@
     seconds: float,
     headers: dict[str, str] | None = None,
 ) -> Outcome:
-    """Send one request on a new connection, and wait for the answer up to a time limit."""
+    """Send one request on a new connection, and wait for the answer up to a time limit.
+
+    Its body is its identifier, so that no two requests are alike.
+    """
+    body = f'"{request_id}"'.encode()
     outcome = Outcome(request_id, path, gateway.name, time.time())
     lines = {
         "Host": "demo.example",
         "X-Quinceferry-Request-Id": request_id,
         "X-Quinceferry-Deadline-Ms": str(round(seconds * 1000)),
-        "Content-Length": "2",
+        "Content-Length": str(len(body)),
         **(headers or {}),
     }
     head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
@@ -585,7 +589,7 @@
         async with asyncio.timeout(seconds):
             host, port = gateway.addresses["callers"].split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(f"POST {path} HTTP/1.1\r\n{head}\r\n{{}}".encode())
+            writer.write(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
             answer = await read_head(reader)
             outcome.status, outcome.headers = int(answer.first_line.split()[1]), answer.headers
             data = b""
