--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -261,8 +261,8 @@
     Requests whose path begins with ``/stream/`` are answered by ``events`` events, all others by a
     body of ``body_bytes`` after ``work_seconds``. ``spoiled`` names how a share ``spoiled_share`` of
     the answers is spoiled (see ``_spoil``), spread evenly. The process ends as it begins to answer a
-    prompt with the part ``fatal_part``. It writes one JSON line for each arrival and each run to
-    standard output.
+    prompt with the part ``fatal_part``, and as it runs a request for ``fatal_path``. It writes one
+    JSON line for each arrival and each run to standard output.
     """
 
     id: str
@@ -280,6 +280,7 @@
     spoiled: str = ""
     spoiled_share: float = 0.0
     fatal_part: str = ""
+    fatal_path: str = ""
     state: str = "ready"
     arrivals: int = 0
     born: int = 0
@@ -363,6 +364,10 @@
             await asyncio.sleep(self.first_event_seconds)
             self._note("fell", request_id)
             os._exit(1)
+        if self.fatal_path and target == self.fatal_path:
+            await asyncio.sleep(self.work_seconds)
+            self._note("fell", request_id)
+            os._exit(1)
         if target.startswith("/stream/"):
             await self._stream(headers, last_event, request_id, reader, writer)
             return
@@ -569,12 +574,13 @@
     request_id: str,
     seconds: float,
     headers: dict[str, str] | None = None,
+    body: bytes = b"",
 ) -> Outcome:
     """Send one request on a new connection, and wait for the answer up to a time limit.
 
-    Its body is its identifier, so that no two requests are alike.
+    :param body: its identifier if that is empty, so that no two requests are alike.
     """
-    body = f'"{request_id}"'.encode()
+    body = body or f'"{request_id}"'.encode()
     outcome = Outcome(request_id, path, gateway.name, time.time())
     lines = {
         "Host": "demo.example",
