Review: the stand-ins give each lease and each port once

Cause: a lease of the stand-in store could get the number of another one, and two listeners the same port, so that a case could not run or upstreams shared a lease.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,7 +19,7 @@
 
 GATEWAYS = 5
 UPSTREAMS = 5
-REQUESTS_PER_SECOND = 3.0  # Sound ones at each gateway: 28 a second at nine machines.
+REQUESTS_PER_SECOND = 5.0  # Sound ones at each gateway; 28 a second reach the engines of the site.
 FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "0.5"))  # In all.
 BACK_SECONDS = 3.0
 CALM_SECONDS = 6.0
@@ -28,55 +28,52 @@
 JUDGED_AFTER_CRASH = 5
 GRACE_SECONDS = 8.0  # grace_s of the site.
 MIN_REQUESTS = 20  # Of the rule, of each kind.
-CALLER_SECONDS = 8.0
+CALLER_SECONDS = 4.0
 FATAL_PART = "dead"
-ENGINE = {"service": "llm", "slots": 128, "events": 20, "event_seconds": 0.05}
+ENGINE = {"service": "llm", "slots": 128, "events": 40, "event_seconds": 0.05}
 CONFIGURATION = {
     "version": 1,
     "routes": [
         {
-            "name": "opinion",
+            "name": "check",
             "host": "demo.example",
             "prefix": "/stream/",
             "kind": "stream",
-            "timeout_ms": 8000,
-            "slo_ms": 800,
+            "timeout_ms": 4000,
+            "slo_ms": 1500,
             "service": "llm",
-            "attempts": 2,
-            "resumable": True,
+            "attempts": 1,
             "gap_target_ms": 500,
         }
     ],
-    "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 630, "engine": {"slots": 128, "stride": 3}}],
+    "services": [
+        {
+            "name": "llm",
+            "health_path": "/healthz",
+            "max_conns": 630,
+            "engine": {"slots": 128, "stride": 3},
+        }
+    ],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "idle_timeout_ms": 15000},
 }
 
 
-async def keep_running(processes: fleet.Fleet, upstream: fleet.Child, fields: dict) -> None:
-    """Start an upstream again some seconds after it has ended, each time that it does."""
-    port = int(upstream.addresses["requests"].rpartition(":")[2])
-    while True:
-        await upstream.process.wait()
-        await asyncio.sleep(BACK_SECONDS)
-        upstream = await processes.start_upstream(port=port, **fields)
-
-
 async def send_requests(gateways: list, outcomes: list, calls: list, fatal_from: float) -> None:
     """Send sound requests to all gateways, and fatal ones to any of them from a time on."""
     rng, fatal_at = random.Random(8), fatal_from
 
-    async def send(gateway: fleet.Child, request_id: str, part: str) -> None:
-        # The first part is shared by all, the last one belongs to the request itself.
-        parts = f"a1:300,{part}:400,{request_id.encode().hex()}:500"
-        headers = {"X-Quinceferry-Token-Count": "1200,60", "X-Quinceferry-Prompt-Prefix": parts}
-        outcomes.append(
-            await fleet.send(gateway, "/stream/x", request_id, CALLER_SECONDS, headers)
-        )
+    async def send(gateway: fleet.Child, request_id: str, second_part: str) -> None:
+        # All share the first part, some the third, and the last one belongs to the request itself.
+        third_part = f"{rng.randrange(256, 319):x}"
+        parts = f"a1:300,{second_part}:200,{third_part}:400,{request_id.encode().hex()}:300"
+        headers = {"X-Quinceferry-Token-Count": "1200,120", "X-Quinceferry-Prompt-Prefix": parts}
+        outcomes.append(await fleet.send(gateway, "/stream/x", request_id, CALLER_SECONDS, headers))
 
     while True:
         for gateway in gateways:
-            part = f"{rng.randrange(16, 79):x}"
-            calls.append(asyncio.create_task(send(gateway, f"sound-{len(calls)}", part)))
+            second_part = f"{rng.randrange(16, 36):x}"
+            request = send(gateway, f"sound-{len(calls)}", second_part)
+            calls.append(asyncio.create_task(request))
         if time.time() >= fatal_at:
             fatal_at += 1 / FATAL_PER_SECOND
             request_id = f"fatal-{len(calls)}"
@@ -86,7 +83,9 @@
 
 def begun_share(outcomes: list) -> float:
     """Return the share of requests that begun at the first attempt."""
-    return sum(item.status == 200 and bool(item.events) for item in outcomes) / max(1, len(outcomes))
+    return sum(item.status == 200 and bool(item.events) for item in outcomes) / max(
+        1, len(outcomes)
+    )
 
 
 async def stop_all(gateways: list) -> int:
@@ -105,13 +104,16 @@
     fatal_part = FATAL_PART if is_troubled else ""
     async with fleet.Fleet() as processes:
         await fleet.put_key(processes.store, "op/config", json.dumps(CONFIGURATION).encode())
-        fields = [{"id": f"i-{number}", "fatal_part": fatal_part, **ENGINE} for number in range(UPSTREAMS)]
+        fields = [
+            {"id": f"i-{number}", "fatal_part": fatal_part, **ENGINE} for number in range(UPSTREAMS)
+        ]
         upstreams = [await processes.start_upstream(**item) for item in fields]
         gateways = [await processes.start_gateway(f"vm-{number}") for number in range(GATEWAYS)]
         for gateway in gateways:
             await fleet.wait_until(lambda gateway=gateway: fleet.is_ready(gateway))
         keepers = [
-            asyncio.create_task(keep_running(processes, *pair)) for pair in zip(upstreams, fields)
+            asyncio.create_task(fleet.keep_running(processes, *pair, BACK_SECONDS))
+            for pair in zip(upstreams, fields, strict=True)
         ]
         fatal_from = time.time() + CALM_SECONDS
         sending = asyncio.create_task(send_requests(gateways, outcomes, calls, fatal_from))
@@ -122,17 +124,15 @@
         for keeper in keepers:
             keeper.cancel()
         ended = await stop_all(gateways)
-        lines = [line for item in processes.children for line in item.lines() if "upstream" in line]
+        lines = fleet.upstream_lines(processes.children)
         crashes = sorted(line["at"] for line in lines if line.get("event") == "fell")
         sound = [item for item in outcomes if item.request.startswith("sound")]
         before = [item for item in sound if item.sent_at < fatal_from]
-        # The last crash counts where there are fewer; without any, the same time after the beginning.
+        # The last crash counts where there are fewer; without any, the beginning of the requests.
         counted = crashes[:JUDGED_AFTER_CRASH] or [fatal_from]
         after = [item for item in sound if item.sent_at >= counted[-1] + 2 * CONTACT_SECONDS]
-        is_broken = (
-            min(len(before), len(after)) >= MIN_REQUESTS
-            and 2 * begun_share(after) < begun_share(before)
-        )
+        has_enough = min(len(before), len(after)) >= MIN_REQUESTS
+        is_broken = has_enough and 2 * begun_share(after) < begun_share(before)
         fatal = [item for item in outcomes if item.request.startswith("fatal")]
         reached = [
             line
@@ -143,9 +143,10 @@
         ]
         notes = [
             f"trouble: {is_troubled}; {len(fatal)} requests with the part, {len(crashes)} crashes",
-            f"sound requests that began before: {begun_share(before):.2f} of {len(before)}; from twice "
-            f"contact_ms after crash {len(counted)}: {begun_share(after):.2f} of {len(after)}",
-            f"requests with the part that reached upstreams from contact_ms after it: {len(reached)}",
+            f"sound requests that began before: {begun_share(before):.2f} of {len(before)}; "
+            f"from twice contact_ms after crash {len(counted)}: "
+            f"{begun_share(after):.2f} of {len(after)}",
+            f"requests with the part that reached upstreams from contact_ms after: {len(reached)}",
             f"ready at the end: {ready}",
             f"ended by SIGTERM within {GRACE_SECONDS:g} s: {ended} of {GATEWAYS}",
             f"LOST {'broken' if is_broken else 'held'}",
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,12 +23,18 @@
 MIN_UNANSWERED = 8  # Fewer show nothing.
 SPOILED_SHARE = 0.05
 SPOILING_ENGINES = 2  # Of five; 'garble' spoils answers of half of the servers.
-PATHS = {"/stream/opinion/x": (8.0, 0.26), "/stream/check/x": (4.0, 0.31), "/stream/notes/x": (15.0, 0.15)}
+PATHS = {
+    "/stream/opinion/x": (8.0, 0.26),
+    "/stream/check/x": (4.0, 0.31),
+    "/stream/notes/x": (15.0, 0.15),
+}
 """Path of each kind of stream with its time limit in seconds and its share of the requests; the
 rest are requests to the application."""
 
 
-def route(prefix: str, kind: str, timeout_ms: int, slo_ms: int, service: str, **more: object) -> dict:
+def route(
+    prefix: str, kind: str, timeout_ms: int, slo_ms: int, service: str, **more: object
+) -> dict:
     """Return a route of the configuration."""
     named = {"name": prefix.strip("/"), "host": "demo.example", "prefix": prefix, "kind": kind}
     return {**named, "timeout_ms": timeout_ms, "slo_ms": slo_ms, "service": service, **more}
@@ -44,7 +50,12 @@
         route("/app/", "unsafe", 800, 300, "app", attempts=1),
     ],
     "services": [
-        {"name": "llm", "health_path": "/healthz", "max_conns": 630, "engine": {"slots": 128, "stride": 3}},
+        {
+            "name": "llm",
+            "health_path": "/healthz",
+            "max_conns": 630,
+            "engine": {"slots": 128, "stride": 3},
+        },
         {"name": "app", "health_path": "/healthz", "max_conns": 110},
     ],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "idle_timeout_ms": 15000},
@@ -73,7 +84,9 @@
         except (TimeoutError, OSError, EOFError):
             is_ready = False
         if not is_ready:
-            missed.append(f"{gateway.name} did not answer /v1/readyz within a second at {began_at:.1f}")
+            missed.append(
+                f"{gateway.name} did not answer /v1/readyz within a second at {began_at:.1f}"
+            )
         await asyncio.sleep(max(0.0, 1.0 - (time.time() - began_at)))
 
 
@@ -85,7 +98,7 @@
         await fleet.put_key(processes.store, "op/config", json.dumps(CONFIGURATION).encode())
         for number in range(5):
             is_spoiling = is_troubled and number < SPOILING_ENGINES
-            trouble = {"spoiled": "chunks", "spoiled_share": SPOILED_SHARE} if is_spoiling else {}
+            trouble = {"spoiled_share": SPOILED_SHARE} if is_spoiling else {}
             await processes.start_upstream(id=f"llm-{number}", service="llm", slots=128, **trouble)
         for number in range(3):
             await processes.start_upstream(id=f"app-{number}", service="app")
@@ -115,11 +128,13 @@
             or item.ended_at - item.sent_at > ROUTE_TIMEOUT_SECONDS + ROUTE_SLACK_SECONDS
         ]
         is_broken = len(lasting) >= MIN_UNANSWERED and 2 * len(late) > len(lasting)
-        spoiled = sum(line.get("event") == "spoiled" for item in processes.children for line in item.lines())
+        spoiled = sum(
+            line.get("event") == "spoiled" for item in processes.children for line in item.lines()
+        )
         notes = [
             f"trouble: {is_troubled}; {spoiled} answers without end",
-            f"{len(outcomes)} requests; {len(lasting)} to the application unanswered at the timeout of "
-            f"their route, {len(late)} of these half a second later too",
+            f"{len(outcomes)} requests; {len(lasting)} to the application unanswered at the "
+            f"timeout of their route, {len(late)} of these half a second later too",
             f"{len(missed)} questions for readiness unanswered",
             f"CONFIG {'broken' if is_broken else 'held'}",
             *missed,
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -47,23 +47,12 @@
 }
 
 
-async def keep_running(processes: fleet.Fleet, upstream: fleet.Child, fields: dict) -> None:
-    """Start an upstream again some seconds after it has ended, each time that it does."""
-    port = int(upstream.addresses["requests"].rpartition(":")[2])
-    while True:
-        await upstream.process.wait()
-        await asyncio.sleep(BACK_SECONDS)
-        upstream = await processes.start_upstream(port=port, **fields)
-
-
 async def send_requests(gateways: list, outcomes: list, calls: list, fatal_from: float) -> None:
     """Send sound requests to all gateways, and the fatal one to any of them from a time on."""
     rng, fatal_at = random.Random(8), fatal_from
 
     async def send(gateway: fleet.Child, path: str, request_id: str, body: bytes = b"") -> None:
-        outcomes.append(
-            await fleet.send(gateway, path, request_id, CALLER_SECONDS, body=body)
-        )
+        outcomes.append(await fleet.send(gateway, path, request_id, CALLER_SECONDS, body=body))
 
     while True:
         for gateway in gateways:
@@ -90,7 +79,8 @@
         for gateway in gateways:
             await fleet.wait_until(lambda gateway=gateway: fleet.is_ready(gateway))
         keepers = [
-            asyncio.create_task(keep_running(processes, *pair)) for pair in zip(upstreams, fields)
+            asyncio.create_task(fleet.keep_running(processes, *pair, BACK_SECONDS))
+            for pair in zip(upstreams, fields, strict=True)
         ]
         fatal_from = time.time() + CALM_SECONDS
         sending = asyncio.create_task(send_requests(gateways, outcomes, calls, fatal_from))
@@ -99,7 +89,7 @@
         await asyncio.gather(*calls)
         for keeper in keepers:
             keeper.cancel()
-        lines = [line for item in processes.children for line in item.lines() if "upstream" in line]
+        lines = fleet.upstream_lines(processes.children)
         crashes = sorted(line["at"] for line in lines if line.get("event") == "fell")
         reached = [
             line
@@ -112,15 +102,14 @@
         is_broken = len(reached) > MAX_RETRIES
         sound = [item for item in outcomes if item.request.startswith("sound")]
         later = [item for item in sound if item.sent_at >= fatal_from]
-        events = Counter(
-            line.get("event") for gateway in gateways for line in gateway.lines()
-        )
+        served = sum(item.status == 200 for item in later)
+        events = Counter(line.get("event") for gateway in gateways for line in gateway.lines())
         told = ("upstream.crashed", "quarantine.began", "service.unreachable")
         notes = [
             f"trouble: {is_troubled}; {len(crashes)} crashes",
-            f"the fatal request reached upstreams {len(reached)} times later than contact_ms after the "
-            f"third crash",
-            f"sound requests served since it comes: {sum(i.status == 200 for i in later)} of {len(later)}",
+            f"the fatal request reached upstreams {len(reached)} times later than contact_ms after "
+            f"the third crash",
+            f"sound requests served since it comes: {served} of {len(later)}",
             f"log lines of the gateways: {', '.join(f'{name} {events[name]}' for name in told)}",
             f"BUDGET {'broken' if is_broken else 'held'}",
         ]
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -1,7 +1,7 @@
-"""Stand-ins and processes for the scripts of the second review: store, upstreams, gateways, callers.
+"""Stand-ins and processes for the scripts of the second review: store, upstreams, gateways.
 
-Only the standard library is used. The store and each upstream run as processes of their own, so that
-none of them takes processor time from another. As a program: ``fleet_2.py store PORT`` or
+Only the standard library is used. The store and each upstream run as processes of their own, so
+that none of them takes processor time from another. As a program: ``fleet_2.py store PORT`` or
 ``fleet_2.py upstream JSON`` (see ``Upstream``).
 """
 
@@ -22,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HEARTBEAT_SECONDS = 1.2
+FIRST_RETRY_SECONDS = 0.05
 LEASE_MILLISECONDS = 3_600
 READY_SECONDS = 30.0
 SETTINGS = """[gateway]
@@ -97,7 +98,9 @@
     return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
 
 
-async def call_json(address: str, method: str, path: str, message: object = None) -> tuple[int, dict]:
+async def call_json(
+    address: str, method: str, path: str, message: object = None
+) -> tuple[int, dict]:
     """Make one call with JSON bodies; return status and body."""
     host, port = address.split(":")
     body = b"" if message is None else json.dumps(message).encode()
@@ -121,8 +124,8 @@
 class Store:
     """The platform's store: one revision counter, leases, watches; answers after 4 ms.
 
-    While it is down (``POST /down?for_ms=``, a call of the tests), it closes each channel without an
-    answer, and leases pause.
+    While it is down (``POST /down?for_ms=``, a call of the tests), it closes each channel without
+    an answer, and leases pause.
     """
 
     def __init__(self) -> None:
@@ -130,6 +133,7 @@
         self.events: list[dict] = []
         self.revision = 1
         self.lease_ends: dict[int, tuple[float, float]] = {}
+        self.last_lease = 0
         self.down_until = 0.0
         self.changed = asyncio.Condition()
 
@@ -171,9 +175,10 @@
         if path == "/v1/kv-watch":
             return 200, await self._watch(values)
         if path == "/v1/kv-lease":
-            lease, ttl = len(self.lease_ends) + 1, body["ttl_ms"] / 1000
-            self.lease_ends[lease] = (time.monotonic() + ttl, ttl)
-            return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+            self.last_lease += 1
+            ttl = body["ttl_ms"] / 1000
+            self.lease_ends[self.last_lease] = (time.monotonic() + ttl, ttl)
+            return 200, {"lease": self.last_lease, "ttl_ms": body["ttl_ms"]}
         if path.startswith("/v1/kv-keep/"):
             lease = int(path.rpartition("/")[2])
             if lease not in self.lease_ends:
@@ -259,8 +264,8 @@
     """One lifetime of an upstream, as a process that registers itself, serves and writes a log.
 
     Requests whose path begins with ``/stream/`` are answered by ``events`` events, all others by a
-    body of ``body_bytes`` after ``work_seconds``. ``spoiled`` names how a share ``spoiled_share`` of
-    the answers is spoiled (see ``_spoil``), spread evenly. The process ends as it begins to answer a
+    body of ``body_bytes`` after ``work_seconds``. A share ``spoiled_share`` of the answers, spread
+    evenly, has no end (see ``_spoil``). The process ends as it begins to answer a
     prompt with the part ``fatal_part``, and as it runs a request for ``fatal_path``. It writes one
     JSON line for each arrival and each run to standard output.
     """
@@ -277,7 +282,6 @@
     events: int = 20
     event_seconds: float = 0.03
     first_event_seconds: float = 0.1
-    spoiled: str = ""
     spoiled_share: float = 0.0
     fatal_part: str = ""
     fatal_path: str = ""
@@ -293,37 +297,40 @@
             await self._register()
 
     async def _register(self) -> None:
-        sequence, lease, was = 0, 0, ""
+        """Write the entry under a lease, again and again; a failed attempt is repeated."""
+        sequence, lease, is_registered = 0, 0, False
         while True:
             with contextlib.suppress(EOFError, OSError, ValueError):
                 sequence += 1
-                if not lease or (await call_json(self.store, "POST", f"/v1/kv-keep/{lease}"))[0] != 200:
-                    _, reply = await call_json(
-                        self.store, "POST", "/v1/kv-lease", {"ttl_ms": LEASE_MILLISECONDS}
-                    )
-                    lease = reply["lease"]
-                entry = {
-                    "service": self.service,
-                    "addr": f"127.0.0.1:{self.port}",
-                    "zone": self.zone,
-                    "version": self.version,
-                    "slots": self.slots,
-                    "state": self.state,
-                    "cold_left_ms": 0,
-                    "seq": sequence,
-                    "born": self.born,
-                }
-                value = base64.b64encode(json.dumps(entry).encode()).decode()
+                lease = await self._keep_lease(lease)
+                value = base64.b64encode(json.dumps(self._entry(sequence)).encode()).decode()
                 put = {"key": f"servers/{self.id}", "value": value, "lease": lease}
-                status, _ = await call_json(
-                    self.store, "POST", "/v1/kv-txn", {"expect_rev": [], "puts": [put]}
-                )
-                if status == 200 and was != self.state:
+                transaction = {"expect_rev": [], "puts": [put]}
+                status, _ = await call_json(self.store, "POST", "/v1/kv-txn", transaction)
+                if status == 200 and not is_registered:
+                    is_registered = True
                     self._note("registered", state=self.state)
-                    was = self.state
-            wait_until = time.monotonic() + HEARTBEAT_SECONDS
-            while time.monotonic() < wait_until and (not was or was == self.state):
-                await asyncio.sleep(0.05)
+            await asyncio.sleep(HEARTBEAT_SECONDS if is_registered else FIRST_RETRY_SECONDS)
+
+    async def _keep_lease(self, lease: int) -> int:
+        """Renew a lease and return it, or a new one if it has ended."""
+        if lease and (await call_json(self.store, "POST", f"/v1/kv-keep/{lease}"))[0] == 200:
+            return lease
+        request = {"ttl_ms": LEASE_MILLISECONDS}
+        return (await call_json(self.store, "POST", "/v1/kv-lease", request))[1]["lease"]
+
+    def _entry(self, sequence: int) -> dict:
+        return {
+            "service": self.service,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": sequence,
+            "born": self.born,
+        }
 
     def _note(self, event: str, request: str = "", **fields: object) -> None:
         line = {"at": round(time.time(), 4), "upstream": self.id, "version": self.version}
@@ -353,9 +360,8 @@
         self.arrivals += 1
         last_event = int(request.headers.get("last-event-id", "0"))
         self._note("arrived", request_id, path=target, after=last_event, state=self.state)
-        if self.spoiled and int(self.arrivals * self.spoiled_share) > int(
-            (self.arrivals - 1) * self.spoiled_share
-        ):
+        spoiled_before = int((self.arrivals - 1) * self.spoiled_share)
+        if int(self.arrivals * self.spoiled_share) > spoiled_before:
             self._note("spoiled", request_id)
             await self._spoil(headers, reader, writer)
             return
@@ -403,27 +409,30 @@
     ) -> None:
         """Answer with bytes without end, until the caller closes.
 
-        ``chunks``: a failure whose body comes in chunks of one byte. ``large``: a success whose body
-        comes in chunks of 64 KiB, at the rate in ``spoiled``, such as ``large:4`` (MB a second).
+        It is a failure whose body comes in chunks of one byte.
         """
-        kind, _, rate = self.spoiled.partition(":")
-        status = 500 if kind.startswith("chunks") else 200
-        lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
+        lines = ["HTTP/1.1 500 X", *(f"{name}: {value}" for name, value in headers.items())]
         writer.write("\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode())
-        piece = b"1\r\nx\r\n" * 10_000 if kind == "chunks" else b"10000\r\n" + b"x" * 65_536 + b"\r\n"
-        pause = 65_536 / (float(rate) * 1e6) if rate else 0.0
         while not reader.at_eof() and not writer.is_closing():
-            writer.write(piece)
+            writer.write(b"1\r\nx\r\n" * 10_000)
             await writer.drain()
-            await asyncio.sleep(pause)
+
+
+_drawn_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a free loopback port below those that the system gives to outgoing connections."""
+    """Return a free loopback port, another one each time.
+
+    It is below those that the system gives to outgoing connections.
+    """
     while True:
         port = 15_000 + int.from_bytes(os.urandom(2)) % 15_000
+        if port in _drawn_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _drawn_ports.add(port)
             return port
 
 
@@ -523,6 +532,23 @@
         return child
 
 
+async def keep_running(
+    fleet: Fleet, upstream: Child, fields: dict[str, object], back_seconds: float
+) -> None:
+    """Start an upstream again some seconds after it has ended, each time that it does."""
+    port = int(upstream.addresses["requests"].rpartition(":")[2])
+    while True:
+        await upstream.process.wait()
+        await asyncio.sleep(back_seconds)
+        upstream = await fleet.start_upstream(port=port, **fields)
+
+
+def upstream_lines(children: list[Child]) -> list[dict]:
+    """Return what all upstreams have written."""
+    lines = [line for child in children for line in child.lines()]
+    return [line for line in lines if {"at", "event", "upstream", "version"} <= line.keys()]
+
+
 async def is_ready(gateway: Child) -> bool:
     """Return whether a gateway says that it is ready."""
     async with asyncio.timeout(1.0):
@@ -627,11 +653,9 @@
         seen = f"{item.status or 'no answer'}, {'whole' if item.whole else 'not whole'}"
         events = f", {len(item.events)} events" if item.events else ""
         lines.append((item.ended_at, f"caller of {item.request} has {seen}{events}"))
-    for child in children:
-        for line in child.lines():
-            if "upstream" in line and "version" in line and "at" in line and "event" in line:
-                at = line.pop("at")
-                lines.append((at, json.dumps(line)))
+    for line in upstream_lines(children):
+        at = line.pop("at")
+        lines.append((at, json.dumps(line)))
     start = min((at for at, _ in lines), default=0.0)
     text = [f"{at - start:9.3f} s  {line}" for at, line in sorted(lines)]
     path.write_text("\n".join([*notes, "", *text, ""]))
@@ -642,9 +666,16 @@
 
     :param case: given whether the trouble is on, returns whether the rule was broken.
     """
+
+    async def run() -> bool:
+        # SIGTERM cancels the case, so that its processes are ended.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await case(os.environ.get("TROUBLE", "1") != "0")
+
     try:
-        is_broken = asyncio.run(case(os.environ.get("TROUBLE", "1") != "0"))
-    except Exception as error:  # Whatever it was, the case could not run.
+        is_broken = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(1 if is_broken else 0)
