--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,10 +20,10 @@
 GATEWAYS = 5
 UPSTREAMS = 5
 REQUESTS_PER_SECOND = 5.0  # Sound ones at each gateway; 28 a second reach the engines of the site.
-FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "0.5"))  # In all.
-BACK_SECONDS = 3.0
+FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "0.25"))  # In all.
+BACK_SECONDS = 4.2
 CALM_SECONDS = 6.0
-TROUBLE_SECONDS = 32.0
+TROUBLE_SECONDS = 44.0
 CONTACT_SECONDS = 3.0  # contact_ms of the site.
 JUDGED_AFTER_CRASH = 5
 GRACE_SECONDS = 8.0  # grace_s of the site.
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,10 +17,10 @@
 import fleet_2 as fleet  # noqa: E402
 
 GATEWAYS = 4
-UPSTREAMS = 3  # As many as the site's application service has.
+UPSTREAMS = 2  # The site has three; one is lost for good (srv_crash, how gone).
 REQUESTS_PER_SECOND = 2.75  # Sound ones at each gateway, 11 a second in all, as on the sheet.
-FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "0.78"))  # In all.
-BACK_SECONDS = 4.0
+FATAL_PER_SECOND = float(os.environ.get("FATAL_PER_SECOND", "1.05"))  # In all.
+BACK_SECONDS = 2.0
 CALM_SECONDS = 5.0
 TROUBLE_SECONDS = 45.0
 CONTACT_SECONDS = 3.0  # contact_ms of the site.
@@ -48,20 +48,26 @@
 
 
 async def send_requests(gateways: list, outcomes: list, calls: list, fatal_from: float) -> None:
-    """Send sound requests to all gateways, and the fatal one to any of them from a time on."""
+    """Send sound requests to all gateways, and the fatal one to any of them from a time on.
+
+    Both are sent at fixed times.
+    """
     rng, fatal_at = random.Random(8), fatal_from
 
     async def send(gateway: fleet.Child, path: str, request_id: str, body: bytes = b"") -> None:
         outcomes.append(await fleet.send(gateway, path, request_id, CALLER_SECONDS, body=body))
 
+    next_at = time.time()
     while True:
-        for gateway in gateways:
+        is_due = time.time() >= next_at
+        next_at += is_due / REQUESTS_PER_SECOND
+        for gateway in gateways if is_due else ():
             calls.append(asyncio.create_task(send(gateway, "/app/x", f"sound-{len(calls)}")))
-        if time.time() >= fatal_at:
+        while time.time() >= fatal_at:
             fatal_at += 1 / FATAL_PER_SECOND
             request = send(rng.choice(gateways), FATAL_PATH, f"fatal-{len(calls)}", b'"the same"')
             calls.append(asyncio.create_task(request))
-        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+        await asyncio.sleep(max(0.0, min(next_at, fatal_at) - time.time()))
 
 
 async def case(is_troubled: bool) -> bool:
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts of the second review: they need the standard library only.
+# Checks the stand-ins of the second review. They need the standard library only, so nothing is built.
 set -eu
 cd "$(dirname "$0")"
-python3 -m py_compile fleet_2.py
+python3 -c 'import ast; ast.parse(open("fleet_2.py").read())'
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -9,6 +9,7 @@
 import base64
 import contextlib
 import json
+import math
 import os
 import signal
 import socket
@@ -23,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HEARTBEAT_SECONDS = 1.2
 FIRST_RETRY_SECONDS = 0.05
+WRITTEN_BYTES = 60_000  # Of an answer without end, at a time.
 LEASE_MILLISECONDS = 3_600
 READY_SECONDS = 30.0
 SETTINGS = """[gateway]
@@ -283,6 +285,8 @@
     event_seconds: float = 0.03
     first_event_seconds: float = 0.1
     spoiled_share: float = 0.0
+    spoiled_chunk_bytes: int = 1
+    spoiled_bytes_per_second: float = math.inf
     fatal_part: str = ""
     fatal_path: str = ""
     state: str = "ready"
@@ -409,13 +413,16 @@
     ) -> None:
         """Answer with bytes without end, until the caller closes.
 
-        It is a failure whose body comes in chunks of one byte.
+        It is a failure whose body comes in chunks, each of ``spoiled_chunk_bytes``.
         """
         lines = ["HTTP/1.1 500 X", *(f"{name}: {value}" for name, value in headers.items())]
         writer.write("\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode())
+        chunk = b"%x\r\n%s\r\n" % (self.spoiled_chunk_bytes, b"x" * self.spoiled_chunk_bytes)
+        piece = chunk * (WRITTEN_BYTES // len(chunk))
         while not reader.at_eof() and not writer.is_closing():
-            writer.write(b"1\r\nx\r\n" * 10_000)
+            writer.write(piece)
             await writer.drain()
+            await asyncio.sleep(len(piece) / self.spoiled_bytes_per_second)
 
 
 _drawn_ports: set[int] = set()
@@ -484,6 +491,9 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
+        for child in self.children if error[0] else ():
+            last = child.output.read_text(errors="replace")[-400:]
+            print(f"{child.name}, status {child.process.returncode}: {last}", file=sys.stderr)
         for child in self.children:
             child.send(signal.SIGKILL)
             await child.process.wait()
