Review: each run of a script has a loopback address of its own

Cause: of five scripts started at once in a fresh clone, two could not run, since one gateway of each got a port that the other had drawn (status 2, Address already in use). Change: fleet_2.py takes 127.a.b.1 by the id of its process, for all processes of the run.

--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -24,6 +24,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 HEARTBEAT_SECONDS = 1.2
 FIRST_RETRY_SECONDS = 0.05
+HOST = os.environ.get("REVIEW_HOST") or "127.{}.{}.1".format(*divmod(os.getpid() % 65_000, 256))
+"""Loopback address of all processes of a run, another one for each run, so that several can run at
+once without one taking a port that another has drawn."""
 WRITTEN_BYTES = 60_000  # Of an answer without end, at a time.
 LEASE_MILLISECONDS = 3_600
 READY_SECONDS = 30.0
@@ -141,7 +144,7 @@
 
     async def serve(self, port: int) -> None:
         """Serve until cancelled."""
-        server = await asyncio.start_server(self._connected, "127.0.0.1", port)
+        server = await asyncio.start_server(self._connected, HOST, port)
         expiry = asyncio.create_task(self._expire())
         async with server:
             await server.serve_forever()
@@ -296,7 +299,7 @@
     async def run(self) -> None:
         """Register, serve and renew the registration until killed."""
         self.born = self.born or int(time.time() * 1000)
-        server = await asyncio.start_server(self._connected, "127.0.0.1", self.port, backlog=256)
+        server = await asyncio.start_server(self._connected, HOST, self.port, backlog=256)
         async with server:
             await self._register()
 
@@ -326,7 +329,7 @@
     def _entry(self, sequence: int) -> dict:
         return {
             "service": self.service,
-            "addr": f"127.0.0.1:{self.port}",
+            "addr": f"{HOST}:{self.port}",
             "zone": self.zone,
             "version": self.version,
             "slots": self.slots,
@@ -438,7 +441,7 @@
         if port in _drawn_ports:
             continue
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+            probe.bind((HOST, port))
             _drawn_ports.add(port)
             return port
 
@@ -485,7 +488,7 @@
 
     async def __aenter__(self) -> "Fleet":
         port = free_port()
-        self.store = f"127.0.0.1:{port}"
+        self.store = f"{HOST}:{port}"
         await self._start("store", [__file__, "store", str(port)], {})
         await wait_until(lambda: call_json(self.store, "GET", "/v1/kv-range?prefix=op/"))
         return self
@@ -504,13 +507,13 @@
         fields = {"port": free_port(), "store": self.store, **fields}
         name = f"{fields['id']}-{len(self.children)}"
         child = await self._start(name, [__file__, "upstream", json.dumps(fields)], {})
-        child.addresses["requests"] = f"127.0.0.1:{fields['port']}"
+        child.addresses["requests"] = f"{HOST}:{fields['port']}"
         return child
 
     async def start_gateway(self, vm: str, zone: str = "zone-a") -> Child:
         """Start a gateway with the command of the deploy file."""
         names = ("callers", "readiness", "directory", "peers", "metrics")
-        addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+        addresses = {name: f"{HOST}:{free_port()}" for name in names}
         settings = self.folder / f"{vm}.toml"
         settings.write_text(SETTINGS.format(vm=vm, zone=zone, store=self.store, **addresses))
         return await self._run_gateway(vm, settings, addresses)
@@ -535,7 +538,7 @@
                 stdout=file,
                 stderr=file,
                 cwd=ROOT,
-                env={**os.environ, **environment},
+                env={**os.environ, "REVIEW_HOST": HOST, **environment},
             )
         child = Child(name, process, output)
         self.children.append(child)
