Write the stacks of a gateway that hangs

A step that never ends keeps the event loop from logging it, so that the log of a hung gateway ends without a reason: `loop.stalled` comes only after the stall. The gateway now arms a timer of the interpreter at each tick of the loop monitor, which writes the stacks of all threads to standard error after two seconds without a tick.

Rearming takes 31 us here, five times a second. The scenario "A step that holds the event loop is named while it still runs" can't pass before: nothing was written.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -77,6 +77,7 @@
     :param dialect: translates the headers of the platform.
     :param create_listeners: creates additional listeners, for calls whose format the platform
         defines.
+    :param on_tick: called several times a second as long as the event loop runs.
     """
 
     def __init__(
@@ -90,11 +91,12 @@
         metrics: Metrics,
         http: HttpClient,
         create_listeners: ListenerFactory,
+        on_tick: Callable[[], None] = lambda: None,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
         self._clock = clock
-        self._loop_monitor = LoopMonitor(clock, metrics)
+        self._loop_monitor = LoopMonitor(clock, metrics, on_tick)
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
         metrics.observe_list_age(lambda: self._age_seconds(board.upstreams_read_at))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/loop_monitor.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/loop_monitor.py
@@ -1,5 +1,7 @@
 """Measures how late the event loop runs what is due."""
 
+from collections.abc import Callable
+
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.logs import log
@@ -15,12 +17,15 @@
 
     ``responsive_at`` is the last time at which it was not stalled, on the monotonic clock in
     seconds. What arrived before then has been noticed.
+
+    :param on_tick: called whenever the event loop runs on time, or again after a stall.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, clock: Clock, metrics: Metrics, on_tick: Callable[[], None]) -> None:
         super().__init__()
         self._clock = clock
         self._metrics = metrics
+        self._on_tick = on_tick
         self.responsive_at = clock.monotonic()
 
     async def start(self) -> None:
@@ -31,6 +36,7 @@
         """Compare the time between two ticks with the interval."""
         ticked_at = self._clock.monotonic()
         while True:
+            self._on_tick()
             now = self._clock.monotonic()
             is_stalled = now - ticked_at > MAX_TICK_SECONDS
             self.responsive_at = ticked_at if is_stalled else now
