End the search for common causes of crashes

Callers saw all gateways of a fleet stop answering at the same moment, for good: no request, no readiness, no reaction to SIGTERM. It began after the fifth crash of an upstream by requests that share a part of their prompts.

Cause: `CommonCauses.find_causes` searches again after each cause that it finds, and counted on the crashes of a found one to drop out. A trait that is found by its presence alone need not be the most likely cause at any crash (a stream that has just begun is more suspicious than a request that may still wait), so its crashes stayed and it was found again, without end. All gateways have the same reports and evaluate them at the same time.

The new scenario failed before ("not evaluated within 10 seconds").

Change: a known cause explains each crash at which a request with it can have been the cause, and is not searched for again, so that each round adds a trait. Leaving out only the found traits would have ended the loop too, but got the parts refused that sound requests share with the fatal ones: a trial found "a" besides "f".

--- a/features/common_causes.feature
+++ b/features/common_causes.feature
@@ -22,6 +22,14 @@
     Then f is found
     And after that nothing is found
 
+  # Guards against an evaluation that never ends, which stops the whole process, and against the
+  # refusal of sound requests that share another part with the fatal ones.
+  Scenario: The search for causes never ends when a trait is never the most likely one
+    Given traits of requests at crashes, of which 3 are required
+    When requests with a+f are sent at 5 crashes, 1 second apart, each after one with b has begun
+    Then f is found
+    And after that nothing is found
+
   Scenario: A trait that is answered between two crashes is refused
     Given traits of requests at crashes, of which 3 are required
     When requests with a are begun at 2 crashes, 1 second apart
--- a/features/steps/common_causes.py
+++ b/features/steps/common_causes.py
@@ -1,8 +1,10 @@
 """Steps for what requests that crash upstreams have in common."""
 
+import contextlib
 import heapq
 import itertools
 import random
+import signal
 from dataclasses import dataclass, field
 
 from behave import given, then, when
@@ -25,6 +27,8 @@
 ROUTERS = 5
 FIFTH = 4
 """Index of the fifth crash."""
+MAX_EVALUATION_SECONDS = 10
+"""Longest time that an evaluation may take before it counts as endless."""
 RARE_PARTS = 60
 """Parts that some of the sound requests have besides the common one."""
 
@@ -64,6 +68,20 @@
     crash(context, traits, stage, f"content {next(context.numbers)}", 1.0)
 
 
+@when(
+    "requests with {traits} are {stage} at {count:d} crashes, {apart:d} second apart, each after "
+    "one with {other} has begun"
+)
+def when_crashes_beside(context, traits, stage, count, apart, other):
+    for _ in range(count):
+        number = next(context.numbers)
+        context.now += apart
+        for content, item, names in (("sound", "BEGUN", other), ("new", stage.upper(), traits)):
+            request = RequestAtCrash(f"{content} {number}", RunStage[item], tuple(names.split("+")))
+            context.causes.record_crash(f"u{number}", "llm", request, context.now)
+        context.causes.clear([other])
+
+
 @when("the same request with {traits} is {stage} at {count:d} crashes, {apart:d} second apart")
 def when_same(context, traits, stage, count, apart):
     for _ in range(count):
@@ -75,6 +93,22 @@
     context.causes.clear([trait])
 
 
+@contextlib.contextmanager
+def time_limit(seconds):
+    """Fail a step that takes longer; a loop without end could not be ended otherwise."""
+
+    def fail(*_):
+        raise AssertionError(f"not evaluated within {seconds} seconds")
+
+    previous = signal.signal(signal.SIGALRM, fail)
+    signal.alarm(seconds)
+    try:
+        yield
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGALRM, previous)
+
+
 @then("{found} is found")
 @then("after that {found} is found")
 def then_found(context, found):
@@ -83,7 +117,8 @@
         context.causes.record_answer("llm", ("other",), context.now)
     for _ in range(context.interrupted):
         context.causes.record_interruption("llm", ("other",), context.now)
-    causes = context.causes.find_causes(context.now, context.quarantined, lambda _: REQUIRED)
+    with time_limit(MAX_EVALUATION_SECONDS):
+        causes = context.causes.find_causes(context.now, context.quarantined, lambda _: REQUIRED)
     context.quarantined += causes
     assert causes == ([] if found == "nothing" else [found]), causes
 
--- a/packages/quinceferry-core/src/quinceferry_core/common_causes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/common_causes.py
@@ -121,13 +121,13 @@
         """
         causes: list[str] = []
         while True:
-            events = self._unexplained_events(now, [*quarantined, *causes])
-            names = sorted({trait for event in events for trait in _traits(event)})
+            known = {*quarantined, *causes}
+            events = self._unexplained_events(now, known)
+            unknown = {trait for event in events for trait in _traits(event)} - known
             found = [
                 trait
-                for trait in names
-                if trait not in quarantined
-                and self._is_cause(trait, events, now, min_crashes(trait))
+                for trait in sorted(unknown)
+                if self._is_cause(trait, events, now, min_crashes(trait))
             ]
             if not found:
                 return causes
--- a/packages/quinceferry-core/src/quinceferry_core/crash_records.py
+++ b/packages/quinceferry-core/src/quinceferry_core/crash_records.py
@@ -59,8 +59,11 @@
             presence.add(request.content, request_suspicion)
 
     def is_explained_by(self, traits: Collection[str]) -> bool:
-        """Return whether one of some traits is the likely cause."""
-        return any(self.is_likely_cause(trait) for trait in traits)
+        """Return whether a request with one of some traits, which are known causes, was there.
+
+        It need not have been the most likely cause: causes are also found by their presence alone.
+        """
+        return any(self.is_possible_cause(trait) for trait in traits)
 
     def is_likely_cause(self, trait: str) -> bool:
         """Return whether no request without the trait is a more likely cause."""
