Search for causes among the traits of enough crashes only

It judged each trait of each crash against all crashes, and made the set of all traits of an event anew for each of them. Each crash starts one on all gateways.

The events that a trait can have caused are now collected in one pass, and a trait at fewer than the required ones is left out at once.

--- a/features/common_causes.feature
+++ b/features/common_causes.feature
@@ -30,6 +30,12 @@
     Then f is found
     And after that nothing is found
 
+  # Guards against an evaluation that holds the event loop for longer than callers and peers wait.
+  Scenario: The search for causes takes minutes after many crashes of large upstreams
+    Given traits of requests at crashes, of which 3 are required
+    When 128 upstreams with 128 requests of 16 traits each crash, 1 second apart
+    Then p is found
+
   Scenario: A trait that is answered between two crashes is refused
     Given traits of requests at crashes, of which 3 are required
     When requests with a are begun at 2 crashes, 1 second apart
--- a/features/steps/common_causes.py
+++ b/features/steps/common_causes.py
@@ -51,9 +51,14 @@
 def crash(context, traits, stage, content, later):
     """Record one crash of another upstream."""
     context.now += later
-    lifetime = f"u{next(context.numbers)}"
+    context.lifetime = f"u{next(context.numbers)}"
+    add_request(context, traits, stage, content)
+
+
+def add_request(context, traits, stage, content):
+    """Record one more request that the last crashed upstream had."""
     request = RequestAtCrash(content, RunStage[stage.upper()], tuple(traits.split("+")))
-    context.causes.record_crash(lifetime, "llm", request, context.now)
+    context.causes.record_crash(context.lifetime, "llm", request, context.now)
 
 
 @when("requests with {traits} are {stage} at {count:d} crashes, {apart:d} second apart")
@@ -75,13 +80,24 @@
 def when_crashes_beside(context, traits, stage, count, apart, other):
     for _ in range(count):
         number = next(context.numbers)
-        context.now += apart
-        for content, item, names in (("sound", "BEGUN", other), ("new", stage.upper(), traits)):
-            request = RequestAtCrash(f"{content} {number}", RunStage[item], tuple(names.split("+")))
-            context.causes.record_crash(f"u{number}", "llm", request, context.now)
+        crash(context, other, "begun", f"sound {number}", apart)
+        add_request(context, traits, stage, f"new {number}")
         context.causes.clear([other])
 
 
+@when(
+    "{count:d} upstreams with {requests:d} requests of {traits:d} traits each crash, {apart:d} "
+    "second apart"
+)
+def when_many(context, count, requests, traits, apart):
+    for _ in range(count):
+        own = [f"own-{next(context.numbers)}-{number}" for number in range(requests)]
+        crash(context, "p", "begun", f"{own[0]} content", apart)
+        for name in own:
+            names = "+".join(f"{name}-{number}" for number in range(traits))
+            add_request(context, names, "sent", name)
+
+
 @when("the same request with {traits} is {stage} at {count:d} crashes, {apart:d} second apart")
 def when_same(context, traits, stage, count, apart):
     for _ in range(count):
--- a/packages/quinceferry-core/src/quinceferry_core/common_causes.py
+++ b/packages/quinceferry-core/src/quinceferry_core/common_causes.py
@@ -10,8 +10,8 @@
 at all. So the evidence is weighed by how many requests without the trait are interrupted.
 """
 
-from collections import deque
-from collections.abc import Callable, Collection, Iterator
+from collections import defaultdict, deque
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from quinceferry_core.crash_records import Crash, RequestAtCrash
@@ -123,11 +123,11 @@
         while True:
             known = {*quarantined, *causes}
             events = self._unexplained_events(now, known)
-            unknown = {trait for event in events for trait in _traits(event)} - known
+            possible_by_trait = _possible_events(events)
             found = [
                 trait
-                for trait in sorted(unknown)
-                if self._is_cause(trait, events, now, min_crashes(trait))
+                for trait in sorted(possible_by_trait.keys() - known)
+                if self._is_cause(trait, possible_by_trait[trait], events, now, min_crashes(trait))
             ]
             if not found:
                 return causes
@@ -148,17 +148,20 @@
             if trait in crash.presence_by_trait
         )
 
-    def _is_cause(self, trait: str, events: list[_Event], now: float, minimum: int) -> bool:
+    def _is_cause(
+        self, trait: str, possible: list[_Event], events: list[_Event], now: float, minimum: int
+    ) -> bool:
         """Return whether the evidence suffices to call a trait a cause.
 
         As for content, a trait that is present again and again without one answer is no bystander,
         even if another request was a more likely cause each time.
+
+        :param possible: those of the events that the trait can have caused.
         """
-        possible = [
-            event for event in events if any(crash.is_possible_cause(trait) for crash in event)
-        ]
+        if len(possible) < minimum:
+            return False
         contents = _contents(trait, possible)
-        if len(possible) < minimum or len(contents) < min(MIN_CONTENTS, minimum):
+        if len(contents) < min(MIN_CONTENTS, minimum):
             return False
         likely = _events_with(trait, possible)
         if minimum == 1:
@@ -214,9 +217,21 @@
                 del self._crashes_by_lifetime[lifetime]
 
 
-def _traits(event: _Event) -> Iterator[str]:
-    """Return the traits of all requests at an event."""
-    return (trait for crash in event for trait in crash.presence_by_trait)
+def _possible_events(events: list[_Event]) -> dict[str, list[_Event]]:
+    """Return the events that each trait can have caused.
+
+    A long history has many thousand traits, most of them at one event only.
+    """
+    possible_by_trait: defaultdict[str, list[_Event]] = defaultdict(list)
+    for event in events:
+        for trait in {trait for crash in event for trait in crash.possible_causes()}:
+            possible_by_trait[trait].append(event)
+    return possible_by_trait
+
+
+def _is_present(trait: str, event: _Event) -> bool:
+    """Return whether a request with a trait was at an event."""
+    return any(trait in crash.presence_by_trait for crash in event)
 
 
 def _events_with(trait: str, events: list[_Event]) -> list[_Event]:
@@ -243,7 +258,7 @@
 def _extra_events(trait: str, events: list[_Event], now: float, minimum: int) -> int:
     """Return how many more events are required since upstreams also crash without the trait."""
     recent_without = sum(
-        now - event[0].crashed_at < RECENT_CRASH_SECONDS and trait not in set(_traits(event))
+        now - event[0].crashed_at < RECENT_CRASH_SECONDS and not _is_present(trait, event)
         for event in events
     )
     return min(MAX_EXTRA_EVENTS, recent_without // minimum)
--- a/packages/quinceferry-core/src/quinceferry_core/crash_records.py
+++ b/packages/quinceferry-core/src/quinceferry_core/crash_records.py
@@ -1,6 +1,6 @@
 """Records of crashed upstreams, by what the requests that they had share with others."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
 from quinceferry_core.quarantine import RunStage, suspicion
@@ -8,6 +8,7 @@
 MAX_TRAITS_PER_CRASH = 2_048
 MAX_CONTENTS_PER_TRAIT = 8
 """Limits of the retained state."""
+_LEAST_SUSPICION = suspicion(RunStage.PRODUCING)
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,6 +31,11 @@
     suspicion: int = 0
     contents: set[str] = field(default_factory=set)
 
+    @property
+    def is_suspicious(self) -> bool:
+        """Return whether a request with the trait can have caused the crash."""
+        return self.suspicion > _LEAST_SUSPICION
+
     def add(self, content: str, request_suspicion: int) -> None:
         """Add a request; the most suspicious one counts."""
         self.suspicion = max(self.suspicion, request_suspicion)
@@ -73,4 +79,8 @@
     def is_possible_cause(self, trait: str) -> bool:
         """Return whether a request with the trait can have caused the crash."""
         presence = self.presence_by_trait.get(trait)
-        return presence is not None and presence.suspicion > suspicion(RunStage.PRODUCING)
+        return presence is not None and presence.is_suspicious
+
+    def possible_causes(self) -> Iterator[str]:
+        """Return all traits of which a request can have caused the crash."""
+        return (trait for trait, item in self.presence_by_trait.items() if item.is_suspicious)
