--- a/features/common_causes.feature
+++ b/features/common_causes.feature
@@ -36,6 +36,11 @@
     When 128 upstreams with 128 requests of 16 traits each crash, 1 second apart
     Then p is found
 
+  # Guards against evidence that is not the one of an incident and also makes the search run for ever.
+  Scenario: Drawn evidence makes the search for causes run for ever
+    Given evidence of 24 crashes that is drawn with seeds 1 to 300
+    Then each search ends, and finds no trait twice and none that was not there
+
   Scenario: A trait that is answered between two crashes is refused
     Given traits of requests at crashes, of which 3 are required
     When requests with a are begun at 2 crashes, 1 second apart
--- a/features/steps/common_causes.py
+++ b/features/steps/common_causes.py
@@ -139,6 +139,35 @@
     assert causes == ([] if found == "nothing" else [found]), causes
 
 
+@given("evidence of {crashes:d} crashes that is drawn with seeds {first:d} to {last:d}")
+def given_drawn(context, crashes, first, last):
+    context.drawn = [drawn_causes(seed, crashes) for seed in range(first, last + 1)]
+
+
+def drawn_causes(seed, crashes):
+    """Return drawn evidence, and the names of all traits in it."""
+    rng, causes, present = random.Random(seed), CommonCauses(), set()
+    for number in range(crashes):
+        for position in range(rng.randint(1, 6)):
+            names = [f"t{rng.randrange(40)}" for _ in range(rng.randint(0, 3))]
+            traits = tuple(["common"] * (rng.random() < 0.5) + names)
+            stage = RunStage.SENT if "common" in traits else rng.choice(list(RunStage))
+            present.update(traits)
+            request = RequestAtCrash(f"{number}-{position}", stage, traits)
+            causes.record_crash(f"u{number}", "llm", request, float(number))
+    for _ in range(rng.randint(0, 20)):
+        causes.record_answer("llm", ("other",), float(crashes))
+    return causes, present, crashes + 1.0
+
+
+@then("each search ends, and finds no trait twice and none that was not there")
+def then_ends(context):
+    for causes, present, now in context.drawn:
+        with time_limit(MAX_EVALUATION_SECONDS):
+            found = causes.find_causes(now, (), lambda _: REQUIRED)
+        assert len(found) == len(set(found)) and set(found) <= present, found
+
+
 @dataclass(order=True)
 class _Event:
     """Something that happens at a time in a modelled fleet."""
