--- a/features/steps/gateway_entries.py
+++ b/features/steps/gateway_entries.py
@@ -21,7 +21,24 @@
     "cold_left_ms": 0,
     "seq": 3,
 }
+NOT_BASE64 = "abc"
+NUMBER = 123_456_789
+"""Stands for a value that JSON text is then put in for."""
+
+
+def with_text(name, text):
+    """Return an entry in which a field has a value that is given as JSON text."""
+    return json.dumps(WHOLE | {name: NUMBER}).replace(str(NUMBER), text).encode()
+
+
 RAW_BY_FAULT = {
+    'has a deep "cold_left_ms"': with_text("cold_left_ms", "[" * 2_000 + "]" * 2_000),
+    "has a deep unknown field": with_text("other", "[" * 100_000 + "]" * 100_000),
+    'has "born" of 400 digits': with_text("born", "9" * 400),
+    "has a port of 5000 digits": with_text("addr", f'"10.0.0.1:{"8" * 5_000}"'),
+    'has a "seq" of 5000 digits': with_text("seq", "9" * 5_000),
+    "is no Base64": NOT_BASE64,
+    "has an identifier of two lines": json.dumps(WHOLE).encode(),
     "is no JSON": b"{half",
     "is no text": b'{"service": "\xff\xfe"}',
     "is a list": b"[1, 2]",
@@ -46,7 +63,9 @@
         items = [
             {
                 "key": UPSTREAM_PREFIX + key,
-                "value": base64.b64encode(document).decode(),
+                "value": (
+                    document if document == NOT_BASE64 else base64.b64encode(document).decode()
+                ),
                 "rev": self.revisions_by_id[key],
             }
             for key, document in self.documents_by_id.items()
@@ -82,7 +101,8 @@
 @given("a list with a whole entry and one that {fault}")
 def given_faulty(context, fault):
     begin(context)
-    context.range.put("faulty", broken(fault))
+    upstream_id = "two\nlines" if "identifier" in fault else "faulty"
+    context.range.put(upstream_id, broken(fault))
     context.range.put("whole", json.dumps(WHOLE).encode())
 
 
