Run background tasks of a gateway again after an unexpected failure

The reader of upstreams is not the only task whose end nobody noticed: members, configuration, registration, allotments, digests, records of the quarantine, the loop monitor and housekeeping ended for good, too, after one exception that they did not expect. The gateway looked sound and went on with what it knew at that moment.

`Controller.supervise` logs such a failure as `task.restarted` and runs the task again after a second. A bad entry still has to be skipped where it is decoded; this bounds what the next unexpected exception costs.

--- /dev/null
+++ b/features/gateway_tasks.feature
@@ -0,0 +1,21 @@
+Feature: Background tasks that fail
+  A gateway whose background task has ended looks sound, and works with what it knew at that moment.
+
+  # Guards against a gateway that never reads, registers or draws again after one unexpected failure.
+  Scenario Outline: One unexpected failure ends a background task for good
+    Given a gateway of which the task "<task>" fails once in "<call>"
+    When it has served for long enough
+    Then the gateway has logged that the task runs again
+    And the task is running
+
+    Examples:
+      | task          | call                                  |
+      | configuration | PlatformStore.operator_changes        |
+      | upstreams     | PlatformStore.upstreams               |
+      | members       | PlatformStore.snapshot                |
+      | registration  | PlatformStore.put_if                  |
+      | allotments    | TokenHolder._forget_early_settlements |
+      | quarantine    | PlatformStore.list                    |
+      | digests       | Gossip._send_digest                   |
+      | loop monitor  | Metrics.record_loop_delay             |
+      | housekeeping  | UpstreamStates.discard_missing        |
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -14,6 +14,7 @@
 from quinceferry_gateway.callers import CallerApi
 from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.configuration_reader import ConfigurationReader
+from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import Placer, UpstreamStates
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
@@ -96,6 +97,7 @@
         self.settings = settings
         self.metrics = metrics
         self._clock = clock
+        self._housekeeping = Controller()
         self._loop_monitor = LoopMonitor(clock, metrics, on_tick)
         self.blackboard = Blackboard(_own_member(settings))
         board = self.blackboard
@@ -240,10 +242,10 @@
             log.flush()
             return
         await self._start()
-        housekeeping = asyncio.create_task(self._run_housekeeping())
+        self._housekeeping.supervise(self._run_housekeeping, "housekeeping")
         await stop_request.wait()
         await self._stop(self._planned_stop(stop_request))
-        housekeeping.cancel()
+        await self._housekeeping.stop()
 
     async def _start(self) -> None:
         """Start all listeners and controllers."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -96,7 +96,7 @@
 
     async def start(self) -> None:
         """Start reading and watching the configuration."""
-        self.spawn(self._read_and_watch(), "configuration")
+        self.supervise(self._read_and_watch, "configuration")
 
     def apply_newer(self, records: OperatorRecords, origin: str) -> bool:
         """Apply records of the operators if they are newer than those in force.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/controllers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/controllers.py
@@ -1,11 +1,14 @@
 """Base class for components with background tasks."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from quinceferry_gateway.logs import log
 
+RESTART_PAUSE_SECONDS = 1.0
+"""Pause before a supervised task runs again after a failure."""
+
 
 class Controller:
     """Component of the application that runs background tasks between start and stop."""
@@ -30,6 +33,29 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def supervise(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Run a task on which the gateway depends until it returns or the controller stops.
+
+        It runs again after an unexpected failure: without it the gateway would look sound, and work
+        with what it knew at that moment for as long as the process lives.
+        """
+        return self.spawn(self._run_again_after_failures(run, name), name)
+
+    async def _run_again_after_failures(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        """Run a task, again after each failure, which is logged."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                log.failure("task.restarted", task=name, error=repr(error))
+                await asyncio.sleep(RESTART_PAUSE_SECONDS)
+            else:
+                return
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         """Remove a finished task and log its exception, if any."""
         self._tasks.discard(task)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/gossip.py
@@ -98,7 +98,7 @@
     async def start(self) -> None:
         """Start sending."""
         self._last_suspended_seconds = self._total_suspended_seconds()
-        self.spawn(self._send_forever(), "digests")
+        self.supervise(self._send_forever, "digests")
 
     def copies_updated(self, content_changed: bool) -> None:
         """Send a digest early if the copies have changed or become much more recent.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/holder.py
@@ -116,7 +116,7 @@
         """Start drawing; this gateway listens on its addresses already."""
         self._role.record_start()
         self._predecessors.record_start(self._machine_time())
-        self.spawn(self._keep_allotments(), "allotments")
+        self.supervise(self._keep_allotments, "allotments")
 
     def available_by_workspace(self) -> dict[str, int]:
         """Return the tokens of each workspace that can be reserved at this holder now."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/loop_monitor.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/loop_monitor.py
@@ -30,7 +30,7 @@
 
     async def start(self) -> None:
         """Start to measure."""
-        self.spawn(self._tick(), "loop monitor")
+        self.supervise(self._tick, "loop monitor")
 
     async def _tick(self) -> None:
         """Compare the time between two ticks with the interval."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -76,7 +76,7 @@
 
     async def start(self) -> None:
         """Start registering."""
-        self.spawn(self._keep_registered(), "registration")
+        self.supervise(self._keep_registered, "registration")
 
     async def withdraw(self) -> None:
         """Withdraw the registration, so that other gateways no longer name this one to callers.
@@ -175,8 +175,8 @@
 
     async def start(self) -> None:
         """Start reading the list."""
-        self.spawn(self._read_when_due(), "members")
-        self.spawn(self._read_while_alone(), "members while alone")
+        self.supervise(self._read_when_due, "members")
+        self.supervise(self._read_while_alone, "members while alone")
 
     def merge_registered(self, members: list[Member]) -> None:
         """Replace the list of members by the registered ones, and those still reachable.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/quarantine_records.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/quarantine_records.py
@@ -47,7 +47,7 @@
 
     async def start(self) -> None:
         """Start reading."""
-        self.spawn(self._read(), "quarantine")
+        self.supervise(self._read, "quarantine")
 
     def _quarantine_decided(self, content: str, seconds: float, by_own_evidence: bool) -> None:
         """Write a record of a decision if this gateway is one of its writers."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reachability.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reachability.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.blackboard import Blackboard
@@ -135,7 +136,7 @@
         self._forget_failures(service)
         self._blackboard.unreachable_services |= {service}
         log.change("service.unreachable", service=service, upstreams=failed_ids)
-        self.spawn(self._await_return(service), f"return of {service}")
+        self.supervise(partial(self._await_return, service), f"return of {service}")
         self.on_change()
 
     def _set_reachable(self, service: str) -> None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -105,7 +105,7 @@
 
     async def start(self) -> None:
         """Start reading."""
-        self.spawn(self._follow(), "upstreams")
+        self.supervise(self._follow, "upstreams")
 
     def summary(self, now: float) -> CopySummary | None:
         """Return which copy this gateway has, None without one."""
