Decode all records and messages of gateways with one exception for malformed ones

The same cause as for entries of upstreams, on related paths: a record of a member that is nested deeply left a fleet without members after a restart (no digests, no holders), a record of the quarantine that is nested deeply, or of the year 1 without a zone, ended the task that reads it, and a member whose peer address has no port ended digests.

--- a/features/fixtures_gateway.py
+++ b/features/fixtures_gateway.py
@@ -153,6 +153,7 @@
     held_share: float = 0.5
     region: str = "region"
     region_by_zone: dict = field(default_factory=dict)
+    records_by_key: dict = field(default_factory=dict)
 
     def add_upstream(self, upstream_id, service, *script):
         """Add an upstream with its behaviours."""
@@ -176,6 +177,8 @@
             for upstream in self.upstreams_by_id.values():
                 await _enter(stack, upstream)
             await self.publish(self.document)
+            for key, value in self.records_by_key.items():
+                await self.store.put(key, value)
             await self.register()
             self.tasks = [self._begin(number, store_address) for number in range(self.gateways)]
             tasks = self.tasks
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,10 @@
 the grace time of a planned stop."""
 
 
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.-]{1,253}:[0-9]{1,5}$")]
+"""``host:port``, checked where it is decoded."""
+
+
 class Phase(Enum):
     """Phase of a gateway's life cycle."""
 
@@ -31,7 +36,7 @@
     incarnation: str
     vm: str
     zone: str
-    peer_address: str
+    peer_address: Address
     caller_address: str
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/budgets.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from quinceferry_core.clocks import MachineTime
+from quinceferry_gateway.decoding import decode_json
 
 
 class HolderAllotment(msgspec.Struct, omit_defaults=True):
@@ -92,7 +93,7 @@
 
         :raises msgspec.DecodeError: the value cannot be decoded.
         """
-        return msgspec.json.decode(value, type=cls) if value is not None else cls()
+        return decode_json(value, cls) if value is not None else cls()
 
     def encode(self) -> bytes:
         """Return the record as a store value."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/configuration_reader.py
@@ -15,6 +15,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Configuration, OperatorRecords
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.exceptions import ConfigurationError, WatchLostError
 from quinceferry_gateway.fleet.digests import CopySummary, summarize_copy
 from quinceferry_gateway.fleet.packing import pack, unpack
@@ -205,7 +206,7 @@
         :param now: time at which the copy was requested.
         :raises msgspec.DecodeError: the copy cannot be decoded.
         """
-        copy = msgspec.msgpack.decode(body, type=ConfigurationCopy)
+        copy = decode_msgpack(body, ConfigurationCopy)
         board = self._blackboard
         is_newer = board.configuration is None or copy.revision > board.revision
         if copy.age_seconds < 0 or not is_newer:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decoding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decoding.py
@@ -6,34 +6,39 @@
 
 import base64
 import binascii
+from collections.abc import Callable
+from functools import partial
 from typing import TypeVar
 
 import msgspec
 
 T = TypeVar("T")
 
-_OTHER_ERRORS = (UnicodeDecodeError, RecursionError, OverflowError)
-
 
 def decode_json(document: bytes, message_type: type[T]) -> T:
     """Decode a JSON document.
 
     :raises msgspec.DecodeError: it is malformed.
     """
-    try:
-        return msgspec.json.decode(document, type=message_type)
-    except _OTHER_ERRORS as error:
-        raise msgspec.DecodeError(str(error)) from error
+    return decode_with(partial(msgspec.json.decode, type=message_type), document)
 
 
 def decode_msgpack(message: bytes, message_type: type[T]) -> T:
     """Decode a MessagePack message.
 
+    :raises msgspec.DecodeError: it is malformed.
+    """
+    return decode_with(partial(msgspec.msgpack.decode, type=message_type), message)
+
+
+def decode_with(decode: Callable[[bytes], T], message: bytes) -> T:
+    """Decode a message with a function of the library.
+
     :raises msgspec.DecodeError: it is malformed.
     """
     try:
-        return msgspec.msgpack.decode(message, type=message_type)
-    except _OTHER_ERRORS as error:
+        return decode(message)
+    except (UnicodeDecodeError, RecursionError, OverflowError) as error:
         raise msgspec.DecodeError(str(error)) from error
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/copies.py
@@ -165,7 +165,7 @@
             self._on_update(True)
         except PeerError as error:
             log.failure("copy.not_fetched", kind=kind, peer=sender.vm, error=str(error))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except msgspec.DecodeError as error:
             log.failure("copy.malformed", kind=kind, peer=sender.vm, error=str(error))
         finally:
             self._fetching.discard(kind)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/datagrams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet/datagrams.py
@@ -13,6 +13,7 @@
 
 from quinceferry_gateway.addresses import host_and_port
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decoding import decode_with
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 
@@ -72,8 +73,8 @@
         if self._decoder is None:
             return
         try:
-            message = self._decoder.decode(datagram)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            message = decode_with(self._decoder.decode, datagram)
+        except msgspec.DecodeError as error:
             log.failure("datagram.malformed", peer=str(sender), error=str(error))
             self._metrics.count_peer_messages("unknown", "malformed", 1, len(datagram))
             return
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fleet_api.py
@@ -9,6 +9,7 @@
 from quinceferry_gateway.asgi import Receive, Scope, Send
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.callers import CallerApi
+from quinceferry_gateway.decoding import decode_json, decode_msgpack
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
 from quinceferry_gateway.forwarding import FORWARDED_HEADER
@@ -69,7 +70,7 @@
         """
         match path:
             case "/inherit":
-                request = msgspec.json.decode(await _read_body(receive), type=InheritRequest)
+                request = decode_json(await _read_body(receive), InheritRequest)
                 if not self._holder.inherit(request):
                     return REFUSED_STATUS, b"text/plain", b""
                 return _json_answer(Acknowledgement())
@@ -99,11 +100,11 @@
     """Register the calls that reserve and settle tokens at a holder."""
 
     async def reserve(body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=ReserveRequest)
+        request = decode_msgpack(body, ReserveRequest)
         return msgspec.msgpack.encode(await holder.reserve_for_request(request))
 
     async def settle(body: bytes) -> bytes:
-        for settlement in msgspec.msgpack.decode(body, type=SettleRequest).settlements:
+        for settlement in decode_msgpack(body, SettleRequest).settlements:
             holder.settle(settlement)
         return msgspec.msgpack.encode(Acknowledgement())
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/membership.py
@@ -12,6 +12,7 @@
 from quinceferry_core.exceptions import KvConflictError, KvError, LeaseLostError
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decoding import decode_json, decode_msgpack
 from quinceferry_gateway.fleet.digests import CopySummary, summarize_copy
 from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.fleet.read_schedule import SKIPPED_READ_SECONDS, ReadSchedule
@@ -225,7 +226,7 @@
         :param now: time at which the copy was requested.
         :raises msgspec.DecodeError: the copy cannot be decoded.
         """
-        copy = msgspec.msgpack.decode(unpack(body), type=MembersCopy)
+        copy = decode_msgpack(unpack(body), MembersCopy)
         if copy.age_seconds >= 0 and copy.revision > self._revision:
             self._adopt_list(copy.members, copy.revision, now - copy.age_seconds)
 
@@ -330,8 +331,8 @@
     newest_by_vm: dict[str, tuple[int, Member]] = {}
     for entry in entries:
         try:
-            member = msgspec.json.decode(entry.value, type=Member)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            member = decode_json(entry.value, Member)
+        except msgspec.DecodeError as error:
             log.failure("member.malformed", key=entry.key, error=str(error))
             continue
         newest_known = newest_by_vm.get(member.vm)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/peers.py
@@ -6,6 +6,7 @@
 
 from quinceferry_core.exceptions import PeerUnavailableError
 from quinceferry_gateway.blackboard import Member
+from quinceferry_gateway.decoding import decode_json, decode_msgpack
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.metrics import Metrics
@@ -136,7 +137,7 @@
         step = "/inherit"
         body = await self._fetch_body(peer, b"POST", step.encode(), request, timeout_seconds)
         try:
-            msgspec.json.decode(body, type=Acknowledgement)
+            decode_json(body, Acknowledgement)
         except msgspec.DecodeError as error:
             raise PeerError(str(error), step=step, peer=peer.incarnation, sent=True) from error
 
@@ -155,8 +156,8 @@
         body = msgspec.msgpack.encode(request)
         try:
             reply = await self._calls.call(peer.peer_address, kind, body, timeout_seconds)
-            return msgspec.msgpack.decode(reply, type=reply_type)
-        except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode_msgpack(reply, reply_type)
+        except (CallTimeoutError, msgspec.DecodeError) as error:
             raise PeerError(str(error), step=kind, peer=peer.incarnation, sent=True) from error
 
     async def _fetch_body(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -11,6 +11,7 @@
 from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.decisions.rate_limits import MIN_REQUESTS_PER_SECOND, PermitSchedule
+from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
@@ -83,7 +84,7 @@
 
         :raises msgspec.DecodeError: the request is malformed, or its rate or wait is out of range.
         """
-        request = msgspec.msgpack.decode(body, type=PermitRequest)
+        request = decode_msgpack(body, PermitRequest)
         if not (0 <= request.rate <= MAX_REQUESTS_PER_SECOND and request.max_wait_seconds >= 0):
             raise msgspec.DecodeError(f"rate or wait out of range: {request}")
         return msgspec.msgpack.encode(self.issue(request))
@@ -217,8 +218,8 @@
             reply = await self._calls.call(
                 issuer.peer_address, PERMIT_CALL_KIND, body, PERMIT_TIMEOUT_SECONDS
             )
-            return msgspec.msgpack.decode(reply, type=PermitReply)
-        except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode_msgpack(reply, PermitReply)
+        except (CallTimeoutError, msgspec.DecodeError) as error:
             log.failure("permit.not_answered", peer=issuer.incarnation, error=str(error))
             return None
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/quarantine_records.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/quarantine_records.py
@@ -1,6 +1,7 @@
 """Records of the quarantine in the store, which persist if all gateways terminate at once."""
 
 from datetime import UTC, datetime
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.crashes import CrashMonitor
+from quinceferry_gateway.decoding import decode_json
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.store_health import record_store_answer, record_store_failure
 
@@ -24,7 +26,7 @@
     """One content in quarantine until a wall-clock time."""
 
     content: str
-    ends_at: datetime
+    ends_at: Annotated[datetime, msgspec.Meta(tz=True)]
 
 
 class QuarantineRecords(Controller):
@@ -97,8 +99,8 @@
         seconds_by_content = {}
         for entry in entries:
             try:
-                record = msgspec.json.decode(entry.value, type=QuarantineRecord)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                record = decode_json(entry.value, QuarantineRecord)
+            except msgspec.DecodeError as error:
                 log.failure("quarantine.malformed", key=entry.key, error=str(error))
                 continue
             seconds_by_content[record.content] = record.ends_at.timestamp() - self._unix_seconds()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
@@ -24,6 +24,7 @@
     record_holders,
     stream_key,
 )
+from quinceferry_gateway.decoding import decode_json, decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.interfaces import Headers
@@ -206,15 +207,15 @@
             reply = await self._calls.call(
                 peer.peer_address, ORIGIN_CALL_KIND, body, timeout_seconds
             )
-            origin = msgspec.msgpack.decode(reply, type=OriginReply).origin
-        except (CallTimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            origin = decode_msgpack(reply, OriginReply).origin
+        except (CallTimeoutError, msgspec.DecodeError) as error:
             log.failure("origin.unanswered", peer=peer.incarnation, error=str(error))
             return None
         return None if origin is None else StreamOrigin(*origin)
 
     async def _answer_request(self, body: bytes) -> bytes:
         """Answer a peer's request for the origin of a stream."""
-        request = msgspec.msgpack.decode(body, type=OriginRequest)
+        request = decode_msgpack(body, OriginRequest)
         origin = self._records.get(request.key, self._clock.monotonic())
         known = None if origin is None else (origin.service, origin.software_version)
         return msgspec.msgpack.encode(OriginReply(known))
@@ -247,8 +248,8 @@
     if value is None:
         return None
     try:
-        return StreamOrigin(*msgspec.json.decode(value, type=tuple[str, str]))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return StreamOrigin(*decode_json(value, tuple[str, str]))
+    except msgspec.DecodeError as error:
         log.failure("origin.malformed", error=str(error))
         return UNKNOWN_ORIGIN
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_reader.py
@@ -18,6 +18,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream, UpstreamList
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.digests import CopySummary, summarize_copy
 from quinceferry_gateway.fleet.packing import pack, unpack
 from quinceferry_gateway.fleet.read_schedule import (
@@ -158,7 +159,7 @@
         :param now: when it was requested.
         :raises msgspec.DecodeError: the copy is malformed.
         """
-        copy = msgspec.msgpack.decode(unpack(body), type=UpstreamsCopy)
+        copy = decode_msgpack(unpack(body), UpstreamsCopy)
         if min(copy.age_seconds, copy.contact_seconds) < 0:
             return
         if copy.revision <= self._blackboard.upstreams_revision:
