Let bodies in small chunks take turns, and bound all bytes before a head

Callers of a sound service got no answer for seconds, nor did readiness, on each gateway that read an answer of another service in chunks of one byte without end.

Cause: the HTTP library gives an event for each chunk, and all that one read of 64 KiB has brought (some 10,900) are parsed without giving up the event loop. The limits count bytes.

The scenarios on chunks failed before: the other task had 0 turns, and 6,000 chunks took no time.

Change: a reader gives up the loop after each 64 chunks, and reads tiny ones at 500 a second after the first 1,024; 13,000 events of 24 bytes that have arrived are not slowed (tested). On a related path, interim answers without end were read until the deadline (the scenario timed out before): all bytes before the head count now, 64 KiB at most.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/transport.py
@@ -14,12 +14,14 @@
 
 from quinceferry_core.exceptions import QuinceferryError
 from quinceferry_gateway.addresses import host_and_port
+from quinceferry_gateway.decisions.chunk_pacing import ChunkPacer
 from quinceferry_gateway.exceptions import (
     ConnectionBrokenError,
     NotSentError,
     PeerClosedError,
 )
 from quinceferry_gateway.interfaces import Headers
+from quinceferry_gateway.network import HeadLimitedBackend
 
 CONNECT_TIMEOUT_SECONDS = 0.7
 """Longest wait for a connection. It normally takes a few milliseconds within a region, a lost
@@ -69,9 +71,13 @@
 
         :raises ConnectionBrokenError: the body ended early.
         """
+        loop = asyncio.get_running_loop()
+        pacer = ChunkPacer(loop.time())
         try:
             async for chunk in self._response.aiter_stream():
                 yield chunk
+                if pacer.chunk_received(len(chunk)):
+                    await asyncio.sleep(pacer.pause_seconds(loop.time()))
         except _BROKEN_ERRORS as error:
             raise _connection_error(error, "body", self._peer) from error
 
@@ -105,8 +111,11 @@
             content=body,
             extensions={"timeout": {"connect": connect_timeout_seconds}},
         )
+        backend = HeadLimitedBackend()
         connection = httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), port), socket_options=_SOCKET_OPTIONS
+            httpcore.Origin(b"http", host.encode(), port),
+            network_backend=backend,
+            socket_options=_SOCKET_OPTIONS,
         )
         try:
             try:
@@ -115,6 +124,8 @@
                 raise NotSentError(repr(error), step="connect", peer=address) from error
             except _BROKEN_ERRORS as error:
                 raise _connection_error(error, "exchange", address) from error
+            if backend.stream is not None:
+                backend.stream.head_received = True
             yield OpenReply(response, address)
         finally:
             await connection.aclose()
