Keep evidence of crashes until it is known whether links were lost

Callers of a service with two upstreams saw most requests fail for as long as one request came that crashed them in turn; it was never quarantined.

Cause: a gateway that reaches no other upstream of the service may have lost its links, and threw the evidence away. While one upstream starts again, that is so at each crash of the other.

Change: the case stays undecided (`crash.undecided`) for up to ten seconds, and counts once the service is reached again while this upstream is not, or a later lifetime of it is listed. Lost links come back together, and give neither sign: a gateway that loses its links four times with the same content gets nothing quarantined (tested).

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -36,6 +36,7 @@
 from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.stopped_upstreams import StopMonitor
 from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.upstream_reader import UpstreamReader
 from quinceferry_lab.virtual_time import VirtualClock
@@ -334,9 +335,8 @@
             board, self.upstream_states, Deserted(), clock, draws, Uncounted()
         )
         self.reachability.on_change = self.gossip.announce_reachability
-        self.crashes = CrashMonitor(
-            board, quarantine, Deserted(), self.port, clock, Uncounted(), self.reachability
-        )
+        stops = StopMonitor(board, Deserted(), clock, Uncounted(), self.reachability)
+        self.crashes = CrashMonitor(board, quarantine, self.port, clock, Uncounted(), stops)
         self.gossip.attach(self.copies, self.crashes)
         calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
         self.signals = UpstreamSignals(
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -50,6 +50,31 @@
       | 1    |
       | 2    |
 
+  # Guards against crashes that don't count while no other upstream of the service is up.
+  Scenario Outline: A request crashes upstreams for as long as it comes while no other one is up
+    Given a fleet of 3 gateways before <count> upstreams of service app
+    And "boom" crashes all upstreams of the fleet, and each is back after 1.5 seconds under its identifier
+    When "boom" comes on /post/ for 16 seconds, whenever an upstream is up, and with seed <seed>
+    Then it reaches upstreams at most 3 times later than 3 seconds after the third crash
+
+    Examples:
+      | count | seed |
+      | 2     | 1    |
+      | 2     | 2    |
+      | 1     | 3    |
+
+  # Guards against sound requests that are refused since their gateway has lost its links.
+  Scenario Outline: A gateway that loses its links again and again gets sound content refused
+    Given a fleet of 3 gateways before 2 upstreams of service app
+    And its log is kept
+    When gateway 1 loses its links <times> times while it sends "hello" on /post/, and connections <how>
+    Then the log names "quarantine.began" 0 times
+    And the log has "crash.undecided" for these cuts
+
+    Examples:
+      | times | how         |
+      | 4     | are refused |
+
   Scenario Outline: All gateways know what three of them saw, before the request comes again
     Given <count> gateways that know each other, losing <lost> of 100 digests, seed <seed>
     When three gateways each see one crash under the same content
--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 from collections import deque
 from types import SimpleNamespace
 
@@ -77,6 +78,96 @@
     context.fleet.acts.append(begin)
 
 
+@given(
+    '"{body}" crashes all upstreams of the fleet, and each is back after {seconds:g} seconds under '
+    "its identifier"
+)
+def given_back(context, body, seconds):
+    given_fatal(context, body)
+    context.crashed_at = []
+
+    async def bring_back(scene):
+        while True:
+            crashed = [item for item in scene.upstreams_by_id.values() if item.crashed_at]
+            for upstream in crashed:
+                context.crashed_at.append(upstream.crashed_at)
+                upstream.crashed_at = None
+                tasks.append(asyncio.create_task(restart(scene, upstream, seconds)))
+            await asyncio.sleep(0.02)
+
+    tasks = []
+
+    async def begin(scene):
+        await scene.register(**{key: {"born": 1} for key in scene.upstreams_by_id})
+        tasks.append(asyncio.create_task(bring_back(scene)))
+        scene.ending.callback(lambda: [task.cancel() for task in tasks])
+
+    context.fleet.acts.append(begin)
+
+
+async def restart(scene, upstream, seconds):
+    """Start an upstream again some seconds after its crash, as a later lifetime."""
+    await asyncio.sleep(seconds)
+    await upstream.restart()
+    await scene.register_one(upstream.id, born=round(time.time() * 1000))
+
+
+@when(
+    '"{body}" comes on {target} for {seconds:d} seconds, whenever an upstream is up, and with seed '
+    "{seed:d}"
+)
+def when_comes(context, body, target, seconds, seed):
+    async def ask(scene):
+        draws, ends_at = random.Random(seed), asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < ends_at:
+            await asyncio.sleep(draws.uniform(0.1, 0.4))
+            if any(not item.crashed for item in scene.upstreams_by_id.values()):
+                gateway = draws.randrange(len(scene.applications))
+                await scene.ask("POST", target, body.encode(), gateway=gateway)
+
+    context.fleet.acts.append(ask)
+
+
+@then(
+    "it reaches upstreams at most {most:d} times later than {seconds:d} seconds after the third "
+    "crash"
+)
+def then_seldom(context, most, seconds):
+    context.fleet.play()
+    third = sorted(context.crashed_at)[2]
+    arrived_at = [at for item in context.fleet.upstreams_by_id.values() for at in item.arrived_at]
+    late = [round(at - third, 2) for at in sorted(arrived_at) if at > third + seconds]
+    assert len(late) <= most, (len(context.crashed_at), late)
+
+
+@when(
+    'gateway {number:d} loses its links {times:d} times while it sends "{body}" on {target}, and '
+    "connections are refused"
+)
+def when_loses(context, number, times, body, target):
+    async def lose(scene):
+        for upstream in scene.upstreams_by_id.values():
+            upstream.script = deque([Answered(delay_seconds=1.0)])
+        for _ in range(times):
+            request = scene.ask("POST", target, body.encode(), gateway=number - 1)
+            task = asyncio.create_task(request)
+            await asyncio.sleep(0.3)
+            scene.cut_links(number - 1, refuses=True)
+            for upstream in scene.upstreams_by_id.values():
+                upstream.reset_connections()
+            await asyncio.sleep(0.7)
+            scene.heal_links(number - 1)
+            await task
+            await asyncio.sleep(1.5)
+
+    context.fleet.acts.append(lose)
+
+
+@then('the log has "{event}" for these cuts')
+def then_has(context, event):
+    assert any(line["event"] == event for line in context.lines), context.lines
+
+
 async def start_next(scene, key, fatal_body):
     """Start another upstream in place of one that has crashed."""
     name = f"{key}-next"
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -47,6 +47,7 @@
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.signals import UpstreamSignals
 from quinceferry_gateway.stop_requests import StopRequest
+from quinceferry_gateway.stopped_upstreams import StopMonitor
 from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
@@ -160,7 +161,8 @@
             board, upstream_states, http, clock, random.Random(), metrics
         )
         reachability.on_change = self._gossip.announce_reachability
-        crashes = CrashMonitor(board, quarantine, http, port, clock, metrics, reachability)
+        stops = StopMonitor(board, http, clock, metrics, reachability)
+        crashes = CrashMonitor(board, quarantine, port, clock, metrics, stops)
         self._gossip.attach(copies, crashes)
         register_token_calls(calls, self.holder)
         self._controllers = [
@@ -176,6 +178,7 @@
             self.holder,
             self.reservations,
             reachability,
+            stops,
             crashes,
             QuarantineRecords(board, store, clock, crashes),
         ]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -13,7 +13,6 @@
 from quinceferry_core.clocks import Clock
 from quinceferry_core.common_causes import CommonCauses
 from quinceferry_core.crash_records import RequestAtCrash
-from quinceferry_core.eviction import evict_oldest
 from quinceferry_core.quarantine import EVIDENCE_DELAY_SECONDS, Quarantine, RunStage
 from quinceferry_gateway.answers import Reason, Refusal
 from quinceferry_gateway.blackboard import Blackboard
@@ -24,16 +23,14 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
-from quinceferry_gateway.reachability import ReachabilityMonitor
-from quinceferry_gateway.transport import HttpClient
+from quinceferry_gateway.stopped_upstreams import (
+    MAX_UNDECIDED_SECONDS,
+    StopMonitor,
+    lifetime_of,
+)
 
-LISTEN_CHECK_TIMEOUT_SECONDS = 0.3
-"""Longest wait for a connection to an upstream that may have crashed: a refusal takes one round
-trip, and a lost packet about 200 ms. The next attempt of the request waits for it."""
 MAX_ID_CHARACTERS = 200
 """Longest identifier of a content or lifetime that is accepted from a peer."""
-MAX_STOPPED_LIFETIMES = 256
-"""Most lifetimes of stopped upstreams that are kept."""
 
 QuarantineListener = Callable[[str, float, bool], None]
 """Receives a content that this gateway quarantined, the seconds of the quarantine, and whether the
@@ -41,14 +38,18 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
-    """An upstream crashed while it had a request; ``lifetime`` identifies the upstream and its
-    start, ``traits`` what the request of the service may share with others."""
+    """An upstream crashed while it had a request.
+
+    ``lifetime`` identifies the upstream and its start, ``traits`` what the request of the service
+    may share with others. The connection broke ``age_seconds`` ago.
+    """
 
     lifetime: str
     content: str
     stage: RunStage
     service: str = ""
     traits: tuple[str, ...] = ()
+    age_seconds: float = 0.0
 
 
 class CompletionReport(msgspec.Struct, frozen=True, array_like=True, tag="completed"):
@@ -65,30 +66,26 @@
     ``on_quarantine_changed`` when anything does, including a digest of a peer.
 
     :param quarantine: decides on the evidence that this controller collects.
-    :param reachability: tells crashed upstreams from lost links.
+    :param stops: determines which upstreams have stopped.
     """
 
     def __init__(
         self,
         blackboard: Blackboard,
         quarantine: Quarantine,
-        http: HttpClient,
         port: DatagramPort,
         clock: Clock,
         metrics: Metrics,
-        reachability: ReachabilityMonitor,
+        stops: StopMonitor,
     ) -> None:
         super().__init__()
-        self._reachability = reachability
+        self._stops = stops
         self._blackboard = blackboard
         self._quarantine = quarantine
         self._causes = CommonCauses()
-        self._http = http
         self._port = port
         self._clock = clock
         self._metrics = metrics
-        self._checks_by_lifetime: dict[str, asyncio.Task[None]] = {}
-        self._stopped_lifetimes: dict[str, None] = {}
         self._settling_lifetimes: set[str] = set()
         self.on_quarantine_decided: QuarantineListener = (
             lambda content, seconds, by_own_evidence: None
@@ -185,12 +182,37 @@
         }
 
     async def _check_crash(self, progress: Progress, upstream: Upstream, stage: RunStage) -> None:
-        """Check whether an upstream crashed, and record and report the request that it had."""
-        lifetime = f"{upstream.id}@{upstream.started_at}"
-        if not await self._has_stopped(lifetime, upstream):
-            return
+        """Check whether an upstream crashed, and record and report the request that it had.
+
+        A case in which this gateway can't tell yet is decided in the background.
+        """
+        closed_at = self._clock.monotonic()
+        has_stopped = await self._stops.has_stopped(upstream)
+        if has_stopped:
+            self._report_crash(progress, upstream, stage, closed_at)
+        elif has_stopped is None:
+            log.change("crash.undecided", upstream=upstream.id, request=progress.call.request_id)
+            self.spawn(self._decide_later(progress, upstream, stage, closed_at), "undecided crash")
+
+    async def _decide_later(
+        self, progress: Progress, upstream: Upstream, stage: RunStage, closed_at: float
+    ) -> None:
+        """Report the request that an upstream had once it is known to have crashed."""
+        if await self._stops.await_decision(upstream):
+            self._report_crash(progress, upstream, stage, closed_at)
+
+    def _report_crash(
+        self, progress: Progress, upstream: Upstream, stage: RunStage, closed_at: float
+    ) -> None:
+        """Record and report the request that an upstream had when it crashed."""
+        age_seconds = self._clock.monotonic() - closed_at
         report = CrashReport(
-            lifetime, progress.fingerprint, stage, progress.service, progress.traits
+            lifetime_of(upstream),
+            progress.fingerprint,
+            stage,
+            progress.service,
+            progress.traits,
+            age_seconds,
         )
         log.change(
             "upstream.crashed",
@@ -199,41 +221,12 @@
             content=progress.fingerprint,
             stage=stage.name.lower(),
             traits=progress.traits,
+            age_seconds=round(age_seconds, 3),
         )
         self._send_to_peers(report)
         self._causes.record_interruption(progress.service, progress.traits, self._clock.monotonic())
         self._record_crash(report, "own", by_own_evidence=True)
 
-    async def _has_stopped(self, lifetime: str, upstream: Upstream) -> bool:
-        """Return whether no process listens at an upstream's address any more.
-
-        A single broken connection is no evidence of a crash: links are reset, and healthy upstreams
-        close connections. Requests that break at the same time share one check.
-        """
-        if lifetime in self._stopped_lifetimes:
-            return True
-        check = self._checks_by_lifetime.get(lifetime)
-        if check is None:
-            check = self.spawn(self._check_listening(lifetime, upstream), "listens")
-            self._checks_by_lifetime[lifetime] = check
-            check.add_done_callback(lambda _: self._checks_by_lifetime.pop(lifetime, None))
-        await asyncio.shield(check)
-        return lifetime in self._stopped_lifetimes
-
-    async def _check_listening(self, lifetime: str, upstream: Upstream) -> None:
-        """Mark a lifetime as stopped if no process listens at the address.
-
-        A gateway that reaches no other upstream of the service can't tell.
-        """
-        if await self._http.listens(upstream.address, LISTEN_CHECK_TIMEOUT_SECONDS):
-            return
-        await self._reachability.connection_failed(upstream)
-        if self._reachability.is_cut_off(upstream):
-            return
-        self._metrics.count_upstream_crash(upstream.service)
-        self._stopped_lifetimes[lifetime] = None
-        evict_oldest(self._stopped_lifetimes, MAX_STOPPED_LIFETIMES)
-
     def _handle_crash_report(self, report: CrashReport, sender: object) -> None:
         """Add the evidence of a peer."""
         names = (report.content, report.lifetime, report.service, *report.traits)
@@ -251,7 +244,8 @@
             self._settling_lifetimes.add(report.lifetime)
             self.spawn(self._settle_evidence(report.lifetime), "crash evidence")
         request = RequestAtCrash(report.content, report.stage, report.traits[:MAX_TRAITS])
-        self._causes.record_crash(report.lifetime, report.service, request, now)
+        crashed_at = now - min(max(report.age_seconds, 0.0), MAX_UNDECIDED_SECONDS)
+        self._causes.record_crash(report.lifetime, report.service, request, crashed_at)
         if self._quarantine.record_crash(report.lifetime, report.content, report.stage, now):
             self._announce_quarantine(report.content, origin, by_own_evidence)
 
--- a/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/managed_upstream.py
@@ -108,18 +108,26 @@
     crashed_at: float | None = None
     rate_limit: str = ""
     leaving: bool = False
+    _address: str = ""
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
     def address(self) -> str:
         """Return where it listens."""
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        return self._address
 
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self._address = f"{host}:{port}"
+
+    async def restart(self) -> None:
+        """Listen again at the same address after a crash, as another lifetime."""
+        host, port = self.address.rsplit(":", 1)
+        self.crashed_at = None
+        self._server = await asyncio.start_server(self._connected, host, int(port))
 
     async def stop(self) -> None:
         """Stop listening and end what runs."""
@@ -138,6 +146,10 @@
         if self.crashed_at is None:
             self.crashed_at = asyncio.get_running_loop().time()
         self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections but that of the running request, without an answer."""
         for task in self._tasks - {asyncio.current_task()}:
             task.cancel()
 
