Take the listed version of an upstream for proof only where it is one

What callers saw: streams that hold events of two software versions, answered 200 and whole. Within one answer, while upstreams were replaced in place in an outage of the store; and, after all gateways had been killed and the old version had left, where a caller resumed a stream without naming the request that began it.

Causes, both in what a listed version proves. (1) The entry may be older than the process: after nobody has listened at an address, another process may answer there before its entry is listed. (2) One listed version says nothing of upstreams that left before the gateway read its first list.

Change: `quinceferry_gateway.software_versions` decides. After an upstream was found silent, streams go on there, and the origins of streams that begin there are recorded, only once a list that was requested a lease later still has the same lifetime; peers learn it from reports of crashes. A caller that names no request goes on only if the service has had a single version, in lists without a gap, for as long as such a stream may last; otherwise it is refused at once.

The three scenarios with gateways failed on the code before: 200 for the stream without a name, a resumed stream at the upstream that started again, 502 in place of 503 for streams that began there. Both faults come in one commit, since both mends are the same module.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -36,6 +36,7 @@
 from quinceferry_gateway.quarantine_records import QuarantineRecords
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.software_versions import SoftwareVersions
 from quinceferry_gateway.stopped_upstreams import StopMonitor
 from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.upstream_reader import UpstreamReader
@@ -335,7 +336,9 @@
             board, self.upstream_states, Deserted(), clock, draws, Uncounted()
         )
         self.reachability.on_change = self.gossip.announce_reachability
-        stops = StopMonitor(board, Deserted(), clock, Uncounted(), self.reachability)
+        stops = StopMonitor(
+            board, self.upstream_states, Deserted(), clock, Uncounted(), self.reachability
+        )
         self.crashes = CrashMonitor(board, quarantine, self.port, clock, Uncounted(), stops)
         self.gossip.attach(self.copies, self.crashes)
         calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
@@ -345,7 +348,8 @@
         self.permits = SendPermits(
             board, self.upstream_states, self.cold_starts, calls, clock, Uncounted()
         )
-        self.origins = StreamOrigins(board, self.port, calls, clock, Uncounted())
+        versions = SoftwareVersions(board, self.upstream_states, clock, 3 * HEARTBEAT_SECONDS)
+        self.origins = StreamOrigins(board, self.port, calls, clock, Uncounted(), versions)
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
         self._controllers += [self.reachability, self.crashes, records, calls]
--- a/features/gateway_stream_versions.feature
+++ b/features/gateway_stream_versions.feature
@@ -54,3 +54,35 @@
     And gateway 1 of the fleet reaches no upstream
     When gateway 1 gets 12 streams
     Then each of them has events of one version
+
+  # Guards against two versions in a stream when the gateways and the old version have gone together.
+  Scenario: A stream that its caller does not name goes on at the one version that gateways know
+    Given a fleet with 2 gateways, and upstreams of version v1 (0) and version v2 (3)
+    When a caller resumes a stream without naming it
+    Then it is refused at once with 503, and reaches no upstream
+
+  # Guards against the same after lists that were not read for a while, or that had another version.
+  Scenario Outline: A single version counts as proof though another one may have been there
+    Given lists of versions <versions> that are read each second, and then <pause> seconds nothing
+    When version v2 alone is listed for <seconds> seconds more
+    Then it is <proof> that the service had a single version for 20 seconds
+
+    Examples:
+      | versions | pause | seconds | proof    |
+      | v2       | 0     | 30      | proved   |
+      | v2       | 0     | 10      | unproved |
+      | v1,v2    | 0     | 10      | unproved |
+      | v1,v2    | 0     | 30      | proved   |
+      | v2,v2    | 10    | 15      | unproved |
+
+  # Guards against two versions in a stream while the list is older than the process that answers.
+  Scenario: A broken stream goes on at an upstream that came back as another version before it is listed
+    Given a fleet with 1 gateways, and upstreams of version v1 (2) and version v2 (0)
+    When an upstream of version v1 starts again unlisted, and 6 streams of the other one break
+    Then no stream goes on at the upstream that started again
+
+  # Guards against streams that are taken for the listed version though an unlisted one began them.
+  Scenario: A stream that began at an upstream that came back as another version goes on at the listed one
+    Given a fleet with 2 gateways, and upstreams of version v1 (2) and version v2 (0)
+    When an upstream of version v1 starts again unlisted, and callers resume 6 streams that it began
+    Then each of them is refused with 503
--- a/features/steps/gateway_stream_versions.py
+++ b/features/steps/gateway_stream_versions.py
@@ -1,11 +1,14 @@
 """Steps for streams that go on at another upstream, on real gateways and stand-ins."""
 
 import asyncio
-from collections import defaultdict
+import itertools
+from collections import defaultdict, deque
 
 from behave import given, then, when
 
 from features.fixtures_gateway import Scene, configuration, until
+from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.software_versions import SoftwareVersions
 from quinceferry_standins.managed_upstream import Streaming
 
 EVENTS = 6
@@ -16,6 +19,10 @@
 AT_ONCE_SECONDS = 1.5
 """Far below the time limits of a scenario's requests, and above what a slow machine takes."""
 WHOLE = Streaming(EVENTS)
+LONG_STREAM = Streaming(60, pause_seconds=0.1)
+LEASE_SECONDS = 3.6
+SUSPECT_SECONDS = 2.0
+"""Time after which an upstream whose connections failed is tried again."""
 BREAKING = Streaming(EVENTS, last=EVENTS_BEFORE_BREAK, then="reset")
 
 
@@ -292,3 +299,122 @@
     ]
     assert (answer.status, context.resumed_id in bodies) == (503, False), (answer, bodies)
     assert answer.seconds < AT_ONCE_SECONDS, answer
+
+
+@when("a caller resumes a stream without naming it")
+def when_unnamed(context):
+    async def act(scene):
+        context.resumed_id = "new-1"
+        await ask(scene, context.resumed_id, last_event_id=str(EVENTS_BEFORE_BREAK))
+
+    context.scene.acts.append(act)
+
+
+@given("lists of versions {versions} that are read each second, and then {pause:d} seconds nothing")
+def given_lists(context, versions, pause):
+    context.list_clock = SteppedClock()
+    context.software_versions = SoftwareVersions(None, None, context.list_clock, LEASE_SECONDS)
+    read_lists(context, versions.split(","), 3)
+    context.list_clock.now += pause
+
+
+@when("version {version} alone is listed for {seconds:d} seconds more")
+def when_alone(context, version, seconds):
+    read_lists(context, [version], seconds)
+
+
+def read_lists(context, versions, times):
+    """Read the same list once a second."""
+    for _ in range(times):
+        context.list_clock.now += 1.0
+        listed = [
+            Upstream(f"u{n}", "llm", "a:1", "z", 1, False, software_version=version)
+            for n, version in enumerate(versions)
+        ]
+        context.software_versions.list_read(listed, context.list_clock.now)
+
+
+@then("it is {proof} that the service had a single version for {seconds:d} seconds")
+def then_proof(context, proof, seconds):
+    is_proved = context.software_versions.has_single_version("llm", seconds)
+    assert is_proved == (proof == "proved")
+
+
+class SteppedClock:
+    """Monotonic clock that a scenario moves."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def monotonic(self):
+        """Return the present time."""
+        return self.now
+
+
+async def start_again_unlisted(scene):
+    """Let an upstream crash under streams and listen again in an outage of the store.
+
+    :return: that upstream, the other one, and the streams.
+    """
+    first, second = scene.upstreams_by_id.values()
+    first.script, second.script = deque([LONG_STREAM]), deque([LONG_STREAM])
+    number = itertools.count()
+    streams = []
+    while not (first.seen and second.seen):
+        streams.append(asyncio.create_task(ask(scene, f"long{next(number)}")))
+        await asyncio.sleep(0.1)
+    scene.store.faults.status = 503
+    first.crash()
+    await asyncio.sleep(SUSPECT_SECONDS)
+    await first.restart()
+    first.seen.clear()
+    return first, second, streams
+
+
+@when(
+    "an upstream of version v1 starts again unlisted, and {count:d} streams of the other one break"
+)
+def when_break_beside(context, count):
+    async def act(scene):
+        context.restarted, second, streams = await start_again_unlisted(scene)
+        for number in range(count):
+            streams.append(asyncio.create_task(ask(scene, f"more{number}")))
+        await asyncio.sleep(0.5)
+        second.reset_connections()
+        context.restarted.script = second.script = deque([WHOLE])
+        await asyncio.gather(*streams)
+
+    context.scene.acts.append(act)
+
+
+@then("no stream goes on at the upstream that started again")
+def then_not_there(context):
+    context.scene.play()
+    headers = [seen.headers for seen in context.restarted.seen]
+    assert not any(b"last-event-id" in item for item in headers), headers
+
+
+@when(
+    "an upstream of version v1 starts again unlisted, and callers resume {count:d} streams that it "
+    "began"
+)
+def when_began_there(context, count):
+    async def act(scene):
+        first, second, streams = await start_again_unlisted(scene)
+        first.script = deque([BREAKING])
+        second.crash()
+        await asyncio.gather(*streams)
+        context.resumed = []
+        for number in range(count):
+            answer = await ask(scene, f"new{number}")
+            if b"id: 2" in answer.body:
+                context.resumed.append(await resume(scene, f"new{number}", f"again{number}", 1))
+
+    context.scene.acts.append(act)
+
+
+@then("each of them is refused with {status:d}")
+def then_each_refused(context, status):
+    context.scene.play()
+    statuses = [answer.status for answer in context.resumed]
+    assert statuses and set(statuses) == {status}, statuses
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import cache
 
 from quinceferry_core.adapters import KvStore
@@ -12,6 +12,7 @@
 from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
+from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.controllers import Controller
@@ -46,12 +47,13 @@
 from quinceferry_gateway.server import HttpListener
 from quinceferry_gateway.settings import Settings
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.software_versions import SoftwareVersions
 from quinceferry_gateway.stop_requests import StopRequest
 from quinceferry_gateway.stopped_upstreams import StopMonitor
 from quinceferry_gateway.stream_origins import StreamOrigins
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
-from quinceferry_gateway.upstream_reader import UpstreamReader
+from quinceferry_gateway.upstream_reader import HEARTBEATS_PER_LEASE, UpstreamReader
 
 PEER_IDLE_TIMEOUT_SECONDS = 5.0
 FIRST_CALL_NUMBER_BITS = 40
@@ -137,6 +139,14 @@
             cold_starts.zone_restored,
             frozenset(settings.gateway.region_by_zone.values()),
         )
+        versions = SoftwareVersions(
+            board, upstream_states, clock, HEARTBEATS_PER_LEASE * heartbeat_seconds
+        )
+
+        def list_read(listed: Iterable[Upstream], requested_at: float) -> None:
+            cold_starts.list_read(listed, requested_at)
+            versions.list_read(listed, requested_at)
+
         upstreams = UpstreamReader(
             board,
             source,
@@ -144,7 +154,7 @@
             heartbeat_seconds,
             rng,
             freshness_settings.leaving_milliseconds / 1000,
-            cold_starts.list_read,
+            list_read,
         )
         members = MemberReader(board, snapshots, clock, rng, self._registration.registered)
         self._gossip = Gossip(board, members, port, clock, rng, suspended_seconds)
@@ -161,7 +171,7 @@
             board, upstream_states, http, clock, random.Random(), metrics
         )
         reachability.on_change = self._gossip.announce_reachability
-        stops = StopMonitor(board, http, clock, metrics, reachability)
+        stops = StopMonitor(board, upstream_states, http, clock, metrics, reachability)
         crashes = CrashMonitor(board, quarantine, port, clock, metrics, stops)
         self._gossip.attach(copies, crashes)
         register_token_calls(calls, self.holder)
@@ -186,12 +196,12 @@
         permits = SendPermits(board, upstream_states, cold_starts, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, upstream_states, random.Random())
         selector = UpstreamSelector(
-            board, upstream_states, placer, permits, clock, settings.gateway.region_of
+            board, upstream_states, placer, permits, clock, settings.gateway.region_of, versions
         )
-        self._origins = origins = StreamOrigins(board, port, calls, clock, metrics)
+        self._origins = origins = StreamOrigins(board, port, calls, clock, metrics, versions)
         self._controllers.append(origins)
         exchanges = UpstreamExchanges(
-            dialect, http, clock, metrics, signals, reachability, origins, crashes
+            dialect, http, clock, metrics, signals, reachability, origins, crashes, versions
         )
         forwarder = RequestForwarder(board, dialect, exchanges, clock, random.Random(), metrics)
         relay = Relay(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/crashes.py
@@ -233,6 +233,7 @@
         if max(map(len, names)) > MAX_ID_CHARACTERS:
             log.failure("crash.malformed", peer=str(sender))
             return
+        self._stops.record_stopped(report.lifetime)
         self._record_crash(report, str(sender))
 
     def _record_crash(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -55,7 +55,8 @@
     ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
     one, and ``notified_at`` is when it last sent one. ``no_permit_until`` is the earliest time at
     which to request an immediate permit, and ``next_permit_at`` is when the next permit becomes
-    valid for a request that waits for it.
+    valid for a request that waits for it. ``silent_at`` is when nobody was last found to listen at
+    the address of the upstream, None if that has not happened.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "rate_limit",
         "prefill_queue",
         "sent_since_load",
+        "silent_at",
         "slowdown_at",
         "last_slowdown",
         "started_at",
@@ -88,6 +90,7 @@
         self.sent_since_load = 0
         self.consecutive_failures = 0
         self.suspect_until = 0.0
+        self.silent_at: float | None = None
         self.misdirected_until = 0.0
         self.cold_period = ColdPeriod()
         self.rate_limit = RateLimit()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -29,6 +29,7 @@
 from quinceferry_gateway.progress import CallerStream, Progress
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.signals import UpstreamSignals
+from quinceferry_gateway.software_versions import SoftwareVersions
 from quinceferry_gateway.stream_origins import (
     StreamOrigins,
     decode_origin,
@@ -56,6 +57,7 @@
     :param reachability: learns which upstreams answer.
     :param origins: records which software version began a stream.
     :param crashes: learns which requests upstreams survive.
+    :param versions: tells the origin of a stream that begins at an upstream.
     """
 
     def __init__(
@@ -68,7 +70,9 @@
         reachability: ReachabilityMonitor,
         origins: StreamOrigins,
         crashes: CrashMonitor,
+        versions: SoftwareVersions,
     ) -> None:
+        self._versions = versions
         self._crashes = crashes
         self._origins = origins
         self._signals = signals
@@ -119,7 +123,7 @@
                 return NotRun(f"status {head.status}", True, head.misdirected)
             _check_head(call, head, upstream.address)
             attempt.record_accepted()
-            origin = StreamOrigin(upstream.service, upstream.software_version)
+            origin = self._versions.origin_of(upstream)
             outcome = await self._forward_answer(
                 progress, head, reply, attempt, upstream.address, origin
             )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -315,7 +315,9 @@
             async with asyncio.timeout(remaining) as progress.attempt_timeout:
                 return await self._exchange_with_timeout(progress, upstream, headers, attempt)
         except NotSentError as error:
-            attempt.record_failure(self._clock.monotonic())
+            now = self._clock.monotonic()
+            attempt.record_failure(now)
+            self._upstream_states.get(upstream).silent_at = now
             await self._reachability.connection_failed(upstream)
             return NotRun(str(error), sent=False)
         except ForeignAnswerError as error:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stopped_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stopped_upstreams.py
@@ -15,6 +15,7 @@
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.reachability import ReachabilityMonitor
 from quinceferry_gateway.transport import HttpClient
@@ -45,6 +46,7 @@
     def __init__(
         self,
         blackboard: Blackboard,
+        upstream_states: UpstreamStates,
         http: HttpClient,
         clock: Clock,
         metrics: Metrics,
@@ -52,6 +54,7 @@
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
+        self._upstream_states = upstream_states
         self._http = http
         self._clock = clock
         self._metrics = metrics
@@ -95,6 +98,7 @@
         """Mark a lifetime as stopped, or as undecided, if no process listens at the address."""
         if await self._http.listens(upstream.address, LISTEN_CHECK_TIMEOUT_SECONDS):
             return
+        self._upstream_states.get(upstream).silent_at = self._clock.monotonic()
         await self._reachability.connection_failed(upstream)
         if self._reachability.is_cut_off(upstream):
             self._undecided_lifetimes.add(lifetime_of(upstream))
@@ -118,6 +122,13 @@
         finally:
             self._undecided_lifetimes.discard(lifetime)
 
+    def record_stopped(self, lifetime: str) -> None:
+        """Record that another gateway has found that a lifetime has ended."""
+        for upstream in self._blackboard.upstreams_by_id.values():
+            state = self._upstream_states.get(upstream)
+            if lifetime_of(upstream) == lifetime and state.silent_at is None:
+                state.silent_at = self._clock.monotonic()
+
     def _has_later_lifetime(self, upstream: Upstream) -> bool:
         """Return whether the list has a later lifetime of an upstream, or of another at its
         address."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stream_origins.py
@@ -31,6 +31,7 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.progress import Progress
+from quinceferry_gateway.software_versions import SoftwareVersions
 
 ORIGIN_HEADER = b"quinceferry-stream-origin"
 """States the origin of a stream between gateways; those of callers and upstreams are removed."""
@@ -86,6 +87,7 @@
     """Records the origins of streams at several gateways, and finds them.
 
     :param metrics: counts lookups by where the origin was found.
+    :param versions: tells for how long a service has had a single version.
     """
 
     def __init__(
@@ -95,8 +97,10 @@
         calls: DatagramCalls,
         clock: Clock,
         metrics: Metrics,
+        versions: SoftwareVersions,
     ) -> None:
         super().__init__()
+        self._versions = versions
         self._blackboard = blackboard
         self._port = port
         self._calls = calls
@@ -164,11 +168,11 @@
     def _check_single_version(self, progress: Progress) -> Refusal | None:
         """Return the refusal of a stream whose caller does not tell which request began it.
 
-        It goes on if there is one version only.
+        It goes on if there has been one version only for as long as such a stream may last.
         """
-        upstreams = self._blackboard.upstreams_by_id.values()
-        versions = {item.software_version for item in upstreams if item.service == progress.service}
-        if len(versions) <= 1 and len(progress.route.destinations) == 1:
+        seconds = progress.route.timeout_seconds + CALLER_PAUSE_SECONDS
+        is_sole_service = len(progress.route.destinations) == 1
+        if is_sole_service and self._versions.has_single_version(progress.service, seconds):
             return None
         return Refusal(Reason.STREAM_ORIGIN_UNKNOWN, "the request names no stream")
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -9,6 +9,7 @@
 from quinceferry_gateway.decisions import Placement, Placer, UpstreamStates
 from quinceferry_gateway.permits import SendPermits
 from quinceferry_gateway.progress import Progress
+from quinceferry_gateway.software_versions import SoftwareVersions
 
 MAX_PERMIT_REQUESTS = 3
 """Most permits requested without a wait before falling back to an upstream without a limit."""
@@ -29,6 +30,7 @@
 
     :param permits: acquires permits for requests to rate-limited upstreams.
     :param region_of: returns the region of an availability zone.
+    :param versions: tells where a stream may go on.
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         permits: SendPermits,
         clock: Clock,
         region_of: Callable[[str], str],
+        versions: SoftwareVersions,
     ) -> None:
+        self._versions = versions
         self._region_of = region_of
         self._blackboard = blackboard
         self._upstream_states = upstream_states
@@ -153,7 +157,7 @@
             item
             for item in board.upstreams_by_id.values()
             if item.service == progress.service
-            and (origin is None or origin.admits(item))
+            and self._versions.admits(origin, item)
             and item.zone not in board.evacuated_zones
             and (regions is None or self._region_of(item.zone) in regions)
         ]
