Limit the descriptors of a gateway process from outside

A part of the features hung for good in "A short soak of starved gateways breaks a promise": the child of a fork waited for a lock, and its parent for the child. A function between fork and exec makes Python run the hooks of all libraries in the child; one of OpenTelemetry submits to a thread pool, whose lock is held across the fork until its own hook, which may be registered later. The stack of the child, read with a debugger, is that. It depends on which features ran before.

The limit is set with prlimit right after the start now, and no function runs in between. The five scenarios of gateway_connections pass.

--- a/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
@@ -87,11 +87,6 @@
 
         :param descriptors: how many descriptors it may have open, 0 for as many as this process.
         """
-
-        def limit_descriptors() -> None:
-            if descriptors:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
-
         with self.log.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -100,8 +95,11 @@
                 "--config",
                 str(self.settings),
                 stdout=output,
-                preexec_fn=limit_descriptors,
             )
+        # A function that runs between fork and exec could wait for a lock of another thread.
+        if descriptors:
+            limits = (descriptors, descriptors)
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     async def is_ready(self, http: HttpClient) -> bool:
         """Return whether it accepts callers."""
