Use one address pattern, one shared task and one test clock

`StopMonitor._share` wrote again what `ReachabilityMonitor.begin_check` did: both call `Controller.spawn_shared`. A report of a peer that an upstream stopped looked at every listed upstream, for each request that it had; it looks one up now. `binascii.Error` is a ValueError. A clock of a scenario is that of gateway_parts.

--- a/features/steps/gateway_stream_versions.py
+++ b/features/steps/gateway_stream_versions.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.fixtures_gateway import Scene, configuration, until
+from features.steps.gateway_parts import ManualClock
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.software_versions import SoftwareVersions
 from quinceferry_standins.managed_upstream import Streaming
@@ -312,10 +313,10 @@
 
 @given("lists of versions {versions} that are read each second, and then {pause:d} seconds nothing")
 def given_lists(context, versions, pause):
-    context.list_clock = SteppedClock()
+    context.list_clock = ManualClock()
     context.software_versions = SoftwareVersions(None, None, context.list_clock, LEASE_SECONDS)
     read_lists(context, versions.split(","), 3)
-    context.list_clock.now += pause
+    context.list_clock.time += pause
 
 
 @when("version {version} alone is listed for {seconds:d} seconds more")
@@ -326,12 +327,12 @@
 def read_lists(context, versions, times):
     """Read the same list once a second."""
     for _ in range(times):
-        context.list_clock.now += 1.0
+        context.list_clock.time += 1.0
         listed = [
             Upstream(f"u{n}", "llm", "a:1", "z", 1, False, software_version=version)
             for n, version in enumerate(versions)
         ]
-        context.software_versions.list_read(listed, context.list_clock.now)
+        context.software_versions.list_read(listed, context.list_clock.time)
 
 
 @then("it is {proof} that the service had a single version for {seconds:d} seconds")
@@ -340,17 +341,6 @@
     assert is_proved == (proof == "proved")
 
 
-class SteppedClock:
-    """Monotonic clock that a scenario moves."""
-
-    def __init__(self):
-        self.now = 0.0
-
-    def monotonic(self):
-        """Return the present time."""
-        return self.now
-
-
 async def start_again_unlisted(scene):
     """Let an upstream crash under streams and listen again in an outage of the store.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/blackboard.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from quinceferry_gateway.addresses import ADDRESS_PATTERN
 from quinceferry_gateway.catalog import Configuration, EntryKind, Upstream
 
 STOPPING_SECONDS = 10.0
@@ -14,7 +15,7 @@
 the grace time of a planned stop."""
 
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.-]{1,253}:[0-9]{1,5}$")]
+Address = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
 """``host:port``, checked where it is decoded."""
 
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/controllers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/controllers.py
@@ -15,6 +15,7 @@
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
+        self._shared_tasks_by_name: dict[str, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Start the component; subclasses spawn their tasks here."""
@@ -33,6 +34,16 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def spawn_shared(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Return the running task of a name, which is started unless it runs already."""
+        task = self._shared_tasks_by_name.get(name)
+        if task is None:
+            task = self._shared_tasks_by_name[name] = self.spawn(run(), name)
+            task.add_done_callback(lambda _: self._shared_tasks_by_name.pop(name, None))
+        return task
+
     def supervise(
         self, run: Callable[[], Coroutine[Any, Any, None]], name: str
     ) -> asyncio.Task[None]:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decoding.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decoding.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import binascii
 from collections.abc import Callable
 from functools import partial
 from typing import TypeVar
@@ -49,5 +48,5 @@
     """
     try:
         return base64.b64decode(text, validate=True)
-    except (binascii.Error, ValueError) as error:
+    except ValueError as error:
         raise msgspec.DecodeError(str(error)) from error
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/reachability.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/reachability.py
@@ -56,7 +56,6 @@
         self._clock = clock
         self._rng = rng
         self._connected_at_by_service: dict[str, float] = {}
-        self._checks_by_service: dict[str, asyncio.Task[None]] = {}
         self.on_change = lambda: None
         metrics.observe_unreachable_services(lambda: len(blackboard.unreachable_services))
 
@@ -86,13 +85,8 @@
 
         :return: the running check.
         """
-        service = upstream.service
-        check = self._checks_by_service.get(service)
-        if check is None:
-            check = self.spawn(self._check(upstream), f"reachability of {service}")
-            self._checks_by_service[service] = check
-            check.add_done_callback(lambda _: self._checks_by_service.pop(service, None))
-        return check
+        name = f"reachability of {upstream.service}"
+        return self.spawn_shared(partial(self._check, upstream), name)
 
     async def _check(self, failed: Upstream) -> None:
         """Connect to other upstreams of a service, and mark it as unreachable if all fail."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/stopped_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/stopped_upstreams.py
@@ -7,8 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from functools import partial
 
 from quinceferry_core.clocks import Clock
 from quinceferry_core.eviction import evict_oldest
@@ -61,7 +60,6 @@
         self._reachability = reachability
         self._stopped_lifetimes: dict[str, None] = {}
         self._undecided_lifetimes: set[str] = set()
-        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
 
     async def has_stopped(self, upstream: Upstream) -> bool | None:
         """Check whether no process listens at an upstream's address any more.
@@ -72,7 +70,8 @@
         """
         lifetime = lifetime_of(upstream)
         if lifetime not in self._stopped_lifetimes and lifetime not in self._undecided_lifetimes:
-            await self._share(f"listens {lifetime}", lambda: self._check_listening(upstream))
+            check = partial(self._check_listening, upstream)
+            await asyncio.shield(self.spawn_shared(check, f"listens {lifetime}"))
         if lifetime in self._stopped_lifetimes:
             return True
         return None if lifetime in self._undecided_lifetimes else False
@@ -83,17 +82,10 @@
         :return: whether it has stopped; False if there is no evidence for too long.
         """
         lifetime = lifetime_of(upstream)
-        await self._share(f"stop of {lifetime}", lambda: self._await_evidence(upstream))
+        search = partial(self._await_evidence, upstream)
+        await asyncio.shield(self.spawn_shared(search, f"stop of {lifetime}"))
         return lifetime in self._stopped_lifetimes
 
-    async def _share(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Wait for a task, which is started unless it runs already."""
-        task = self._tasks_by_name.get(name)
-        if task is None:
-            task = self._tasks_by_name[name] = self.spawn(run(), name)
-            task.add_done_callback(lambda _: self._tasks_by_name.pop(name, None))
-        await asyncio.shield(task)
-
     async def _check_listening(self, upstream: Upstream) -> None:
         """Mark a lifetime as stopped, or as undecided, if no process listens at the address."""
         if await self._http.listens(upstream.address, LISTEN_CHECK_TIMEOUT_SECONDS):
@@ -124,10 +116,12 @@
 
     def record_stopped(self, lifetime: str) -> None:
         """Record that another gateway has found that a lifetime has ended."""
-        for upstream in self._blackboard.upstreams_by_id.values():
-            state = self._upstream_states.get(upstream)
-            if lifetime_of(upstream) == lifetime and state.silent_at is None:
-                state.silent_at = self._clock.monotonic()
+        upstream = self._blackboard.upstreams_by_id.get(lifetime.rpartition("@")[0])
+        if upstream is None or lifetime_of(upstream) != lifetime:
+            return
+        state = self._upstream_states.get(upstream)
+        if state.silent_at is None:
+            state.silent_at = self._clock.monotonic()
 
     def _has_later_lifetime(self, upstream: Upstream) -> bool:
         """Return whether the list has a later lifetime of an upstream, or of another at its
