Read what an upstream announces about rejections, and count requests that upstreams reject

Logs could not tell whether upstreams rejected requests for want of room, with which load, or what they had announced. The adapter decodes how many rejections a second an upstream bears; it is logged, counted and told to all gateways, and no decision uses it yet. Rejections are counted by cause, and logged with the load and slots.

An invalid number counts as zero.

--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -29,6 +29,7 @@
 from quinceferry_gateway.fleet.calls import DatagramCalls
 from quinceferry_gateway.fleet.copies import CopyReplicator
 from quinceferry_gateway.fleet.gossip import Gossip
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams
 from quinceferry_gateway.interfaces import Snapshot
 from quinceferry_gateway.membership import MemberReader
 from quinceferry_gateway.peers import PeerError
@@ -266,6 +267,12 @@
     def observe_rate_limits(self, limited):
         """Serve nothing."""
 
+    def observe_fragile_upstreams(self, fragile):
+        """Serve nothing."""
+
+    def count_rejection(self, service, cause):
+        """Count nothing."""
+
     def observe_cold_upstreams(self, cold):
         """Serve nothing."""
 
@@ -342,8 +349,17 @@
         self.crashes = CrashMonitor(board, quarantine, self.port, clock, Uncounted(), stops)
         self.gossip.attach(self.copies, self.crashes)
         calls = DatagramCalls(self.port, clock, number << CALL_NUMBER_BITS)
+        self.fragile_upstreams = FragileUpstreams(
+            board, self.upstream_states, self.port, clock, Uncounted()
+        )
         self.signals = UpstreamSignals(
-            board, self.upstream_states, self.cold_starts, self.port, clock, Uncounted()
+            board,
+            self.upstream_states,
+            self.cold_starts,
+            self.fragile_upstreams,
+            self.port,
+            clock,
+            Uncounted(),
         )
         self.permits = SendPermits(
             board, self.upstream_states, self.cold_starts, calls, clock, Uncounted()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/answers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from quinceferry_gateway.catalog import AnswerHead
+from quinceferry_gateway.catalog import AnswerHead, Load
 
 REFUSAL_HEADER = b"quinceferry-refusal"
 """Reason for which a peer refused a forwarded request; only gateways may send it."""
@@ -118,12 +118,14 @@
 class NotRun:
     """The attempt has not run: nothing was sent, or the upstream reported it.
 
-    ``misdirected`` is True if it reached another upstream than the chosen one.
+    ``misdirected`` is True if it reached another upstream than the chosen one. ``load`` is the load
+    that the upstream reported when it rejected the request.
     """
 
     detail: str
     sent: bool
     misdirected: bool = False
+    load: Load | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -27,6 +27,7 @@
 from quinceferry_gateway.fleet.gossip import Gossip
 from quinceferry_gateway.fleet_api import MetricsApi, PeerApi, register_token_calls
 from quinceferry_gateway.forwarding import RequestForwarder
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams
 from quinceferry_gateway.freshness import CONFIGURATION_KIND, ConfigurationFreshness
 from quinceferry_gateway.holder import TokenHolder
 from quinceferry_gateway.holder_role import holder_vms
@@ -193,7 +194,10 @@
             crashes,
             QuarantineRecords(board, store, clock, crashes),
         ]
-        signals = UpstreamSignals(board, upstream_states, cold_starts, port, clock, metrics)
+        fragile_upstreams = FragileUpstreams(board, upstream_states, port, clock, metrics)
+        signals = UpstreamSignals(
+            board, upstream_states, cold_starts, fragile_upstreams, port, clock, metrics
+        )
         permits = SendPermits(board, upstream_states, cold_starts, calls, clock, metrics)
         placer = Placer(settings.gateway.zone, upstream_states, random.Random())
         selector = UpstreamSelector(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/attempt_log.py
@@ -75,7 +75,10 @@
     if missing_seconds is not None:
         fields["missing_seconds"] = round(missing_seconds, 3)
     match outcome:
-        case NotRun(detail, sent):
+        case NotRun(detail, sent, _, load):
+            if load is not None:
+                fields["load"] = f"{load.running} running, {load.waiting} waiting"
+                fields["slots"] = load.slots
             log.failure("attempt.not_run", sent=sent, detail=detail, **fields)
         case UnknownOutcome(detail):
             fields["events"] = progress.stream.buffer.count
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -295,7 +295,9 @@
     ``misdirected``, another upstream is at the address. ``request_id`` is the request it answers,
     empty if not stated. ``genuine`` states whether the headers contain the upstream's mark.
     ``max_requests_per_second`` is the request rate that the upstream accepts across all gateways,
-    None when the answer has no valid limit. ``leaving`` states that the upstream is shutting down
+    None when the answer has no valid limit. ``max_rejections_per_second`` is how many requests the
+    upstream can reject in a second without failing, zero if the answer has an invalid number, None
+    if it has none. ``leaving`` states that the upstream is shutting down
     and must get no new requests. ``retry_after_seconds`` is the time for which a 503 asks this
     gateway to send no requests, None when the answer has no valid one. ``cold_seconds`` is how much
     longer the upstream stays cold, infinite if the answer has an invalid time, None if it has none.
@@ -310,6 +312,7 @@
     load: Load | None = None
     misdirected: bool = False
     max_requests_per_second: float | None = None
+    max_rejections_per_second: float | None = None
     leaving: bool = False
     retry_after_seconds: float | None = None
     cold_seconds: float | None = None
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -53,10 +53,13 @@
     """What is known of one lifetime of an upstream. Times are those of the monotonic clock.
 
     ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
-    one, and ``notified_at`` is when it last sent one. ``no_permit_until`` is the earliest time at
-    which to request an immediate permit, and ``next_permit_at`` is when the next permit becomes
-    valid for a request that waits for it. ``silent_at`` is when nobody was last found to listen at
-    the address of the upstream, None if that has not happened.
+    one, and ``notified_at`` is when it last sent one. ``max_rejections`` is how many requests the
+    upstream can reject in a second without failing, None if it states no number;
+    ``notified_max_rejections`` and ``fragility_notified_at`` are the same as for the rate limit.
+    ``no_permit_until`` is the earliest time at which to request an immediate permit, and
+    ``next_permit_at`` is when the next permit becomes valid for a request that waits for it.
+    ``silent_at`` is when nobody was last found to listen at the address of the upstream, None if
+    that has not happened.
     """
 
     __slots__ = (
@@ -65,11 +68,14 @@
         "in_flight",
         "load",
         "load_received_at",
+        "fragility_notified_at",
         "malformed_headers",
+        "max_rejections",
         "misdirected_until",
         "next_permit_at",
         "no_permit_until",
         "notified_at",
+        "notified_max_rejections",
         "notified_rate",
         "pause",
         "rate_limit",
@@ -99,6 +105,9 @@
         self.pause = RequestPause()
         self.notified_rate: float | None = None
         self.notified_at = float("-inf")
+        self.max_rejections: float | None = None
+        self.notified_max_rejections: float | None = None
+        self.fragility_notified_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
         self.prefill_queue = PrefillQueue()
         self.last_slowdown = 1.0
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/exchanges.py
@@ -120,7 +120,7 @@
             elif head.load is not None:
                 attempt.record_load(head.load, self._clock.monotonic())
             if head.not_run:
-                return NotRun(f"status {head.status}", True, head.misdirected)
+                return NotRun(f"status {head.status}", True, head.misdirected, head.load)
             _check_head(call, head, upstream.address)
             attempt.record_accepted()
             origin = self._versions.origin_of(upstream)
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -0,0 +1,97 @@
+"""Keeps track of which upstreams fail if they have to reject too many requests."""
+
+import msgspec
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard
+from quinceferry_gateway.catalog import AnswerHead, Upstream
+from quinceferry_gateway.decisions import UpstreamStates
+from quinceferry_gateway.fleet.datagrams import DatagramPort
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
+
+MIN_NOTICE_INTERVAL_SECONDS = 1.0
+"""Shortest time between two notices about an upstream, which bounds the traffic if its announcement
+keeps changing."""
+
+
+class FragilityNotice(msgspec.Struct, frozen=True, array_like=True, tag="fragile"):
+    """The rejections a second that an upstream tolerates, None when it states none any more."""
+
+    upstream: str
+    started_at: float
+    max_rejections: float | None
+
+
+class FragileUpstreams:
+    """Tracks fragile upstreams by their answers, and by notices of peers.
+
+    :param port: carries notices between gateways.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        upstream_states: UpstreamStates,
+        port: DatagramPort,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._blackboard = blackboard
+        self._upstream_states = upstream_states
+        self._port = port
+        self._clock = clock
+        port.add_handler(FragilityNotice, self._handle_notice)
+        metrics.observe_fragile_upstreams(self._count_fragile)
+
+    def is_fragile(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is fragile, by its last answer."""
+        return self._upstream_states.get(upstream).max_rejections is not None
+
+    def answer_received(self, upstream: Upstream, head: AnswerHead) -> None:
+        """Update what an upstream tolerates, and notify the peers of a change.
+
+        Only a genuine or not-run answer can state that it is not fragile any more.
+        """
+        max_rejections = head.max_rejections_per_second
+        if max_rejections is None and not (head.genuine or head.not_run):
+            return
+        self._update(upstream, max_rejections, "own")
+        state, now = self._upstream_states.get(upstream), self._clock.monotonic()
+        if (
+            max_rejections == state.notified_max_rejections
+            or now - state.fragility_notified_at < MIN_NOTICE_INTERVAL_SECONDS
+        ):
+            return
+        state.notified_max_rejections, state.fragility_notified_at = max_rejections, now
+        notice = FragilityNotice(upstream.id, upstream.started_at, max_rejections)
+        self._port.send(notice, self._blackboard.notice_addresses(now))
+
+    def _handle_notice(self, notice: FragilityNotice, sender: object) -> None:
+        """Apply a notice from a peer; ignore one about an unknown upstream."""
+        upstream = self._blackboard.upstreams_by_id.get(notice.upstream)
+        if upstream is None or upstream.started_at != notice.started_at:
+            return
+        if notice.max_rejections is not None and not notice.max_rejections >= 0:
+            log.failure(
+                "fragility.malformed", peer=str(sender), max_rejections=str(notice.max_rejections)
+            )
+            return
+        self._update(upstream, notice.max_rejections, str(sender))
+        self._upstream_states.get(upstream).notified_max_rejections = notice.max_rejections
+
+    def _update(self, upstream: Upstream, max_rejections: float | None, origin: str) -> None:
+        """Store what an upstream tolerates, and log a change."""
+        state = self._upstream_states.get(upstream)
+        before, state.max_rejections = state.max_rejections, max_rejections
+        if max_rejections == before:
+            return
+        fields = {"upstream": upstream.id, "before": before, "origin": origin}
+        if max_rejections is None:
+            log.change("upstream.sturdy", **fields)
+        else:
+            log.change("upstream.fragile", max_rejections=max_rejections, **fields)
+
+    def _count_fragile(self) -> int:
+        """Return how many upstreams are fragile."""
+        return sum(self.is_fragile(item) for item in self._blackboard.upstreams_by_id.values())
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -126,6 +126,10 @@
             "quinceferry_gateway_permits",
             description="Permits asked for to send requests to upstreams that limit their rate",
         )
+        self._rejections = meter.create_counter(
+            "quinceferry_gateway_upstream_rejections",
+            description="Requests that upstreams rejected with 503 by cause",
+        )
         self._upstream_pauses = meter.create_counter(
             "quinceferry_gateway_upstream_pauses",
             description="Answers by which upstreams asked for no requests for some time",
@@ -258,6 +262,13 @@
         """
         self._permits.add(1, {"result": result})
 
+    def count_rejection(self, service: str, cause: str) -> None:
+        """Count a request that an upstream rejected.
+
+        :param cause: ``no_room``, or ``paused`` if it requested a pause.
+        """
+        self._rejections.add(1, {"service": self._label(service), "cause": cause})
+
     def count_upstream_pause(self, service: str) -> None:
         """Count an answer in which an upstream requests a pause."""
         self._upstream_pauses.add(1, {"service": self._label(service)})
@@ -338,6 +349,14 @@
             rate_limited_count,
         )
 
+    def observe_fragile_upstreams(self, fragile_count: Callable[[], int]) -> None:
+        """Export the number of upstreams that fail if they reject too many requests."""
+        self._observe_count(
+            "quinceferry_gateway_fragile_upstreams",
+            "Upstreams that fail if they have to reject too many requests",
+            fragile_count,
+        )
+
     def observe_cold_upstreams(self, cold_count: Callable[[], int]) -> None:
         """Export the number of upstreams that are cold."""
         self._observe_count(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -128,7 +128,7 @@
                 if not self._should_retry_elsewhere(progress, head):
                     return outcome
                 progress.last_failure = outcome
-            case NotRun(detail, sent, misdirected):
+            case NotRun(detail, sent, misdirected, _):
                 progress.delivered_sends += sent
                 progress.misdirected += misdirected
                 progress.last_detail = detail
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -12,10 +12,12 @@
 from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.fleet.datagrams import DatagramPort
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.permits import MAX_REQUESTS_PER_SECOND
 
+UNAVAILABLE_STATUS = 503
 MAX_ID_CHARACTERS = 200
 """Longest upstream identifier accepted in a notice from a peer."""
 MIN_NOTICE_INTERVAL_SECONDS = 1.0
@@ -42,6 +44,7 @@
     """Updates the states of upstreams from the headers of their answers.
 
     :param cold_starts: tracks which upstreams are cold.
+    :param fragile_upstreams: tracks which upstreams must not have to reject many requests.
     :param port: carries notices between gateways.
     :param metrics: counts requests sent to upstreams that limit their request rate.
     """
@@ -51,11 +54,13 @@
         blackboard: Blackboard,
         upstream_states: UpstreamStates,
         cold_starts: ColdStarts,
+        fragile_upstreams: FragileUpstreams,
         port: DatagramPort,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._cold_starts = cold_starts
+        self._fragile_upstreams = fragile_upstreams
         self._blackboard = blackboard
         self._upstream_states = upstream_states
         self._port = port
@@ -78,6 +83,9 @@
         """
         if head.misdirected:
             return
+        if head.status == UNAVAILABLE_STATUS and head.not_run:
+            cause = "no_room" if head.retry_after_seconds is None else "paused"
+            self._metrics.count_rejection(upstream.service, cause)
         state = self._upstream_states.get(upstream)
         if head.malformed_headers and head.malformed_headers != state.malformed_headers:
             log.failure("answer.malformed", upstream=upstream.id, headers=head.malformed_headers)
@@ -86,6 +94,7 @@
             self._send_to_peers(LeavingNotice(upstream.id, upstream.started_at))
         self._update_pause(upstream, head.retry_after_seconds)
         self._cold_starts.answer_received(upstream, head.cold_seconds)
+        self._fragile_upstreams.answer_received(upstream, head)
         rate = head.max_requests_per_second
         if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
--- a/packages/quinceferry-standins/src/quinceferry_standins/slotted_upstream.py
+++ b/packages/quinceferry-standins/src/quinceferry_standins/slotted_upstream.py
@@ -19,8 +19,8 @@
     """Runs as many requests as it has slots, queues some more and rejects all others.
 
     While ``announced`` is not empty, its answers have it as the header about rejections. Once
-    ``max_rejections`` is set, the upstream crashes when it rejects more in a second. ``rejected_at``
-    has the times of all rejections on the event loop's clock.
+    ``max_rejections`` is set, the upstream crashes when it rejects more in a second.
+    ``rejected_at`` has the times of all rejections on the event loop's clock.
     """
 
     slots: int = 6
