Admit no more requests to a fragile upstream than it has slots for

Callers saw whole services end: upstreams that had announced how many rejections a second they bear got more requests than they have room for, crashed one after the other within 0.2 s, and crashed again as soon as they were back.

Cause: the announcement was read for nobody, and each gateway chose by load reports, which show too late what the others have sent.

Change: one gateway for each upstream, the issuer of its permits, counts what all gateways have in progress there and admits no more than it has slots. Requests wait at the issuer, first come, first served, for as long as their objective bears, or are refused at once with the time at which there will be room. Each gateway reports its whole count, so that lost, repeated and late datagrams correct themselves, and a new issuer knows all within a second. A rejection nevertheless reduces the limit for all. A lifetime that has not answered yet counts as fragile while others of its service are.

It works because room is a count that only the sum of all gateways knows; a rejection can't come before a gateway that does not know of the announcement sends something.

--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -174,6 +174,7 @@
     metrics.observe_connections(lambda: {"callers": 1})
     metrics.count_address_answer("serving", True)
     metrics.count_upstream_pause("s")
+    metrics.count_admission("admitted")
     metrics.count_rejection("s", "no_room")
     metrics.count_rejection("s", "paused")
     metrics.count_rate_limited_send("s")
--- a/features/fixtures_fleet.py
+++ b/features/fixtures_fleet.py
@@ -11,6 +11,7 @@
 from quinceferry_core.exceptions import KvConflictError, KvUnavailableError
 from quinceferry_core.quarantine import Quarantine
 from quinceferry_gateway.addresses import host_and_port
+from quinceferry_gateway.admissions import Admissions
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.catalog import (
     Configuration,
@@ -270,6 +271,9 @@
     def observe_fragile_upstreams(self, fragile):
         """Serve nothing."""
 
+    def count_admission(self, result):
+        """Count nothing."""
+
     def count_rejection(self, service, cause):
         """Count nothing."""
 
@@ -361,14 +365,29 @@
             clock,
             Uncounted(),
         )
+        self.admissions = Admissions(
+            board,
+            self.upstream_states,
+            self.fragile_upstreams,
+            self.port,
+            calls,
+            clock,
+            Uncounted(),
+        )
         self.permits = SendPermits(
-            board, self.upstream_states, self.cold_starts, calls, clock, Uncounted()
+            board,
+            self.upstream_states,
+            self.cold_starts,
+            self.admissions,
+            calls,
+            clock,
+            Uncounted(),
         )
         versions = SoftwareVersions(board, self.upstream_states, clock, 3 * HEARTBEAT_SECONDS)
         self.origins = StreamOrigins(board, self.port, calls, clock, Uncounted(), versions)
         records = QuarantineRecords(board, store, clock, self.crashes)
         self._controllers = [configuration, upstreams, members, self.copies, self.gossip]
-        self._controllers += [self.reachability, self.crashes, records, calls]
+        self._controllers += [self.reachability, self.crashes, records, calls, self.admissions]
         world.network.nodes_by_address[address] = self
 
     async def start(self):
--- a/features/steps/gateway_cold_starts.py
+++ b/features/steps/gateway_cold_starts.py
@@ -15,7 +15,7 @@
 from features.steps.gateway_rate_limits import no_fault, run_through_fault
 from quinceferry_gateway.catalog import AnswerHead
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
-from quinceferry_gateway.permits import permit_issuer
+from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_platform.documents import decode_upstream
 from quinceferry_platform.headers import PlatformDialect
 
--- a/features/steps/gateway_rate_limits.py
+++ b/features/steps/gateway_rate_limits.py
@@ -8,7 +8,7 @@
 from features.steps.gateway_fleet import play
 from quinceferry_gateway.catalog import AnswerHead
 from quinceferry_gateway.fleet.calls import Call
-from quinceferry_gateway.permits import permit_issuer
+from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_platform.headers import PlatformDialect
 
 WINDOW_SECONDS = 4.0
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
@@ -0,0 +1,330 @@
+"""Admissions of requests to fragile upstreams.
+
+One gateway, the same one that issues permits for an upstream, admits the requests of all gateways.
+A request for an admission waits there for its turn, first come, first served.
+"""
+
+import asyncio
+import itertools
+from collections import deque
+
+import msgspec
+
+from quinceferry_core.clocks import Clock
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.controllers import Controller
+from quinceferry_gateway.decisions import UpstreamStates
+from quinceferry_gateway.decisions.admissions import (
+    LEARNING_SHARE,
+    AdmissionLedger,
+    InFlightReport,
+    known_share,
+)
+from quinceferry_gateway.decoding import decode_msgpack
+from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
+from quinceferry_gateway.fleet.datagrams import DatagramPort
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams
+from quinceferry_gateway.issuers import permit_issuer
+from quinceferry_gateway.logs import log
+from quinceferry_gateway.metrics import Metrics
+
+ADMISSION_CALL_KIND = "admission"
+"""Kind of the datagram call that requests an admission."""
+REPLY_TIMEOUT_SECONDS = 0.15
+"""Longest wait for a reply beyond the wait for the admission; it allows one resend after a loss."""
+MAX_WAIT_SECONDS = 1.5
+"""Longest time that a request waits for its admission."""
+UNANSWERED_PAUSE_SECONDS = 0.3
+"""Time for which no admission is expected from an issuer that did not reply."""
+MIN_PAUSE_SECONDS = 0.02
+"""Shortest time for which no admission is expected after a denied one."""
+REPORT_INTERVAL_SECONDS = 0.5
+"""Time between two reports of a gateway with requests at a fragile upstream."""
+CHECK_INTERVAL_SECONDS = 0.1
+"""Time between two checks whether requests that wait can be admitted; most are when a report
+arrives."""
+MAX_LOAD_AGE_SECONDS = 1.0
+"""Age up to which a load report counts while the requests of other gateways are not known."""
+MAX_LEDGERS = 1_024
+"""Most ledgers that an issuer keeps, one per lifetime of an upstream; it evicts the oldest."""
+MAX_WAITING = 1_024
+"""Most requests that wait for an upstream."""
+
+Lifetime = tuple[str, float]
+"""Identifier and start time of an upstream."""
+
+
+class InFlightNotice(msgspec.Struct, frozen=True, array_like=True, tag="inflight"):
+    """What a gateway has in progress at an upstream."""
+
+    upstream: str
+    started_at: float
+    report: InFlightReport
+
+
+class AdmissionRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Requests the admission of one request; the report has its number."""
+
+    upstream: str
+    started_at: float
+    report: InFlightReport
+    max_wait_seconds: float
+
+
+class AdmissionReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether a request is admitted, and the seconds until it is worth to ask again."""
+
+    admitted: bool
+    retry_seconds: float = 0.0
+
+
+class _Desk:
+    """The ledger of one lifetime of an upstream, and the requests that wait for their admission."""
+
+    __slots__ = ("ledger", "queue")
+
+    def __init__(self, now: float) -> None:
+        self.ledger = AdmissionLedger(now)
+        self.queue: deque[tuple[str, int, asyncio.Future[None]]] = deque()
+
+    def admit_waiting(self, capacity: float, now: float) -> None:
+        """Admit requests in their order as long as there is room."""
+        while self.queue and self.ledger.has_room(capacity, now):
+            vm, number, turn = self.queue.popleft()
+            if not turn.done():
+                self.ledger.admit(vm, number, now)
+                turn.set_result(None)
+
+
+class AdmissionIssuer:
+    """Admits the requests of all gateways to the upstreams for which this one is the issuer."""
+
+    def __init__(
+        self, blackboard: Blackboard, upstream_states: UpstreamStates, clock: Clock
+    ) -> None:
+        self._blackboard = blackboard
+        self._upstream_states = upstream_states
+        self._clock = clock
+        self._desks_by_lifetime: dict[Lifetime, _Desk] = {}
+
+    async def serve(self, body: bytes) -> bytes:
+        """Answer a request of a peer.
+
+        :raises msgspec.DecodeError: the request is malformed, or its wait is out of range.
+        """
+        request = decode_msgpack(body, AdmissionRequest)
+        if not 0 <= request.max_wait_seconds <= MAX_WAIT_SECONDS:
+            raise msgspec.DecodeError(f"wait out of range: {request.max_wait_seconds}")
+        return msgspec.msgpack.encode(await self.admit(request))
+
+    async def admit(self, request: AdmissionRequest) -> AdmissionReply:
+        """Admit a request, now or after a wait."""
+        report, now = request.report, self._clock.monotonic()
+        vm = self._blackboard.vm_of(report.incarnation)
+        desk = self._desk(request.upstream, request.started_at)
+        if desk.ledger.is_admitted(vm, report.number):
+            return AdmissionReply(True)
+        desk.ledger.record(vm, report, now)
+        capacity = self._capacity(request.upstream, request.started_at, desk.ledger, now)
+        desk.admit_waiting(capacity, now)
+        if not desk.queue and desk.ledger.has_room(capacity, now):
+            desk.ledger.admit(vm, report.number, now)
+            return AdmissionReply(True)
+        waiting = len(desk.queue)
+        expected_wait = desk.ledger.wait_seconds(waiting, capacity, now)
+        if expected_wait > request.max_wait_seconds or waiting >= MAX_WAITING:
+            return AdmissionReply(False, desk.ledger.retry_seconds(waiting, capacity, now))
+        turn = asyncio.get_running_loop().create_future()
+        desk.queue.append((vm, report.number, turn))
+        try:
+            async with asyncio.timeout(request.max_wait_seconds):
+                await turn
+        except TimeoutError:
+            now = self._clock.monotonic()
+            return AdmissionReply(False, desk.ledger.retry_seconds(len(desk.queue), capacity, now))
+        return AdmissionReply(True)
+
+    def record(self, upstream_id: str, started_at: float, report: InFlightReport) -> None:
+        """Apply a report, and admit requests for which it makes room."""
+        now = self._clock.monotonic()
+        desk = self._desk(upstream_id, started_at)
+        desk.ledger.record(self._blackboard.vm_of(report.incarnation), report, now)
+        desk.admit_waiting(self._capacity(upstream_id, started_at, desk.ledger, now), now)
+
+    def admit_waiting(self) -> None:
+        """Admit requests for which there is room since time has passed."""
+        now = self._clock.monotonic()
+        for (upstream_id, started_at), desk in self._desks_by_lifetime.items():
+            if desk.queue:
+                capacity = self._capacity(upstream_id, started_at, desk.ledger, now)
+                desk.admit_waiting(capacity, now)
+
+    def _desk(self, upstream_id: str, started_at: float) -> _Desk:
+        """Return the desk of a lifetime, a new one if there is none."""
+        lifetime = (upstream_id, started_at)
+        desk = self._desks_by_lifetime.get(lifetime)
+        if desk is None:
+            while len(self._desks_by_lifetime) >= MAX_LEDGERS:
+                del self._desks_by_lifetime[next(iter(self._desks_by_lifetime))]
+            desk = self._desks_by_lifetime[lifetime] = _Desk(self._clock.monotonic())
+        return desk
+
+    def _capacity(
+        self, upstream_id: str, started_at: float, ledger: AdmissionLedger, now: float
+    ) -> float:
+        """Return how many requests an upstream may run for the gateways that this one reaches."""
+        board = self._blackboard
+        upstream = board.upstreams_by_id.get(upstream_id)
+        if upstream is None or upstream.started_at != started_at:
+            return 1.0
+        if permit_issuer(board, upstream_id) is not board.own:
+            # The gateway that asks doesn't reach the issuer, which admits requests of others.
+            return 1.0
+        state = self._upstream_states.get(upstream)
+        slots = float(state.load.slots if state.load else upstream.slots)
+        if ledger.is_learning(now):
+            is_known = state.load and now - state.load_received_at < MAX_LOAD_AGE_SECONDS
+            slots *= 1.0 if is_known else LEARNING_SHARE
+            if is_known:
+                unreported = state.load.running + state.load.waiting - ledger.occupied(now)
+                slots -= max(0, unreported)
+        return slots * known_share(len(board.usable_members()), len(board.members_by_vm))
+
+
+class Admissions(Controller):
+    """Acquires admissions for the requests of this gateway, and reports what it has in progress.
+
+    :param fragile_upstreams: tells which upstreams need admissions.
+    :param metrics: counts requested admissions by result.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        upstream_states: UpstreamStates,
+        fragile_upstreams: FragileUpstreams,
+        port: DatagramPort,
+        calls: DatagramCalls,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._upstream_states = upstream_states
+        self._fragile_upstreams = fragile_upstreams
+        self._port = port
+        self._calls = calls
+        self._clock = clock
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._issuer = AdmissionIssuer(blackboard, upstream_states, clock)
+        calls.register_handler(ADMISSION_CALL_KIND, self._issuer.serve)
+        port.add_handler(InFlightNotice, self._handle_notice)
+
+    async def start(self) -> None:
+        """Start to report, and to admit requests that wait."""
+        self.supervise(self._report_periodically, "admission reports")
+        self.supervise(self._admit_periodically, "admissions")
+
+    def needed(self, upstream: Upstream) -> bool:
+        """Return whether a request to an upstream needs an admission."""
+        return self._fragile_upstreams.is_fragile(upstream)
+
+    def any_needed(self) -> bool:
+        """Return whether any upstream may need one."""
+        return self._fragile_upstreams.has_any()
+
+    async def acquire(self, upstream: Upstream, max_wait_seconds: float) -> bool:
+        """Return whether a request may be sent, which must begin at once then.
+
+        :param max_wait_seconds: longest acceptable wait.
+        """
+        state, number = self._upstream_states.get(upstream), next(self._numbers)
+        state.pending_admissions.add(number)
+        try:
+            reply = await self._request(
+                AdmissionRequest(
+                    upstream.id,
+                    upstream.started_at,
+                    self._report(upstream, number),
+                    min(MAX_WAIT_SECONDS, max_wait_seconds),
+                )
+            )
+        finally:
+            state.pending_admissions.discard(number)
+        if reply is not None and reply.admitted:
+            self._metrics.count_admission("admitted")
+            return True
+        self._metrics.count_admission("denied" if reply else "unanswered")
+        pause = reply.retry_seconds if reply else UNANSWERED_PAUSE_SECONDS
+        now = self._clock.monotonic()
+        state.no_permit_until = state.next_permit_at = now + max(MIN_PAUSE_SECONDS, pause)
+        return False
+
+    def request_finished(self, upstream: Upstream) -> None:
+        """Report that a request has ended at an upstream, if that makes room for others."""
+        if self.needed(upstream):
+            self._send_report(upstream)
+
+    async def _request(self, request: AdmissionRequest) -> AdmissionReply | None:
+        """Request an admission from the issuer; None without a valid reply."""
+        issuer = permit_issuer(self._blackboard, request.upstream)
+        if issuer is self._blackboard.own:
+            return await self._issuer.admit(request)
+        try:
+            reply = await self._calls.call(
+                issuer.peer_address,
+                ADMISSION_CALL_KIND,
+                msgspec.msgpack.encode(request),
+                request.max_wait_seconds + REPLY_TIMEOUT_SECONDS,
+            )
+            return decode_msgpack(reply, AdmissionReply)
+        except (CallTimeoutError, msgspec.DecodeError) as error:
+            log.failure("admission.not_answered", peer=issuer.incarnation, error=str(error))
+            return None
+
+    def _report(self, upstream: Upstream, number: int) -> InFlightReport:
+        """Return what this gateway has in progress at an upstream."""
+        state = self._upstream_states.get(upstream)
+        return InFlightReport(
+            self._blackboard.own.incarnation,
+            number,
+            state.in_flight,
+            tuple(state.pending_admissions),
+            state.rejections,
+        )
+
+    def _send_report(self, upstream: Upstream) -> None:
+        """Send a report to the issuer of an upstream."""
+        report = self._report(upstream, next(self._numbers))
+        issuer: Member = permit_issuer(self._blackboard, upstream.id)
+        if issuer is self._blackboard.own:
+            self._issuer.record(upstream.id, upstream.started_at, report)
+        else:
+            notice = InFlightNotice(upstream.id, upstream.started_at, report)
+            self._port.send(notice, [issuer.peer_address])
+
+    def _handle_notice(self, notice: InFlightNotice, sender: object) -> None:
+        """Apply the report of a peer."""
+        if not notice.report.in_flight >= 0:
+            log.failure("in_flight.malformed", peer=str(sender), count=notice.report.in_flight)
+            return
+        self._issuer.record(notice.upstream, notice.started_at, notice.report)
+
+    async def _report_periodically(self) -> None:
+        """Report all requests at fragile upstreams, for issuers that have just become it."""
+        while True:
+            await self._clock.sleep(REPORT_INTERVAL_SECONDS)
+            if not self.any_needed():
+                continue
+            for upstream in list(self._blackboard.upstreams_by_id.values()):
+                state = self._upstream_states.get(upstream)
+                if self.needed(upstream) and (state.in_flight or state.pending_admissions):
+                    self._send_report(upstream)
+
+    async def _admit_periodically(self) -> None:
+        """Admit requests for which there is room since time has passed."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_SECONDS)
+            self._issuer.admit_waiting()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -9,6 +9,7 @@
 from quinceferry_core.adapters import KvStore
 from quinceferry_core.clocks import Clock, machine_time, suspended_seconds
 from quinceferry_core.quarantine import Quarantine
+from quinceferry_gateway.admissions import Admissions
 from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
@@ -198,7 +199,13 @@
         signals = UpstreamSignals(
             board, upstream_states, cold_starts, fragile_upstreams, port, clock, metrics
         )
-        permits = SendPermits(board, upstream_states, cold_starts, calls, clock, metrics)
+        admissions = Admissions(
+            board, upstream_states, fragile_upstreams, port, calls, clock, metrics
+        )
+        self._controllers.append(admissions)
+        permits = SendPermits(
+            board, upstream_states, cold_starts, admissions, calls, clock, metrics
+        )
         placer = Placer(settings.gateway.zone, upstream_states, random.Random())
         selector = UpstreamSelector(
             board, upstream_states, placer, permits, clock, settings.gateway.region_of, versions
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+UNAVAILABLE_STATUS = 503
+
 
 class RouteKind(Enum):
     """Whether requests of a route may be retried, and whether its answers are streams."""
@@ -317,3 +319,10 @@
     retry_after_seconds: float | None = None
     cold_seconds: float | None = None
     malformed_headers: tuple[str, ...] = ()
+
+    @property
+    def is_rejection(self) -> bool:
+        """Return whether the upstream rejected the request for want of room."""
+        return (
+            self.status == UNAVAILABLE_STATUS and self.not_run and self.retry_after_seconds is None
+        )
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -56,15 +56,18 @@
     one, and ``notified_at`` is when it last sent one. ``max_rejections`` is how many requests the
     upstream can reject in a second without failing, None if it states no number;
     ``notified_max_rejections`` and ``fragility_notified_at`` are the same as for the rate limit.
-    ``no_permit_until`` is the earliest time at which to request an immediate permit, and
-    ``next_permit_at`` is when the next permit becomes valid for a request that waits for it.
-    ``silent_at`` is when nobody was last found to listen at the address of the upstream, None if
-    that has not happened.
+    ``has_answered`` is whether any gateway is known to have had an answer, ``rejections`` counts
+    the requests that were rejected for want of room, and ``pending_admissions`` has the numbers of
+    requests that wait for their admission. ``no_permit_until`` is the earliest time at which to
+    request an immediate permit, and ``next_permit_at`` is when the next permit becomes valid for a
+    request that waits for it. ``silent_at`` is when nobody was last found to listen at the address
+    of the upstream, None if that has not happened.
     """
 
     __slots__ = (
         "cold_period",
         "consecutive_failures",
+        "has_answered",
         "in_flight",
         "load",
         "load_received_at",
@@ -78,8 +81,10 @@
         "notified_max_rejections",
         "notified_rate",
         "pause",
+        "pending_admissions",
         "rate_limit",
         "prefill_queue",
+        "rejections",
         "sent_since_load",
         "silent_at",
         "slowdown_at",
@@ -106,6 +111,9 @@
         self.notified_rate: float | None = None
         self.notified_at = float("-inf")
         self.max_rejections: float | None = None
+        self.has_answered = False
+        self.rejections = 0
+        self.pending_admissions: set[int] = set()
         self.notified_max_rejections: float | None = None
         self.fragility_notified_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -13,6 +13,8 @@
 MIN_NOTICE_INTERVAL_SECONDS = 1.0
 """Shortest time between two notices about an upstream, which bounds the traffic if its announcement
 keeps changing."""
+SERVICE_FRAGILE_SECONDS = 10.0
+"""Time for which a statement of one upstream counts for others that have not answered yet."""
 
 
 class FragilityNotice(msgspec.Struct, frozen=True, array_like=True, tag="fragile"):
@@ -41,12 +43,31 @@
         self._upstream_states = upstream_states
         self._port = port
         self._clock = clock
+        self._stated_at_by_service: dict[str, float] = {}
         port.add_handler(FragilityNotice, self._handle_notice)
         metrics.observe_fragile_upstreams(self._count_fragile)
 
     def is_fragile(self, upstream: Upstream) -> bool:
-        """Return whether an upstream is fragile, by its last answer."""
-        return self._upstream_states.get(upstream).max_rejections is not None
+        """Return whether an upstream is fragile, by its last answer.
+
+        One that has not answered yet counts as fragile while others of its service are. All that
+        others can't serve would be sent to it at once.
+        """
+        state = self._upstream_states.get(upstream)
+        if state.max_rejections is not None:
+            return True
+        return not state.has_answered and self._is_recent(upstream.service)
+
+    def has_any(self) -> bool:
+        """Return whether any upstream has recently stated that it is fragile."""
+        return any(self._is_recent(service) for service in self._stated_at_by_service)
+
+    def _is_recent(self, service: str) -> bool:
+        """Return whether an upstream of a service has recently stated that it is fragile."""
+        stated_at = self._stated_at_by_service.get(service)
+        return (
+            stated_at is not None and self._clock.monotonic() - stated_at < SERVICE_FRAGILE_SECONDS
+        )
 
     def answer_received(self, upstream: Upstream, head: AnswerHead) -> None:
         """Update what an upstream tolerates, and notify the peers of a change.
@@ -54,6 +75,8 @@
         Only a genuine or not-run answer can state that it is not fragile any more.
         """
         max_rejections = head.max_rejections_per_second
+        if head.is_rejection:
+            self._upstream_states.get(upstream).rejections += 1
         if max_rejections is None and not (head.genuine or head.not_run):
             return
         self._update(upstream, max_rejections, "own")
@@ -84,6 +107,9 @@
         """Store what an upstream tolerates, and log a change."""
         state = self._upstream_states.get(upstream)
         before, state.max_rejections = state.max_rejections, max_rejections
+        state.has_answered = True
+        if max_rejections is not None:
+            self._stated_at_by_service[upstream.service] = self._clock.monotonic()
         if max_rejections == before:
             return
         fields = {"upstream": upstream.id, "before": before, "origin": origin}
--- /dev/null
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/issuers.py
@@ -0,0 +1,15 @@
+"""Which gateway grants permits and admissions for an upstream."""
+
+from quinceferry_gateway.blackboard import Blackboard, Member
+from quinceferry_gateway.rendezvous import rank_candidates
+
+
+def permit_issuer(blackboard: Blackboard, upstream_id: str) -> Member:
+    """Return the gateway that grants permits for an upstream.
+
+    Ranking by vm keeps the assignment when a gateway restarts on the same vm.
+    """
+    members_by_vm = {member.vm: member for member in blackboard.usable_members()}
+    if not members_by_vm:
+        return blackboard.own
+    return members_by_vm[rank_candidates(upstream_id, members_by_vm)[0]]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -126,6 +126,10 @@
             "quinceferry_gateway_permits",
             description="Permits asked for to send requests to upstreams that limit their rate",
         )
+        self._admissions = meter.create_counter(
+            "quinceferry_gateway_admissions",
+            description="Admissions asked for to send requests to fragile upstreams",
+        )
         self._rejections = meter.create_counter(
             "quinceferry_gateway_upstream_rejections",
             description="Requests that upstreams rejected with 503 by cause",
@@ -262,6 +266,13 @@
         """
         self._permits.add(1, {"result": result})
 
+    def count_admission(self, result: str) -> None:
+        """Count a requested admission.
+
+        :param result: ``admitted``, ``denied`` or ``unanswered``.
+        """
+        self._admissions.add(1, {"result": result})
+
     def count_rejection(self, service: str, cause: str) -> None:
         """Count a request that an upstream rejected.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to rate-limited and to cold upstreams.
+"""Permits to send requests to rate-limited, cold and fragile upstreams.
 
 One gateway, the issuer, grants the permits for an upstream to all gateways.
 """
@@ -6,6 +6,7 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_gateway.admissions import Admissions
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.cold_starts import ColdStarts
@@ -13,9 +14,9 @@
 from quinceferry_gateway.decisions.rate_limits import MIN_REQUESTS_PER_SECOND, PermitSchedule
 from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
+from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
-from quinceferry_gateway.rendezvous import rank_candidates
 
 PERMIT_CALL_KIND = "permit"
 """Kind of the datagram call that requests a permit."""
@@ -127,6 +128,7 @@
     """Acquires permits for the requests of this gateway.
 
     :param cold_starts: provides the request rates of cold upstreams.
+    :param admissions: acquires admissions for requests to fragile upstreams.
     :param metrics: counts permit requests by result.
     """
 
@@ -135,6 +137,7 @@
         blackboard: Blackboard,
         upstream_states: UpstreamStates,
         cold_starts: ColdStarts,
+        admissions: Admissions,
         calls: DatagramCalls,
         clock: Clock,
         metrics: Metrics,
@@ -142,6 +145,7 @@
         self._blackboard = blackboard
         self._upstream_states = upstream_states
         self._cold_starts = cold_starts
+        self._admissions = admissions
         self._calls = calls
         self._clock = clock
         self._metrics = metrics
@@ -150,7 +154,15 @@
 
     def needed(self, upstream: Upstream) -> bool:
         """Return whether a request to an upstream needs a permit."""
-        return self._rate_limit(upstream) is not None
+        return self._rate_limit(upstream) is not None or self._admissions.needed(upstream)
+
+    def any_needed(self) -> bool:
+        """Return whether any upstream may need a permit."""
+        return bool(self._upstream_states.rate_limited_ids) or self._admissions.any_needed()
+
+    def request_finished(self, upstream: Upstream) -> None:
+        """Record that a request has ended at an upstream."""
+        self._admissions.request_finished(upstream)
 
     def pause_seconds(self, upstream: Upstream) -> float:
         """Return the time until an immediate permit may be requested, zero if it may be now."""
@@ -171,6 +183,21 @@
     async def acquire(self, upstream: Upstream, max_wait_seconds: float) -> float | None:
         """Return the seconds until a request may be sent, None if no permit was granted.
 
+        :param max_wait_seconds: longest acceptable wait.
+        """
+        acquired_at = self._clock.monotonic()
+        wait = await self._acquire_rate_permit(upstream, max_wait_seconds)
+        if wait is None or not self._admissions.needed(upstream):
+            return wait
+        await self._clock.sleep(wait)
+        remaining = max_wait_seconds - (self._clock.monotonic() - acquired_at)
+        return 0.0 if await self._admissions.acquire(upstream, max(0.0, remaining)) else None
+
+    async def _acquire_rate_permit(
+        self, upstream: Upstream, max_wait_seconds: float
+    ) -> float | None:
+        """Return the seconds until the rate limit permits a request, None if no permit was granted.
+
         :param max_wait_seconds: longest acceptable wait.
         """
         rate = self._rate_limit(upstream)
@@ -222,14 +249,3 @@
         except (CallTimeoutError, msgspec.DecodeError) as error:
             log.failure("permit.not_answered", peer=issuer.incarnation, error=str(error))
             return None
-
-
-def permit_issuer(blackboard: Blackboard, upstream_id: str) -> Member:
-    """Return the gateway that grants permits for an upstream.
-
-    Ranking by vm keeps the assignment when a gateway restarts on the same vm.
-    """
-    members_by_vm = {member.vm: member for member in blackboard.usable_members()}
-    if not members_by_vm:
-        return blackboard.own
-    return members_by_vm[rank_candidates(upstream_id, members_by_vm)[0]]
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/relay.py
@@ -338,6 +338,7 @@
         finally:
             progress.attempt_timeout = None
             attempt.finish(self._clock.monotonic())
+            self._selector.request_finished(upstream)
 
     def _register_attempt(self, progress: Progress, placement: Placement) -> Attempt:
         """Record an attempt that is about to be sent, and announce it to peers."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -17,7 +17,6 @@
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.permits import MAX_REQUESTS_PER_SECOND
 
-UNAVAILABLE_STATUS = 503
 MAX_ID_CHARACTERS = 200
 """Longest upstream identifier accepted in a notice from a peer."""
 MIN_NOTICE_INTERVAL_SECONDS = 1.0
@@ -83,9 +82,8 @@
         """
         if head.misdirected:
             return
-        if head.status == UNAVAILABLE_STATUS and head.not_run:
-            cause = "no_room" if head.retry_after_seconds is None else "paused"
-            self._metrics.count_rejection(upstream.service, cause)
+        if head.is_rejection:
+            self._metrics.count_rejection(upstream.service, "no_room")
         state = self._upstream_states.get(upstream)
         if head.malformed_headers and head.malformed_headers != state.malformed_headers:
             log.failure("answer.malformed", upstream=upstream.id, headers=head.malformed_headers)
@@ -108,6 +106,7 @@
             pause.answer_received(now)
             return
         pause.begin(seconds, now)
+        self._metrics.count_rejection(upstream.service, "paused")
         self._metrics.count_upstream_pause(upstream.service)
         log.change("upstream.paused", upstream=upstream.id, seconds=seconds)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/upstream_choice.py
@@ -28,7 +28,7 @@
 class UpstreamSelector:
     """Selects the upstream of each attempt and acquires a permit where one is needed.
 
-    :param permits: acquires permits for requests to rate-limited upstreams.
+    :param permits: acquires permits for requests to upstreams that limit them.
     :param region_of: returns the region of an availability zone.
     :param versions: tells where a stream may go on.
     """
@@ -54,7 +54,7 @@
     def select_preferred(self, progress: Progress) -> Placement | None:
         """Return the best placement among upstreams that need no permit or may grant one now."""
         candidates = self._candidates(progress)
-        if self._upstream_states.rate_limited_ids:
+        if self._permits.any_needed():
             candidates = [item for item in candidates if not self._permits.pause_seconds(item)]
         return self._place(progress, candidates)
 
@@ -63,6 +63,10 @@
         candidates = [item for item in self._candidates(progress) if not self._permits.needed(item)]
         return self._place(progress, candidates)
 
+    def request_finished(self, upstream: Upstream) -> None:
+        """Record that a request has ended at an upstream."""
+        self._permits.request_finished(upstream)
+
     def has_usable_upstream(self, progress: Progress) -> bool:
         """Return whether any upstream can serve the request, now or once a permit is available."""
         return self._place(progress, self._candidates(progress)) is not None
