Tell gateways that missed the news of a fragile upstream, or have just started

Callers of a gateway that had missed a notice, or had started after it, could still make an upstream fail: such a gateway sent without admission until its first answer. Found by a model of fleets of 8 to 195 gateways that lose datagrams: four of 83 gateways had not heard of it, and their first eight requests were rejected in the same second, where five are borne; the same after half of eight gateways had restarted.

The issuer of an upstream repeats twice a second that it is fragile, with the age of the statement, so that an older one never replaces a newer one. A gateway asks the issuer in its first three seconds before it sends to an upstream of which it knows no answer, and learns of fragility and of the rate limit, the same cause elsewhere, with the reply. Without a reply the request is sent.

--- a/features/gateway_fragile_upstreams.feature
+++ b/features/gateway_fragile_upstreams.feature
@@ -14,6 +14,26 @@
       | below their capacity             | 8        | 60   | 3    | 0      | 400   |
       | while some gateways are replaced | 8        | 100  | 2    | 3      | 400   |
 
+  Scenario Outline: An upstream rejects too many requests before fleets of different sizes
+    Given <count> gateways that know each other, losing <lost> of 100 digests, seed <seed>
+    When an upstream with 4 slots and no queue tells one gateway that it bears 5 rejections a second
+    And all gateways always have 2 requests for it, for 15 seconds<fault>
+    Then it rejects at most 5 requests in any second, and runs <least> or more in all
+
+    Examples:
+      | count | lost | seed | least | fault                                |
+      | 3     | 0    | 521  | 150   |                                      |
+      | 8     | 5    | 522  | 150   |                                      |
+      | 83    | 5    | 523  | 150   |                                      |
+      | 195   | 5    | 524  | 150   |                                      |
+      | 8     | 30   | 525  | 75    |                                      |
+      | 8     | 5    | 526  | 75    | , while the issuer is killed         |
+      | 83    | 5    | 527  | 75    | , while the issuer is killed         |
+      | 8     | 5    | 528  | 75    | , while half of the gateways restart |
+      | 8     | 5    | 529  | 75    | , while the fleet is split in two    |
+      | 83    | 5    | 530  | 75    | , while the fleet is split in two    |
+      | 8     | 5    | 531  | 75    | , while the fleet is split in four   |
+
   Scenario Outline: The adapter parses the header about rejections
     When an answer has the rejections header "<header>"
     Then the upstream is read to bear <number> rejections a second, malformed: <malformed>
--- a/features/steps/gateway_fragile_upstreams.py
+++ b/features/steps/gateway_fragile_upstreams.py
@@ -2,15 +2,26 @@
 
 import asyncio
 import tempfile
+from functools import partial
 from pathlib import Path
 
 from behave import given, then, when
 
-from features.steps.gateway_fleet import play
+from features.fixtures_fleet import LATENCY_SECONDS, Node
+from features.steps.gateway_fleet import cut_link, play
+from features.steps.gateway_rate_limits import no_fault, run_through_fault
 from quinceferry_gateway.catalog import AnswerHead
+from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_lab import overload
 from quinceferry_platform.headers import PlatformDialect
 
+MODEL_SLOTS = 4
+MODEL_REJECTIONS = 5
+RUN_SECONDS = 0.2
+MAX_WAIT_SECONDS = 0.3
+DENIED_PAUSE_SECONDS = 0.05
+CONTACT_SECONDS = 3.0
+"""Time from the announcement until rejections count."""
 NOTICE_INTERVAL_SECONDS = 1.1
 """Time after which a gateway notifies its peers again."""
 
@@ -94,3 +105,140 @@
 
     context.acts.append(withdraw)
     play(context)
+
+
+class ModelledUpstream:
+    """An upstream with slots and no queue; ``rejected_at`` has the times of rejections."""
+
+    def __init__(self, world, identifier):
+        self._world = world
+        self.upstream = world.upstreams_by_id[identifier]
+        self.running = 0
+        self.served = 0
+        self.rejected_at = []
+
+    async def run(self):
+        """Run a request, or reject it; return the head of the answer."""
+        await self._world.clock.sleep(LATENCY_SECONDS)
+        if self.running >= MODEL_SLOTS:
+            self.rejected_at.append(self._world.clock.monotonic())
+            return AnswerHead(503, (), True, "r", max_rejections_per_second=MODEL_REJECTIONS)
+        self.running += 1
+        try:
+            await self._world.clock.sleep(RUN_SECONDS)
+            self.served += 1
+        finally:
+            self.running -= 1
+        return AnswerHead(200, (), False, "r", True, max_rejections_per_second=MODEL_REJECTIONS)
+
+
+@when(
+    "an upstream with 4 slots and no queue tells one gateway that it bears {number:d} rejections a "
+    "second"
+)
+def when_modelled(context, number):
+    async def announce(world):
+        context.modelled = ModelledUpstream(world, "up-0")
+        await receive(context, world, number)
+        await world.clock.sleep(CONTACT_SECONDS)
+
+    context.acts.append(announce)
+
+
+@when("all gateways always have {count:d} requests for it, for {seconds:d} seconds{fault}")
+def when_loaded_with_fault(context, count, seconds, fault):
+    load_during(context, count, seconds, FAULTS[fault])
+
+
+@when("all gateways always have {count:d} requests for it, for {seconds:d} seconds")
+def when_loaded(context, count, seconds):
+    load_during(context, count, seconds, lambda context, world: no_fault(world))
+
+
+def load_during(context, count, seconds, inject_fault):
+    """Let all gateways send requests, and inject a fault after a third of the time."""
+
+    async def run(world):
+        context.sending, context.per_gateway = [], count
+        for node in world.nodes:
+            start_sending(context, world, node)
+        await run_through_fault(world, context.sending, seconds, partial(inject_fault, context))
+
+    context.acts.append(run)
+
+
+def start_sending(context, world, node):
+    """Start tasks in which a gateway sends one request after the other as it is admitted."""
+
+    async def send():
+        while node.alive:
+            upstream = node.board.upstreams_by_id.get("up-0")
+            if upstream is None or not await is_admitted(world, node, upstream):
+                await world.clock.sleep(DENIED_PAUSE_SECONDS)
+                continue
+            attempt = node.upstream_states.start_attempt(upstream, 0, "", world.clock.monotonic())
+            running = asyncio.ensure_future(context.modelled.run())
+            while not running.done() and node.alive:
+                await asyncio.wait((running,), timeout=LATENCY_SECONDS)
+            if not node.alive:
+                running.cancel()
+                return
+            node.signals.answer_received(upstream, running.result())
+            attempt.finish(world.clock.monotonic())
+            node.permits.request_finished(upstream)
+
+    context.sending += [asyncio.create_task(send()) for _ in range(context.per_gateway)]
+
+
+async def is_admitted(world, node, upstream):
+    """Wait for an admission as a request does; return whether there is one."""
+    if node.permits.pause_seconds(upstream) > MAX_WAIT_SECONDS:
+        return False
+    await world.clock.sleep(node.permits.pause_seconds(upstream))
+    return await node.permits.acquire(upstream, MAX_WAIT_SECONDS) is not None
+
+
+async def kill_issuer(context, world):
+    """Kill the gateway that admits requests to the upstream."""
+    issuer = permit_issuer(world.nodes[0].board, context.upstream.id)
+    await next(node for node in world.nodes if node.vm == issuer.vm).stop()
+
+
+async def restart_half(context, world):
+    """Kill every second gateway and start others on their vms together."""
+    restarted = range(0, len(world.nodes), 2)
+    for number in restarted:
+        await world.nodes[number].stop()
+        world.nodes[number] = Node(world, number, "second")
+    await asyncio.gather(*(world.nodes[number].start() for number in restarted))
+    for number in restarted:
+        start_sending(context, world, world.nodes[number])
+
+
+def split(parts):
+    """Return a fault that cuts the fleet into parts of equal size, all of which reach the store."""
+
+    async def cut(context, world):
+        for number, origin in enumerate(world.nodes):
+            for other, target in enumerate(world.nodes):
+                if number % parts != other % parts:
+                    cut_link(world, origin, target)
+
+    return cut
+
+
+FAULTS = {
+    ", while the issuer is killed": kill_issuer,
+    ", while half of the gateways restart": restart_half,
+    ", while the fleet is split in two": split(2),
+    ", while the fleet is split in four": split(4),
+}
+
+
+@then("it rejects at most {most:d} requests in any second, and runs {least:d} or more in all")
+def then_modelled(context, most, least):
+    play(context)
+    modelled = context.modelled
+    assert overload.most_in_window(modelled.rejected_at, 1.0) <= most, modelled.rejected_at
+    assert modelled.served >= least, modelled.served
+    print("MEASURED", modelled.served, overload.most_in_window(modelled.rejected_at, 1.0))
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
@@ -24,7 +24,7 @@
 from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.fleet.datagrams import DatagramPort
-from quinceferry_gateway.fragile_upstreams import FragileUpstreams
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams, FragilityNotice
 from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
@@ -41,6 +41,8 @@
 """Shortest time for which no admission is expected after a denied one."""
 REPORT_INTERVAL_SECONDS = 0.5
 """Time between two reports of a gateway with requests at a fragile upstream."""
+STARTING_SECONDS = 3.0
+"""Time after its start for which a gateway asks whether upstreams are fragile."""
 CHECK_INTERVAL_SECONDS = 0.1
 """Time between two checks whether requests that wait can be admitted; most are when a report
 arrives."""
@@ -64,19 +66,29 @@
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Requests the admission of one request; the report has its number."""
+    """Requests the admission of one request; the report has its number.
+
+    ``known`` is what the gateway knows of the upstream, None if no answer of it.
+    """
 
     upstream: str
     started_at: float
     report: InFlightReport
     max_wait_seconds: float
+    known: FragilityNotice | None = None
 
 
 class AdmissionReply(msgspec.Struct, frozen=True, array_like=True):
-    """Whether a request is admitted, and the seconds until it is worth to ask again."""
+    """Whether a request is admitted, and the seconds until it is worth to ask again.
+
+    ``known`` is what the issuer knows of the upstream, and ``rate_limit`` the rate that it
+    announced, in requests a second, None without one.
+    """
 
     admitted: bool
     retry_seconds: float = 0.0
+    known: FragilityNotice | None = None
+    rate_limit: float | None = None
 
 
 class _Desk:
@@ -101,10 +113,15 @@
     """Admits the requests of all gateways to the upstreams for which this one is the issuer."""
 
     def __init__(
-        self, blackboard: Blackboard, upstream_states: UpstreamStates, clock: Clock
+        self,
+        blackboard: Blackboard,
+        upstream_states: UpstreamStates,
+        fragile_upstreams: FragileUpstreams,
+        clock: Clock,
     ) -> None:
         self._blackboard = blackboard
         self._upstream_states = upstream_states
+        self._fragile_upstreams = fragile_upstreams
         self._clock = clock
         self._desks_by_lifetime: dict[Lifetime, _Desk] = {}
 
@@ -116,7 +133,17 @@
         request = decode_msgpack(body, AdmissionRequest)
         if not 0 <= request.max_wait_seconds <= MAX_WAIT_SECONDS:
             raise msgspec.DecodeError(f"wait out of range: {request.max_wait_seconds}")
-        return msgspec.msgpack.encode(await self.admit(request))
+        if request.known is not None:
+            self._fragile_upstreams.apply_notice(request.known, request.report.incarnation)
+        upstream = self._blackboard.upstreams_by_id.get(request.upstream)
+        if upstream is None or upstream.started_at != request.started_at:
+            return msgspec.msgpack.encode(AdmissionReply(True))
+        reply = AdmissionReply(True)
+        if request.known is not None or self._fragile_upstreams.is_fragile(upstream):
+            reply = await self.admit(request)
+        known = self._fragile_upstreams.notice(upstream)
+        rate = self._upstream_states.get(upstream).rate_limit.announced
+        return msgspec.msgpack.encode(msgspec.structs.replace(reply, known=known, rate_limit=rate))
 
     async def admit(self, request: AdmissionRequest) -> AdmissionReply:
         """Admit a request, now or after a wait."""
@@ -218,7 +245,9 @@
         self._clock = clock
         self._metrics = metrics
         self._numbers = itertools.count(1)
-        self._issuer = AdmissionIssuer(blackboard, upstream_states, clock)
+        self._unanswered_lifetimes: set[Lifetime] = set()
+        self._issuer = AdmissionIssuer(blackboard, upstream_states, fragile_upstreams, clock)
+        self._started_at = clock.monotonic()
         calls.register_handler(ADMISSION_CALL_KIND, self._issuer.serve)
         port.add_handler(InFlightNotice, self._handle_notice)
 
@@ -235,9 +264,23 @@
         """Return whether any upstream may need one."""
         return self._fragile_upstreams.has_any()
 
+    def should_ask(self, upstream: Upstream) -> bool:
+        """Return whether to ask the issuer, since an admission is needed or may be.
+
+        A gateway that has just started does not know which upstreams are fragile.
+        """
+        return self.needed(upstream) or (
+            self._clock.monotonic() - self._started_at < STARTING_SECONDS
+            and not self._upstream_states.get(upstream).has_answered
+            and (upstream.id, upstream.started_at) not in self._unanswered_lifetimes
+            and permit_issuer(self._blackboard, upstream.id) is not self._blackboard.own
+        )
+
     async def acquire(self, upstream: Upstream, max_wait_seconds: float) -> bool:
         """Return whether a request may be sent, which must begin at once then.
 
+        If the issuer does not reply, requests to an upstream of which nothing is known are sent.
+
         :param max_wait_seconds: longest acceptable wait.
         """
         state, number = self._upstream_states.get(upstream), next(self._numbers)
@@ -249,10 +292,16 @@
                     upstream.started_at,
                     self._report(upstream, number),
                     min(MAX_WAIT_SECONDS, max_wait_seconds),
+                    self._fragile_upstreams.notice(upstream),
                 )
             )
         finally:
             state.pending_admissions.discard(number)
+        if reply is None and not self._fragile_upstreams.is_fragile(upstream):
+            self._unanswered_lifetimes.add((upstream.id, upstream.started_at))
+            return True
+        if reply is not None:
+            self._learn(upstream, reply)
         if reply is not None and reply.admitted:
             self._metrics.count_admission("admitted")
             return True
@@ -262,9 +311,23 @@
         state.no_permit_until = state.next_permit_at = now + max(MIN_PAUSE_SECONDS, pause)
         return False
 
+    def _learn(self, upstream: Upstream, reply: AdmissionReply) -> None:
+        """Apply what the issuer knows of an upstream of which this gateway knows nothing yet."""
+        state = self._upstream_states.get(upstream)
+        if reply.rate_limit is not None and not state.has_answered:
+            self._upstream_states.record_rate_limit(
+                upstream, reply.rate_limit, self._clock.monotonic()
+            )
+            state.notified_rate = reply.rate_limit
+            log.change(
+                "upstream.limited", upstream=upstream.id, requests_per_second=reply.rate_limit
+            )
+        if reply.known is not None:
+            self._fragile_upstreams.apply_notice(reply.known, "issuer")
+
     def request_finished(self, upstream: Upstream) -> None:
         """Report that a request has ended at an upstream, if that makes room for others."""
-        if self.needed(upstream):
+        if self._fragile_upstreams.is_fragile(upstream):
             self._send_report(upstream)
 
     async def _request(self, request: AdmissionRequest) -> AdmissionReply | None:
@@ -313,15 +376,18 @@
         self._issuer.record(notice.upstream, notice.started_at, notice.report)
 
     async def _report_periodically(self) -> None:
-        """Report all requests at fragile upstreams, for issuers that have just become it."""
+        """Report all requests at fragile upstreams, for issuers that have just become it.
+
+        Of upstreams for which this gateway is the issuer, it tells all peers that they are fragile.
+        """
         while True:
             await self._clock.sleep(REPORT_INTERVAL_SECONDS)
-            if not self.any_needed():
-                continue
-            for upstream in list(self._blackboard.upstreams_by_id.values()):
+            for upstream in self._fragile_upstreams.recent():
                 state = self._upstream_states.get(upstream)
-                if self.needed(upstream) and (state.in_flight or state.pending_admissions):
+                if state.in_flight or state.pending_admissions:
                     self._send_report(upstream)
+                if permit_issuer(self._blackboard, upstream.id) is self._blackboard.own:
+                    self._fragile_upstreams.repeat_notice(upstream)
 
     async def _admit_periodically(self) -> None:
         """Admit requests for which there is room since time has passed."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -55,7 +55,8 @@
     ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
     one, and ``notified_at`` is when it last sent one. ``max_rejections`` is how many requests the
     upstream can reject in a second without failing, None if it states no number;
-    ``notified_max_rejections`` and ``fragility_notified_at`` are the same as for the rate limit.
+    ``notified_max_rejections`` and ``fragility_notified_at`` are the same as for the rate limit,
+    and ``fragility_stated_at`` is when the answer that stated it arrived at any gateway.
     ``has_answered`` is whether any gateway is known to have had an answer, ``rejections`` counts
     the requests that were rejected for want of room, and ``pending_admissions`` has the numbers of
     requests that wait for their admission. ``no_permit_until`` is the earliest time at which to
@@ -72,6 +73,7 @@
         "load",
         "load_received_at",
         "fragility_notified_at",
+        "fragility_stated_at",
         "malformed_headers",
         "max_rejections",
         "misdirected_until",
@@ -116,6 +118,7 @@
         self.pending_admissions: set[int] = set()
         self.notified_max_rejections: float | None = None
         self.fragility_notified_at = float("-inf")
+        self.fragility_stated_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
         self.prefill_queue = PrefillQueue()
         self.last_slowdown = 1.0
@@ -284,6 +287,12 @@
             self.cached_prefixes.remove_upstream(upstream.id)
         return state
 
+    def record_rate_limit(self, upstream: Upstream, rate: float | None, now: float) -> None:
+        """Record the rate that an upstream announces, None when it has withdrawn its limit."""
+        self.get(upstream).rate_limit.announce(rate, now)
+        if rate is not None:
+            self.rate_limited_ids.add(upstream.id)
+
     def record_leaving(self, upstream_id: str, started_at: float) -> bool:
         """Record that an upstream is leaving, and return whether this is new.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -18,11 +18,15 @@
 
 
 class FragilityNotice(msgspec.Struct, frozen=True, array_like=True, tag="fragile"):
-    """The rejections a second that an upstream tolerates, None when it states none any more."""
+    """The rejections a second that an upstream tolerates, None when it states none any more.
+
+    ``age_seconds`` is the time since the answer that stated it.
+    """
 
     upstream: str
     started_at: float
     max_rejections: float | None
+    age_seconds: float = 0.0
 
 
 class FragileUpstreams:
@@ -44,7 +48,7 @@
         self._port = port
         self._clock = clock
         self._stated_at_by_service: dict[str, float] = {}
-        port.add_handler(FragilityNotice, self._handle_notice)
+        port.add_handler(FragilityNotice, self.apply_notice)
         metrics.observe_fragile_upstreams(self._count_fragile)
 
     def is_fragile(self, upstream: Upstream) -> bool:
@@ -62,6 +66,13 @@
         """Return whether any upstream has recently stated that it is fragile."""
         return any(self._is_recent(service) for service in self._stated_at_by_service)
 
+    def recent(self) -> list[Upstream]:
+        """Return the fragile upstreams of services that have recently stated it."""
+        if not self.has_any():
+            return []
+        upstreams = self._blackboard.upstreams_by_id.values()
+        return [item for item in upstreams if self.is_fragile(item)]
+
     def _is_recent(self, service: str) -> bool:
         """Return whether an upstream of a service has recently stated that it is fragile."""
         stated_at = self._stated_at_by_service.get(service)
@@ -79,8 +90,8 @@
             self._upstream_states.get(upstream).rejections += 1
         if max_rejections is None and not (head.genuine or head.not_run):
             return
-        self._update(upstream, max_rejections, "own")
         state, now = self._upstream_states.get(upstream), self._clock.monotonic()
+        self._update(upstream, max_rejections, now, "own")
         if (
             max_rejections == state.notified_max_rejections
             or now - state.fragility_notified_at < MIN_NOTICE_INTERVAL_SECONDS
@@ -90,26 +101,46 @@
         notice = FragilityNotice(upstream.id, upstream.started_at, max_rejections)
         self._port.send(notice, self._blackboard.notice_addresses(now))
 
-    def _handle_notice(self, notice: FragilityNotice, sender: object) -> None:
-        """Apply a notice from a peer; ignore one about an unknown upstream."""
+    def notice(self, upstream: Upstream) -> FragilityNotice | None:
+        """Return what is known of an upstream, None if no answer of it is."""
+        state = self._upstream_states.get(upstream)
+        if not state.has_answered:
+            return None
+        age = self._clock.monotonic() - state.fragility_stated_at
+        return FragilityNotice(upstream.id, upstream.started_at, state.max_rejections, age)
+
+    def repeat_notice(self, upstream: Upstream) -> None:
+        """Tell all peers that an upstream is fragile: earlier notices may be lost."""
+        notice = self.notice(upstream)
+        if notice is not None:
+            now = self._clock.monotonic()
+            self._port.send(notice, self._blackboard.notice_addresses(now))
+
+    def apply_notice(self, notice: FragilityNotice, sender: object) -> None:
+        """Apply a notice from a peer; ignore one that is older or about an unknown upstream."""
         upstream = self._blackboard.upstreams_by_id.get(notice.upstream)
         if upstream is None or upstream.started_at != notice.started_at:
             return
-        if notice.max_rejections is not None and not notice.max_rejections >= 0:
-            log.failure(
-                "fragility.malformed", peer=str(sender), max_rejections=str(notice.max_rejections)
-            )
+        max_rejections = notice.max_rejections
+        if not notice.age_seconds >= 0 or not (max_rejections is None or max_rejections >= 0):
+            log.failure("fragility.malformed", peer=str(sender), notice=str(notice))
             return
-        self._update(upstream, notice.max_rejections, str(sender))
-        self._upstream_states.get(upstream).notified_max_rejections = notice.max_rejections
+        stated_at = self._clock.monotonic() - notice.age_seconds
+        state = self._upstream_states.get(upstream)
+        if stated_at > state.fragility_stated_at:
+            self._update(upstream, max_rejections, stated_at, str(sender))
+            state.notified_max_rejections = max_rejections
 
-    def _update(self, upstream: Upstream, max_rejections: float | None, origin: str) -> None:
+    def _update(
+        self, upstream: Upstream, max_rejections: float | None, stated_at: float, origin: str
+    ) -> None:
         """Store what an upstream tolerates, and log a change."""
         state = self._upstream_states.get(upstream)
+        state.fragility_stated_at = stated_at
         before, state.max_rejections = state.max_rejections, max_rejections
         state.has_answered = True
         if max_rejections is not None:
-            self._stated_at_by_service[upstream.service] = self._clock.monotonic()
+            self._stated_at_by_service[upstream.service] = stated_at
         if max_rejections == before:
             return
         fields = {"upstream": upstream.id, "before": before, "origin": origin}
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -187,11 +187,15 @@
         """
         acquired_at = self._clock.monotonic()
         wait = await self._acquire_rate_permit(upstream, max_wait_seconds)
-        if wait is None or not self._admissions.needed(upstream):
+        if wait is None or not self._admissions.should_ask(upstream):
             return wait
         await self._clock.sleep(wait)
+        was_limited = self._rate_limit(upstream) is not None
         remaining = max_wait_seconds - (self._clock.monotonic() - acquired_at)
-        return 0.0 if await self._admissions.acquire(upstream, max(0.0, remaining)) else None
+        if not await self._admissions.acquire(upstream, max(0.0, remaining)):
+            return None
+        # The issuer may have told a gateway that has just started of a rate limit.
+        return 0.0 if was_limited else await self._acquire_rate_permit(upstream, 0.0)
 
     async def _acquire_rate_permit(
         self, upstream: Upstream, max_wait_seconds: float
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -112,11 +112,8 @@
 
     def _update_rate_limit(self, upstream: Upstream, rate: float | None, origin: str) -> None:
         """Store the rate limit of an upstream and log a change."""
-        limit = self._upstream_states.get(upstream).rate_limit
-        before = limit.announced
-        limit.announce(rate, self._clock.monotonic())
-        if rate is not None:
-            self._upstream_states.rate_limited_ids.add(upstream.id)
+        before = self._upstream_states.get(upstream).rate_limit.announced
+        self._upstream_states.record_rate_limit(upstream, rate, self._clock.monotonic())
         if rate == before:
             return
         fields = {"upstream": upstream.id, "before": before, "origin": origin}
