Let another gateway admit requests while the issuer of a fragile upstream is silent

Callers got less of a fragile upstream than it can run after a kill of the gateway that admits requests to it: all others waited until that one was back or counted as unreachable.

After three calls in a row without a reply a gateway asks the next one of the ranking for a second. That one uses half of the slots, since the issuer may live and admit others.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import itertools
-from collections import deque
+from collections import Counter, deque
 
 import msgspec
 
@@ -35,14 +35,18 @@
 """Longest wait for a reply beyond the wait for the admission; it allows one resend after a loss."""
 MAX_WAIT_SECONDS = 1.5
 """Longest time that a request waits for its admission."""
-UNANSWERED_PAUSE_SECONDS = 0.3
-"""Time for which no admission is expected from an issuer that did not reply."""
 MIN_PAUSE_SECONDS = 0.02
 """Shortest time for which no admission is expected after a denied one."""
 REPORT_INTERVAL_SECONDS = 0.5
 """Time between two reports of a gateway with requests at a fragile upstream."""
 STARTING_SECONDS = 3.0
 """Time after its start for which a gateway asks whether upstreams are fragile."""
+UNANSWERED_CALLS = 3
+"""Calls in a row without a reply after which an issuer counts as silent; datagrams may be lost."""
+SILENT_SECONDS = 1.0
+"""Time for which a silent issuer is not asked."""
+STAND_IN_SHARE = 0.5
+"""Share of the slots that a gateway uses which stands in for an issuer."""
 CHECK_INTERVAL_SECONDS = 0.1
 """Time between two checks whether requests that wait can be admitted; most are when a report
 arrives."""
@@ -205,12 +209,12 @@
         upstream = board.upstreams_by_id.get(upstream_id)
         if upstream is None or upstream.started_at != started_at:
             return 1.0
-        if permit_issuer(board, upstream_id) is not board.own:
-            # The gateway that asks doesn't reach the issuer, which admits requests of others.
-            return 1.0
         state = self._upstream_states.get(upstream)
         slots = float(state.load.slots if state.load else upstream.slots)
-        if ledger.is_learning(now):
+        if permit_issuer(board, upstream_id) is not board.own:
+            # The issuer does not answer the gateway that asks, and may still admit others.
+            slots *= STAND_IN_SHARE
+        elif ledger.is_learning(now):
             is_known = state.load and now - state.load_received_at < MAX_LOAD_AGE_SECONDS
             slots *= 1.0 if is_known else LEARNING_SHARE
             if is_known:
@@ -246,6 +250,8 @@
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._unanswered_lifetimes: set[Lifetime] = set()
+        self._unanswered_by_incarnation: Counter[str] = Counter()
+        self._silent_until_by_incarnation: dict[str, float] = {}
         self._issuer = AdmissionIssuer(blackboard, upstream_states, fragile_upstreams, clock)
         self._started_at = clock.monotonic()
         calls.register_handler(ADMISSION_CALL_KIND, self._issuer.serve)
@@ -306,7 +312,7 @@
             self._metrics.count_admission("admitted")
             return True
         self._metrics.count_admission("denied" if reply else "unanswered")
-        pause = reply.retry_seconds if reply else UNANSWERED_PAUSE_SECONDS
+        pause = reply.retry_seconds if reply else 0.0
         now = self._clock.monotonic()
         state.no_permit_until = state.next_permit_at = now + max(MIN_PAUSE_SECONDS, pause)
         return False
@@ -332,7 +338,7 @@
 
     async def _request(self, request: AdmissionRequest) -> AdmissionReply | None:
         """Request an admission from the issuer; None without a valid reply."""
-        issuer = permit_issuer(self._blackboard, request.upstream)
+        issuer = self._issuer_of(request.upstream)
         if issuer is self._blackboard.own:
             return await self._issuer.admit(request)
         try:
@@ -342,11 +348,27 @@
                 msgspec.msgpack.encode(request),
                 request.max_wait_seconds + REPLY_TIMEOUT_SECONDS,
             )
+            self._unanswered_by_incarnation.pop(issuer.incarnation, None)
             return decode_msgpack(reply, AdmissionReply)
         except (CallTimeoutError, msgspec.DecodeError) as error:
             log.failure("admission.not_answered", peer=issuer.incarnation, error=str(error))
+            self._unanswered_by_incarnation[issuer.incarnation] += 1
+            if self._unanswered_by_incarnation[issuer.incarnation] >= UNANSWERED_CALLS:
+                del self._unanswered_by_incarnation[issuer.incarnation]
+                silent_until = self._clock.monotonic() + SILENT_SECONDS
+                self._silent_until_by_incarnation[issuer.incarnation] = silent_until
             return None
 
+    def _issuer_of(self, upstream_id: str) -> Member:
+        """Return the gateway to ask for an upstream, the next one while the issuer is silent."""
+        now = self._clock.monotonic()
+        self._silent_until_by_incarnation = {
+            incarnation: until
+            for incarnation, until in self._silent_until_by_incarnation.items()
+            if until > now
+        }
+        return permit_issuer(self._blackboard, upstream_id, self._silent_until_by_incarnation)
+
     def _report(self, upstream: Upstream, number: int) -> InFlightReport:
         """Return what this gateway has in progress at an upstream."""
         state = self._upstream_states.get(upstream)
@@ -361,7 +383,7 @@
     def _send_report(self, upstream: Upstream) -> None:
         """Send a report to the issuer of an upstream."""
         report = self._report(upstream, next(self._numbers))
-        issuer: Member = permit_issuer(self._blackboard, upstream.id)
+        issuer = self._issuer_of(upstream.id)
         if issuer is self._blackboard.own:
             self._issuer.record(upstream.id, upstream.started_at, report)
         else:
