--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 20
 
 .PHONY: install test format schema demo demo-platform soak history model measure capacity throughput \
-	experiment
+	experiment overload
 
 install: $(VENV)/.installed
 
@@ -38,6 +38,9 @@
 soak: install
 	$(BIN)/python -m quinceferry_lab.soak --seeds $(SEEDS)
 
+overload: install
+	$(BIN)/python -m quinceferry_lab.overload --seeds $(SEEDS)
+
 history: install
 	$(BIN)/python -m quinceferry_lab.history --seeds $(SEEDS)
 
