--- a/packages/quinceferry-lab/src/quinceferry_lab/overload.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/overload.py
@@ -46,6 +46,9 @@
 REPLACED_SECONDS = 4.5
 """Time from a crash until another lifetime of the upstream starts."""
 WARM_UP_SECONDS = 2.0
+RUNNING_SECONDS = (0.5, 2.0)
+STALLED_SECONDS = (0.2, 1.2)
+"""Bounds of the times for which a stalled gateway runs and stands still in turns."""
 ZONES = 4
 
 
@@ -60,6 +63,7 @@
     :param rate: requests a second before the burst.
     :param burst_rate: requests a second from the time at which upstreams are held to it.
     :param restarted: gateways that are killed and started again during the burst.
+    :param stalled: gateways that stand still now and then during the burst.
     """
 
     gateways: int = 8
@@ -76,6 +80,7 @@
     calm_seconds: float = 3.0
     burst_seconds: float = 12.0
     restarted: int = 0
+    stalled: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +124,8 @@
             self._hold_to_it()
             for gateway in self.gateways[: scenario.restarted]:
                 group.create_task(self._restart(gateway))
+            for gateway in self.gateways[len(self.gateways) - scenario.stalled :]:
+                watching.append(group.create_task(self._stall_repeatedly(gateway)))
             await self._send(group, scenario.burst_rate, scenario.burst_seconds)
             for task in watching:
                 task.cancel()
@@ -184,6 +191,12 @@
         await asyncio.sleep(0.5)
         await gateway.start()
 
+    async def _stall_repeatedly(self, gateway: GatewayProcess) -> None:
+        """Let a gateway stand still in turns, some of them longer than peers wait for a reply."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(*RUNNING_SECONDS))
+            await gateway.stall(self.rng.uniform(*STALLED_SECONDS))
+
     async def _send(self, group: asyncio.TaskGroup, rate: float, seconds: float) -> None:
         """Begin requests at random times."""
         ends_at = time.monotonic() + seconds
@@ -343,6 +356,7 @@
 @click.option("--rate-limit", default="", help="Rate limit of the first upstream.")
 @click.option("--queue", default=4, help="Length of the queues while upstreams are held to it.")
 @click.option("--restarted", default=0, help="Gateways that are killed and started again.")
+@click.option("--stalled", default=0, help="Gateways that stand still now and then.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the gateways' logs.")
 def main(
     seed: int,
@@ -354,6 +368,7 @@
     rate_limit: str,
     queue: int,
     restarted: int,
+    stalled: int,
     keep: Path | None,
 ) -> None:
     """Play overloads, print a line of JSON for each, and exit with 1 if a limit was exceeded."""
@@ -365,6 +380,7 @@
         short_queue=queue,
         burst_rate=burst,
         restarted=restarted,
+        stalled=stalled,
     )
     broken = False
     for number in range(seed, seed + seeds):
