Count long requests at fragile upstreams as long as these are listed

Callers of an upstream whose streams run for more than ten seconds could make it fail: no answer arrived meanwhile that stated again that it is fragile, so gateways no longer reported their requests, and the issuer forgot them after two seconds and admitted as many again. Found when the diff was read once more.

Fragile upstreams are kept by their identifiers until an answer says otherwise or the list lacks them; only what others say for a lifetime that has not answered ends after ten seconds.

--- a/features/gateway_fragile_upstreams.feature
+++ b/features/gateway_fragile_upstreams.feature
@@ -34,6 +34,13 @@
       | 83    | 5    | 530  | 75    | , while the fleet is split in two    |
       | 8     | 5    | 531  | 75    | , while the fleet is split in four   |
 
+  Scenario: Long streams are forgotten by the gateway that counts them
+    Given 8 gateways that know each other, losing 5 of 100 digests, seed 532
+    When an upstream with 12 slots and no queue tells one gateway that it bears 5 rejections a second
+    And its requests run for 16 seconds
+    And all gateways always have 2 requests for it, for 33 seconds
+    Then it rejects at most 5 requests in any second, and runs 12 or more in all
+
   Scenario Outline: The adapter parses the header about rejections
     When an answer has the rejections header "<header>"
     Then the upstream is read to bear <number> rejections a second, malformed: <malformed>
--- a/features/steps/gateway_fragile_upstreams.py
+++ b/features/steps/gateway_fragile_upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import tempfile
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -15,11 +16,12 @@
 from quinceferry_lab import overload
 from quinceferry_platform.headers import PlatformDialect
 
-MODEL_SLOTS = 4
 MODEL_REJECTIONS = 5
 RUN_SECONDS = 0.2
 MAX_WAIT_SECONDS = 0.3
 DENIED_PAUSE_SECONDS = 0.05
+LIST_SECONDS = 2.0
+"""Time in which all gateways have read a change of the list."""
 CONTACT_SECONDS = 3.0
 """Time from the announcement until rejections count."""
 NOTICE_INTERVAL_SECONDS = 1.1
@@ -113,6 +115,7 @@
     def __init__(self, world, identifier):
         self._world = world
         self.upstream = world.upstreams_by_id[identifier]
+        self.run_seconds = RUN_SECONDS
         self.running = 0
         self.served = 0
         self.rejected_at = []
@@ -120,12 +123,12 @@
     async def run(self):
         """Run a request, or reject it; return the head of the answer."""
         await self._world.clock.sleep(LATENCY_SECONDS)
-        if self.running >= MODEL_SLOTS:
+        if self.running >= self.upstream.slots:
             self.rejected_at.append(self._world.clock.monotonic())
             return AnswerHead(503, (), True, "r", max_rejections_per_second=MODEL_REJECTIONS)
         self.running += 1
         try:
-            await self._world.clock.sleep(RUN_SECONDS)
+            await self._world.clock.sleep(self.run_seconds)
             self.served += 1
         finally:
             self.running -= 1
@@ -133,11 +136,14 @@
 
 
 @when(
-    "an upstream with 4 slots and no queue tells one gateway that it bears {number:d} rejections a "
-    "second"
+    "an upstream with {slots:d} slots and no queue tells one gateway that it bears {number:d} "
+    "rejections a second"
 )
-def when_modelled(context, number):
+def when_modelled(context, slots, number):
     async def announce(world):
+        world.upstreams_by_id["up-0"] = replace(world.upstreams_by_id["up-0"], slots=slots)
+        world.base_revision += 1
+        await world.clock.sleep(LIST_SECONDS)
         context.modelled = ModelledUpstream(world, "up-0")
         await receive(context, world, number)
         await world.clock.sleep(CONTACT_SECONDS)
@@ -145,6 +151,14 @@
     context.acts.append(announce)
 
 
+@when("its requests run for {seconds:g} seconds")
+def when_long(context, seconds):
+    async def lengthen(world):
+        context.modelled.run_seconds = seconds
+
+    context.acts.append(lengthen)
+
+
 @when("all gateways always have {count:d} requests for it, for {seconds:d} seconds{fault}")
 def when_loaded_with_fault(context, count, seconds, fault):
     load_during(context, count, seconds, FAULTS[fault])
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
@@ -1,30 +1,30 @@
-"""Admissions of requests to fragile upstreams.
+"""Admissions for the requests of this gateway to fragile upstreams.
 
 One gateway, the same one that issues permits for an upstream, admits the requests of all gateways.
-A request for an admission waits there for its turn, first come, first served.
 """
 
-import asyncio
 import itertools
-from collections import Counter, deque
+from collections import Counter
 
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_gateway.admission_issuer import (
+    MAX_WAIT_SECONDS,
+    AdmissionIssuer,
+    AdmissionReply,
+    AdmissionRequest,
+    Lifetime,
+)
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.controllers import Controller
 from quinceferry_gateway.decisions import UpstreamStates
-from quinceferry_gateway.decisions.admissions import (
-    LEARNING_SHARE,
-    AdmissionLedger,
-    InFlightReport,
-    known_share,
-)
+from quinceferry_gateway.decisions.admissions import InFlightReport
 from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.fleet.datagrams import DatagramPort
-from quinceferry_gateway.fragile_upstreams import FragileUpstreams, FragilityNotice
+from quinceferry_gateway.fragile_upstreams import FragileUpstreams
 from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
@@ -33,8 +33,6 @@
 """Kind of the datagram call that requests an admission."""
 REPLY_TIMEOUT_SECONDS = 0.15
 """Longest wait for a reply beyond the wait for the admission; it allows one resend after a loss."""
-MAX_WAIT_SECONDS = 1.5
-"""Longest time that a request waits for its admission."""
 MIN_PAUSE_SECONDS = 0.02
 """Shortest time for which no admission is expected after a denied one."""
 REPORT_INTERVAL_SECONDS = 0.5
@@ -45,20 +43,9 @@
 """Calls in a row without a reply after which an issuer counts as silent; datagrams may be lost."""
 SILENT_SECONDS = 1.0
 """Time for which a silent issuer is not asked."""
-STAND_IN_SHARE = 0.5
-"""Share of the slots that a gateway uses which stands in for an issuer."""
 CHECK_INTERVAL_SECONDS = 0.1
 """Time between two checks whether requests that wait can be admitted; most are when a report
 arrives."""
-MAX_LOAD_AGE_SECONDS = 1.0
-"""Age up to which a load report counts while the requests of other gateways are not known."""
-MAX_LEDGERS = 1_024
-"""Most ledgers that an issuer keeps, one per lifetime of an upstream; it evicts the oldest."""
-MAX_WAITING = 1_024
-"""Most requests that wait for an upstream."""
-
-Lifetime = tuple[str, float]
-"""Identifier and start time of an upstream."""
 
 
 class InFlightNotice(msgspec.Struct, frozen=True, array_like=True, tag="inflight"):
@@ -69,160 +56,6 @@
     report: InFlightReport
 
 
-class AdmissionRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Requests the admission of one request; the report has its number.
-
-    ``known`` is what the gateway knows of the upstream, None if no answer of it.
-    """
-
-    upstream: str
-    started_at: float
-    report: InFlightReport
-    max_wait_seconds: float
-    known: FragilityNotice | None = None
-
-
-class AdmissionReply(msgspec.Struct, frozen=True, array_like=True):
-    """Whether a request is admitted, and the seconds until it is worth to ask again.
-
-    ``known`` is what the issuer knows of the upstream, and ``rate_limit`` the rate that it
-    announced, in requests a second, None without one.
-    """
-
-    admitted: bool
-    retry_seconds: float = 0.0
-    known: FragilityNotice | None = None
-    rate_limit: float | None = None
-
-
-class _Desk:
-    """The ledger of one lifetime of an upstream, and the requests that wait for their admission."""
-
-    __slots__ = ("ledger", "queue")
-
-    def __init__(self, now: float) -> None:
-        self.ledger = AdmissionLedger(now)
-        self.queue: deque[tuple[str, int, asyncio.Future[None]]] = deque()
-
-    def admit_waiting(self, capacity: float, now: float) -> None:
-        """Admit requests in their order as long as there is room."""
-        while self.queue and self.ledger.has_room(capacity, now):
-            vm, number, turn = self.queue.popleft()
-            if not turn.done():
-                self.ledger.admit(vm, number, now)
-                turn.set_result(None)
-
-
-class AdmissionIssuer:
-    """Admits the requests of all gateways to the upstreams for which this one is the issuer."""
-
-    def __init__(
-        self,
-        blackboard: Blackboard,
-        upstream_states: UpstreamStates,
-        fragile_upstreams: FragileUpstreams,
-        clock: Clock,
-    ) -> None:
-        self._blackboard = blackboard
-        self._upstream_states = upstream_states
-        self._fragile_upstreams = fragile_upstreams
-        self._clock = clock
-        self._desks_by_lifetime: dict[Lifetime, _Desk] = {}
-
-    async def serve(self, body: bytes) -> bytes:
-        """Answer a request of a peer.
-
-        :raises msgspec.DecodeError: the request is malformed, or its wait is out of range.
-        """
-        request = decode_msgpack(body, AdmissionRequest)
-        if not 0 <= request.max_wait_seconds <= MAX_WAIT_SECONDS:
-            raise msgspec.DecodeError(f"wait out of range: {request.max_wait_seconds}")
-        if request.known is not None:
-            self._fragile_upstreams.apply_notice(request.known, request.report.incarnation)
-        upstream = self._blackboard.upstreams_by_id.get(request.upstream)
-        if upstream is None or upstream.started_at != request.started_at:
-            return msgspec.msgpack.encode(AdmissionReply(True))
-        reply = AdmissionReply(True)
-        if request.known is not None or self._fragile_upstreams.is_fragile(upstream):
-            reply = await self.admit(request)
-        known = self._fragile_upstreams.notice(upstream)
-        rate = self._upstream_states.get(upstream).rate_limit.announced
-        return msgspec.msgpack.encode(msgspec.structs.replace(reply, known=known, rate_limit=rate))
-
-    async def admit(self, request: AdmissionRequest) -> AdmissionReply:
-        """Admit a request, now or after a wait."""
-        report, now = request.report, self._clock.monotonic()
-        vm = self._blackboard.vm_of(report.incarnation)
-        desk = self._desk(request.upstream, request.started_at)
-        if desk.ledger.is_admitted(vm, report.number):
-            return AdmissionReply(True)
-        desk.ledger.record(vm, report, now)
-        capacity = self._capacity(request.upstream, request.started_at, desk.ledger, now)
-        desk.admit_waiting(capacity, now)
-        if not desk.queue and desk.ledger.has_room(capacity, now):
-            desk.ledger.admit(vm, report.number, now)
-            return AdmissionReply(True)
-        waiting = len(desk.queue)
-        expected_wait = desk.ledger.wait_seconds(waiting, capacity, now)
-        if expected_wait > request.max_wait_seconds or waiting >= MAX_WAITING:
-            return AdmissionReply(False, desk.ledger.retry_seconds(waiting, capacity, now))
-        turn = asyncio.get_running_loop().create_future()
-        desk.queue.append((vm, report.number, turn))
-        try:
-            async with asyncio.timeout(request.max_wait_seconds):
-                await turn
-        except TimeoutError:
-            now = self._clock.monotonic()
-            return AdmissionReply(False, desk.ledger.retry_seconds(len(desk.queue), capacity, now))
-        return AdmissionReply(True)
-
-    def record(self, upstream_id: str, started_at: float, report: InFlightReport) -> None:
-        """Apply a report, and admit requests for which it makes room."""
-        now = self._clock.monotonic()
-        desk = self._desk(upstream_id, started_at)
-        desk.ledger.record(self._blackboard.vm_of(report.incarnation), report, now)
-        desk.admit_waiting(self._capacity(upstream_id, started_at, desk.ledger, now), now)
-
-    def admit_waiting(self) -> None:
-        """Admit requests for which there is room since time has passed."""
-        now = self._clock.monotonic()
-        for (upstream_id, started_at), desk in self._desks_by_lifetime.items():
-            if desk.queue:
-                capacity = self._capacity(upstream_id, started_at, desk.ledger, now)
-                desk.admit_waiting(capacity, now)
-
-    def _desk(self, upstream_id: str, started_at: float) -> _Desk:
-        """Return the desk of a lifetime, a new one if there is none."""
-        lifetime = (upstream_id, started_at)
-        desk = self._desks_by_lifetime.get(lifetime)
-        if desk is None:
-            while len(self._desks_by_lifetime) >= MAX_LEDGERS:
-                del self._desks_by_lifetime[next(iter(self._desks_by_lifetime))]
-            desk = self._desks_by_lifetime[lifetime] = _Desk(self._clock.monotonic())
-        return desk
-
-    def _capacity(
-        self, upstream_id: str, started_at: float, ledger: AdmissionLedger, now: float
-    ) -> float:
-        """Return how many requests an upstream may run for the gateways that this one reaches."""
-        board = self._blackboard
-        upstream = board.upstreams_by_id.get(upstream_id)
-        if upstream is None or upstream.started_at != started_at:
-            return 1.0
-        state = self._upstream_states.get(upstream)
-        slots = float(state.load.slots if state.load else upstream.slots)
-        if permit_issuer(board, upstream_id) is not board.own:
-            # The issuer does not answer the gateway that asks, and may still admit others.
-            slots *= STAND_IN_SHARE
-        elif ledger.is_learning(now):
-            is_known = state.load and now - state.load_received_at < MAX_LOAD_AGE_SECONDS
-            slots *= 1.0 if is_known else LEARNING_SHARE
-            if is_known:
-                unreported = state.load.running + state.load.waiting - ledger.occupied(now)
-                slots -= max(0, unreported)
-        return slots * known_share(len(board.usable_members()), len(board.members_by_vm))
-
-
 class Admissions(Controller):
     """Acquires admissions for the requests of this gateway, and reports what it has in progress.
 
@@ -404,7 +237,7 @@
         """
         while True:
             await self._clock.sleep(REPORT_INTERVAL_SECONDS)
-            for upstream in self._fragile_upstreams.recent():
+            for upstream in self._fragile_upstreams.listed():
                 state = self._upstream_states.get(upstream)
                 if state.in_flight or state.pending_admissions:
                     self._send_report(upstream)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -48,6 +48,7 @@
         self._port = port
         self._clock = clock
         self._stated_at_by_service: dict[str, float] = {}
+        self._fragile_ids: set[str] = set()
         port.add_handler(FragilityNotice, self.apply_notice)
         metrics.observe_fragile_upstreams(self._count_fragile)
 
@@ -63,15 +64,17 @@
         return not state.has_answered and self._is_recent(upstream.service)
 
     def has_any(self) -> bool:
-        """Return whether any upstream has recently stated that it is fragile."""
-        return any(self._is_recent(service) for service in self._stated_at_by_service)
+        """Return whether any upstream is or may be fragile."""
+        services = self._stated_at_by_service
+        return bool(self._fragile_ids) or any(self._is_recent(service) for service in services)
 
-    def recent(self) -> list[Upstream]:
-        """Return the fragile upstreams of services that have recently stated it."""
+    def listed(self) -> list[Upstream]:
+        """Return the listed upstreams that are fragile."""
         if not self.has_any():
             return []
-        upstreams = self._blackboard.upstreams_by_id.values()
-        return [item for item in upstreams if self.is_fragile(item)]
+        upstreams_by_id = self._blackboard.upstreams_by_id
+        self._fragile_ids &= upstreams_by_id.keys()
+        return [item for item in upstreams_by_id.values() if self.is_fragile(item)]
 
     def _is_recent(self, service: str) -> bool:
         """Return whether an upstream of a service has recently stated that it is fragile."""
@@ -139,7 +142,10 @@
         state.fragility_stated_at = stated_at
         before, state.max_rejections = state.max_rejections, max_rejections
         state.has_answered = True
-        if max_rejections is not None:
+        if max_rejections is None:
+            self._fragile_ids.discard(upstream.id)
+        else:
+            self._fragile_ids.add(upstream.id)
             self._stated_at_by_service[upstream.service] = stated_at
         if max_rejections == before:
             return
