--- a/features/steps/gateway_cold_starts.py
+++ b/features/steps/gateway_cold_starts.py
@@ -7,15 +7,14 @@
 
 from behave import then, when
 
-from features.fixtures_fleet import Node
+from features.fixtures_fleet_faults import FAULTS
 from features.fixtures_gateway import configuration, until
 from features.steps.gateway import check
 from features.steps.gateway_evacuation import FLEET_ZONE, heeds
-from features.steps.gateway_fleet import cut_link, play
+from features.steps.gateway_fleet import play
 from features.steps.gateway_rate_limits import no_fault, run_through_fault
 from quinceferry_gateway.catalog import AnswerHead
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
-from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_platform.documents import decode_upstream
 from quinceferry_platform.headers import PlatformDialect
 
@@ -51,43 +50,6 @@
         await world.clock.sleep(1.2)
 
 
-async def kill_issuer(context, world):
-    """Kill the gateway that grants the permits for the first cold upstream."""
-    issuer = permit_issuer(world.nodes[0].board, context.cold_ids[0])
-    await next(node for node in world.nodes if node.vm == issuer.vm).stop()
-
-
-async def restart_half(context, world):
-    """Kill every second gateway and start others on their vms together."""
-    restarted = range(0, len(world.nodes), 2)
-    for number in restarted:
-        await world.nodes[number].stop()
-        world.nodes[number] = Node(world, number, "second")
-    await asyncio.gather(*(world.nodes[number].start() for number in restarted))
-    for number in restarted:
-        start_sending(context, world, world.nodes[number])
-
-
-def split(parts):
-    """Return a fault that cuts the fleet into parts of equal size, all of which reach the store."""
-
-    async def cut(context, world):
-        for number, origin in enumerate(world.nodes):
-            for other, target in enumerate(world.nodes):
-                if number % parts != other % parts:
-                    cut_link(world, origin, target)
-
-    return cut
-
-
-FAULTS = {
-    ", while the issuer is killed": kill_issuer,
-    ", while half of the gateways restart": restart_half,
-    ", while the fleet is split in two": split(2),
-    ", while the fleet is split in four": split(4),
-}
-
-
 @when(
     "2 seconds pass, and all gateways send cold upstreams what they may for "
     "{seconds:d} seconds{fault}"
@@ -107,6 +69,7 @@
     async def run(world):
         context.sent_at_by_id = {upstream_id: [] for upstream_id in context.cold_ids}
         context.sending = []
+        context.limited_id, context.start_sending = context.cold_ids[0], start_sending
         await world.clock.sleep(SETTLING_SECONDS)
         for node in world.nodes:
             start_sending(context, world, node)
--- a/features/steps/gateway_crashes.py
+++ b/features/steps/gateway_crashes.py
@@ -10,8 +10,9 @@
 from behave import given, then, when
 
 from features.fixtures_fleet import Node
+from features.fixtures_fleet_faults import cut_link
 from features.fixtures_gateway import Scene, configuration, until
-from features.steps.gateway_fleet import cut_link, play
+from features.steps.gateway_fleet import play
 from quinceferry_core.quarantine import RunStage
 from quinceferry_gateway.catalog import Upstream
 from quinceferry_gateway.logs import log
--- a/features/steps/gateway_fleet.py
+++ b/features/steps/gateway_fleet.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from features.fixtures_fleet import Node, World
+from features.fixtures_fleet_faults import cut_link
 from quinceferry_gateway.blackboard import Member
 from quinceferry_gateway.fleet.digests import DIGEST_FORMAT, Digest, incarnation_checksum
 from quinceferry_gateway.fleet_api import caller_addresses
@@ -68,12 +69,6 @@
     context.acts.append(mute)
 
 
-def cut_link(world, origin, target):
-    """Let nothing pass from one gateway to another."""
-    pair = (origin.board.own.peer_address, target.board.own.peer_address)
-    world.network.cut.add(pair)
-
-
 @when("an upstream leaves the store's list, {times:d} times")
 def when_leaves(context, times):
     async def leave(world):
--- a/features/steps/gateway_fragile_upstreams.py
+++ b/features/steps/gateway_fragile_upstreams.py
@@ -8,11 +8,11 @@
 
 from behave import given, then, when
 
-from features.fixtures_fleet import LATENCY_SECONDS, Node
-from features.steps.gateway_fleet import cut_link, play
+from features.fixtures_fleet import LATENCY_SECONDS
+from features.fixtures_fleet_faults import FAULTS
+from features.steps.gateway_fleet import play
 from features.steps.gateway_rate_limits import no_fault, run_through_fault
 from quinceferry_gateway.catalog import AnswerHead
-from quinceferry_gateway.issuers import permit_issuer
 from quinceferry_lab import overload
 from quinceferry_platform.headers import PlatformDialect
 
@@ -174,6 +174,7 @@
 
     async def run(world):
         context.sending, context.per_gateway = [], count
+        context.limited_id, context.start_sending = context.upstream.id, start_sending
         for node in world.nodes:
             start_sending(context, world, node)
         await run_through_fault(world, context.sending, seconds, partial(inject_fault, context))
@@ -212,43 +213,6 @@
     return await node.permits.acquire(upstream, MAX_WAIT_SECONDS) is not None
 
 
-async def kill_issuer(context, world):
-    """Kill the gateway that admits requests to the upstream."""
-    issuer = permit_issuer(world.nodes[0].board, context.upstream.id)
-    await next(node for node in world.nodes if node.vm == issuer.vm).stop()
-
-
-async def restart_half(context, world):
-    """Kill every second gateway and start others on their vms together."""
-    restarted = range(0, len(world.nodes), 2)
-    for number in restarted:
-        await world.nodes[number].stop()
-        world.nodes[number] = Node(world, number, "second")
-    await asyncio.gather(*(world.nodes[number].start() for number in restarted))
-    for number in restarted:
-        start_sending(context, world, world.nodes[number])
-
-
-def split(parts):
-    """Return a fault that cuts the fleet into parts of equal size, all of which reach the store."""
-
-    async def cut(context, world):
-        for number, origin in enumerate(world.nodes):
-            for other, target in enumerate(world.nodes):
-                if number % parts != other % parts:
-                    cut_link(world, origin, target)
-
-    return cut
-
-
-FAULTS = {
-    ", while the issuer is killed": kill_issuer,
-    ", while half of the gateways restart": restart_half,
-    ", while the fleet is split in two": split(2),
-    ", while the fleet is split in four": split(4),
-}
-
-
 @then("it rejects at most {most:d} requests in any second, and runs {least:d} or more in all")
 def then_modelled(context, most, least):
     play(context)
--- a/features/steps/gateway_stream_origins.py
+++ b/features/steps/gateway_stream_origins.py
@@ -6,7 +6,8 @@
 from behave import then, when
 
 from features.fixtures_fleet import Node
-from features.steps.gateway_fleet import cut_link, play
+from features.fixtures_fleet_faults import cut_link
+from features.steps.gateway_fleet import play
 from quinceferry_gateway.catalog import RouteKind, StreamOrigin
 from quinceferry_gateway.decisions.origin_records import HOLDERS
 from quinceferry_gateway.stream_origins import OriginNotices
