Keep a fragile upstream known while the list lacks it for a moment

Callers of a fragile upstream with long requests could make it fail after the list had lacked it for some seconds: a gateway dropped its identifier then, reported its requests there no more once ten seconds had passed without an answer, and the issuer admitted as many again.

The identifiers are kept beside those of rate-limited upstreams now, which go with the state of a lifetime, and states with requests in progress are kept. The scenario failed before (no gateway reported its request) and passes.

--- a/features/gateway_fragile_upstreams.feature
+++ b/features/gateway_fragile_upstreams.feature
@@ -41,6 +41,13 @@
     And all gateways always have 2 requests for it, for 33 seconds
     Then it rejects at most 2 requests in any second, and runs 12 or more in all
 
+  Scenario: An upstream that was missing from the list for a moment is no longer known to be fragile
+    Given 8 gateways that know each other, losing 5 of 100 digests, seed 533
+    When an upstream with 4 slots and no queue tells one gateway that it bears 5 rejections a second
+    And its requests run for 30 seconds
+    And the list lacks it for 5 seconds while each gateway has a request there
+    Then 12 seconds later every gateway reports its request there
+
   Scenario Outline: The adapter parses the header about rejections
     When an answer has the rejections header "<header>"
     Then the upstream is read to bear <number> rejections a second, malformed: <malformed>
--- a/features/steps/gateway_fragile_upstreams.py
+++ b/features/steps/gateway_fragile_upstreams.py
@@ -161,6 +161,32 @@
     context.acts.append(lengthen)
 
 
+@when("the list lacks it for {seconds:g} seconds while each gateway has a request there")
+def when_missing(context, seconds):
+    async def hide(world):
+        for node in world.nodes:
+            node.upstream_states.start_attempt(context.upstream, 0, "", world.clock.monotonic())
+        hidden = world.upstreams_by_id.pop(context.upstream.id)
+        world.base_revision += 1
+        await world.clock.sleep(seconds)
+        world.upstreams_by_id[hidden.id] = hidden
+        world.base_revision += 1
+
+    context.acts.append(hide)
+
+
+@then("{seconds:g} seconds later every gateway reports its request there")
+def then_reported(context, seconds):
+    async def count(world):
+        await world.clock.sleep(seconds)
+        for node in world.nodes:
+            reported = [item.id for item in node.fragile_upstreams.listed()]
+            assert reported == [context.upstream.id], (node.vm, reported)
+
+    context.acts.append(count)
+    play(context)
+
+
 @when("all gateways always have {count:d} requests for it, for {seconds:d} seconds{fault}")
 def when_loaded_with_fault(context, count, seconds, fault):
     load_during(context, count, seconds, FAULTS[fault])
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -260,7 +260,8 @@
     """States of all upstreams, and prefill times of the engines of each service.
 
     ``cached_prefixes`` estimates which engines cache a shared prefix. ``rate_limited_ids`` holds
-    the identifiers of upstreams that may have a rate limit in force, or may be cold.
+    the identifiers of upstreams that may have a rate limit in force, or may be cold, and
+    ``fragile_ids`` those of upstreams that state how many rejections they tolerate.
     """
 
     __slots__ = (
@@ -268,6 +269,7 @@
         "_leaving_lifetimes",
         "_prefill_times_by_service",
         "cached_prefixes",
+        "fragile_ids",
         "rate_limited_ids",
     )
 
@@ -276,6 +278,7 @@
         self._prefill_times_by_service: defaultdict[str, PrefillTimes] = defaultdict(PrefillTimes)
         self.cached_prefixes = CachedPrefixes()
         self.rate_limited_ids: set[str] = set()
+        self.fragile_ids: set[str] = set()
         self._leaving_lifetimes: dict[tuple[str, float], None] = {}
 
     def get(self, upstream: Upstream) -> UpstreamState:
@@ -283,8 +286,7 @@
         state = self._by_id.get(upstream.id)
         if state is None or state.started_at != upstream.started_at:
             state = self._by_id[upstream.id] = UpstreamState(upstream.started_at)
-            self.rate_limited_ids.discard(upstream.id)
-            self.cached_prefixes.remove_upstream(upstream.id)
+            self._discard_lifetime(upstream.id)
         return state
 
     def record_rate_limit(self, upstream: Upstream, rate: float | None, now: float) -> None:
@@ -344,5 +346,10 @@
         ]:
             if self._by_id[upstream_id].in_flight <= 0:
                 del self._by_id[upstream_id]
-                self.rate_limited_ids.discard(upstream_id)
-                self.cached_prefixes.remove_upstream(upstream_id)
+                self._discard_lifetime(upstream_id)
+
+    def _discard_lifetime(self, upstream_id: str) -> None:
+        """Remove what is kept by identifier of a lifetime that has ended."""
+        self.rate_limited_ids.discard(upstream_id)
+        self.fragile_ids.discard(upstream_id)
+        self.cached_prefixes.remove_upstream(upstream_id)
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -48,9 +48,8 @@
         self._port = port
         self._clock = clock
         self._stated_at_by_service: dict[str, float] = {}
-        self._fragile_ids: set[str] = set()
         port.add_handler(FragilityNotice, self.apply_notice)
-        metrics.observe_fragile_upstreams(self._count_fragile)
+        metrics.observe_fragile_upstreams(lambda: len(self.listed()))
 
     def is_fragile(self, upstream: Upstream) -> bool:
         """Return whether an upstream is fragile, by its last answer.
@@ -66,15 +65,14 @@
     def has_any(self) -> bool:
         """Return whether any upstream is or may be fragile."""
         services = self._stated_at_by_service
-        return bool(self._fragile_ids) or any(self._is_recent(service) for service in services)
+        return bool(self._upstream_states.fragile_ids) or any(map(self._is_recent, services))
 
     def listed(self) -> list[Upstream]:
         """Return the listed upstreams that are fragile."""
         if not self.has_any():
             return []
-        upstreams_by_id = self._blackboard.upstreams_by_id
-        self._fragile_ids &= upstreams_by_id.keys()
-        return [item for item in upstreams_by_id.values() if self.is_fragile(item)]
+        upstreams = self._blackboard.upstreams_by_id.values()
+        return [item for item in upstreams if self.is_fragile(item)]
 
     def _is_recent(self, service: str) -> bool:
         """Return whether an upstream of a service has recently stated that it is fragile."""
@@ -143,9 +141,9 @@
         before, state.max_rejections = state.max_rejections, max_rejections
         state.has_answered = True
         if max_rejections is None:
-            self._fragile_ids.discard(upstream.id)
+            self._upstream_states.fragile_ids.discard(upstream.id)
         else:
-            self._fragile_ids.add(upstream.id)
+            self._upstream_states.fragile_ids.add(upstream.id)
             self._stated_at_by_service[upstream.service] = stated_at
         if max_rejections == before:
             return
@@ -154,7 +152,3 @@
             log.change("upstream.sturdy", **fields)
         else:
             log.change("upstream.fragile", max_rejections=max_rejections, **fields)
-
-    def _count_fragile(self) -> int:
-        """Return how many upstreams are fragile."""
-        return sum(self.is_fragile(item) for item in self._blackboard.upstreams_by_id.values())
