Record rate limits, notices and denied permits in one place each

What the admissions of fragile upstreams had written again is shared now: when peers are to be notified of a value (rate limits and rejections), what a denied permit means for the next request, the type of a lifetime, the eviction of the oldest schedule or ledger, and the recording of a rate limit. Whether an upstream has answered is derived from when it did. Rejections are counted where their metric is.

--- a/packages/quinceferry-gateway/src/quinceferry_gateway/admission_issuer.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admission_issuer.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_core.eviction import evict_oldest
 from quinceferry_gateway.blackboard import Blackboard
 from quinceferry_gateway.decisions import UpstreamStates
 from quinceferry_gateway.decisions.admissions import (
@@ -19,7 +20,7 @@
 )
 from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fragile_upstreams import FragileUpstreams, FragilityNotice
-from quinceferry_gateway.issuers import permit_issuer
+from quinceferry_gateway.issuers import Lifetime, permit_issuer
 
 MAX_WAIT_SECONDS = 1.5
 """Longest time that a request waits for its admission."""
@@ -32,9 +33,6 @@
 MAX_WAITING = 1_024
 """Most requests that wait for an upstream."""
 
-Lifetime = tuple[str, float]
-"""Identifier and start time of an upstream."""
-
 
 class AdmissionRequest(msgspec.Struct, frozen=True, array_like=True):
     """Requests the admission of one request; the report has its number.
@@ -170,9 +168,8 @@
         lifetime = (upstream_id, started_at)
         queue = self._queues_by_lifetime.get(lifetime)
         if queue is None:
-            while len(self._queues_by_lifetime) >= MAX_LEDGERS:
-                del self._queues_by_lifetime[next(iter(self._queues_by_lifetime))]
             queue = self._queues_by_lifetime[lifetime] = _AdmissionQueue(self._clock.monotonic())
+            evict_oldest(self._queues_by_lifetime, MAX_LEDGERS)
         return queue
 
     def _capacity(
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/admissions.py
@@ -14,7 +14,6 @@
     AdmissionIssuer,
     AdmissionReply,
     AdmissionRequest,
-    Lifetime,
 )
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
@@ -25,16 +24,15 @@
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
 from quinceferry_gateway.fleet.datagrams import DatagramPort
 from quinceferry_gateway.fragile_upstreams import FragileUpstreams
-from quinceferry_gateway.issuers import permit_issuer
+from quinceferry_gateway.issuers import Lifetime, permit_issuer
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.rate_limit_updates import record_peer_rate_limit
 
 ADMISSION_CALL_KIND = "admission"
 """Kind of the datagram call that requests an admission."""
 REPLY_TIMEOUT_SECONDS = 0.15
 """Longest wait for a reply beyond the wait for the admission; it allows one resend after a loss."""
-MIN_PAUSE_SECONDS = 0.02
-"""Shortest time for which no admission is expected after a denied one."""
 REPORT_INTERVAL_SECONDS = 0.5
 """Time between two reports of a gateway with requests at a fragile upstream."""
 STARTING_SECONDS = 3.0
@@ -126,52 +124,38 @@
         state.pending_admissions.add(number)
         try:
             reply = await self._request(
+                upstream,
                 AdmissionRequest(
                     upstream.id,
                     upstream.started_at,
                     self._report(upstream, number),
                     min(MAX_WAIT_SECONDS, max_wait_seconds),
                     self._fragile_upstreams.notice(upstream),
-                )
+                ),
             )
         finally:
             state.pending_admissions.discard(number)
         if reply is None and not self._fragile_upstreams.is_fragile(upstream):
             self._unanswered_lifetimes.add((upstream.id, upstream.started_at))
             return True
-        if reply is not None:
-            self._learn(upstream, reply)
         if reply is not None and reply.admitted:
             self._metrics.count_admission("admitted")
             return True
         self._metrics.count_admission("denied" if reply else "unanswered")
         pause = reply.retry_seconds if reply else 0.0
-        now = self._clock.monotonic()
-        state.no_permit_until = state.next_permit_at = now + max(MIN_PAUSE_SECONDS, pause)
+        state.record_denied_permit(pause, pause, self._clock.monotonic())
         return False
 
-    def _learn(self, upstream: Upstream, reply: AdmissionReply) -> None:
-        """Apply what the issuer knows of an upstream of which this gateway knows nothing yet."""
-        state = self._upstream_states.get(upstream)
-        if reply.rate_limit is not None and not state.has_answered:
-            self._upstream_states.record_rate_limit(
-                upstream, reply.rate_limit, self._clock.monotonic()
-            )
-            state.notified_rate = reply.rate_limit
-            log.change(
-                "upstream.limited", upstream=upstream.id, requests_per_second=reply.rate_limit
-            )
-        if reply.known is not None:
-            self._fragile_upstreams.apply_notice(reply.known, "issuer")
-
     def request_finished(self, upstream: Upstream) -> None:
         """Report that a request has ended at an upstream, if that makes room for others."""
         if self._fragile_upstreams.is_fragile(upstream):
             self._send_report(upstream)
 
-    async def _request(self, request: AdmissionRequest) -> AdmissionReply | None:
+    async def _request(
+        self, upstream: Upstream, request: AdmissionRequest
+    ) -> AdmissionReply | None:
         """Request an admission from the issuer; None without a valid reply."""
-        issuer = self._issuer_of(request.upstream)
+        issuer = self._issuer_of(upstream.id)
         if issuer is self._blackboard.own:
             return await self._issuer.admit(request)
         try:
@@ -182,7 +166,7 @@
                 request.max_wait_seconds + REPLY_TIMEOUT_SECONDS,
             )
             self._unanswered_by_incarnation.pop(issuer.incarnation, None)
-            return decode_msgpack(reply, AdmissionReply)
+            decoded = decode_msgpack(reply, AdmissionReply)
         except (CallTimeoutError, msgspec.DecodeError) as error:
             log.failure("admission.not_answered", peer=issuer.incarnation, error=str(error))
             self._unanswered_by_incarnation[issuer.incarnation] += 1
@@ -191,6 +175,17 @@
                 silent_until = self._clock.monotonic() + SILENT_SECONDS
                 self._silent_until_by_incarnation[issuer.incarnation] = silent_until
             return None
+        self._learn(upstream, decoded, issuer)
+        return decoded
+
+    def _learn(self, upstream: Upstream, reply: AdmissionReply, issuer: Member) -> None:
+        """Apply what the issuer knows of an upstream of which this gateway knows nothing yet."""
+        states = self._upstream_states
+        if reply.rate_limit is not None and not states.get(upstream).has_answered:
+            now = self._clock.monotonic()
+            record_peer_rate_limit(states, upstream, reply.rate_limit, now, issuer.incarnation)
+        if reply.known is not None:
+            self._fragile_upstreams.apply_notice(reply.known, issuer.incarnation)
 
     def _issuer_of(self, upstream_id: str) -> Member:
         """Return the gateway to ask for an upstream, the next one while the issuer is silent."""
@@ -233,7 +228,8 @@
     async def _report_periodically(self) -> None:
         """Report all requests at fragile upstreams, for issuers that have just become it.
 
-        Of upstreams for which this gateway is the issuer, it tells all peers that they are fragile.
+        Of upstreams for which this gateway is the issuer, it tells all peers that they are fragile:
+        earlier notices may be lost.
         """
         while True:
             await self._clock.sleep(REPORT_INTERVAL_SECONDS)
@@ -242,7 +238,7 @@
                 if state.in_flight or state.pending_admissions:
                     self._send_report(upstream)
                 if permit_issuer(self._blackboard, upstream.id) is self._blackboard.own:
-                    self._fragile_upstreams.repeat_notice(upstream)
+                    self._fragile_upstreams.notify_peers(upstream)
 
     async def _admit_periodically(self) -> None:
         """Admit requests for which there is room since time has passed."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/decisions/upstream_states.py
@@ -15,6 +15,7 @@
 from quinceferry_gateway.decisions.cached_prefixes import CachedPrefixes
 from quinceferry_gateway.decisions.cold_starts import ColdPeriod
 from quinceferry_gateway.decisions.pauses import RequestPause
+from quinceferry_gateway.decisions.peer_notices import NotifiedValue
 from quinceferry_gateway.decisions.prefill import PrefillQueue, PrefillTimes
 from quinceferry_gateway.decisions.rate_limits import RateLimit
 
@@ -44,6 +45,8 @@
 EARLY_OUTPUT_SECONDS = 1.0
 """Time from the first event of an answer in which the request counts as one that may have made its
 upstream crash by beginning the answer."""
+MIN_PERMIT_PAUSE_SECONDS = 0.02
+"""Shortest time for which no permit is expected after a failed request for one."""
 MAX_IDLE_BACKLOG_SECONDS = 0.02
 """Backlog, of a few short prompts, up to which an engine counts as idle, so that the time to the
 first event is a sample of its prefill time."""
@@ -52,34 +55,29 @@
 class UpstreamState:
     """What is known of one lifetime of an upstream. Times are those of the monotonic clock.
 
-    ``notified_rate`` is the rate limit that this gateway last sent to its peers or received from
-    one, and ``notified_at`` is when it last sent one. ``max_rejections`` is how many requests the
-    upstream can reject in a second without failing, None if it states no number;
-    ``notified_max_rejections`` and ``fragility_notified_at`` are the same as for the rate limit,
-    and ``fragility_stated_at`` is when the answer that stated it arrived at any gateway.
-    ``has_answered`` is whether any gateway is known to have had an answer, ``rejections`` counts
-    the requests that were rejected for want of room, and ``pending_admissions`` has the numbers of
-    requests that wait for their admission. ``no_permit_until`` is the earliest time at which to
-    request an immediate permit, and ``next_permit_at`` is when the next permit becomes valid for a
-    request that waits for it. ``silent_at`` is when nobody was last found to listen at the address
-    of the upstream, None if that has not happened.
+    ``max_rejections`` is how many requests the upstream can reject in a second without failing,
+    None if it states no number, and ``fragility_stated_at`` is when the answer that stated it
+    arrived at any gateway. ``notified_rate`` and ``notified_max_rejections`` are what the peers
+    know. ``rejections`` counts the requests that were rejected for want of room, and
+    ``pending_admissions`` has the numbers of requests that wait for their admission.
+    ``no_permit_until`` is the earliest time at which to request an immediate permit, and
+    ``next_permit_at`` is when the next permit becomes valid for a request that waits for it.
+    ``silent_at`` is when nobody was last found to listen at the address of the upstream, None if
+    that has not happened.
     """
 
     __slots__ = (
         "cold_period",
         "consecutive_failures",
-        "has_answered",
         "in_flight",
         "load",
         "load_received_at",
-        "fragility_notified_at",
         "fragility_stated_at",
         "malformed_headers",
         "max_rejections",
         "misdirected_until",
         "next_permit_at",
         "no_permit_until",
-        "notified_at",
         "notified_max_rejections",
         "notified_rate",
         "pause",
@@ -110,20 +108,31 @@
         self.next_permit_at = 0.0
         self.no_permit_until = 0.0
         self.pause = RequestPause()
-        self.notified_rate: float | None = None
-        self.notified_at = float("-inf")
+        self.notified_rate = NotifiedValue()
         self.max_rejections: float | None = None
-        self.has_answered = False
         self.rejections = 0
         self.pending_admissions: set[int] = set()
-        self.notified_max_rejections: float | None = None
-        self.fragility_notified_at = float("-inf")
+        self.notified_max_rejections = NotifiedValue()
         self.fragility_stated_at = float("-inf")
         self.malformed_headers: tuple[str, ...] = ()
         self.prefill_queue = PrefillQueue()
         self.last_slowdown = 1.0
         self.slowdown_at = 0.0
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether any gateway is known to have had an answer."""
+        return self.fragility_stated_at > float("-inf")
+
+    def record_denied_permit(self, wait_seconds: float, retry_seconds: float, now: float) -> None:
+        """Record that no permit was granted.
+
+        :param wait_seconds: time until the next one, for a request that waits for it.
+        :param retry_seconds: time before the next request for an immediate one.
+        """
+        self.next_permit_at = now + max(MIN_PERMIT_PAUSE_SECONDS, wait_seconds)
+        self.no_permit_until = now + max(MIN_PERMIT_PAUSE_SECONDS, retry_seconds)
+
     def slowdown(self, now: float) -> float:
         """Return the estimated ratio of actual to expected time to the first event."""
         decay = math.exp((self.slowdown_at - now) / SLOWDOWN_DECAY_SECONDS)
@@ -289,12 +298,6 @@
             self._discard_lifetime(upstream.id)
         return state
 
-    def record_rate_limit(self, upstream: Upstream, rate: float | None, now: float) -> None:
-        """Record the rate that an upstream announces, None when it has withdrawn its limit."""
-        self.get(upstream).rate_limit.announce(rate, now)
-        if rate is not None:
-            self.rate_limited_ids.add(upstream.id)
-
     def record_leaving(self, upstream_id: str, started_at: float) -> bool:
         """Record that an upstream is leaving, and return whether this is new.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/fragile_upstreams.py
@@ -10,9 +10,6 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 
-MIN_NOTICE_INTERVAL_SECONDS = 1.0
-"""Shortest time between two notices about an upstream, which bounds the traffic if its announcement
-keeps changing."""
 SERVICE_FRAGILE_SECONDS = 10.0
 """Time for which a statement of one upstream counts for others that have not answered yet."""
 
@@ -87,20 +84,12 @@
         Only a genuine or not-run answer can state that it is not fragile any more.
         """
         max_rejections = head.max_rejections_per_second
-        if head.is_rejection:
-            self._upstream_states.get(upstream).rejections += 1
         if max_rejections is None and not (head.genuine or head.not_run):
             return
         state, now = self._upstream_states.get(upstream), self._clock.monotonic()
         self._update(upstream, max_rejections, now, "own")
-        if (
-            max_rejections == state.notified_max_rejections
-            or now - state.fragility_notified_at < MIN_NOTICE_INTERVAL_SECONDS
-        ):
-            return
-        state.notified_max_rejections, state.fragility_notified_at = max_rejections, now
-        notice = FragilityNotice(upstream.id, upstream.started_at, max_rejections)
-        self._port.send(notice, self._blackboard.notice_addresses(now))
+        if state.notified_max_rejections.take_due(max_rejections, now):
+            self.notify_peers(upstream)
 
     def notice(self, upstream: Upstream) -> FragilityNotice | None:
         """Return what is known of an upstream, None if no answer of it is."""
@@ -110,8 +99,8 @@
         age = self._clock.monotonic() - state.fragility_stated_at
         return FragilityNotice(upstream.id, upstream.started_at, state.max_rejections, age)
 
-    def repeat_notice(self, upstream: Upstream) -> None:
-        """Tell all peers that an upstream is fragile: earlier notices may be lost."""
+    def notify_peers(self, upstream: Upstream) -> None:
+        """Send what is known of an upstream to all gateways that may use upstreams."""
         notice = self.notice(upstream)
         if notice is not None:
             now = self._clock.monotonic()
@@ -130,7 +119,7 @@
         state = self._upstream_states.get(upstream)
         if stated_at > state.fragility_stated_at:
             self._update(upstream, max_rejections, stated_at, str(sender))
-            state.notified_max_rejections = max_rejections
+            state.notified_max_rejections.receive(max_rejections)
 
     def _update(
         self, upstream: Upstream, max_rejections: float | None, stated_at: float, origin: str
@@ -139,7 +128,6 @@
         state = self._upstream_states.get(upstream)
         state.fragility_stated_at = stated_at
         before, state.max_rejections = state.max_rejections, max_rejections
-        state.has_answered = True
         if max_rejections is None:
             self._upstream_states.fragile_ids.discard(upstream.id)
         else:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/issuers.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/issuers.py
@@ -5,6 +5,9 @@
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.rendezvous import rank_candidates
 
+Lifetime = tuple[str, float]
+"""Identifier and start time of an upstream."""
+
 
 def permit_issuer(blackboard: Blackboard, upstream_id: str, silent: Collection[str] = ()) -> Member:
     """Return the gateway that grants permits for an upstream.
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/permits.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from quinceferry_core.clocks import Clock
+from quinceferry_core.eviction import evict_oldest
 from quinceferry_gateway.admissions import Admissions
 from quinceferry_gateway.blackboard import Blackboard, Member
 from quinceferry_gateway.catalog import Upstream
@@ -14,9 +15,10 @@
 from quinceferry_gateway.decisions.rate_limits import MIN_REQUESTS_PER_SECOND, PermitSchedule
 from quinceferry_gateway.decoding import decode_msgpack
 from quinceferry_gateway.fleet.calls import CallTimeoutError, DatagramCalls
-from quinceferry_gateway.issuers import permit_issuer
+from quinceferry_gateway.issuers import Lifetime, permit_issuer
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
+from quinceferry_gateway.rate_limit_updates import MAX_REQUESTS_PER_SECOND
 
 PERMIT_CALL_KIND = "permit"
 """Kind of the datagram call that requests a permit."""
@@ -24,16 +26,9 @@
 """Longest wait for a reply, which allows one resend after a loss."""
 UNANSWERED_PAUSE_SECONDS = 0.3
 """Time for which no permit is expected for an upstream after its issuer did not reply."""
-MIN_PAUSE_SECONDS = 0.02
-"""Shortest time for which no permit is expected after a failed request for one."""
-MAX_REQUESTS_PER_SECOND = 1e9
-"""Largest rate accepted from a peer, in requests a second."""
 MAX_SCHEDULES = 1_024
 """Most schedules that an issuer keeps, one per lifetime of an upstream; it evicts the oldest."""
 
-Lifetime = tuple[str, float]
-"""Identifier and start time of an upstream."""
-
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """Requests a permit to send one request to an upstream.
@@ -99,9 +94,8 @@
         lifetime = (request.upstream, request.started_at)
         schedule = self._schedules_by_lifetime.get(lifetime)
         if schedule is None:
-            while len(self._schedules_by_lifetime) >= MAX_SCHEDULES:
-                del self._schedules_by_lifetime[next(iter(self._schedules_by_lifetime))]
             schedule = self._schedules_by_lifetime[lifetime] = PermitSchedule(now)
+            evict_oldest(self._schedules_by_lifetime, MAX_SCHEDULES)
         sole_issuer = permit_issuer(self._blackboard, request.upstream) is self._blackboard.own
         rate = max(MIN_REQUESTS_PER_SECOND, self._rate_limit(request, now))
         reservation = schedule.reserve(rate, sole_issuer, request.max_wait_seconds, now)
@@ -226,8 +220,7 @@
         state, now = self._upstream_states.get(upstream), self._clock.monotonic()
         wait = reply.wait_seconds if reply else UNANSWERED_PAUSE_SECONDS
         pause = reply.retry_seconds if reply else UNANSWERED_PAUSE_SECONDS
-        state.next_permit_at = now + max(MIN_PAUSE_SECONDS, wait)
-        state.no_permit_until = now + max(MIN_PAUSE_SECONDS, pause)
+        state.record_denied_permit(wait, pause, now)
         return None
 
     def _rate_limit(self, upstream: Upstream) -> float | None:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/signals.py
@@ -15,13 +15,10 @@
 from quinceferry_gateway.fragile_upstreams import FragileUpstreams
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
-from quinceferry_gateway.permits import MAX_REQUESTS_PER_SECOND
+from quinceferry_gateway.rate_limit_updates import record_peer_rate_limit, record_rate_limit
 
 MAX_ID_CHARACTERS = 200
 """Longest upstream identifier accepted in a notice from a peer."""
-MIN_NOTICE_INTERVAL_SECONDS = 1.0
-"""Shortest time between two notices about an upstream, which bounds the traffic if its limit keeps
-changing."""
 
 
 class RateLimitNotice(msgspec.Struct, frozen=True, array_like=True, tag="limit"):
@@ -82,9 +79,10 @@
         """
         if head.misdirected:
             return
+        state = self._upstream_states.get(upstream)
         if head.is_rejection:
+            state.rejections += 1
             self._metrics.count_rejection(upstream.service, "no_room")
-        state = self._upstream_states.get(upstream)
         if head.malformed_headers and head.malformed_headers != state.malformed_headers:
             log.failure("answer.malformed", upstream=upstream.id, headers=head.malformed_headers)
         state.malformed_headers = head.malformed_headers
@@ -96,7 +94,7 @@
         rate = head.max_requests_per_second
         if head.malformed_headers or (rate is None and not (head.genuine or head.not_run)):
             return
-        self._update_rate_limit(upstream, rate, "own")
+        record_rate_limit(self._upstream_states, upstream, rate, self._clock.monotonic(), "own")
         self._notify_peers(upstream)
 
     def _update_pause(self, upstream: Upstream, seconds: float | None) -> None:
@@ -110,26 +108,12 @@
         self._metrics.count_upstream_pause(upstream.service)
         log.change("upstream.paused", upstream=upstream.id, seconds=seconds)
 
-    def _update_rate_limit(self, upstream: Upstream, rate: float | None, origin: str) -> None:
-        """Store the rate limit of an upstream and log a change."""
-        before = self._upstream_states.get(upstream).rate_limit.announced
-        self._upstream_states.record_rate_limit(upstream, rate, self._clock.monotonic())
-        if rate == before:
-            return
-        fields = {"upstream": upstream.id, "before": before, "origin": origin}
-        if rate is None:
-            log.change("upstream.unlimited", **fields)
-        else:
-            log.change("upstream.limited", requests_per_second=rate, **fields)
-
     def _notify_peers(self, upstream: Upstream) -> None:
         """Send the rate limit of an upstream to all peers if it is new to them."""
         state = self._upstream_states.get(upstream)
         rate, now = state.rate_limit.announced, self._clock.monotonic()
-        if rate == state.notified_rate or now - state.notified_at < MIN_NOTICE_INTERVAL_SECONDS:
-            return
-        state.notified_rate, state.notified_at = rate, now
-        self._send_to_peers(RateLimitNotice(upstream.id, upstream.started_at, rate))
+        if state.notified_rate.take_due(rate, now):
+            self._send_to_peers(RateLimitNotice(upstream.id, upstream.started_at, rate))
 
     def _send_to_peers(self, notice: msgspec.Struct) -> None:
         """Send a notice to all gateways that may use upstreams."""
@@ -154,11 +138,8 @@
         upstream = self._blackboard.upstreams_by_id.get(notice.upstream)
         if upstream is None or upstream.started_at != notice.started_at:
             return
-        if notice.rate is not None and not 0 <= notice.rate <= MAX_REQUESTS_PER_SECOND:
-            log.failure("limit.malformed", peer=str(sender), rate=str(notice.rate))
-            return
-        self._update_rate_limit(upstream, notice.rate, str(sender))
-        self._upstream_states.get(upstream).notified_rate = notice.rate
+        now = self._clock.monotonic()
+        record_peer_rate_limit(self._upstream_states, upstream, notice.rate, now, str(sender))
 
     def _count_rate_limited(self) -> int:
         """Return how many upstreams limit their request rate."""
