--- a/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/gateway_processes.py
@@ -157,6 +157,29 @@
             await self.process.wait()
 
 
+def create_gateways(
+    stack: contextlib.AsyncExitStack,
+    count: int,
+    zones: int,
+    store_address: str,
+    folder: Path,
+    grace_seconds: float,
+) -> list[GatewayProcess]:
+    """Write the settings files of gateways, whose processes are killed when the stack is left.
+
+    :param zones: number of availability zones over which they are spread.
+    """
+    gateways = [
+        GatewayProcess.create(
+            f"vm-{number}", f"zone-{number % zones}", store_address, folder, grace_seconds
+        )
+        for number in range(count)
+    ]
+    for gateway in gateways:
+        stack.push_async_callback(gateway.kill)
+    return gateways
+
+
 def free_port() -> int:
     """Return a port on which nobody listens, another one each time.
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/overload.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/overload.py
@@ -19,13 +19,12 @@
 
 from quinceferry_gateway import HttpClient, HttpListener
 from quinceferry_gateway.exceptions import ConnectionBrokenError, NotSentError
-from quinceferry_lab.gateway_processes import GatewayProcess, free_port
+from quinceferry_lab.gateway_processes import GatewayProcess, create_gateways, free_port
+from quinceferry_lab.soak_callers import HOST, KEY, caller_headers
 from quinceferry_standins.managed_store import ManagedStore
-from quinceferry_standins.managed_upstream import REQUEST_ID, Answered
+from quinceferry_standins.managed_upstream import Answered
 from quinceferry_standins.slotted_upstream import SlottedUpstream
 
-HOST = "tanks.example"
-KEY = "key-of-choir"
 GRACE_SECONDS = 8.0
 CALLER_SECONDS = 3.0
 OBJECTIVE_SECONDS = 0.4
@@ -224,11 +223,8 @@
         # Each request has contents of its own, so that no crash is blamed on them.
         body = request_id.rpartition("-")[0].encode()
         headers = [
-            (b"host", HOST.encode()),
-            (b"content-length", str(len(body)).encode()),
-            (REQUEST_ID, request_id.encode()),
-            (b"x-quinceferry-credential", KEY.encode()),
-            (b"x-quinceferry-deadline-ms", str(int(max(1, remaining * 1000))).encode()),
+            (name.encode(), value.encode())
+            for name, value in caller_headers(request_id, len(body), max(0.001, remaining))
         ]
         address = self.rng.choice(self.gateways).address("callers")
         with suppress(NotSentError, ConnectionBrokenError, TimeoutError):
@@ -267,14 +263,9 @@
         await listener.start()
         stack.push_async_callback(listener.stop)
         await store.put("op/config", configuration())
-        gateways = [
-            GatewayProcess.create(
-                f"vm-{number}", f"zone-{number % ZONES}", store_address, folder, GRACE_SECONDS
-            )
-            for number in range(scenario.gateways)
-        ]
-        for gateway in gateways:
-            stack.push_async_callback(gateway.kill)
+        gateways = create_gateways(
+            stack, scenario.gateways, ZONES, store_address, folder, GRACE_SECONDS
+        )
         overload = Overload(scenario, random.Random(seed), gateways, store)
         await overload.run()
         return overload
--- a/packages/quinceferry-lab/src/quinceferry_lab/soak.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/soak.py
@@ -20,7 +20,12 @@
 from quinceferry_gateway import HttpClient, HttpListener
 from quinceferry_gateway.budgets import BudgetRecord, WorkspaceBudget
 from quinceferry_gateway.shared_budgets import BUDGET_KEY
-from quinceferry_lab.gateway_processes import GatewayProcess, StopRecord, free_port
+from quinceferry_lab.gateway_processes import (
+    GatewayProcess,
+    StopRecord,
+    create_gateways,
+    free_port,
+)
 from quinceferry_lab.soak_callers import (
     HOST,
     KEY,
@@ -320,14 +325,7 @@
             stack.push_async_callback(upstream.stop)
             service = upstream.id.partition("-")[0]
             await store.register_upstream(upstream, service, zone="zone-0")
-        processes = [
-            GatewayProcess.create(
-                f"vm-{number}", f"zone-{number % ZONES}", store_address, folder, GRACE_SECONDS
-            )
-            for number in range(gateways)
-        ]
-        for process in processes:
-            stack.push_async_callback(process.kill)
+        processes = create_gateways(stack, gateways, ZONES, store_address, folder, GRACE_SECONDS)
         soak = Soak(rng, processes, store, upstreams, starvation, seconds, prepaid_tokens, finale)
         return await soak.run()
 
--- a/packages/quinceferry-lab/src/quinceferry_lab/soak_callers.py
+++ b/packages/quinceferry-lab/src/quinceferry_lab/soak_callers.py
@@ -187,13 +187,19 @@
 
 def _headers(item: Try) -> list[tuple[str, str]]:
     """Return the headers of a request."""
-    headers = [
-        ("host", HOST),
-        ("content-length", "0" if item.kind is Kind.SAFE else "2"),
-        ("x-quinceferry-request-id", item.request_id),
-        ("x-quinceferry-credential", KEY),
-        ("x-quinceferry-deadline-ms", str(int(LIMIT_SECONDS_BY_KIND[item.kind] * 1000))),
-    ]
+    body_bytes = 0 if item.kind is Kind.SAFE else 2
+    headers = caller_headers(item.request_id, body_bytes, LIMIT_SECONDS_BY_KIND[item.kind])
     if item.kind is Kind.STREAM:
         headers.append(("x-quinceferry-token-count", f"{PROMPT_TOKENS},{MAX_OUTPUT_TOKENS}"))
     return headers
+
+
+def caller_headers(request_id: str, body_bytes: int, limit_seconds: float) -> list[tuple[str, str]]:
+    """Return the headers that all requests of callers have."""
+    return [
+        ("host", HOST),
+        ("content-length", str(body_bytes)),
+        ("x-quinceferry-request-id", request_id),
+        ("x-quinceferry-credential", KEY),
+        ("x-quinceferry-deadline-ms", str(int(limit_seconds * 1000))),
+    ]
