Bound the bytes of a head, of empty lines and of trailers as they arrive

What callers saw: 16 clients that sent header lines, one header, one target or trailers without end used up the memory of a gateway, and everybody's requests ended with the process. Empty lines, chunk extensions and small chunks went on for as long as the client liked.

Cause: sizes were compared after the parser had kept everything. Whatever never completes was never counted.

Change: the connections of all listeners move to the package quinceferry-http, which the daemon can share. Received data reaches the parser in slices, and the raw bytes of a head, the empty lines before it and the framing of a body are counted after each. A request whose body is incomplete has not run, since applications read all of it before they act. Trailers are dropped: they went on being added to the headers of a running request. Reads are 32 KiB at most.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := quinceferry-core quinceferry-daemon quinceferry-cli quinceferry-standins quinceferry-lab \
-	quinceferry-gateway
+PACKAGES := quinceferry-core quinceferry-http quinceferry-daemon quinceferry-cli quinceferry-standins \
+	quinceferry-lab quinceferry-gateway
 FOLDERS := $(PACKAGES:%=packages/%) platform
 SOURCES := packages platform features
 SEEDS ?= 20
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,7 @@
 fi
 for package in \
     packages/quinceferry-core/src/quinceferry_core \
+    packages/quinceferry-http/src/quinceferry_http \
     packages/quinceferry-gateway/src/quinceferry_gateway \
     platform/quinceferry_platform; do
     rm -rf "$deps/$(basename "$package")"
--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -26,8 +26,11 @@
 EVENT_PAUSE_SECONDS = 0.05
 
 
-def configuration():
-    """Return the operators' document: one stream that may run once, without tokens."""
+def configuration(limits):
+    """Return the operators' document: one stream that may run once, without tokens.
+
+    :param limits: bounds on what callers may send; those left out have their defaults.
+    """
     route = {"name": "explain", "prefix": "/explain/", "kind": "stream", "service": "llm"}
     route |= {"host": HOST, "timeout_ms": CALLER_SECONDS * 1000, "slo_ms": 500, "attempts": 1}
     return {
@@ -35,6 +38,7 @@
         "routes": [route],
         "services": [{"name": "llm", "max_conns": 100}],
         "tenants": [{"name": "choir", "api_keys": [KEY]}],
+        "limits": limits,
     }
 
 
@@ -53,12 +57,15 @@
     """One gateway process, its platform, and what its callers saw.
 
     ``acts`` are played in order, each with the scene. ``waits_ready`` tells whether they begin when
-    the gateway is ready, or as soon as its process was started.
+    the gateway is ready, or as soon as its process was started. ``limits`` are those of the
+    operators' document, ``events`` is the length of each stream.
     """
 
     acts: list = field(default_factory=list)
     waits_ready: bool = True
     descriptors: int = 0
+    limits: dict = field(default_factory=dict)
+    events: int = EVENTS
     event_pause_seconds: float = EVENT_PAUSE_SECONDS
     streams: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
@@ -71,7 +78,7 @@
         self.http = HttpClient()
         self.store = ManagedStore()
         self.upstream = ManagedUpstream(
-            "llm-1", deque([Streaming(EVENTS, pause_seconds=self.event_pause_seconds)])
+            "llm-1", deque([Streaming(self.events, pause_seconds=self.event_pause_seconds)])
         )
         async with contextlib.AsyncExitStack() as stack:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -95,7 +102,7 @@
 
     async def _publish(self):
         """Write the configuration and the entry of the upstream."""
-        await self.store.put("op/config", json.dumps(configuration()).encode())
+        await self.store.put("op/config", json.dumps(configuration(self.limits)).encode())
         await self.store.register_upstream(self.upstream, "llm")
 
     async def wait_blocked(self, number):
--- /dev/null
+++ b/features/gateway_misbehaving_clients.feature
@@ -0,0 +1,58 @@
+Feature: Clients of a gateway that stay outside the limits
+  What a client costs is bounded before its request is complete and while it does not read. The memory of the
+  machine and the number of descriptors are bounds of the target; no check depends on speed.
+
+  Scenario Outline: Input without end uses up memory or never ends
+    Given a gateway process on a machine of 150 MB
+    When 16 clients send <what> without end to its address for <listener>
+    Then each of the clients was cut off
+    And the gateway process lives within its memory and answers ordinary requests
+
+    Examples: callers
+      | listener | what                        |
+      | callers  | header lines                |
+      | callers  | one header value            |
+      | callers  | one header name             |
+      | callers  | one target                  |
+      | callers  | empty lines                 |
+      | callers  | empty lines after a request |
+      | callers  | trailer lines               |
+      | callers  | one trailer value           |
+      | callers  | one chunk extension         |
+      | callers  | a body in small chunks      |
+
+    Examples: others
+      | listener  | what                   |
+      | directory | header lines           |
+      | directory | one header value       |
+      | directory | empty lines            |
+      | directory | trailer lines          |
+      | directory | a body in small chunks |
+      | readiness | header lines           |
+      | readiness | empty lines            |
+      | readiness | trailer lines          |
+      | metrics   | header lines           |
+      | metrics   | empty lines            |
+      | metrics   | trailer lines          |
+      | peers     | header lines           |
+      | peers     | empty lines            |
+      | peers     | trailer lines          |
+
+  Scenario Outline: A client inside the limits is served
+    Given a gateway process on a machine of 150 MB
+    When a client inside the limits sends <what>
+    Then it is answered with <status>
+
+    Examples:
+      | what                                    | status           |
+      | a head of exactly the limit             | 200              |
+      | a head of short lines up to the limit   | 200              |
+      | a head above the limit                  | 431              |
+      | a body of exactly the limit             | 200              |
+      | a body above the limit                  | 413              |
+      | a body in small chunks                  | 200              |
+      | trailers                                | 200              |
+      | an empty line before the request        | 200              |
+      | a head that takes 1.5 seconds           | 200              |
+      | Expect: 100-continue                    | 100 and 200      |
+      | four requests ahead                     | 200, four times  |
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -13,7 +13,7 @@
 from quinceferry_gateway.attempt_log import AttemptLog
 from quinceferry_gateway.blackboard import Blackboard, Member, Phase
 from quinceferry_gateway.callers import CallerApi
-from quinceferry_gateway.catalog import Upstream
+from quinceferry_gateway.catalog import CallerLimits, Upstream
 from quinceferry_gateway.cold_starts import ColdStarts
 from quinceferry_gateway.configuration_reader import ConfigurationReader
 from quinceferry_gateway.controllers import Controller
@@ -56,6 +56,7 @@
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
 from quinceferry_gateway.upstream_reader import HEARTBEATS_PER_LEASE, UpstreamReader
+from quinceferry_http import ClientLimits
 
 PEER_IDLE_TIMEOUT_SECONDS = 5.0
 FIRST_CALL_NUMBER_BITS = 40
@@ -398,14 +399,21 @@
         return sorted(peers, key=lambda peer: peer.vm not in vms)
 
     async def _run_housekeeping(self) -> None:
-        """Periodically apply the configured idle timeout and forget removed upstreams."""
+        """Periodically apply the configured limits of callers and forget removed upstreams."""
         while True:
             configuration = self.blackboard.configuration
             if configuration is not None:
-                self._caller_listener.set_idle_timeout_seconds(configuration.limits.idle_seconds)
+                self._apply_limits(configuration.limits)
             self.upstream_states.discard_missing(self.blackboard.upstreams_by_id)
             await self._clock.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
 
+    def _apply_limits(self, limits: CallerLimits) -> None:
+        """Apply the configured limits of callers, and of peers that forward their requests."""
+        self._caller_listener.set_idle_timeout_seconds(limits.idle_seconds)
+        client_limits = ClientLimits(max_header_bytes=limits.max_header_bytes)
+        for listener in self._request_listeners:
+            listener.set_client_limits(client_limits)
+
     def _age_seconds(self, read_at: float | None) -> float | None:
         """Return the time since a list was read, None before the first read."""
         return None if read_at is None else self._clock.monotonic() - read_at
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/caller_exchange.py
@@ -6,7 +6,7 @@
 from quinceferry_gateway.catalog import AnswerHead, CallerLimits
 from quinceferry_gateway.exceptions import BadCallError, CallerGoneError
 from quinceferry_gateway.interfaces import Headers
-from quinceferry_gateway.server import EXCESS_STATE
+from quinceferry_http import EXCESS_STATE
 
 OVERSIZED_BODY_STATUS = 413
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
@@ -10,8 +10,10 @@
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.server import HttpListener
 
-FULL_LOG_INTERVAL_SECONDS = 10.0
-"""Shortest time between two log lines on one listener that has its most connections."""
+LOG_INTERVAL_SECONDS = 10.0
+"""Shortest time between two log lines on one listener about the same limit."""
+FULL_EFFECTS = frozenset({"idle", "refused", "aborted"})
+"""Effects of the limit of connections; all others are of limits on what a client sends."""
 
 
 class Listeners:
@@ -26,7 +28,7 @@
         self._clock = clock
         self._metrics = metrics
         self._by_name: dict[str, HttpListener] = {}
-        self._full_logged_at_by_name: dict[str, float] = {}
+        self._logged_at: dict[tuple[str, bool], float] = {}
         metrics.observe_connections(
             lambda: {name: item.open_connections for name, item in self._by_name.items()}
         )
@@ -42,19 +44,22 @@
 
         def record_limit(effect: str) -> None:
             self._metrics.count_limited_connection(name, effect)
-            self._log_full(name, limit)
+            self._log_limit(name, effect, limit)
 
         self._by_name[name] = HttpListener(app, address, idle_timeout_seconds, limit, record_limit)
         return self._by_name[name]
 
-    def _log_full(self, name: str, limit: int) -> None:
-        """Log that a listener has its most connections, unless that was logged recently."""
+    def _log_limit(self, name: str, effect: str, limit: int) -> None:
+        """Log that a limit of a listener has an effect, unless that was logged recently."""
+        is_full = effect in FULL_EFFECTS
         now = self._clock.monotonic()
-        logged_at = self._full_logged_at_by_name.get(name, -math.inf)
-        if now - logged_at < FULL_LOG_INTERVAL_SECONDS:
+        if now - self._logged_at.get((name, is_full), -math.inf) < LOG_INTERVAL_SECONDS:
             return
-        self._full_logged_at_by_name[name] = now
-        log.failure("connections.full", listener=name, max_connections=limit)
+        self._logged_at[name, is_full] = now
+        if is_full:
+            log.failure("connections.full", listener=name, max_connections=limit)
+        else:
+            log.failure("connections.cut_off", listener=name, effect=effect)
 
 
 def _count_descriptors(configured: int) -> int:
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -60,7 +60,7 @@
         )
         self._limited_connections = meter.create_counter(
             "quinceferry_gateway_limited_connections",
-            description="Connections closed or refused because a listener had its most",
+            description="Connections closed or refused for a limit, by effect",
         )
         self._loop_delay = meter.create_histogram(
             "quinceferry_gateway_event_loop_delay",
@@ -182,9 +182,10 @@
         self._requests_ended_by_stop.add(1)
 
     def count_limited_connection(self, listener: str, effect: str) -> None:
-        """Count a connection that the limit of a listener affected.
+        """Count a connection that a limit affected.
 
-        :param effect: ``idle``: closed to make room; ``refused`` or ``aborted``: a new one.
+        :param effect: ``idle``: closed to make room; ``refused`` or ``aborted``: a new one above
+            the limit of connections; ``oversized`` or ``malformed``: cut off for what was sent.
         """
         self._limited_connections.add(1, {"listener": listener, "effect": effect})
 
--- /dev/null
+++ b/packages/quinceferry-http/src/quinceferry_http/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP server connections that bound what a client may cost, for uvicorn."""
+
+from quinceferry_http.connections import Connections
+from quinceferry_http.limits import ClientLimits
+from quinceferry_http.protocol import EXCESS_STATE
+
+__all__ = ["EXCESS_STATE", "ClientLimits", "Connections"]
--- /dev/null
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -0,0 +1,91 @@
+"""All open connections of one server, and their limits."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import uvicorn
+from uvicorn.server import ServerState
+
+from quinceferry_http.limits import ClientLimits
+from quinceferry_http.protocol import BoundedProtocol
+
+MIN_IDLE_SECONDS = 0.5
+"""How long a connection must have been idle to be closed for another one; the request of a new one
+may be on its way."""
+REFUSED_SHARE = 0.05
+"""Connections above the limit, as a share of it, that are accepted to refuse their requests."""
+
+
+class Connections:
+    """Open connections of one server.
+
+    ``limits`` may be replaced, which has an effect on open connections too.
+
+    :param limits: what a client may send.
+    :param max_connections: above that, a new connection replaces the one that has been idle for
+        longest; if none is idle, its requests are to be refused.
+    :param on_limit: called with ``idle``, ``refused`` or ``aborted`` for each connection that the
+        limit of connections affects, and with ``oversized`` or ``malformed`` for each client that
+        is cut off for what it sends.
+    :param state: uvicorn's state of the server, a new one by default.
+    """
+
+    def __init__(
+        self,
+        limits: ClientLimits,
+        max_connections: float = math.inf,
+        on_limit: Callable[[str], None] = lambda effect: None,
+        state: ServerState | None = None,
+    ) -> None:
+        self.limits = limits
+        self.record_limit = on_limit
+        self._max_connections = max_connections
+        self._state = state or ServerState()
+
+    def __len__(self) -> int:
+        """Return the number of connections, including those that still send buffered bytes."""
+        return len(self._state.connections)
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests in progress, including those not yet seen by the app."""
+        return len(self._state.tasks)
+
+    def create_protocol(
+        self,
+        config: uvicorn.Config,
+        server_state: ServerState | None = None,
+        app_state: dict[str, Any] | None = None,
+        _loop: Any = None,
+    ) -> BoundedProtocol:
+        """Return the protocol instance for a new connection; has the signature uvicorn expects."""
+        return BoundedProtocol(self, config, self._state, app_state or {})
+
+    def shutdown(self) -> None:
+        """Close the idle connections, and the others after their answers."""
+        for connection in list(self._state.connections):
+            connection.shutdown()
+
+    def admit(self, connection: BoundedProtocol) -> None:
+        """Keep the number of connections within the limit after one was accepted."""
+        if len(self) <= self._max_connections:
+            return
+        longest_idle = min(
+            self._state.connections - {connection},
+            key=lambda item: item.idle_since,
+            default=connection,
+        )
+        if connection.idle_since - longest_idle.idle_since >= MIN_IDLE_SECONDS:
+            self._close(longest_idle, "idle")
+        elif len(self) <= (1 + REFUSED_SHARE) * self._max_connections:
+            connection.mark_as_excess()
+            self.record_limit("refused")
+        else:
+            self._close(connection, "aborted")
+
+    def _close(self, connection: BoundedProtocol, effect: str) -> None:
+        """Close a connection, which does not count any more."""
+        self._state.connections.discard(connection)
+        connection.transport.close()
+        self.record_limit(effect)
--- /dev/null
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -0,0 +1,215 @@
+"""HTTP server connection whose client can use a bounded amount of memory only.
+
+The parser keeps an unfinished header, and the server everything that the parser has passed on. So
+bytes are counted as they arrive: received data reaches the parser in slices, and what the client
+has sent beyond its limits is noticed after each of them.
+"""
+
+import asyncio
+import http
+import math
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+if TYPE_CHECKING:
+    from quinceferry_http.connections import Connections
+
+SLICE_BYTES = 512
+"""Bytes that are parsed at once, unless they belong to a body of known length."""
+READ_BUFFER_BYTES = 32_768
+LINGER_SECONDS = 2.0
+"""How long the client may read a refusal while the rest of its request is dropped."""
+EXCESS_STATE = "excess"
+"""Key of the ASGI state of connections that were accepted above the limit of connections."""
+
+# Shared by all connections, since its content is copied before the next read.
+_READ_BUFFER = memoryview(bytearray(READ_BUFFER_BYTES))
+
+
+class Stage(Enum):
+    """What the client sends next."""
+
+    REQUEST_LINE = "request_line"
+    HEAD = "head"
+    BODY = "body"
+
+
+class BoundedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
+    """Connection that refuses or cuts off a client outside the limits.
+
+    A refused request has not reached the application, or the application is still waiting for its
+    body. So applications must not act on a request before they have received all of its body.
+
+    :param connections: all connections of the server, with the limits in force.
+    """
+
+    def __init__(
+        self,
+        connections: "Connections",
+        config: uvicorn.Config,
+        server_state: ServerState,
+        app_state: dict[str, Any],
+    ) -> None:
+        super().__init__(config, server_state, app_state)
+        self._connections = connections
+        self._stage = Stage.REQUEST_LINE
+        self._stage_bytes = 0
+        self._body_bytes = 0
+        self._expected_body_bytes = 0
+        self._discarded_bytes = 0
+        self._is_refused = False
+        self._rejected_status = http.HTTPStatus.BAD_REQUEST
+        self._idle_since = self.loop.time()
+
+    @property
+    def idle_since(self) -> float:
+        """Return the event loop time of the last answer or of the start, infinite while busy."""
+        is_idle = self._stage is Stage.REQUEST_LINE and not self._stage_bytes
+        return self._idle_since if is_idle and not self._owes_answer else math.inf
+
+    @property
+    def _owes_answer(self) -> bool:
+        """Return whether a request that has reached the application is not yet answered."""
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register a new connection; called by the event loop."""
+        super().connection_made(transport)
+        self._connections.admit(self)
+
+    def mark_as_excess(self) -> None:
+        """Tell the application that the connection exceeds the limit of connections."""
+        self.app_state[EXCESS_STATE] = True
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; called by the event loop."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, size: int) -> None:
+        """Parse what was read into the buffer; called by the event loop."""
+        self.data_received(bytes(_READ_BUFFER[:size]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data in slices, as long as they keep to the limits."""
+        position = 0
+        while position < len(data) and not self._is_refused and not self.transport.is_closing():
+            part = data[position : position + self._slice_bytes()]
+            position += len(part)
+            self._parse(part)
+        if self._is_refused:
+            self._discard(len(data) - position)
+
+    def _slice_bytes(self) -> int:
+        """Return how many bytes to parse at once."""
+        if self._stage is not Stage.BODY:
+            return SLICE_BYTES
+        return max(SLICE_BYTES, self._expected_body_bytes - self._body_bytes)
+
+    def _parse(self, part: bytes) -> None:
+        """Parse a slice, and refuse the request if it exceeds a limit."""
+        self._stage_bytes += len(part)
+        super().data_received(part)
+        if self._is_refused or self.transport.is_closing():
+            return
+        limits = self._connections.limits
+        match self._stage:
+            case Stage.REQUEST_LINE if self._stage_bytes > limits.max_head_bytes:
+                self._refuse(http.HTTPStatus.BAD_REQUEST, "malformed")
+            case Stage.HEAD if self._stage_bytes > limits.max_head_bytes:
+                self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "oversized")
+            case Stage.BODY if self.cycle.response_complete:
+                self._discard(len(part))
+            case Stage.BODY:
+                framing_bytes = self._stage_bytes - self._body_bytes
+                if framing_bytes > limits.max_framing_bytes(self._body_bytes):
+                    self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "oversized")
+
+    def on_message_begin(self) -> None:
+        """Begin a request; called by the parser."""
+        super().on_message_begin()
+        self._stage = Stage.HEAD
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser. Trailers are dropped."""
+        if self._stage is Stage.HEAD:
+            super().on_header(name, value)
+            if name.lower() == b"content-length":
+                self._expected_body_bytes = int(value)
+
+    def on_headers_complete(self) -> None:
+        """Pass a request on to the application; called by the parser."""
+        if len(self.url) > self._connections.limits.max_target_bytes:
+            self._rejected_status = http.HTTPStatus.REQUEST_URI_TOO_LONG
+            raise ValueError("the target is too long")
+        super().on_headers_complete()
+        self._enter(Stage.BODY)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of a body on; called by the parser."""
+        self._body_bytes += len(body)
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End a request; called by the parser."""
+        super().on_message_complete()
+        self._enter(Stage.REQUEST_LINE)
+        self._expected_body_bytes = 0
+
+    def on_response_complete(self) -> None:
+        """Begin the next request, or become idle."""
+        super().on_response_complete()
+        self._idle_since = self.loop.time()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse a request that the parser has rejected."""
+        self._refuse(self._rejected_status, "malformed")
+
+    def _enter(self, stage: Stage) -> None:
+        """Begin to count the bytes of a stage."""
+        self._stage = stage
+        self._stage_bytes = 0
+        self._body_bytes = 0
+
+    def _refuse(self, status: http.HTTPStatus, effect: str) -> None:
+        """Answer the unfinished request and close the connection once the client could read that.
+
+        While an earlier request is unanswered, a refusal would be taken for its answer, and the
+        connection is closed instead.
+        """
+        self._connections.record_limit(effect)
+        self._is_refused = True
+        if self._owes_answer and not self._is_receiving_body:
+            self.transport.abort()
+            return
+        if self._owes_answer:
+            # The application sees that the client has left, and does not answer any more.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        phrase = status.phrase.encode()
+        self.transport.write(
+            b"HTTP/1.1 %d %s\r\nconnection: close\r\ncontent-length: 0\r\n\r\n" % (status, phrase)
+        )
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_SECONDS, self.transport.abort)
+
+    @property
+    def _is_receiving_body(self) -> bool:
+        """Return whether the application waits for the body of its only request."""
+        is_only = not self.pipeline and not self.cycle.response_started
+        return self._stage is Stage.BODY and is_only
+
+    def _discard(self, size: int) -> None:
+        """Count bytes that are dropped, and stop to read above a limit."""
+        self._discarded_bytes += size
+        if self._discarded_bytes <= self._connections.limits.max_discarded_bytes:
+            return
+        if self._is_refused:
+            self.flow.pause_reading()
+        else:
+            self._connections.record_limit("oversized")
+            self.transport.close()
