Parse a few requests ahead only, and read no more until they are answered

What callers saw: 16 clients with a quarter of a megabyte of small requests each, sent without waiting for answers, took 532 MB on any listener, and everybody else's requests waited behind them.

Cause: each request that was parsed while another ran became a queued cycle of some kilobytes, without a bound, and reading began again after every answer.

Change: at most four requests (and the rest of a slice) are parsed ahead. What was read beyond them stays unparsed in one buffer, and reading is held back, so that TCP holds the rest, whatever else wants to resume it. While nothing is read, the state of the connection tells every half second whether the client has left, so that its request is still given up on.

--- a/features/gateway_misbehaving_clients.feature
+++ b/features/gateway_misbehaving_clients.feature
@@ -38,6 +38,28 @@
       | peers     | empty lines            |
       | peers     | trailer lines          |
 
+  Scenario Outline: Requests sent ahead use up memory
+    Given a gateway process on a machine of 150 MB
+    When 16 clients send many <what> ahead to its address for <listener> and <read> the answers
+    Then the gateway process lives within its memory and answers ordinary requests
+
+    Examples:
+      | listener  | what                     | read       |
+      | callers   | requests without headers | don't read |
+      | callers   | requests without headers | read       |
+      | callers   | requests with headers    | don't read |
+      | callers   | requests with headers    | read       |
+      | directory | requests without headers | don't read |
+      | directory | requests without headers | read       |
+      | readiness | requests without headers | don't read |
+      | metrics   | requests without headers | don't read |
+      | peers     | requests without headers | don't read |
+
+  Scenario: A client leaves whose requests ahead are not read
+    Given a gateway process on a machine of 150 MB
+    When a client sends many requests with headers ahead and leaves
+    Then the request of that client that runs is given up on
+
   Scenario Outline: A client inside the limits is served
     Given a gateway process on a machine of 150 MB
     When a client inside the limits sends <what>
--- a/packages/quinceferry-http/src/quinceferry_http/limits.py
+++ b/packages/quinceferry-http/src/quinceferry_http/limits.py
@@ -11,12 +11,14 @@
     """Limits on what a client may send on one connection.
 
     ``max_header_bytes`` counts the names and values of a request's headers, ``max_target_bytes``
-    its target. ``max_discarded_bytes`` is how much of a request is read and dropped after it was
-    answered, so that the client can read the answer.
+    its target. ``max_requests_ahead`` is how many requests are parsed while an earlier one has no
+    answer yet; then nothing is read until it has one. ``max_discarded_bytes`` is how much of a
+    request is read and dropped after it was answered, so that the client can read the answer.
     """
 
     max_header_bytes: int = 16_384
     max_target_bytes: int = 16_384
+    max_requests_ahead: int = 4
     max_discarded_bytes: int = 1_048_576
 
     @property
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -2,7 +2,8 @@
 
 The parser keeps an unfinished header, and the server everything that the parser has passed on. So
 bytes are counted as they arrive: received data reaches the parser in slices, and what the client
-has sent beyond its limits is noticed after each of them.
+has sent beyond its limits is noticed after each of them. Requests that are sent ahead stay unparsed
+in a buffer, and then in the client's and the operating system's buffers.
 """
 
 import asyncio
@@ -15,12 +16,16 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from quinceferry_http.flow import HoldingFlowControl, has_left
+
 if TYPE_CHECKING:
     from quinceferry_http.connections import Connections
 
 SLICE_BYTES = 512
 """Bytes that are parsed at once, unless they belong to a body of known length."""
 READ_BUFFER_BYTES = 32_768
+LEAVING_CHECK_SECONDS = 0.5
+"""Interval of the checks whether a client has left while nothing is read from its connection."""
 LINGER_SECONDS = 2.0
 """How long the client may read a refusal while the rest of its request is dropped."""
 EXCESS_STATE = "excess"
@@ -62,6 +67,8 @@
         self._expected_body_bytes = 0
         self._discarded_bytes = 0
         self._is_refused = False
+        self._unparsed = b""
+        self._leaving_check: asyncio.TimerHandle | None = None
         self._rejected_status = http.HTTPStatus.BAD_REQUEST
         self._idle_since = self.loop.time()
 
@@ -79,6 +86,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register a new connection; called by the event loop."""
         super().connection_made(transport)
+        self.flow = HoldingFlowControl(transport)
         self._connections.admit(self)
 
     def mark_as_excess(self) -> None:
@@ -94,14 +102,47 @@
         self.data_received(bytes(_READ_BUFFER[:size]))
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data in slices, as long as they keep to the limits."""
+        """Parse received data, unless too many earlier requests wait for their answers."""
+        self._parse_slices(self._unparsed + data)
+
+    def _parse_slices(self, data: bytes) -> None:
+        """Parse data in slices, as long as they keep to the limits, and hold back the rest."""
         position = 0
-        while position < len(data) and not self._is_refused and not self.transport.is_closing():
+        while position < len(data) and self._may_parse:
             part = data[position : position + self._slice_bytes()]
             position += len(part)
             self._parse(part)
+        self._unparsed = b""
         if self._is_refused:
             self._discard(len(data) - position)
+        elif position == len(data):
+            self.flow.release()
+        elif not self.transport.is_closing():
+            self._unparsed = data[position:]
+            self.flow.hold()
+            if self._leaving_check is None:
+                self._schedule_leaving_check()
+
+    @property
+    def _may_parse(self) -> bool:
+        """Return whether the client may send more now."""
+        if self._is_refused or self.transport.is_closing():
+            return False
+        return len(self.pipeline) < self._connections.limits.max_requests_ahead
+
+    def _schedule_leaving_check(self) -> None:
+        """Check soon whether the client has left."""
+        self._leaving_check = self.loop.call_later(LEAVING_CHECK_SECONDS, self._check_leaving)
+
+    def _check_leaving(self) -> None:
+        """Close the connection if the client has left, as long as nothing is read from it."""
+        self._leaving_check = None
+        if not self.flow.is_holding or self.transport.is_closing():
+            return
+        if has_left(self.transport):
+            self.transport.abort()
+        else:
+            self._schedule_leaving_check()
 
     def _slice_bytes(self) -> int:
         """Return how many bytes to parse at once."""
@@ -163,6 +204,8 @@
         """Begin the next request, or become idle."""
         super().on_response_complete()
         self._idle_since = self.loop.time()
+        if self._unparsed and not self.transport.is_closing():
+            self._parse_slices(self._unparsed)
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request that the parser has rejected."""
