Limit the time for a head and a body, and replace connections whose request is unfinished

What callers saw: with 400 descriptors, 200 clients with half a head or half a body each held all connections of a gateway. Nobody else was served for as long as they stayed; the same on all listeners.

Cause: no time limit held before the first answer. The configuration's header_timeout_ms was not read, the idle timeout began with an answer, and a connection with an unfinished request was never idle, so that no other one could replace it.

Change: the head of a request has the configured time from its first byte, the body 60 s ([clients] body_seconds), and a new connection has its idle timeout. Late ones get 408: the application has not had the whole request. A full listener replaces a connection whose request has been arriving for a second with 503, after the idle ones. Neither applies while an earlier request is unanswered. A timer that is late itself lets arrived bytes be read first.

The eight rows about refusals are new: status, close, and no upstream saw the request.

--- a/features/fixtures_gateway_process.py
+++ b/features/fixtures_gateway_process.py
@@ -58,7 +58,8 @@
 
     ``acts`` are played in order, each with the scene. ``waits_ready`` tells whether they begin when
     the gateway is ready, or as soon as its process was started. ``limits`` are those of the
-    operators' document, ``events`` is the length of each stream.
+    operators' document, ``events`` is the length of each stream, ``settings`` is added to the
+    settings file of the gateway.
     """
 
     acts: list = field(default_factory=list)
@@ -66,6 +67,7 @@
     descriptors: int = 0
     limits: dict = field(default_factory=dict)
     events: int = EVENTS
+    settings: str = ""
     event_pause_seconds: float = EVENT_PAUSE_SECONDS
     streams: list = field(default_factory=list)
     tasks: list = field(default_factory=list)
@@ -91,6 +93,8 @@
                 "vm-1", "zone-a", store_address, folder, GRACE_SECONDS
             )
             stack.push_async_callback(self.gateway.kill)
+            with self.gateway.settings.open("a") as file:
+                file.write(self.settings)
             await self.gateway.start(self.descriptors)
             if self.waits_ready:
                 await self.gateway.wait_ready(self.http)
--- a/features/gateway_misbehaving_clients.feature
+++ b/features/gateway_misbehaving_clients.feature
@@ -60,6 +60,40 @@
     When a client sends many requests with headers ahead and leaves
     Then the request of that client that runs is given up on
 
+  Scenario Outline: Unfinished requests hold all connections of a listener
+    Given a gateway process on a machine of 150 MB
+    And the gateway process may have 400 descriptors open
+    When <count> clients send <what> to its address for <listener> and wait
+    Then the gateway process lives within its memory and answers ordinary requests
+
+    Examples:
+      | listener  | count | what                     |
+      | callers   | 200   | half a head              |
+      | callers   | 200   | half a body              |
+      | callers   | 200   | nothing                  |
+      | directory | 60    | half a head              |
+      | readiness | 20    | half a head              |
+      | metrics   | 20    | half a head              |
+      | peers     | 60    | half a head              |
+      | metrics   | 20    | requests without headers |
+
+  Scenario Outline: A refusal reaches the client and tells that nothing has run
+    Given a gateway process on a machine of 150 MB
+    And a body may take 2 seconds to arrive
+    When a client outside the limits sends <what>
+    Then it is refused with <status> and no upstream has seen its request
+
+    Examples:
+      | what                     | status |
+      | half a head              | 408    |
+      | half a body              | 408    |
+      | a large head             | 431    |
+      | a large target           | 414    |
+      | many empty lines         | 400    |
+      | many trailers            | 431    |
+      | no request               | 400    |
+      | half a head after a head | 408    |
+
   Scenario Outline: A client inside the limits is served
     Given a gateway process on a machine of 150 MB
     When a client inside the limits sends <what>
--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -200,6 +200,44 @@
 }
 
 
+OUTSIDE_REQUESTS = {
+    "half a head": HEAD_START,
+    "half a body": _request()[:-1],
+    "a large head": HEAD_START + b"a: b\r\n" * 40_000 + b"\r\n",
+    "a large target": b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\nhost: a\r\n\r\n",
+    "many empty lines": b"\r\n" * 100_000,
+    "many trailers": _CHUNKED + b"2\r\n{}\r\n0\r\n" + b"a: b\r\n" * 40_000 + b"\r\n",
+    "no request": b"\x16\x03\x01" + b"a" * 200,
+    "half a head after a head": b"GET /none HTTP/1.1\r\nhost: a\r\n\r\n" + HEAD_START,
+}
+
+
+@given("a body may take {seconds:d} seconds to arrive")
+def given_body_seconds(context, seconds):
+    process_scene(context).settings = f"[clients]\nbody_seconds = {seconds}\n"
+
+
+@when("a client outside the limits sends {what}")
+def when_outside(context, what):
+    answers = 2 if what.endswith("after a head") else 1
+
+    async def act(scene):
+        address = scene.gateway.address("callers")
+        context.received = await exchange(address, OUTSIDE_REQUESTS[what], HEAD_END, answers)
+
+    process_scene(context).acts.append(act)
+
+
+@then("it is refused with {status:d} and no upstream has seen its request")
+def then_refused(context, status):
+    scene = process_scene(context)
+    scene.play()
+    last = context.received.rstrip().rsplit(HEAD_END, 1)[-1]
+    assert last.startswith(b"HTTP/1.1 %d " % status), context.received[-200:]
+    assert b"connection: close" in last, last
+    assert not scene.upstream.seen, scene.upstream.seen
+
+
 @when("a client inside the limits sends {what}")
 def when_inside(context, what):
     async def act(scene):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -4,6 +4,7 @@
 import random
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
 from functools import cache
 
 from quinceferry_core.adapters import KvStore
@@ -56,7 +57,6 @@
 from quinceferry_gateway.transport import HttpClient
 from quinceferry_gateway.upstream_choice import UpstreamSelector
 from quinceferry_gateway.upstream_reader import HEARTBEATS_PER_LEASE, UpstreamReader
-from quinceferry_http import ClientLimits
 
 PEER_IDLE_TIMEOUT_SECONDS = 5.0
 FIRST_CALL_NUMBER_BITS = 40
@@ -245,7 +245,7 @@
             ),
             origins,
         )
-        self.listeners = Listeners(settings.limits.descriptors, clock, metrics)
+        self.listeners = Listeners(settings.limits.descriptors, settings.clients, clock, metrics)
         create = self.listeners.create
         listen, idle_seconds = settings.listen, PEER_IDLE_TIMEOUT_SECONDS
         self._caller_listener = create("callers", self.caller_api, listen.callers, idle_seconds * 3)
@@ -410,7 +410,11 @@
     def _apply_limits(self, limits: CallerLimits) -> None:
         """Apply the configured limits of callers, and of peers that forward their requests."""
         self._caller_listener.set_idle_timeout_seconds(limits.idle_seconds)
-        client_limits = ClientLimits(max_header_bytes=limits.max_header_bytes)
+        client_limits = replace(
+            self.settings.clients,
+            max_header_bytes=limits.max_header_bytes,
+            head_seconds=limits.head_seconds,
+        )
         for listener in self._request_listeners:
             listener.set_client_limits(client_limits)
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/catalog.py
@@ -102,11 +102,12 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send and how long a connection may stay idle."""
+    """Bounds on what a caller may send, how long a head may take and a connection stay idle."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     idle_seconds: float = 15.0
+    head_seconds: float = 10.0
 
 
 class EntryKind(Enum):
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
@@ -9,10 +9,11 @@
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.server import HttpListener
+from quinceferry_http import ClientLimits
 
 LOG_INTERVAL_SECONDS = 10.0
 """Shortest time between two log lines on one listener about the same limit."""
-FULL_EFFECTS = frozenset({"idle", "refused", "aborted"})
+FULL_EFFECTS = frozenset({"idle", "unfinished", "refused", "aborted"})
 """Effects of the limit of connections; all others are of limits on what a client sends."""
 
 
@@ -21,10 +22,14 @@
 
     :param descriptors: how many descriptors the process may have open; 0: as many as the operating
         system allows it.
+    :param client_limits: what clients may send until the listener is told otherwise.
     """
 
-    def __init__(self, descriptors: int, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, descriptors: int, client_limits: ClientLimits, clock: Clock, metrics: Metrics
+    ) -> None:
         self._limits = ConnectionLimits.within(_count_descriptors(descriptors))
+        self._client_limits = client_limits
         self._clock = clock
         self._metrics = metrics
         self._by_name: dict[str, HttpListener] = {}
@@ -46,8 +51,10 @@
             self._metrics.count_limited_connection(name, effect)
             self._log_limit(name, effect, limit)
 
-        self._by_name[name] = HttpListener(app, address, idle_timeout_seconds, limit, record_limit)
-        return self._by_name[name]
+        listener = HttpListener(app, address, idle_timeout_seconds, limit, record_limit)
+        listener.set_client_limits(self._client_limits)
+        self._by_name[name] = listener
+        return listener
 
     def _log_limit(self, name: str, effect: str, limit: int) -> None:
         """Log that a limit of a listener has an effect, unless that was logged recently."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -184,8 +184,9 @@
     def count_limited_connection(self, listener: str, effect: str) -> None:
         """Count a connection that a limit affected.
 
-        :param effect: ``idle``: closed to make room; ``refused`` or ``aborted``: a new one above
-            the limit of connections; ``oversized`` or ``malformed``: cut off for what was sent.
+        :param effect: ``idle`` or ``unfinished``: closed to make room; ``refused`` or ``aborted``:
+            a new one above the limit of connections; ``oversized``, ``malformed`` or ``late``: cut
+            off for what was sent.
         """
         self._limited_connections.add(1, {"listener": listener, "effect": effect})
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -1,11 +1,13 @@
 """Settings of a gateway, read from a TOML file and validated."""
 
 import tomllib
+from dataclasses import asdict
 from pathlib import Path
 
 import msgspec
 
 from quinceferry_core.exceptions import SettingsError
+from quinceferry_http import ClientLimits
 
 
 class Identity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -153,6 +155,7 @@
     budgets: BudgetSettings = BudgetSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     limits: LimitSettings = LimitSettings()
+    clients: ClientLimits = ClientLimits()
 
     @classmethod
     def load(cls, path: Path) -> "Settings":
@@ -204,6 +207,9 @@
             "quarantine.crashes": self.quarantine.crashes,
             "quarantine.hold_seconds": self.quarantine.hold_seconds,
         }
+        positive_values_by_name |= {
+            f"clients.{name}": value for name, value in asdict(self.clients).items()
+        }
         faults += [
             f"{name} must be above zero"
             for name, value in positive_values_by_name.items()
--- a/packages/quinceferry-http/src/quinceferry_http/connections.py
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -13,6 +13,8 @@
 MIN_IDLE_SECONDS = 0.5
 """How long a connection must have been idle to be closed for another one; the request of a new one
 may be on its way."""
+MIN_UNFINISHED_SECONDS = 1.0
+"""How long a request must have been arriving for its connection to be closed for another one."""
 REFUSED_SHARE = 0.05
 """Connections above the limit, as a share of it, that are accepted to refuse their requests."""
 
@@ -24,10 +26,11 @@
 
     :param limits: what a client may send.
     :param max_connections: above that, a new connection replaces the one that has been idle for
-        longest; if none is idle, its requests are to be refused.
-    :param on_limit: called with ``idle``, ``refused`` or ``aborted`` for each connection that the
-        limit of connections affects, and with ``oversized`` or ``malformed`` for each client that
-        is cut off for what it sends.
+        longest, or else the one whose request has been arriving for longest; if there is none, its
+        requests are to be refused.
+    :param on_limit: called with ``idle``, ``unfinished``, ``refused`` or ``aborted`` for each
+        connection that the limit of connections affects, and with ``oversized``, ``malformed`` or
+        ``late`` for each client that is cut off for what it sends.
     :param state: uvicorn's state of the server, a new one by default.
     """
 
@@ -71,13 +74,14 @@
         """Keep the number of connections within the limit after one was accepted."""
         if len(self) <= self._max_connections:
             return
-        longest_idle = min(
-            self._state.connections - {connection},
-            key=lambda item: item.idle_since,
-            default=connection,
-        )
-        if connection.idle_since - longest_idle.idle_since >= MIN_IDLE_SECONDS:
-            self._close(longest_idle, "idle")
+        others, now = self._state.connections - {connection}, connection.idle_since
+        idle = min(others, key=lambda item: item.idle_since, default=connection)
+        unfinished = min(others, key=lambda item: item.unfinished_since, default=connection)
+        if now - idle.idle_since >= MIN_IDLE_SECONDS:
+            self._close(idle, "idle")
+        elif now - unfinished.unfinished_since >= MIN_UNFINISHED_SECONDS:
+            self._state.connections.discard(unfinished)
+            unfinished.evict("unfinished")
         elif len(self) <= (1 + REFUSED_SHARE) * self._max_connections:
             connection.mark_as_excess()
             self.record_limit("refused")
@@ -87,5 +91,5 @@
     def _close(self, connection: BoundedProtocol, effect: str) -> None:
         """Close a connection, which does not count any more."""
         self._state.connections.discard(connection)
-        connection.transport.close()
+        connection.close_now()
         self.record_limit(effect)
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -28,6 +28,9 @@
 """Interval of the checks whether a client has left while nothing is read from its connection."""
 LINGER_SECONDS = 2.0
 """How long the client may read a refusal while the rest of its request is dropped."""
+LATENESS_SECONDS = 0.5
+"""A timer that is later than this grants as much again: what has arrived may not be read yet."""
+RETRY_AFTER_SECONDS = 1
 EXCESS_STATE = "excess"
 """Key of the ASGI state of connections that were accepted above the limit of connections."""
 
@@ -69,6 +72,9 @@
         self._is_refused = False
         self._unparsed = b""
         self._leaving_check: asyncio.TimerHandle | None = None
+        self._unfinished_since = math.inf
+        self._unfinished_timer: asyncio.TimerHandle | None = None
+        self._is_body_timed = False
         self._rejected_status = http.HTTPStatus.BAD_REQUEST
         self._idle_since = self.loop.time()
 
@@ -78,6 +84,11 @@
         is_idle = self._stage is Stage.REQUEST_LINE and not self._stage_bytes
         return self._idle_since if is_idle and not self._owes_answer else math.inf
 
+    @property
+    def unfinished_since(self) -> float:
+        """Return the event loop time from which on a request was awaited or refused."""
+        return self._unfinished_since
+
     @property
     def _owes_answer(self) -> bool:
         """Return whether a request that has reached the application is not yet answered."""
@@ -87,8 +98,17 @@
         """Register a new connection; called by the event loop."""
         super().connection_made(transport)
         self.flow = HoldingFlowControl(transport)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
         self._connections.admit(self)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release what the connection holds; called by the event loop."""
+        super().connection_lost(exc)
+        self._unset_keepalive_if_required()
+        self._set_unfinished_timer(None)
+
     def mark_as_excess(self) -> None:
         """Tell the application that the connection exceeds the limit of connections."""
         self.app_state[EXCESS_STATE] = True
@@ -122,6 +142,7 @@
             self.flow.hold()
             if self._leaving_check is None:
                 self._schedule_leaving_check()
+        self._time_request()
 
     @property
     def _may_parse(self) -> bool:
@@ -206,6 +227,8 @@
         self._idle_since = self.loop.time()
         if self._unparsed and not self.transport.is_closing():
             self._parse_slices(self._unparsed)
+        else:
+            self._time_request()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request that the parser has rejected."""
@@ -221,30 +244,81 @@
         """Answer the unfinished request and close the connection once the client could read that.
 
         While an earlier request is unanswered, a refusal would be taken for its answer, and the
-        connection is closed instead.
+        connection is closed instead; so it is if the request was answered before its end.
         """
         self._connections.record_limit(effect)
         self._is_refused = True
-        if self._owes_answer and not self._is_receiving_body:
-            self.transport.abort()
-            return
-        if self._owes_answer:
+        self._set_unfinished_timer(None)
+        self._unfinished_since = self.loop.time()
+        if self._is_receiving_body:
             # The application sees that the client has left, and does not answer any more.
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        phrase = status.phrase.encode()
-        self.transport.write(
-            b"HTTP/1.1 %d %s\r\nconnection: close\r\ncontent-length: 0\r\n\r\n" % (status, phrase)
-        )
+        elif self._owes_answer or self._stage is Stage.BODY:
+            self.transport.abort()
+            return
+        self.transport.write(_refusal(status))
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.loop.call_later(LINGER_SECONDS, self.transport.abort)
 
+    def evict(self, effect: str) -> None:
+        """Refuse the unfinished request and close the connection at once."""
+        if not self._is_refused:
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, effect)
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Close the connection without waiting for a client that does not read."""
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+
+    def _time_request(self) -> None:
+        """Limit the time for the rest of a request that has begun to arrive."""
+        if self._is_refused:
+            return
+        is_body = self._stage is Stage.BODY
+        if self._is_awaiting_request:
+            if self._unfinished_timer is None or is_body is not self._is_body_timed:
+                limits = self._connections.limits
+                self._is_body_timed = is_body
+                self._set_unfinished_timer(limits.body_seconds if is_body else limits.head_seconds)
+        elif self._unfinished_timer is not None:
+            self._set_unfinished_timer(None)
+
+    @property
+    def _is_awaiting_request(self) -> bool:
+        """Return whether a request has begun to arrive and only its rest is awaited."""
+        if self.transport.is_closing():
+            return False
+        if self._stage is Stage.BODY:
+            return self.cycle.response_complete or self._is_receiving_body
+        return not self._owes_answer and (self._stage is Stage.HEAD or self._stage_bytes > 0)
+
+    def _set_unfinished_timer(self, seconds: float | None) -> None:
+        """Replace the time limit of the request that arrives, None for no limit."""
+        if self._unfinished_timer is not None:
+            self._unfinished_timer.cancel()
+            self._unfinished_timer = None
+        self._unfinished_since = math.inf
+        if seconds is not None:
+            self._unfinished_since = self.loop.time()
+            self._unfinished_timer = self.loop.call_later(seconds, self._end_request_time)
+
+    def _end_request_time(self) -> None:
+        """Refuse a request that has taken too long to arrive."""
+        if self.loop.time() - self._unfinished_timer.when() > LATENESS_SECONDS:
+            self._unfinished_timer = self.loop.call_later(LATENESS_SECONDS, self._end_request_time)
+        else:
+            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, "late")
+
     @property
     def _is_receiving_body(self) -> bool:
         """Return whether the application waits for the body of its only request."""
-        is_only = not self.pipeline and not self.cycle.response_started
-        return self._stage is Stage.BODY and is_only
+        if self._stage is not Stage.BODY or self.pipeline:
+            return False
+        return not self.cycle.response_started and not self.cycle.disconnected
 
     def _discard(self, size: int) -> None:
         """Count bytes that are dropped, and stop to read above a limit."""
@@ -256,3 +330,11 @@
         else:
             self._connections.record_limit("oversized")
             self.transport.close()
+
+
+def _refusal(status: http.HTTPStatus) -> bytes:
+    """Return an answer that refuses a request and announces the close of the connection."""
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "connection: close", "content-length: 0"]
+    if status in (http.HTTPStatus.REQUEST_TIMEOUT, http.HTTPStatus.SERVICE_UNAVAILABLE):
+        lines.append(f"retry-after: {RETRY_AFTER_SECONDS}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
