Share a bounded memory among all connections of a gateway

What callers saw: 64 clients with bodies of 4 MB, each inside the limits, took 302 MB. No machine of the deployments in force has room for all connections that its descriptors allow.

Cause: memory was bounded for each request, not for the process, and limits.memory_mb of the platform's settings was read by nothing.

Change: all connections count what they hold for requests that are unfinished or unanswered, headers and cycles by their cost. Above 40% of what the machine has besides 50 MB, requests that have been arriving for a second are refused with 503, the longest first, then the one that needs more; none of them has run. Two requests of the largest permitted size always have room.

Evidence: the scenario of 64 bodies failed on the code before (302 MB of 150) and passes now; new is one body of exactly the limit, served on a machine of 88 MB and within these.

--- a/features/gateway_misbehaving_clients.feature
+++ b/features/gateway_misbehaving_clients.feature
@@ -77,6 +77,17 @@
       | peers     | 60    | half a head              |
       | metrics   | 20    | requests without headers |
 
+  Scenario: Bodies inside the limits use up memory together
+    Given a gateway process on a machine of 150 MB
+    When 64 clients send a body that lacks its last byte to its address for callers and wait
+    Then the gateway process lives within its memory and answers ordinary requests
+
+  Scenario: A body of the largest size on a small machine
+    Given a gateway process on a machine of 88 MB
+    When a client inside the limits sends a body of exactly the limit
+    Then it is answered with 200
+    And the gateway process has lived within its memory
+
   Scenario Outline: A refusal reaches the client and tells that nothing has run
     Given a gateway process on a machine of 150 MB
     And a body may take 2 seconds to arrive
--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -50,6 +50,7 @@
 def given_machine(context, megabytes):
     scene = process_scene(context)
     scene.limits = LIMITS
+    scene.settings = f"[limits]\nmemory_megabytes = {megabytes}\n"
     context.megabytes = megabytes
 
     async def measure(scene):
@@ -214,7 +215,7 @@
 
 @given("a body may take {seconds:d} seconds to arrive")
 def given_body_seconds(context, seconds):
-    process_scene(context).settings = f"[clients]\nbody_seconds = {seconds}\n"
+    process_scene(context).settings += f"[clients]\nbody_seconds = {seconds}\n"
 
 
 @when("a client outside the limits sends {what}")
@@ -247,6 +248,7 @@
             return
         answers = 4 if what == "four requests ahead" else 1
         context.received = await exchange(address, REQUESTS[what], FIRST_EVENT, answers)
+        context.peak = context.usage.peak_mebibytes
 
     scene = process_scene(context)
     if what == "four requests ahead":
@@ -267,6 +269,11 @@
         writer.transport.abort()
 
 
+@then("the gateway process has lived within its memory")
+def then_within(context):
+    assert context.peak <= context.megabytes, f"{context.peak:.0f} MB"
+
+
 @then("it is answered with {status}")
 def then_answered(context, status):
     process_scene(context).play()
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -58,10 +58,13 @@
     "bounds.cold_excess": "1.5",
     "bounds.cold_slack": "5",
     "limits.max_fds": "4200",
+    "limits.memory_mb": "300",
 }
 ZONES = {"hall-a": "south", "hall-b": "north"}
 """Regions by availability zone, the only table that the template repeats a section for."""
-OPTIONAL_FIELDS = frozenset({"bounds.cold_excess", "bounds.cold_slack", "limits.max_fds"})
+OPTIONAL_FIELDS = frozenset(
+    {"bounds.cold_excess", "bounds.cold_slack", "limits.max_fds", "limits.memory_mb"}
+)
 """Fields that some deployments lack."""
 
 
@@ -306,3 +309,4 @@
     limit = settings.cold_starts
     assert (limit.excess, limit.slack) == ((1.0, 0.0) if left_out else (1.5, 5.0)), limit
     assert settings.limits.descriptors == (0 if left_out else 4200), settings.limits
+    assert settings.limits.memory_megabytes == (0 if left_out else 300), settings.limits
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/application.py
@@ -21,6 +21,7 @@
 from quinceferry_gateway.crashes import CrashMonitor
 from quinceferry_gateway.decisions import Placer, UpstreamStates
 from quinceferry_gateway.decisions.cold_starts import ColdStartLimit
+from quinceferry_gateway.decisions.connection_memory import required_bytes
 from quinceferry_gateway.decisions.planned_stops import PlannedStop
 from quinceferry_gateway.exchanges import UpstreamExchanges
 from quinceferry_gateway.fleet.calls import DatagramCalls
@@ -245,7 +246,7 @@
             ),
             origins,
         )
-        self.listeners = Listeners(settings.limits.descriptors, settings.clients, clock, metrics)
+        self.listeners = Listeners(settings.limits, settings.clients, clock, metrics)
         create = self.listeners.create
         listen, idle_seconds = settings.listen, PEER_IDLE_TIMEOUT_SECONDS
         self._caller_listener = create("callers", self.caller_api, listen.callers, idle_seconds * 3)
@@ -417,6 +418,7 @@
         )
         for listener in self._request_listeners:
             listener.set_client_limits(client_limits)
+        self.listeners.memory.allow(required_bytes(client_limits, limits.max_body_bytes))
 
     def _age_seconds(self, read_at: float | None) -> float | None:
         """Return the time since a list was read, None before the first read."""
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
@@ -6,10 +6,12 @@
 
 from quinceferry_core.clocks import Clock
 from quinceferry_gateway.decisions.connection_limits import ConnectionLimits
+from quinceferry_gateway.decisions.connection_memory import connection_memory_bytes
 from quinceferry_gateway.logs import log
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.server import HttpListener
-from quinceferry_http import ClientLimits
+from quinceferry_gateway.settings import LimitSettings
+from quinceferry_http import ClientLimits, ConnectionMemory
 
 LOG_INTERVAL_SECONDS = 10.0
 """Shortest time between two log lines on one listener about the same limit."""
@@ -20,15 +22,19 @@
 class Listeners:
     """Creates listeners whose connections are limited, counted and logged.
 
-    :param descriptors: how many descriptors the process may have open; 0: as many as the operating
-        system allows it.
+    :param process_limits: descriptors and memory of the process.
     :param client_limits: what clients may send until the listener is told otherwise.
     """
 
     def __init__(
-        self, descriptors: int, client_limits: ClientLimits, clock: Clock, metrics: Metrics
+        self,
+        process_limits: LimitSettings,
+        client_limits: ClientLimits,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
-        self._limits = ConnectionLimits.within(_count_descriptors(descriptors))
+        self._limits = ConnectionLimits.within(_count_descriptors(process_limits.descriptors))
+        self.memory = _create_memory(process_limits.memory_megabytes)
         self._client_limits = client_limits
         self._clock = clock
         self._metrics = metrics
@@ -51,7 +57,9 @@
             self._metrics.count_limited_connection(name, effect)
             self._log_limit(name, effect, limit)
 
-        listener = HttpListener(app, address, idle_timeout_seconds, limit, record_limit)
+        listener = HttpListener(
+            app, address, idle_timeout_seconds, limit, record_limit, self.memory
+        )
         listener.set_client_limits(self._client_limits)
         self._by_name[name] = listener
         return listener
@@ -69,6 +77,14 @@
             log.failure("connections.cut_off", listener=name, effect=effect)
 
 
+def _create_memory(megabytes: int) -> ConnectionMemory:
+    """Return the memory that connections share.
+
+    :param megabytes: memory of the machine, 0 if it is unknown.
+    """
+    return ConnectionMemory(connection_memory_bytes(megabytes)) if megabytes else ConnectionMemory()
+
+
 def _count_descriptors(configured: int) -> int:
     """Return how many descriptors the process may have open.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/server.py
@@ -9,7 +9,7 @@
 import uvicorn
 
 from quinceferry_gateway.addresses import host_and_port
-from quinceferry_http import ClientLimits, Connections
+from quinceferry_http import ClientLimits, ConnectionMemory, Connections
 
 BACKLOG_CONNECTIONS = 512
 """Maximum number of connections that wait to be accepted."""
@@ -23,6 +23,7 @@
     :param idle_timeout_seconds: how long a connection may stay idle.
     :param max_connections: as for :class:`Connections`.
     :param on_limit: as for :class:`Connections`.
+    :param memory: as for :class:`Connections`.
     """
 
     def __init__(
@@ -32,9 +33,10 @@
         idle_timeout_seconds: float,
         max_connections: float = math.inf,
         on_limit: Callable[[str], None] = lambda effect: None,
+        memory: ConnectionMemory | None = None,
     ) -> None:
         self._address = address
-        self._connections = Connections(ClientLimits(), max_connections, on_limit)
+        self._connections = Connections(ClientLimits(), max_connections, on_limit, memory)
         self._config = uvicorn.Config(
             app,
             log_config=None,
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/settings.py
@@ -135,10 +135,11 @@
     """Limits of the process.
 
     ``descriptors`` is the number of descriptors that it may have open; 0: what the operating system
-    allows it.
+    allows it. ``memory_megabytes`` is the memory that it may use; 0: connections may hold 256 MB.
     """
 
     descriptors: int = 0
+    memory_megabytes: int = 0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -227,6 +228,8 @@
         ]
         if self.limits.descriptors < 0:
             faults.append("limits.descriptors must not be below zero")
+        if self.limits.memory_megabytes < 0:
+            faults.append("limits.memory_megabytes must not be below zero")
         if self.cold_starts.slack < 0:
             faults.append("cold_starts.slack must not be below zero")
         if self.stop.leave_seconds >= self.stop.grace_seconds:
--- a/packages/quinceferry-http/src/quinceferry_http/__init__.py
+++ b/packages/quinceferry-http/src/quinceferry_http/__init__.py
@@ -2,6 +2,7 @@
 
 from quinceferry_http.connections import Connections
 from quinceferry_http.limits import ClientLimits
+from quinceferry_http.memory import ConnectionMemory
 from quinceferry_http.protocol import EXCESS_STATE
 
-__all__ = ["EXCESS_STATE", "ClientLimits", "Connections"]
+__all__ = ["EXCESS_STATE", "ClientLimits", "ConnectionMemory", "Connections"]
--- a/packages/quinceferry-http/src/quinceferry_http/connections.py
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -8,6 +8,7 @@
 from uvicorn.server import ServerState
 
 from quinceferry_http.limits import ClientLimits
+from quinceferry_http.memory import ConnectionMemory
 from quinceferry_http.protocol import BoundedProtocol
 
 MIN_IDLE_SECONDS = 0.5
@@ -29,8 +30,9 @@
         longest, or else the one whose request has been arriving for longest; if there is none, its
         requests are to be refused.
     :param on_limit: called with ``idle``, ``unfinished``, ``refused`` or ``aborted`` for each
-        connection that the limit of connections affects, and with ``oversized``, ``malformed`` or
-        ``late`` for each client that is cut off for what it sends.
+        connection that the limit of connections affects, and with ``oversized``, ``malformed``,
+        ``late`` or ``memory`` for each client that is cut off for what it sends.
+    :param memory: what all connections of the process share, by default nothing with others.
     :param state: uvicorn's state of the server, a new one by default.
     """
 
@@ -39,11 +41,14 @@
         limits: ClientLimits,
         max_connections: float = math.inf,
         on_limit: Callable[[str], None] = lambda effect: None,
+        memory: ConnectionMemory | None = None,
         state: ServerState | None = None,
     ) -> None:
         self.limits = limits
         self.record_limit = on_limit
         self._max_connections = max_connections
+        self.memory = memory or ConnectionMemory()
+        self.memory.add_eviction(self._evict_unfinished)
         self._state = state or ServerState()
 
     def __len__(self) -> int:
@@ -88,6 +93,19 @@
         else:
             self._close(connection, "aborted")
 
+    def _evict_unfinished(self) -> bool:
+        """Close the connection whose request has been arriving for longest, if that is long."""
+        unfinished = min(
+            self._state.connections, key=lambda item: item.unfinished_since, default=None
+        )
+        if unfinished is None:
+            return False
+        if unfinished.loop.time() - unfinished.unfinished_since < MIN_UNFINISHED_SECONDS:
+            return False
+        self._state.connections.discard(unfinished)
+        unfinished.evict("memory")
+        return True
+
     def _close(self, connection: BoundedProtocol, effect: str) -> None:
         """Close a connection, which does not count any more."""
         self._state.connections.discard(connection)
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -9,6 +9,7 @@
 import asyncio
 import http
 import math
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -28,6 +29,10 @@
 """Interval of the checks whether a client has left while nothing is read from its connection."""
 LINGER_SECONDS = 2.0
 """How long the client may read a refusal while the rest of its request is dropped."""
+REQUEST_BYTES = 4_096
+"""Memory of a request besides its contents."""
+HEADER_BYTES = 160
+"""Memory of a header besides its contents."""
 LATENESS_SECONDS = 0.5
 """A timer that is later than this grants as much again: what has arrived may not be read yet."""
 RETRY_AFTER_SECONDS = 1
@@ -75,6 +80,10 @@
         self._unfinished_since = math.inf
         self._unfinished_timer: asyncio.TimerHandle | None = None
         self._is_body_timed = False
+        self._held_bytes = 0
+        self._held_bytes_by_request: deque[int] = deque()
+        self._head_bytes = 0
+        self._bytes_before_body_part = 0
         self._rejected_status = http.HTTPStatus.BAD_REQUEST
         self._idle_since = self.loop.time()
 
@@ -108,6 +117,9 @@
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._set_unfinished_timer(None)
+        self._held_bytes_by_request.clear()
+        self._unparsed = b""
+        self._count_held_bytes()
 
     def mark_as_excess(self) -> None:
         """Tell the application that the connection exceeds the limit of connections."""
@@ -143,6 +155,7 @@
             if self._leaving_check is None:
                 self._schedule_leaving_check()
         self._time_request()
+        self._keep_within_memory()
 
     @property
     def _may_parse(self) -> bool:
@@ -177,6 +190,7 @@
         super().data_received(part)
         if self._is_refused or self.transport.is_closing():
             return
+        self._count_request_bytes()
         limits = self._connections.limits
         match self._stage:
             case Stage.REQUEST_LINE if self._stage_bytes > limits.max_head_bytes:
@@ -194,6 +208,7 @@
         """Begin a request; called by the parser."""
         super().on_message_begin()
         self._stage = Stage.HEAD
+        self._held_bytes_by_request.append(REQUEST_BYTES)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; called by the parser. Trailers are dropped."""
@@ -208,22 +223,30 @@
             self._rejected_status = http.HTTPStatus.REQUEST_URI_TOO_LONG
             raise ValueError("the target is too long")
         super().on_headers_complete()
+        self._count_request_bytes()
+        self._head_bytes = self._held_bytes_by_request[-1]
         self._enter(Stage.BODY)
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of a body on; called by the parser."""
         self._body_bytes += len(body)
+        self._bytes_before_body_part = self._stage_bytes
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """End a request; called by the parser."""
         super().on_message_complete()
+        self._bytes_before_body_part = self._stage_bytes
+        self._count_request_bytes()
         self._enter(Stage.REQUEST_LINE)
         self._expected_body_bytes = 0
 
     def on_response_complete(self) -> None:
         """Begin the next request, or become idle."""
         super().on_response_complete()
+        if self._held_bytes_by_request:
+            self._held_bytes_by_request.popleft()
+        self._count_held_bytes()
         self._idle_since = self.loop.time()
         if self._unparsed and not self.transport.is_closing():
             self._parse_slices(self._unparsed)
@@ -239,6 +262,31 @@
         self._stage = stage
         self._stage_bytes = 0
         self._body_bytes = 0
+        self._bytes_before_body_part = 0
+
+    def _count_request_bytes(self) -> None:
+        """Count the memory of the request that arrives, with what the parser keeps of it."""
+        match self._stage:
+            case Stage.HEAD:
+                held_bytes = REQUEST_BYTES + HEADER_BYTES * len(self.headers) + self._stage_bytes
+            case Stage.BODY if not self.cycle.response_complete:
+                unread_bytes = self._stage_bytes - self._bytes_before_body_part
+                held_bytes = self._head_bytes + self._body_bytes + unread_bytes
+            case _:
+                return
+        self._held_bytes_by_request[-1] = held_bytes
+
+    def _count_held_bytes(self) -> None:
+        """Count the memory that the connection holds among that of all connections."""
+        held_bytes = sum(self._held_bytes_by_request) + len(self._unparsed)
+        self._connections.memory.resize(self._held_bytes, held_bytes)
+        self._held_bytes = held_bytes
+
+    def _keep_within_memory(self) -> None:
+        """Refuse the request that arrives if there is no memory for it."""
+        self._count_held_bytes()
+        if not self._is_refused and not self._connections.memory.make_room():
+            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, "memory")
 
     def _refuse(self, status: http.HTTPStatus, effect: str) -> None:
         """Answer the unfinished request and close the connection once the client could read that.
@@ -248,6 +296,9 @@
         """
         self._connections.record_limit(effect)
         self._is_refused = True
+        self._held_bytes_by_request.clear()
+        self._unparsed = b""
+        self._count_held_bytes()
         self._set_unfinished_timer(None)
         self._unfinished_since = self.loop.time()
         if self._is_receiving_body:
