Tell the request that runs that its client has left, with requests ahead of it too

What callers saw: a client that had sent requests ahead and left had its first request run until its deadline; its upstream slot was lost to others.

Cause: when a connection is lost, uvicorn tells the latest request of it only, and that one was still queued.

Change: the connection remembers the request that runs and tells it too.

Evidence: the scenario of such a client waited for the upstream's connection to close, which its deadline does as well; it now waits for the log line caller.left. So it failed on the code before (20 s) and passes now (under a second).

--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -119,6 +119,11 @@
 @then("the request of that client that runs is given up on")
 def then_given_up(context):
     async def check(scene):
+        def has_logged():
+            scene.read_log()
+            return scene.log_events("caller.left")
+
+        await until(has_logged)
         await until(lambda: scene.upstream.closed_by_peer)
 
     scene = process_scene(context)
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 from uvicorn.server import ServerState
 
 from quinceferry_http.flow import HoldingFlowControl, has_left
@@ -76,6 +76,7 @@
         self._discarded_bytes = 0
         self._is_refused = False
         self._unparsed = b""
+        self._running_cycle: RequestResponseCycle | None = None
         self._leaving_check: asyncio.TimerHandle | None = None
         self._unfinished_since = math.inf
         self._unfinished_timer: asyncio.TimerHandle | None = None
@@ -114,6 +115,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds; called by the event loop."""
+        if self._running_cycle is not None:
+            # Uvicorn tells the latest request only.
+            self._running_cycle.disconnected = True
+            self._running_cycle.message_event.set()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._set_unfinished_timer(None)
@@ -227,6 +232,11 @@
         self._head_bytes = self._held_bytes_by_request[-1]
         self._enter(Stage.BODY)
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        """Begin to serve a request."""
+        self._running_cycle = cycle
+        super()._start_asgi_task(cycle, app)
+
     def on_body(self, body: bytes) -> None:
         """Pass a part of a body on; called by the parser."""
         self._body_bytes += len(body)
