Close connections whose clients do not read, and count what waits for them

What callers saw: 20 clients that asked for metrics again and again and read nothing held all connections of the listener of a process with 400 descriptors; no scraper was answered within 20 s.

Cause: nothing bounded how long an answer waits for its client. Such a connection was neither idle nor unfinished, and after its last answer it went on closing for ever.

Change: bytes that the operating system does not take stop further writing at once, count as memory of the connection, and must become fewer within 60 s ([clients] unread_seconds). For want of memory, connections whose clients have read nothing for a second are closed after the unfinished ones.

Evidence: the new scenario failed on the code before, without its line of settings, and passes now with a limit of 2 s. Clients that never read 32 streams took less than the machine's memory before, and do now.

--- a/features/fixtures_misbehaving_clients.py
+++ b/features/fixtures_misbehaving_clients.py
@@ -77,6 +77,7 @@
         HEAD_START + CALLER_HEADERS + b"content-length: 2\r\n\r\n{}",
         MEBIBYTE,
     ),
+    "requests for metrics": Input(b"", b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n", MEBIBYTE // 4),
     "half a head": Input(HEAD_START + b"a: b", b"", 0),
     "half a body": Input(HEAD_START + CALLER_HEADERS + b"content-length: 100\r\n\r\n{", b"", 0),
     "a body that lacks its last byte": Input(
--- a/features/gateway_misbehaving_clients.feature
+++ b/features/gateway_misbehaving_clients.feature
@@ -88,6 +88,18 @@
     Then it is answered with 200
     And the gateway process has lived within its memory
 
+  Scenario: Streams that nobody reads
+    Given a gateway process on a machine of 150 MB
+    When 32 clients ask for streams and read nothing
+    Then the gateway process lives within its memory and answers ordinary requests
+
+  Scenario: Clients that never read hold all connections of a listener
+    Given a gateway process on a machine of 150 MB
+    And the gateway process may have 400 descriptors open
+    And a client may leave an answer unread for 2 seconds
+    When 20 clients send requests for metrics to its address for metrics and wait
+    Then the gateway process lives within its memory and answers ordinary requests
+
   Scenario Outline: A refusal reaches the client and tells that nothing has run
     Given a gateway process on a machine of 150 MB
     And a body may take 2 seconds to arrive
--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -223,6 +223,11 @@
     process_scene(context).settings += f"[clients]\nbody_seconds = {seconds}\n"
 
 
+@given("a client may leave an answer unread for {seconds:d} seconds")
+def given_unread_seconds(context, seconds):
+    process_scene(context).settings += f"[clients]\nunread_seconds = {seconds}\n"
+
+
 @when("a client outside the limits sends {what}")
 def when_outside(context, what):
     answers = 2 if what.endswith("after a head") else 1
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/metrics.py
@@ -185,8 +185,8 @@
         """Count a connection that a limit affected.
 
         :param effect: ``idle`` or ``unfinished``: closed to make room; ``refused`` or ``aborted``:
-            a new one above the limit of connections; ``oversized``, ``malformed``, ``late`` or
-            ``memory``: cut off for what was sent.
+            a new one above the limit of connections; ``oversized``, ``malformed``, ``late``,
+            ``unread`` or ``memory``: cut off for what was sent or not read.
         """
         self._limited_connections.add(1, {"listener": listener, "effect": effect})
 
--- a/packages/quinceferry-http/src/quinceferry_http/connections.py
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -31,7 +31,7 @@
         requests are to be refused.
     :param on_limit: called with ``idle``, ``unfinished``, ``refused`` or ``aborted`` for each
         connection that the limit of connections affects, and with ``oversized``, ``malformed``,
-        ``late`` or ``memory`` for each client that is cut off for what it sends.
+        ``late``, ``unread`` or ``memory`` for each client that is cut off for what it sends.
     :param memory: what all connections of the process share, by default nothing with others.
     :param state: uvicorn's state of the server, a new one by default.
     """
@@ -49,6 +49,7 @@
         self._max_connections = max_connections
         self.memory = memory or ConnectionMemory()
         self.memory.add_eviction(self._evict_unfinished)
+        self.memory.add_eviction(self._evict_unread)
         self._state = state or ServerState()
 
     def __len__(self) -> int:
@@ -106,6 +107,14 @@
         unfinished.evict("memory")
         return True
 
+    def _evict_unread(self) -> bool:
+        """Close the connection whose client has not read for longest, if that is long."""
+        unread = min(self._state.connections, key=lambda item: item.unread_since, default=None)
+        if unread is None or unread.loop.time() - unread.unread_since < MIN_UNFINISHED_SECONDS:
+            return False
+        self._close(unread, "memory")
+        return True
+
     def _close(self, connection: BoundedProtocol, effect: str) -> None:
         """Close a connection, which does not count any more."""
         self._state.connections.discard(connection)
--- a/packages/quinceferry-http/src/quinceferry_http/limits.py
+++ b/packages/quinceferry-http/src/quinceferry_http/limits.py
@@ -14,7 +14,8 @@
     its target. ``max_requests_ahead`` is how many requests are parsed while an earlier one has no
     answer yet; then nothing is read until it has one. ``max_discarded_bytes`` is how much of a
     request is read and dropped after it was answered, so that the client can read the answer.
-    ``head_seconds`` and ``body_seconds`` are how long a head and a body may take to arrive.
+    ``head_seconds`` and ``body_seconds`` are how long a head and a body may take to arrive,
+    ``unread_seconds`` is how long a client may take nothing of an answer that waits for it.
     """
 
     max_header_bytes: int = 16_384
@@ -23,6 +24,7 @@
     max_discarded_bytes: int = 1_048_576
     head_seconds: float = 10.0
     body_seconds: float = 60.0
+    unread_seconds: float = 60.0
 
     @property
     def max_head_bytes(self) -> int:
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -81,6 +81,9 @@
         self._unfinished_since = math.inf
         self._unfinished_timer: asyncio.TimerHandle | None = None
         self._is_body_timed = False
+        self._unread_since = math.inf
+        self._unread_bytes = 0
+        self._unread_timer: asyncio.TimerHandle | None = None
         self._held_bytes = 0
         self._held_bytes_by_request: deque[int] = deque()
         self._head_bytes = 0
@@ -99,6 +102,11 @@
         """Return the event loop time from which on a request was awaited or refused."""
         return self._unfinished_since
 
+    @property
+    def unread_since(self) -> float:
+        """Return the event loop time since which bytes wait for the client, infinite if none do."""
+        return self._unread_since
+
     @property
     def _owes_answer(self) -> bool:
         """Return whether a request that has reached the application is not yet answered."""
@@ -108,6 +116,8 @@
         """Register a new connection; called by the event loop."""
         super().connection_made(transport)
         self.flow = HoldingFlowControl(transport)
+        # The operating system buffers enough; what waits here waits for a client that reads slowly.
+        transport.set_write_buffer_limits(high=0)
         self.timeout_keep_alive_task = self.loop.call_later(
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
@@ -122,10 +132,49 @@
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._set_unfinished_timer(None)
+        self._set_unread(False)
         self._held_bytes_by_request.clear()
         self._unparsed = b""
         self._count_held_bytes()
 
+    def pause_writing(self) -> None:
+        """Limit the time until the client reads; called by the event loop."""
+        super().pause_writing()
+        self._set_unread(True)
+        self._connections.memory.make_room()
+
+    def resume_writing(self) -> None:
+        """Note that the client has read everything; called by the event loop."""
+        super().resume_writing()
+        self._set_unread(False)
+
+    def _set_unread(self, is_unread: bool) -> None:
+        """Start or stop to limit the time for which bytes wait for the client."""
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+        self._unread_since = self.loop.time() if is_unread else math.inf
+        self._unread_bytes = self.transport.get_write_buffer_size() if is_unread else 0
+        if is_unread:
+            self._schedule_unread_check()
+        self._count_held_bytes()
+
+    def _schedule_unread_check(self) -> None:
+        """Check later whether the client has read something."""
+        seconds = self._connections.limits.unread_seconds
+        self._unread_timer = self.loop.call_later(seconds, self._check_unread)
+
+    def _check_unread(self) -> None:
+        """Close the connection if the client has read nothing since the last check."""
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes >= self._unread_bytes:
+            self._connections.record_limit("unread")
+            self.transport.abort()
+            return
+        self._unread_bytes = unread_bytes
+        self._count_held_bytes()
+        self._schedule_unread_check()
+
     def mark_as_excess(self) -> None:
         """Tell the application that the connection exceeds the limit of connections."""
         self.app_state[EXCESS_STATE] = True
@@ -288,7 +337,7 @@
 
     def _count_held_bytes(self) -> None:
         """Count the memory that the connection holds among that of all connections."""
-        held_bytes = sum(self._held_bytes_by_request) + len(self._unparsed)
+        held_bytes = sum(self._held_bytes_by_request) + len(self._unparsed) + self._unread_bytes
         self._connections.memory.resize(self._held_bytes, held_bytes)
         self._held_bytes = held_bytes
 
