Bound what clients cost the daemon too, with the same connections

What callers saw: 16 clients with header lines, trailers, one header or target without end, or with requests sent ahead took 322 to 692 MB of a daemon; empty lines, chunk extensions and small chunks never ended; 250 clients with half a head, half a body or nothing held all connections of a process with 200 descriptors.

Cause: the daemon's server had uvicorn's own protocol, which counts nothing before a request is complete.

Change: quinceferryd serves with the connections of quinceferry-http. Its limits are the table [clients] of its settings; quinceferry_limited_connections_total counts by effect whom they affect.

--- a/packages/quinceferry-daemon/src/quinceferryd/daemon.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/daemon.py
@@ -61,7 +61,14 @@
     settings = application.settings
     app = build_app(application, build_operator_routes(application))
     reader_timeout_seconds = settings.streams.reader_timeout_seconds
-    server = HttpServer(app, settings.router.host, settings.router.port, reader_timeout_seconds)
+    server = HttpServer(
+        app,
+        settings.router.host,
+        settings.router.port,
+        reader_timeout_seconds,
+        settings.clients,
+        application.metrics.count_limited_connection,
+    )
     change_log = ChangeLog(application.blackboard, application.clock)
     await server.start()
     _log.info("server.listening", host=settings.router.host, port=server.port)
--- a/packages/quinceferry-daemon/src/quinceferryd/metrics.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/metrics.py
@@ -53,6 +53,12 @@
         :param reason: the reason.
         """
 
+    def count_limited_connection(self, effect: str) -> None:
+        """Count a connection that a limit on clients affected.
+
+        :param effect: what became of it, such as ``idle``, ``late`` or ``oversized``.
+        """
+
     def record_first_token(
         self, workspace: WorkspaceId, priority: Priority, seconds: float
     ) -> None:
@@ -84,6 +90,9 @@
     def count_refusal(self, workspace: WorkspaceId | None, reason: RefusalReason) -> None:
         """Record nothing."""
 
+    def count_limited_connection(self, effect: str) -> None:
+        """Record nothing."""
+
     def record_first_token(
         self, workspace: WorkspaceId, priority: Priority, seconds: float
     ) -> None:
@@ -131,6 +140,10 @@
         self._tokens = self._meter.create_counter(
             "quinceferry_tokens", description="Tokens of answered requests"
         )
+        self._limited_connections = self._meter.create_counter(
+            "quinceferry_limited_connections",
+            description="Connections closed or refused for a limit on clients, by effect",
+        )
         self._first_token = _create_histogram(
             self._meter,
             "quinceferry_first_token",
@@ -178,6 +191,10 @@
         name = _UNAUTHENTICATED_WORKSPACE if workspace is None else self._labels.label(workspace)
         self._refusals.add(1, {"workspace": name, "reason": reason.value})
 
+    def count_limited_connection(self, effect: str) -> None:
+        """Count a connection that a limit on clients affected."""
+        self._limited_connections.add(1, {"effect": effect})
+
     def record_first_token(
         self, workspace: WorkspaceId, priority: Priority, seconds: float
     ) -> None:
--- a/packages/quinceferry-daemon/src/quinceferryd/server.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/server.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
-from collections.abc import Generator, Sequence
+from collections.abc import Callable, Generator, Sequence
 from typing import Any
 
 import uvicorn
@@ -14,6 +15,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from quinceferry_core.outcomes import Failed, RefusalReason, Unknown
+from quinceferry_http import ConnectionMemory, Connections
 from quinceferryd.blackboard import RouterState
 from quinceferryd.bodies import BodyMemory
 from quinceferryd.caller_api import CallerApi, caller_routes
@@ -22,6 +24,7 @@
 from quinceferryd.logs import log_unexpected_error
 from quinceferryd.peer_api import PeerApi, peer_routes
 from quinceferryd.refusals import error_document, error_headers, error_status, refusal
+from quinceferryd.settings import ClientSettings
 
 HttpRequest = Request[Any, Any, Any]
 
@@ -72,24 +75,43 @@
 
     :param app: the ASGI application.
     :param reader_timeout_seconds: how long a response may wait for its reader.
+    :param clients: what clients may send.
+    :param on_limit: as for :class:`Connections`.
     """
 
-    def __init__(self, app: Litestar, reader_timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        app: Litestar,
+        reader_timeout_seconds: float,
+        clients: ClientSettings,
+        on_limit: Callable[[str], None],
+    ) -> None:
         config = uvicorn.Config(
             app,
             log_config=None,
             log_level="warning",
             access_log=False,
             lifespan="off",
-            http="httptools",
+            http=self._create_protocol,
             ws="none",
             server_header=False,
             timeout_keep_alive=KEEP_ALIVE_TIMEOUT_SECONDS,
             timeout_graceful_shutdown=int(reader_timeout_seconds) + _SHUTDOWN_GRACE_SECONDS,
         )
         super().__init__(config)
+        self._connections = Connections(
+            clients,
+            min(clients.max_connections, _max_descriptors() // 2),
+            on_limit,
+            ConnectionMemory(clients.max_held_bytes),
+            self.server_state,
+        )
         self._stop_requested = asyncio.Event()
 
+    def _create_protocol(self, **options: Any) -> asyncio.BaseProtocol:
+        """Return the protocol instance for a new connection."""
+        return self._connections.create_protocol(**options)
+
     def request_stop(self) -> None:
         """Request that the server finish the responses in progress and stop."""
         self.should_exit = True
@@ -114,10 +136,21 @@
     :param host: address to listen on.
     :param port: port to listen on; zero selects a free port.
     :param reader_timeout_seconds: how long a response may wait for its reader.
+    :param clients: what clients may send.
+    :param on_limit: as for :class:`Connections`.
     """
 
-    def __init__(self, app: Litestar, host: str, port: int, reader_timeout_seconds: float) -> None:
-        self._server = EmbeddedServer(app, reader_timeout_seconds)
+    def __init__(
+        self,
+        app: Litestar,
+        host: str,
+        port: int,
+        reader_timeout_seconds: float,
+        clients: ClientSettings | None = None,
+        on_limit: Callable[[str], None] = lambda effect: None,
+    ) -> None:
+        clients = clients or ClientSettings()
+        self._server = EmbeddedServer(app, reader_timeout_seconds, clients, on_limit)
         self._host = host
         self._port = port
         self._task: asyncio.Task[None] | None = None
@@ -148,6 +181,11 @@
             await self._task
 
 
+def _max_descriptors() -> int:
+    """Return how many descriptors the operating system lets the process have open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 def _create_listener(host: str, port: int) -> socket.socket:
     """Return a listening socket.
 
--- a/packages/quinceferry-daemon/src/quinceferryd/settings.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass, field
 
+from quinceferry_http import ClientLimits
+
 
 @dataclass(slots=True, frozen=True)
 class RouterSettings:
@@ -152,6 +154,19 @@
     max_deadline_seconds: float = 600.0
 
 
+@dataclass(slots=True, frozen=True)
+class ClientSettings(ClientLimits):
+    """Limits of each connection and of all together, table ``[clients]``.
+
+    ``max_connections`` is at most half of the descriptors of the process, since a request needs
+    another one for its upstream. ``max_held_bytes`` limits what all connections hold for requests
+    that are unfinished or unanswered.
+    """
+
+    max_connections: int = 4096
+    max_held_bytes: int = 32 * 1024 * 1024
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All settings of a daemon."""
@@ -167,3 +182,4 @@
     addresses: AddressSettings = field(default_factory=AddressSettings)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
     callers: CallerSettings = field(default_factory=CallerSettings)
+    clients: ClientSettings = field(default_factory=ClientSettings)
