Refuse a request that has just arrived with 503 where there is no memory for it

What callers saw: where running requests held all the memory that connections may use, a small request that arrived in one piece had its connection closed, and its caller could not know that it had not run.

Cause: only requests whose body was incomplete were refused; a complete one counts as handed on, though the application runs after the callback that received its last byte. And a request refused for memory while it arrived was closed at once, so that a client that still sent could miss the refusal.

Change: the end of a request that was received in the same callback is not yet known to the application, so that 503 is true.

Evidence: 16 clients with bodies of 1 MB where about eight have room are all answered with 200 or 503, and the upstream has seen just those with 200.

--- a/features/gateway_misbehaving_clients.feature
+++ b/features/gateway_misbehaving_clients.feature
@@ -82,6 +82,11 @@
     When 64 clients send a body that lacks its last byte to its address for callers and wait
     Then the gateway process lives within its memory and answers ordinary requests
 
+  Scenario: Requests that have no room are refused as not run
+    Given a gateway process on a machine of 50 MB
+    When 16 clients send a body of 1 MB each at once
+    Then each of them is answered with 200 or 503, and upstreams have seen the former
+
   Scenario: A body of the largest size on a small machine
     Given a gateway process on a machine of 88 MB
     When a client inside the limits sends a body of exactly the limit
--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.fixtures_gateway import HOST, until
+from features.fixtures_gateway import HOST, PATIENCE_SECONDS, until
 from features.fixtures_gateway_process import process_scene
 from features.fixtures_misbehaving_clients import (
     CALLER_HEADERS,
@@ -17,6 +17,7 @@
     exchange,
     is_answered,
 )
+from quinceferry_gateway.addresses import host_and_port
 
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 4 * MEBIBYTE + 1
@@ -279,6 +280,36 @@
         writer.transport.abort()
 
 
+@when("{count:d} clients send a body of {megabytes:d} MB each at once")
+def when_bodies(context, count, megabytes):
+    request = _request(body=b"b" * megabytes * MEBIBYTE)
+
+    async def act(scene):
+        address = scene.gateway.address("callers")
+        connections = [await asyncio.open_connection(*host_and_port(address)) for _ in range(count)]
+        heads = (_status_line(*connection, request) for connection in connections)
+        context.heads = await asyncio.gather(*heads)
+        for _, writer in connections:
+            writer.transport.abort()
+
+    process_scene(context).acts.append(act)
+
+
+async def _status_line(reader, writer, request):
+    """Return the status line of the answer to a request, whose connection stays open."""
+    writer.write(request)
+    return await asyncio.wait_for(reader.readline(), PATIENCE_SECONDS)
+
+
+@then("each of them is answered with 200 or 503, and upstreams have seen the former")
+def then_answered_or_refused(context):
+    scene = process_scene(context)
+    scene.play()
+    statuses = [int(head.split()[1]) for head in context.heads]
+    assert set(statuses) == {200, 503}, statuses
+    assert len(scene.upstream.seen) == statuses.count(200), (len(scene.upstream.seen), statuses)
+
+
 @then("the gateway process has lived within its memory")
 def then_within(context):
     assert context.peak <= context.megabytes, f"{context.peak:.0f} MB"
--- a/packages/quinceferry-http/src/quinceferry_http/connections.py
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -87,7 +87,8 @@
             self._close(idle, "idle")
         elif now - unfinished.unfinished_since >= MIN_UNFINISHED_SECONDS:
             self._state.connections.discard(unfinished)
-            unfinished.evict("unfinished")
+            unfinished.refuse_unfinished("unfinished")
+            unfinished.close_now()
         elif len(self) <= (1 + REFUSED_SHARE) * self._max_connections:
             connection.mark_as_excess()
             self.record_limit("refused")
@@ -95,16 +96,14 @@
             self._close(connection, "aborted")
 
     def _evict_unfinished(self) -> bool:
-        """Close the connection whose request has been arriving for longest, if that is long."""
-        unfinished = min(
-            self._state.connections, key=lambda item: item.unfinished_since, default=None
-        )
+        """Refuse the request that has been arriving for longest, if that is long."""
+        holding = [item for item in self._state.connections if not item.is_refused]
+        unfinished = min(holding, key=lambda item: item.unfinished_since, default=None)
         if unfinished is None:
             return False
         if unfinished.loop.time() - unfinished.unfinished_since < MIN_UNFINISHED_SECONDS:
             return False
-        self._state.connections.discard(unfinished)
-        unfinished.evict("memory")
+        unfinished.refuse_unfinished("memory")
         return True
 
     def _evict_unread(self) -> bool:
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -76,6 +76,7 @@
         self._discarded_bytes = 0
         self._is_refused = False
         self._unparsed = b""
+        self._is_just_received = False
         self._running_cycle: RequestResponseCycle | None = None
         self._leaving_check: asyncio.TimerHandle | None = None
         self._unfinished_since = math.inf
@@ -97,6 +98,11 @@
         is_idle = self._stage is Stage.REQUEST_LINE and not self._stage_bytes
         return self._idle_since if is_idle and not self._owes_answer else math.inf
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether a request was refused and the connection is about to be closed."""
+        return self._is_refused
+
     @property
     def unfinished_since(self) -> float:
         """Return the event loop time from which on a request was awaited or refused."""
@@ -194,6 +200,7 @@
     def _parse_slices(self, data: bytes) -> None:
         """Parse data in slices, as long as they keep to the limits, and hold back the rest."""
         position = 0
+        self._is_just_received = False
         while position < len(data) and self._may_parse:
             part = data[position : position + self._slice_bytes()]
             position += len(part)
@@ -298,6 +305,7 @@
         self._bytes_before_body_part = self._stage_bytes
         self._count_request_bytes()
         self._enter(Stage.REQUEST_LINE)
+        self._is_just_received = True
         self._expected_body_bytes = 0
 
     def on_response_complete(self) -> None:
@@ -342,16 +350,22 @@
         self._held_bytes = held_bytes
 
     def _keep_within_memory(self) -> None:
-        """Refuse the request that arrives if there is no memory for it."""
+        """Refuse the request that arrives if there is no memory for it.
+
+        The application has not seen the end of one that was just received.
+        """
         self._count_held_bytes()
         if not self._is_refused and not self._connections.memory.make_room():
-            self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, "memory")
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            self._refuse(status, "memory", is_unseen=self._is_just_received)
 
-    def _refuse(self, status: http.HTTPStatus, effect: str) -> None:
+    def _refuse(self, status: http.HTTPStatus, effect: str, is_unseen: bool = False) -> None:
         """Answer the unfinished request and close the connection once the client could read that.
 
         While an earlier request is unanswered, a refusal would be taken for its answer, and the
         connection is closed instead; so it is if the request was answered before its end.
+
+        :param is_unseen: whether the latest request is complete, but not yet for the application.
         """
         self._connections.record_limit(effect)
         self._is_refused = True
@@ -360,7 +374,7 @@
         self._count_held_bytes()
         self._set_unfinished_timer(None)
         self._unfinished_since = self.loop.time()
-        if self._is_receiving_body:
+        if self._is_receiving_body or (is_unseen and self._is_running_alone):
             # The application sees that the client has left, and does not answer any more.
             self.cycle.disconnected = True
             self.cycle.message_event.set()
@@ -372,11 +386,10 @@
             self.transport.write_eof()
         self.loop.call_later(LINGER_SECONDS, self.transport.abort)
 
-    def evict(self, effect: str) -> None:
-        """Refuse the unfinished request and close the connection at once."""
+    def refuse_unfinished(self, effect: str) -> None:
+        """Refuse the request that has been arriving for too long."""
         if not self._is_refused:
             self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, effect)
-        self.close_now()
 
     def close_now(self) -> None:
         """Close the connection without waiting for a client that does not read."""
@@ -426,7 +439,12 @@
     @property
     def _is_receiving_body(self) -> bool:
         """Return whether the application waits for the body of its only request."""
-        if self._stage is not Stage.BODY or self.pipeline:
+        return self._stage is Stage.BODY and self._is_running_alone
+
+    @property
+    def _is_running_alone(self) -> bool:
+        """Return whether the latest request runs and has no answer yet."""
+        if self.pipeline or self.cycle is None:
             return False
         return not self.cycle.response_started and not self.cycle.disconnected
 
