--- a/features/fixtures_docs.py
+++ b/features/fixtures_docs.py
@@ -234,6 +234,7 @@
     metrics.record_first_token("w", Priority.HIGH, 0.1)
     metrics.record_time_between_tokens("w", Priority.HIGH, 0.1)
     metrics.record_queue_wait("w", Priority.HIGH, 0.1)
+    metrics.count_limited_connection("late")
     unused = Dependencies(SystemClock(), None, None, None, None, random.Random(1))
     router = Application(FakeApplication().settings, unused)
     router.scheduler.counters.admitted[Priority.HIGH] += 1
--- a/packages/quinceferry-daemon/src/quinceferryd/settings_rules.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/settings_rules.py
@@ -142,6 +142,8 @@
     "membership.heartbeat_interval_seconds": _range_rule(0.5, 300),
     "addresses.answer_ttl_seconds": _range_rule(1, 3600),
     "streams.retry_share": _range_rule(0, 1),
+    "clients.max_requests_ahead": _minimum_rule(1),
+    "clients.max_connections": _minimum_rule(1),
 }
 _RULES_BY_SUFFIX: dict[str, Rule] = {
     "_per_second": _range_rule(0.01, 1e9),
