Split what has arrived and time limits from the protocol of connections

Arrival counts the request that is being sent, Deadline is a time limit that can be started anew and grants more when its own timer is late; the protocol decides what follows. Connections that were refused and linger can still be replaced.

--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -10,31 +10,24 @@
 import http
 import math
 from collections import deque
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 from uvicorn.server import ServerState
 
+from quinceferry_http.arrival import REQUEST_BYTES, Arrival, Stage
+from quinceferry_http.deadlines import Deadline
 from quinceferry_http.flow import HoldingFlowControl, has_left
 
 if TYPE_CHECKING:
     from quinceferry_http.connections import Connections
 
-SLICE_BYTES = 512
-"""Bytes that are parsed at once, unless they belong to a body of known length."""
 READ_BUFFER_BYTES = 32_768
 LEAVING_CHECK_SECONDS = 0.5
 """Interval of the checks whether a client has left while nothing is read from its connection."""
 LINGER_SECONDS = 2.0
 """How long the client may read a refusal while the rest of its request is dropped."""
-REQUEST_BYTES = 4_096
-"""Memory of a request besides its contents."""
-HEADER_BYTES = 160
-"""Memory of a header besides its contents."""
-LATENESS_SECONDS = 0.5
-"""A timer that is later than this grants as much again: what has arrived may not be read yet."""
 RETRY_AFTER_SECONDS = 1
 EXCESS_STATE = "excess"
 """Key of the ASGI state of connections that were accepted above the limit of connections."""
@@ -43,14 +36,6 @@
 _READ_BUFFER = memoryview(bytearray(READ_BUFFER_BYTES))
 
 
-class Stage(Enum):
-    """What the client sends next."""
-
-    REQUEST_LINE = "request_line"
-    HEAD = "head"
-    BODY = "body"
-
-
 class BoundedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
     """Connection that refuses or cuts off a client outside the limits.
 
@@ -69,49 +54,42 @@
     ) -> None:
         super().__init__(config, server_state, app_state)
         self._connections = connections
-        self._stage = Stage.REQUEST_LINE
-        self._stage_bytes = 0
-        self._body_bytes = 0
-        self._expected_body_bytes = 0
+        self._arrival = Arrival()
+        self._arrival_deadline = Deadline(self.loop, self._end_arrival_time)
+        self._is_body_timed = False
         self._discarded_bytes = 0
-        self._is_refused = False
+        self._refused_at = math.inf
         self._unparsed = b""
         self._is_just_received = False
         self._running_cycle: RequestResponseCycle | None = None
         self._leaving_check: asyncio.TimerHandle | None = None
-        self._unfinished_since = math.inf
-        self._unfinished_timer: asyncio.TimerHandle | None = None
-        self._is_body_timed = False
-        self._unread_since = math.inf
         self._unread_bytes = 0
-        self._unread_timer: asyncio.TimerHandle | None = None
+        self._unread_deadline = Deadline(self.loop, self._end_unread_time)
         self._held_bytes = 0
         self._held_bytes_by_request: deque[int] = deque()
-        self._head_bytes = 0
-        self._bytes_before_body_part = 0
         self._rejected_status = http.HTTPStatus.BAD_REQUEST
         self._idle_since = self.loop.time()
 
     @property
     def idle_since(self) -> float:
         """Return the event loop time of the last answer or of the start, infinite while busy."""
-        is_idle = self._stage is Stage.REQUEST_LINE and not self._stage_bytes
-        return self._idle_since if is_idle and not self._owes_answer else math.inf
+        is_busy = self._arrival.has_begun or self._owes_answer
+        return math.inf if is_busy else self._idle_since
 
     @property
     def is_refused(self) -> bool:
         """Return whether a request was refused and the connection is about to be closed."""
-        return self._is_refused
+        return self._refused_at < math.inf
 
     @property
     def unfinished_since(self) -> float:
-        """Return the event loop time from which on a request was awaited or refused."""
-        return self._unfinished_since
+        """Return the event loop time since which the rest of a request is awaited or dropped."""
+        return min(self._arrival_deadline.since, self._refused_at)
 
     @property
     def unread_since(self) -> float:
         """Return the event loop time since which bytes wait for the client, infinite if none do."""
-        return self._unread_since
+        return self._unread_deadline.since
 
     @property
     def _owes_answer(self) -> bool:
@@ -137,8 +115,9 @@
             self._running_cycle.message_event.set()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
-        self._set_unfinished_timer(None)
-        self._set_unread(False)
+        self._arrival_deadline.stop()
+        self._unread_deadline.stop()
+        self._unread_bytes = 0
         self._held_bytes_by_request.clear()
         self._unparsed = b""
         self._count_held_bytes()
@@ -146,40 +125,30 @@
     def pause_writing(self) -> None:
         """Limit the time until the client reads; called by the event loop."""
         super().pause_writing()
-        self._set_unread(True)
+        self._unread_deadline.start(self._connections.limits.unread_seconds)
+        self._count_unread_bytes()
         self._connections.memory.make_room()
 
     def resume_writing(self) -> None:
         """Note that the client has read everything; called by the event loop."""
         super().resume_writing()
-        self._set_unread(False)
-
-    def _set_unread(self, is_unread: bool) -> None:
-        """Start or stop to limit the time for which bytes wait for the client."""
-        if self._unread_timer is not None:
-            self._unread_timer.cancel()
-            self._unread_timer = None
-        self._unread_since = self.loop.time() if is_unread else math.inf
-        self._unread_bytes = self.transport.get_write_buffer_size() if is_unread else 0
-        if is_unread:
-            self._schedule_unread_check()
-        self._count_held_bytes()
+        self._unread_deadline.stop()
+        self._count_unread_bytes()
 
-    def _schedule_unread_check(self) -> None:
-        """Check later whether the client has read something."""
-        seconds = self._connections.limits.unread_seconds
-        self._unread_timer = self.loop.call_later(seconds, self._check_unread)
+    def _count_unread_bytes(self) -> None:
+        """Count the bytes that wait for the client."""
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        self._count_held_bytes()
 
-    def _check_unread(self) -> None:
-        """Close the connection if the client has read nothing since the last check."""
-        unread_bytes = self.transport.get_write_buffer_size()
-        if unread_bytes >= self._unread_bytes:
+    def _end_unread_time(self) -> None:
+        """Close the connection if the client has read nothing in the time."""
+        unread_bytes = self._unread_bytes
+        self._count_unread_bytes()
+        if self._unread_bytes < unread_bytes:
+            self._unread_deadline.extend(self._connections.limits.unread_seconds)
+        else:
             self._connections.record_limit("unread")
             self.transport.abort()
-            return
-        self._unread_bytes = unread_bytes
-        self._count_held_bytes()
-        self._schedule_unread_check()
 
     def mark_as_excess(self) -> None:
         """Tell the application that the connection exceeds the limit of connections."""
@@ -202,11 +171,11 @@
         position = 0
         self._is_just_received = False
         while position < len(data) and self._may_parse:
-            part = data[position : position + self._slice_bytes()]
+            part = data[position : position + self._arrival.slice_bytes]
             position += len(part)
             self._parse(part)
         self._unparsed = b""
-        if self._is_refused:
+        if self.is_refused:
             self._discard(len(data) - position)
         elif position == len(data):
             self.flow.release()
@@ -215,13 +184,13 @@
             self.flow.hold()
             if self._leaving_check is None:
                 self._schedule_leaving_check()
-        self._time_request()
+        self._limit_arrival_time()
         self._keep_within_memory()
 
     @property
     def _may_parse(self) -> bool:
         """Return whether the client may send more now."""
-        if self._is_refused or self.transport.is_closing():
+        if self.is_refused or self.transport.is_closing():
             return False
         return len(self.pipeline) < self._connections.limits.max_requests_ahead
 
@@ -239,44 +208,33 @@
         else:
             self._schedule_leaving_check()
 
-    def _slice_bytes(self) -> int:
-        """Return how many bytes to parse at once."""
-        if self._stage is not Stage.BODY:
-            return SLICE_BYTES
-        return max(SLICE_BYTES, self._expected_body_bytes - self._body_bytes)
-
     def _parse(self, part: bytes) -> None:
         """Parse a slice, and refuse the request if it exceeds a limit."""
-        self._stage_bytes += len(part)
+        self._arrival.add(len(part))
         super().data_received(part)
-        if self._is_refused or self.transport.is_closing():
+        if self.is_refused or self.transport.is_closing():
             return
         self._count_request_bytes()
-        limits = self._connections.limits
-        match self._stage:
-            case Stage.REQUEST_LINE if self._stage_bytes > limits.max_head_bytes:
+        if self._arrival.stage is Stage.BODY and self.cycle.response_complete:
+            self._discard(len(part))
+        elif self._arrival.exceeds(self._connections.limits):
+            if self._arrival.stage is Stage.REQUEST_LINE:
                 self._refuse(http.HTTPStatus.BAD_REQUEST, "malformed")
-            case Stage.HEAD if self._stage_bytes > limits.max_head_bytes:
+            else:
                 self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "oversized")
-            case Stage.BODY if self.cycle.response_complete:
-                self._discard(len(part))
-            case Stage.BODY:
-                framing_bytes = self._stage_bytes - self._body_bytes
-                if framing_bytes > limits.max_framing_bytes(self._body_bytes):
-                    self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "oversized")
 
     def on_message_begin(self) -> None:
         """Begin a request; called by the parser."""
         super().on_message_begin()
-        self._stage = Stage.HEAD
+        self._arrival.begin_head()
         self._held_bytes_by_request.append(REQUEST_BYTES)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; called by the parser. Trailers are dropped."""
-        if self._stage is Stage.HEAD:
+        if self._arrival.stage is Stage.HEAD:
             super().on_header(name, value)
             if name.lower() == b"content-length":
-                self._expected_body_bytes = int(value)
+                self._arrival.expected_body_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Pass a request on to the application; called by the parser."""
@@ -285,8 +243,7 @@
             raise ValueError("the target is too long")
         super().on_headers_complete()
         self._count_request_bytes()
-        self._head_bytes = self._held_bytes_by_request[-1]
-        self._enter(Stage.BODY)
+        self._arrival.begin_body(len(self.headers))
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         """Begin to serve a request."""
@@ -295,18 +252,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of a body on; called by the parser."""
-        self._body_bytes += len(body)
-        self._bytes_before_body_part = self._stage_bytes
+        self._arrival.add_body(len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """End a request; called by the parser."""
         super().on_message_complete()
-        self._bytes_before_body_part = self._stage_bytes
         self._count_request_bytes()
-        self._enter(Stage.REQUEST_LINE)
+        self._arrival.end()
         self._is_just_received = True
-        self._expected_body_bytes = 0
 
     def on_response_complete(self) -> None:
         """Begin the next request, or become idle."""
@@ -318,30 +272,17 @@
         if self._unparsed and not self.transport.is_closing():
             self._parse_slices(self._unparsed)
         else:
-            self._time_request()
+            self._limit_arrival_time()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request that the parser has rejected."""
         self._refuse(self._rejected_status, "malformed")
 
-    def _enter(self, stage: Stage) -> None:
-        """Begin to count the bytes of a stage."""
-        self._stage = stage
-        self._stage_bytes = 0
-        self._body_bytes = 0
-        self._bytes_before_body_part = 0
-
     def _count_request_bytes(self) -> None:
-        """Count the memory of the request that arrives, with what the parser keeps of it."""
-        match self._stage:
-            case Stage.HEAD:
-                held_bytes = REQUEST_BYTES + HEADER_BYTES * len(self.headers) + self._stage_bytes
-            case Stage.BODY if not self.cycle.response_complete:
-                unread_bytes = self._stage_bytes - self._bytes_before_body_part
-                held_bytes = self._head_bytes + self._body_bytes + unread_bytes
-            case _:
-                return
-        self._held_bytes_by_request[-1] = held_bytes
+        """Count the memory of the request that arrives, unless it is already answered."""
+        stage = self._arrival.stage
+        if stage is Stage.HEAD or (stage is Stage.BODY and not self.cycle.response_complete):
+            self._held_bytes_by_request[-1] = self._arrival.memory_bytes(len(self.headers))
 
     def _count_held_bytes(self) -> None:
         """Count the memory that the connection holds among that of all connections."""
@@ -355,7 +296,7 @@
         The application has not seen the end of one that was just received.
         """
         self._count_held_bytes()
-        if not self._is_refused and not self._connections.memory.make_room():
+        if not self.is_refused and not self._connections.memory.make_room():
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
             self._refuse(status, "memory", is_unseen=self._is_just_received)
 
@@ -368,17 +309,16 @@
         :param is_unseen: whether the latest request is complete, but not yet for the application.
         """
         self._connections.record_limit(effect)
-        self._is_refused = True
+        self._refused_at = self.loop.time()
         self._held_bytes_by_request.clear()
         self._unparsed = b""
         self._count_held_bytes()
-        self._set_unfinished_timer(None)
-        self._unfinished_since = self.loop.time()
+        self._arrival_deadline.stop()
         if self._is_receiving_body or (is_unseen and self._is_running_alone):
             # The application sees that the client has left, and does not answer any more.
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        elif self._owes_answer or self._stage is Stage.BODY:
+        elif self._owes_answer or self._arrival.stage is Stage.BODY:
             self.transport.abort()
             return
         self.transport.write(_refusal(status))
@@ -388,7 +328,7 @@
 
     def refuse_unfinished(self, effect: str) -> None:
         """Refuse the request that has been arriving for too long."""
-        if not self._is_refused:
+        if not self.is_refused:
             self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, effect)
 
     def close_now(self) -> None:
@@ -397,49 +337,34 @@
         if self.transport.get_write_buffer_size():
             self.transport.abort()
 
-    def _time_request(self) -> None:
+    def _limit_arrival_time(self) -> None:
         """Limit the time for the rest of a request that has begun to arrive."""
-        if self._is_refused:
+        if not self._is_awaiting_request:
+            self._arrival_deadline.stop()
             return
-        is_body = self._stage is Stage.BODY
-        if self._is_awaiting_request:
-            if self._unfinished_timer is None or is_body is not self._is_body_timed:
-                limits = self._connections.limits
-                self._is_body_timed = is_body
-                self._set_unfinished_timer(limits.body_seconds if is_body else limits.head_seconds)
-        elif self._unfinished_timer is not None:
-            self._set_unfinished_timer(None)
+        is_body = self._arrival.stage is Stage.BODY
+        if not self._arrival_deadline.is_running or is_body is not self._is_body_timed:
+            limits = self._connections.limits
+            self._is_body_timed = is_body
+            self._arrival_deadline.start(limits.body_seconds if is_body else limits.head_seconds)
 
     @property
     def _is_awaiting_request(self) -> bool:
         """Return whether a request has begun to arrive and only its rest is awaited."""
-        if self.transport.is_closing():
+        if self.is_refused or self.transport.is_closing():
             return False
-        if self._stage is Stage.BODY:
+        if self._arrival.stage is Stage.BODY:
             return self.cycle.response_complete or self._is_receiving_body
-        return not self._owes_answer and (self._stage is Stage.HEAD or self._stage_bytes > 0)
-
-    def _set_unfinished_timer(self, seconds: float | None) -> None:
-        """Replace the time limit of the request that arrives, None for no limit."""
-        if self._unfinished_timer is not None:
-            self._unfinished_timer.cancel()
-            self._unfinished_timer = None
-        self._unfinished_since = math.inf
-        if seconds is not None:
-            self._unfinished_since = self.loop.time()
-            self._unfinished_timer = self.loop.call_later(seconds, self._end_request_time)
-
-    def _end_request_time(self) -> None:
+        return self._arrival.has_begun and not self._owes_answer
+
+    def _end_arrival_time(self) -> None:
         """Refuse a request that has taken too long to arrive."""
-        if self.loop.time() - self._unfinished_timer.when() > LATENESS_SECONDS:
-            self._unfinished_timer = self.loop.call_later(LATENESS_SECONDS, self._end_request_time)
-        else:
-            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, "late")
+        self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, "late")
 
     @property
     def _is_receiving_body(self) -> bool:
         """Return whether the application waits for the body of its only request."""
-        return self._stage is Stage.BODY and self._is_running_alone
+        return self._arrival.stage is Stage.BODY and self._is_running_alone
 
     @property
     def _is_running_alone(self) -> bool:
@@ -453,7 +378,7 @@
         self._discarded_bytes += size
         if self._discarded_bytes <= self._connections.limits.max_discarded_bytes:
             return
-        if self._is_refused:
+        if self.is_refused:
             self.flow.pause_reading()
         else:
             self._connections.record_limit("oversized")
