Count what arrives once for each read, and select connections in one place

Reread of the connections: memory was counted after each slice though it is looked at once for each read, the head's twice; a flag repeated what the stage of the request tells; headers were lowered twice to find one; four selections of the connection that is longest in a state were alike, one of them made in vain when an idle one was found; both daemons asked for the allowed descriptors in functions of their own; a property was used by nobody.

Behaviour is the same.

--- a/packages/quinceferry-daemon/src/quinceferryd/server.py
+++ b/packages/quinceferry-daemon/src/quinceferryd/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import resource
 import socket
 from collections.abc import Callable, Generator, Sequence
 from typing import Any
@@ -15,7 +14,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from quinceferry_core.outcomes import Failed, RefusalReason, Unknown
-from quinceferry_http import ConnectionMemory, Connections
+from quinceferry_http import ConnectionMemory, Connections, count_descriptors
 from quinceferryd.blackboard import RouterState
 from quinceferryd.bodies import BodyMemory
 from quinceferryd.caller_api import CallerApi, caller_routes
@@ -101,7 +100,7 @@
         super().__init__(config)
         self._connections = Connections(
             clients,
-            min(clients.max_connections, _max_descriptors() // 2),
+            min(clients.max_connections, count_descriptors() // 2),
             on_limit,
             ConnectionMemory(clients.max_held_bytes),
             self.server_state,
@@ -181,11 +180,6 @@
             await self._task
 
 
-def _max_descriptors() -> int:
-    """Return how many descriptors the operating system lets the process have open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-
-
 def _create_listener(host: str, port: int) -> socket.socket:
     """Return a listening socket.
 
--- a/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
+++ b/packages/quinceferry-gateway/src/quinceferry_gateway/listeners.py
@@ -1,7 +1,6 @@
 """Creates the listeners of a gateway, with a limit of connections for each."""
 
 import math
-import resource
 from typing import Any
 
 from quinceferry_core.clocks import Clock
@@ -11,7 +10,7 @@
 from quinceferry_gateway.metrics import Metrics
 from quinceferry_gateway.server import HttpListener
 from quinceferry_gateway.settings import LimitSettings
-from quinceferry_http import ClientLimits, ConnectionMemory
+from quinceferry_http import ClientLimits, ConnectionMemory, count_descriptors
 
 LOG_INTERVAL_SECONDS = 10.0
 """Shortest time between two log lines on one listener about the same limit."""
@@ -33,7 +32,7 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        self._limits = ConnectionLimits.within(_count_descriptors(process_limits.descriptors))
+        self._limits = ConnectionLimits.within(count_descriptors(process_limits.descriptors))
         self.memory = _create_memory(process_limits.memory_megabytes)
         self._client_limits = client_limits
         self._clock = clock
@@ -83,12 +82,3 @@
     :param megabytes: memory of the machine, 0 if it is unknown.
     """
     return ConnectionMemory(connection_memory_bytes(megabytes)) if megabytes else ConnectionMemory()
-
-
-def _count_descriptors(configured: int) -> int:
-    """Return how many descriptors the process may have open.
-
-    :param configured: the number in the settings, 0 if there is none.
-    """
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return min(allowed, configured) if configured else allowed
--- a/packages/quinceferry-http/src/quinceferry_http/arrival.py
+++ b/packages/quinceferry-http/src/quinceferry_http/arrival.py
@@ -21,23 +21,20 @@
 
 
 class Arrival:
-    """The request that a client sends now, as far as it has arrived.
-
-    ``expected_body_bytes`` is the length that its head has announced, 0 if there is none.
-    """
+    """The request that a client sends now, as far as it has arrived."""
 
     __slots__ = (
         "_body_bytes",
         "_bytes_at_body_part",
+        "_expected_body_bytes",
         "_head_memory_bytes",
         "_stage_bytes",
-        "expected_body_bytes",
         "stage",
     )
 
     def __init__(self) -> None:
         self.stage = Stage.REQUEST_LINE
-        self.expected_body_bytes = 0
+        self._expected_body_bytes = 0
         self._head_memory_bytes = 0
         self._clear_counts()
 
@@ -51,7 +48,7 @@
         """Return how many bytes to parse at once."""
         if self.stage is not Stage.BODY:
             return SLICE_BYTES
-        return max(SLICE_BYTES, self.expected_body_bytes - self._body_bytes)
+        return max(SLICE_BYTES, self._expected_body_bytes - self._body_bytes)
 
     def memory_bytes(self, headers: int) -> int:
         """Return the memory of the request, with what the parser keeps of it.
@@ -76,11 +73,13 @@
         """Note that the request line has begun; empty lines before it count with the head."""
         self.stage = Stage.HEAD
 
-    def begin_body(self, headers: int) -> None:
+    def begin_body(self, headers: int, expected_bytes: int) -> None:
         """Note that the head is complete.
 
         :param headers: number of its headers.
+        :param expected_bytes: the length that it announces for the body, 0 if there is none.
         """
+        self._expected_body_bytes = expected_bytes
         self._head_memory_bytes = self.memory_bytes(headers)
         self.stage = Stage.BODY
         self._clear_counts()
@@ -88,7 +87,6 @@
     def end(self) -> None:
         """Note that the request is complete."""
         self.stage = Stage.REQUEST_LINE
-        self.expected_body_bytes = 0
         self._clear_counts()
 
     def exceeds(self, limits: ClientLimits) -> bool:
--- a/packages/quinceferry-http/src/quinceferry_http/connections.py
+++ b/packages/quinceferry-http/src/quinceferry_http/connections.py
@@ -1,7 +1,8 @@
 """All open connections of one server, and their limits."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from operator import attrgetter
 from typing import Any
 
 import uvicorn
@@ -16,6 +17,8 @@
 may be on its way."""
 MIN_UNFINISHED_SECONDS = 1.0
 """How long a request must have been arriving for its connection to be closed for another one."""
+MIN_UNREAD_SECONDS = 1.0
+"""How long an answer must have waited for its client to be given up for want of memory."""
 REFUSED_SHARE = 0.05
 """Connections above the limit, as a share of it, that are accepted to refuse their requests."""
 
@@ -80,15 +83,13 @@
         """Keep the number of connections within the limit after one was accepted."""
         if len(self) <= self._max_connections:
             return
-        others, now = self._state.connections - {connection}, connection.idle_since
-        idle = min(others, key=lambda item: item.idle_since, default=connection)
-        unfinished = min(others, key=lambda item: item.unfinished_since, default=connection)
-        if now - idle.idle_since >= MIN_IDLE_SECONDS:
+        others = self._state.connections - {connection}
+        if (idle := _longest(others, "idle_since", MIN_IDLE_SECONDS)) is not None:
             self._close(idle, "idle")
-        elif now - unfinished.unfinished_since >= MIN_UNFINISHED_SECONDS:
-            self._state.connections.discard(unfinished)
-            unfinished.refuse_unfinished("unfinished")
-            unfinished.close_now()
+        elif (late := _longest(others, "unfinished_since", MIN_UNFINISHED_SECONDS)) is not None:
+            self._state.connections.discard(late)
+            late.refuse_unfinished("unfinished")
+            late.close_now()
         elif len(self) <= (1 + REFUSED_SHARE) * self._max_connections:
             connection.mark_as_excess()
             self.record_limit("refused")
@@ -98,24 +99,33 @@
     def _evict_unfinished(self) -> bool:
         """Refuse the request that has been arriving for longest, if that is long."""
         holding = [item for item in self._state.connections if not item.is_refused]
-        unfinished = min(holding, key=lambda item: item.unfinished_since, default=None)
-        if unfinished is None:
-            return False
-        if unfinished.loop.time() - unfinished.unfinished_since < MIN_UNFINISHED_SECONDS:
-            return False
-        unfinished.refuse_unfinished("memory")
-        return True
+        unfinished = _longest(holding, "unfinished_since", MIN_UNFINISHED_SECONDS)
+        if unfinished is not None:
+            unfinished.refuse_unfinished("memory")
+        return unfinished is not None
 
     def _evict_unread(self) -> bool:
         """Close the connection whose client has not read for longest, if that is long."""
-        unread = min(self._state.connections, key=lambda item: item.unread_since, default=None)
-        if unread is None or unread.loop.time() - unread.unread_since < MIN_UNFINISHED_SECONDS:
-            return False
-        self._close(unread, "memory")
-        return True
+        unread = _longest(self._state.connections, "unread_since", MIN_UNREAD_SECONDS)
+        if unread is not None:
+            self._close(unread, "memory")
+        return unread is not None
 
     def _close(self, connection: BoundedProtocol, effect: str) -> None:
         """Close a connection, which does not count any more."""
         self._state.connections.discard(connection)
         connection.close_now()
         self.record_limit(effect)
+
+
+def _longest(
+    connections: Collection[BoundedProtocol], since: str, least_seconds: float
+) -> BoundedProtocol | None:
+    """Return the connection that has been in a state for longest, None if none has for long.
+
+    :param since: name of the attribute with the event loop time since which it is in that state.
+    """
+    longest = min(connections, key=attrgetter(since), default=None)
+    if longest is None or longest.loop.time() - getattr(longest, since) < least_seconds:
+        return None
+    return longest
--- a/packages/quinceferry-http/src/quinceferry_http/memory.py
+++ b/packages/quinceferry-http/src/quinceferry_http/memory.py
@@ -19,11 +19,6 @@
         self._used_bytes = 0
         self._evictions: list[Callable[[], bool]] = []
 
-    @property
-    def used_bytes(self) -> int:
-        """Return how many bytes are in use."""
-        return self._used_bytes
-
     def allow(self, size: int) -> None:
         """Allow at least as many bytes, such as for one request of the largest permitted size."""
         self._max_bytes = max(self._max_bytes, size)
--- a/packages/quinceferry-http/src/quinceferry_http/protocol.py
+++ b/packages/quinceferry-http/src/quinceferry_http/protocol.py
@@ -56,7 +56,6 @@
         self._connections = connections
         self._arrival = Arrival()
         self._arrival_deadline = Deadline(self.loop, self._end_arrival_time)
-        self._is_body_timed = False
         self._discarded_bytes = 0
         self._refused_at = math.inf
         self._unparsed = b""
@@ -214,7 +213,6 @@
         super().data_received(part)
         if self.is_refused or self.transport.is_closing():
             return
-        self._count_request_bytes()
         if self._arrival.stage is Stage.BODY and self.cycle.response_complete:
             self._discard(len(part))
         elif self._arrival.exceeds(self._connections.limits):
@@ -233,8 +231,6 @@
         """Keep a header; called by the parser. Trailers are dropped."""
         if self._arrival.stage is Stage.HEAD:
             super().on_header(name, value)
-            if name.lower() == b"content-length":
-                self._arrival.expected_body_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Pass a request on to the application; called by the parser."""
@@ -242,8 +238,9 @@
             self._rejected_status = http.HTTPStatus.REQUEST_URI_TOO_LONG
             raise ValueError("the target is too long")
         super().on_headers_complete()
-        self._count_request_bytes()
-        self._arrival.begin_body(len(self.headers))
+        body_bytes = int(dict(self.headers).get(b"content-length", 0))
+        self._arrival.begin_body(len(self.headers), body_bytes)
+        self._arrival_deadline.stop()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         """Begin to serve a request."""
@@ -260,6 +257,7 @@
         super().on_message_complete()
         self._count_request_bytes()
         self._arrival.end()
+        self._arrival_deadline.stop()
         self._is_just_received = True
 
     def on_response_complete(self) -> None:
@@ -295,8 +293,11 @@
 
         The application has not seen the end of one that was just received.
         """
+        if self.is_refused:
+            return
+        self._count_request_bytes()
         self._count_held_bytes()
-        if not self.is_refused and not self._connections.memory.make_room():
+        if not self._connections.memory.make_room():
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
             self._refuse(status, "memory", is_unseen=self._is_just_received)
 
@@ -341,11 +342,8 @@
         """Limit the time for the rest of a request that has begun to arrive."""
         if not self._is_awaiting_request:
             self._arrival_deadline.stop()
-            return
-        is_body = self._arrival.stage is Stage.BODY
-        if not self._arrival_deadline.is_running or is_body is not self._is_body_timed:
-            limits = self._connections.limits
-            self._is_body_timed = is_body
+        elif not self._arrival_deadline.is_running:
+            limits, is_body = self._connections.limits, self._arrival.stage is Stage.BODY
             self._arrival_deadline.start(limits.body_seconds if is_body else limits.head_seconds)
 
     @property
