Share the steps of misbehaving clients that differ in their words only

Waiting until a crowd is cut off stood in two step files; steps that let clients read, or not, had one body each.

--- a/features/fixtures_misbehaving_clients.py
+++ b/features/fixtures_misbehaving_clients.py
@@ -180,15 +180,16 @@
         sent = ENDLESS_INPUTS.get(what) or HELD_INPUTS[what]
         return cls([UnrulyClient(address, sent, reads) for _ in range(count)])
 
-    @property
-    def not_cut_off(self):
-        """Return the number of clients whose connection is open."""
-        return sum(not client.cut_off for client in self.clients)
-
     async def run(self):
         """Let all clients send everything."""
         await asyncio.gather(*(client.run() for client in self.clients))
 
+    async def wait_cut_off(self):
+        """Wait until all clients are cut off, and return the number of those that are not."""
+        with contextlib.suppress(AssertionError):
+            await until(lambda: all(client.cut_off for client in self.clients))
+        return sum(not client.cut_off for client in self.clients)
+
     def leave(self):
         """Close all connections."""
         for client in self.clients:
--- a/features/steps/daemon_misbehaving_clients.py
+++ b/features/steps/daemon_misbehaving_clients.py
@@ -1,7 +1,6 @@
 """Steps for clients of a daemon that stay outside the limits."""
 
 import asyncio
-import contextlib
 import resource
 import sys
 import tempfile
@@ -10,7 +9,6 @@
 
 from behave import given, then, when
 
-from features.fixtures_gateway import until
 from features.fixtures_misbehaving_clients import (
     Crowd,
     ProcessUsage,
@@ -104,31 +102,21 @@
 
 
 @when("{count:d} clients send {what} without end to the daemon")
-def when_daemon_endless(context, count, what):
-    context.daemon_scene.send(count, what, reads=True)
-
-
 @when("{count:d} clients send many {what} ahead to the daemon and read the answers")
-def when_daemon_ahead(context, count, what):
+def when_daemon_read(context, count, what):
     context.daemon_scene.send(count, what, reads=True)
 
 
 @when("{count:d} clients send many {what} ahead to the daemon and don't read the answers")
-def when_daemon_unread(context, count, what):
-    context.daemon_scene.send(count, what, reads=False)
-
-
 @when("{count:d} clients send {what} to the daemon and wait")
-def when_daemon_held(context, count, what):
+def when_daemon_unread(context, count, what):
     context.daemon_scene.send(count, what, reads=False)
 
 
 @then("each of the daemon's clients was cut off")
 def then_daemon_cut_off(context):
     async def check(scene):
-        with contextlib.suppress(AssertionError):
-            await until(lambda: not scene.crowd.not_cut_off)
-        scene.not_cut_off = scene.crowd.not_cut_off
+        scene.not_cut_off = await scene.crowd.wait_cut_off()
 
     context.daemon_scene.acts.append(check)
 
--- a/features/steps/gateway_misbehaving_clients.py
+++ b/features/steps/gateway_misbehaving_clients.py
@@ -1,7 +1,6 @@
 """Steps for clients of a gateway that stay outside the limits."""
 
 import asyncio
-import contextlib
 
 from behave import given, then, when
 
@@ -68,12 +67,8 @@
 
 
 @when("{count:d} clients send {what} without end to its address for {listener}")
-def when_endless(context, count, what, listener):
-    _send(context, count, what, listener, reads=True)
-
-
 @when("{count:d} clients send many {what} ahead to its address for {listener} and read the answers")
-def when_ahead(context, count, what, listener):
+def when_read(context, count, what, listener):
     _send(context, count, what, listener, reads=True)
 
 
@@ -81,12 +76,8 @@
     "{count:d} clients send many {what} ahead to its address for {listener} and "
     "don't read the answers"
 )
-def when_ahead_unread(context, count, what, listener):
-    _send(context, count, what, listener, reads=False)
-
-
 @when("{count:d} clients send {what} to its address for {listener} and wait")
-def when_held(context, count, what, listener):
+def when_unread(context, count, what, listener):
     _send(context, count, what, listener, reads=False)
 
 
@@ -138,9 +129,7 @@
 @then("each of the clients was cut off")
 def then_cut_off(context):
     async def check(scene):
-        with contextlib.suppress(AssertionError):
-            await until(lambda: not context.crowd.not_cut_off)
-        context.not_cut_off = context.crowd.not_cut_off
+        context.not_cut_off = await context.crowd.wait_cut_off()
 
     process_scene(context).acts.append(check)
 
